--- /dev/null
+++ b/e2e/e2e_test.go
@@ -0,0 +1,72 @@
+// Package e2e drives an entry with the published OpenAI client.
+package e2e
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"gotest.tools/v3/assert"
+
+	"github.com/fescuecourse/fescuecourse/pkg/demo"
+)
+
+// startClient runs a demo cluster and returns a client for its first entry.
+func startClient(t *testing.T, key string) openai.Client {
+	t.Helper()
+	c, err := demo.Start(t.Context(), demo.DefaultOptions())
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, c.Stop()) })
+	return openai.NewClient(option.WithBaseURL("http://"+c.Entries[0].Addr()+"/v1"), option.WithAPIKey(key), option.WithMaxRetries(0))
+}
+
+// Guards against answers that a client outside this project cannot read.
+func TestChatCompletion(t *testing.T) {
+	client := startClient(t, "demo-key-tokachi")
+	got, err := client.Chat.Completions.New(t.Context(), chatParams("tokachi/adapter-001@1"))
+	assert.NilError(t, err)
+	assert.Equal(t, got.Model, "tokachi/adapter-001@1")
+	assert.Equal(t, len(strings.Fields(got.Choices[0].Message.Content)), 8)
+}
+
+// Guards against streams that a client outside this project cannot read, and
+// against streams that differ from the collected answer.
+func TestChatCompletionStream(t *testing.T) {
+	client := startClient(t, "demo-key-tokachi")
+	whole, err := client.Chat.Completions.New(t.Context(), chatParams("tokachi/adapter-002"))
+	assert.NilError(t, err)
+	stream := client.Chat.Completions.NewStreaming(t.Context(), chatParams("tokachi/adapter-002"))
+	text := ""
+	for stream.Next() {
+		chunk := stream.Current()
+		assert.Equal(t, chunk.Model, "tokachi/adapter-002@2")
+		text += chunk.Choices[0].Delta.Content
+	}
+	assert.NilError(t, stream.Err())
+	assert.Equal(t, text, whole.Choices[0].Message.Content)
+}
+
+// Guards against errors that the client cannot turn into its typed error.
+func TestTypedErrors(t *testing.T) {
+	for _, c := range []struct {
+		name, key, model string
+		status           int
+		code             string
+	}{
+		{"wrong key", "nobody", "tokachi/adapter-001", 401, "invalid_key"},
+		{"unknown adapter", "demo-key-tokachi", "tokachi/absent", 404, "model_not_found"},
+		{"unknown version", "demo-key-tokachi", "tokachi/adapter-001@9", 404, "model_not_found"},
+		{"malformed model", "demo-key-tokachi", "nonsense", 400, "invalid_model"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client := startClient(t, c.key)
+			_, err := client.Chat.Completions.New(t.Context(), chatParams(c.model))
+			var apiErr *openai.Error
+			assert.Assert(t, asAPIError(err, &apiErr), "error: %v", err)
+			assert.Equal(t, apiErr.StatusCode, c.status)
+			assert.Equal(t, apiErr.Code, c.code)
+			assert.Equal(t, apiErr.Response.Header.Get("Fescue-Outcome"), "not-run")
+		})
+	}
+}
--- /dev/null
+++ b/pkg/bundle/bundle.go
@@ -0,0 +1,124 @@
+// Package bundle defines the operators' configuration: its INI text, its
+// validation and the compiled form that request goroutines read.
+package bundle
+
+import (
+	"crypto/sha256"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// Errors returned by Resolve.
+var (
+	ErrUnknownAdapter = errors.New("unknown adapter")
+	ErrUnknownVersion = errors.New("unknown adapter version")
+)
+
+// Deployment holds the settings that apply to a whole deployment.
+type Deployment struct {
+	Name string
+	// StallWeight and BatchWeight weigh load stalls against batch efficiency.
+	StallWeight float64
+	BatchWeight float64
+	// RetryBudget is the largest share of retries among all requests.
+	RetryBudget float64
+	// KeyRetention is how long an idempotency key is remembered.
+	KeyRetention time.Duration
+}
+
+// TeamPolicy holds the limits and the scheduling weight of one team.
+type TeamPolicy struct {
+	Team          ident.Team
+	Weight        int
+	Priority      ident.Priority
+	MaxInFlight   int
+	RatePerSecond float64
+}
+
+// adapterEntry lists the versions of one adapter.
+type adapterEntry struct {
+	baseModel string
+	current   string
+	versions  []string
+}
+
+// Bundle is a compiled configuration bundle. It is immutable.
+type Bundle struct {
+	version    ident.BundleVersion
+	deployment Deployment
+	teams      map[ident.Team]TeamPolicy
+	keys       map[[sha256.Size]byte]ident.Team
+	adapters   map[string]adapterEntry
+	services   map[string]bool
+	routes     map[string]bool
+	reviewers  map[string][]byte
+}
+
+// Version returns the version of the bundle.
+func (b *Bundle) Version() ident.BundleVersion { return b.version }
+
+// Deployment returns the settings of the deployment.
+func (b *Bundle) Deployment() Deployment { return b.deployment }
+
+// Authenticate returns the team that owns the API key.
+func (b *Bundle) Authenticate(apiKey string) (ident.Team, bool) {
+	t, ok := b.keys[sha256.Sum256([]byte(apiKey))]
+	return t, ok
+}
+
+// Team returns the policy of a team.
+func (b *Bundle) Team(t ident.Team) (TeamPolicy, bool) {
+	p, ok := b.teams[t]
+	return p, ok
+}
+
+// Resolve turns a model name into an adapter with its version and base model.
+// A name without version gets the current one.
+func (b *Bundle) Resolve(model string) (ident.Adapter, string, error) {
+	a, err := ident.ParseAdapter(model)
+	if err != nil {
+		return ident.Adapter{}, "", err
+	}
+	e, ok := b.adapters[string(a.Team)+"/"+a.Name]
+	if !ok {
+		return ident.Adapter{}, "", ErrUnknownAdapter
+	}
+	if a.Version == "" {
+		a.Version = e.current
+		return a, e.baseModel, nil
+	}
+	for _, v := range e.versions {
+		if v == a.Version {
+			return a, e.baseModel, nil
+		}
+	}
+	return ident.Adapter{}, "", ErrUnknownVersion
+}
+
+// HasService reports whether the service is configured.
+func (b *Bundle) HasService(name string) bool { return b.services[name] }
+
+// Idempotent reports whether requests of a route may be repeated. The longest
+// matching rule wins. Without a rule, model routes are idempotent and service
+// routes are not.
+func (b *Bundle) Idempotent(route string) bool {
+	for r := strings.Trim(route, "/"); r != ""; {
+		if idempotent, ok := b.routes[r]; ok {
+			return idempotent
+		}
+		i := strings.LastIndexByte(r, '/')
+		if i < 0 {
+			break
+		}
+		r = r[:i]
+	}
+	return isModelRoute(strings.Trim(route, "/"))
+}
+
+func isModelRoute(route string) bool {
+	return route == "completions" || route == "chat/completions"
+}
--- /dev/null
+++ b/pkg/config/config.go
@@ -0,0 +1,166 @@
+// Package config reads settings from an INI file, the command line and the
+// environment, and reports all problems together.
+package config
+
+import (
+	"flag"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+	"gopkg.in/ini.v1"
+
+	"github.com/fescuecourse/fescuecourse/pkg/findings"
+)
+
+// EnvPrefix is the prefix of environment variables, such as FESCUE_LISTEN.
+const EnvPrefix = "FESCUE"
+
+// ErrUsage reports a wrong flag or argument. Programs exit with status 2.
+var ErrUsage = errors.New("wrong usage")
+
+// Set is a set of settings. Each setting is a flag and a key of the INI file;
+// dots in flag names separate the section from the key.
+type Set struct {
+	*flag.FlagSet
+	file  *string
+	lines map[string]int
+	found findings.List
+}
+
+// NewSet returns an empty set for the named program. Usage goes to w.
+func NewSet(name string, w io.Writer) *Set {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(w)
+	return &Set{FlagSet: fs, file: fs.String("config", "", "INI `file` with settings"), lines: map[string]int{}}
+}
+
+// Parse reads the command line, the environment and the INI file, in falling
+// precedence. It returns ErrUsage for a wrong command line and findings for a
+// wrong file.
+func (s *Set) Parse(args []string) error {
+	err := ff.Parse(s.FlagSet, args, ff.WithEnvVarPrefix(EnvPrefix))
+	if errors.Is(err, flag.ErrHelp) {
+		return err
+	}
+	if err != nil {
+		return errors.Mark(err, ErrUsage)
+	}
+	if *s.file == "" {
+		return nil
+	}
+	return s.parseFile(*s.file)
+}
+
+func (s *Set) parseFile(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	given := map[string]bool{}
+	s.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	values, err := s.parseINI(path, text)
+	if err != nil {
+		return err
+	}
+	for _, kv := range values {
+		s.apply(path, kv, given)
+	}
+	return s.found.Err()
+}
+
+type setting struct {
+	name  string
+	value string
+	line  int
+}
+
+func (s *Set) parseINI(path string, text []byte) ([]setting, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{}, text)
+	if err != nil {
+		s.found.Addf(path, 0, "%v", err)
+		return nil, s.found
+	}
+	lines := Lines(string(text))
+	var out []setting
+	for _, sec := range f.Sections() {
+		for _, key := range sec.Keys() {
+			name := key.Name()
+			if sec.Name() != ini.DefaultSection {
+				name = sec.Name() + "." + name
+			}
+			out = append(out, setting{name: name, value: key.Value(), line: lines[Place{Section: sec.Name(), Key: key.Name()}]})
+		}
+	}
+	return out, nil
+}
+
+func (s *Set) apply(path string, kv setting, given map[string]bool) {
+	f := s.Lookup(kv.name)
+	if f == nil || kv.name == "config" {
+		s.found.Addf(path, kv.line, "unknown setting %q", kv.name)
+		return
+	}
+	s.lines[kv.name] = kv.line
+	if given[kv.name] {
+		return
+	}
+	if err := s.Set(kv.name, kv.value); err != nil {
+		s.found.Addf(path, kv.line, "setting %q: %v", kv.name, err)
+	}
+}
+
+// Requiref records a finding for the setting unless ok holds.
+func (s *Set) Requiref(ok bool, name, format string, args ...any) {
+	if ok {
+		return
+	}
+	file := "settings"
+	if *s.file != "" {
+		file = *s.file
+	}
+	s.found.Addf(file, s.lines[name], "setting %q: "+format, append([]any{name}, args...)...)
+}
+
+// RequirePositive records a finding unless the duration is above zero.
+func (s *Set) RequirePositive(name string, d time.Duration) {
+	s.Requiref(d > 0, name, "must be above zero")
+}
+
+// Err returns all findings so far, or nil.
+func (s *Set) Err() error {
+	s.found.Sort()
+	return s.found.Err()
+}
+
+// Place is a key inside a section of an INI file.
+type Place struct {
+	Section string
+	Key     string
+}
+
+// Lines maps the sections and keys of an INI text to line numbers. A section
+// itself has an empty key. The first occurrence counts.
+func Lines(text string) map[Place]int {
+	out := map[Place]int{}
+	section := ini.DefaultSection
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || line[0] == ';' || line[0] == '#' {
+			continue
+		}
+		key := ""
+		if line[0] == '[' {
+			section = strings.TrimSpace(strings.Trim(strings.SplitN(line, "]", 2)[0], "[]"))
+		} else {
+			key = strings.TrimSpace(strings.SplitN(line, "=", 2)[0])
+		}
+		if _, ok := out[Place{Section: section, Key: key}]; !ok {
+			out[Place{Section: section, Key: key}] = i + 1
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/endpoint/endpoint.go
@@ -0,0 +1,160 @@
+package endpoint
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/attempts"
+	"github.com/fescuecourse/fescuecourse/pkg/engine"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+	"github.com/fescuecourse/fescuecourse/pkg/service"
+)
+
+// Intervals of the endpoint process.
+const (
+	// keepaliveTime and keepaliveTimeout close connections that have gone silent.
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = 5 * time.Second
+	// keepaliveMinTime is the shortest ping interval accepted from entries.
+	keepaliveMinTime = 5 * time.Second
+	// leaveGrace is how long a leaving endpoint keeps its server open, so that
+	// late attempts get a refusal instead of a broken connection.
+	leaveGrace = time.Second
+	// idleConnTimeout closes idle connections to the back end.
+	idleConnTimeout = 30 * time.Second
+)
+
+// Authority tells whether the process may give commands to its engine.
+type Authority interface {
+	// Token returns the fencing token and whether commands are allowed now.
+	Token() (token uint64, ok bool)
+}
+
+// Endpoint is one endpoint process.
+type Endpoint struct {
+	set         Settings
+	id          ident.EndpointID
+	incarnation ident.Incarnation
+	started     time.Time
+	log         logging.Logger
+	bundles     *rollout.Holder
+	authority   Authority
+	engine      *engine.Client
+	service     *service.Client
+	ledger      *attempts.Ledger
+	control     *control
+	hub         *hub
+	leaving     atomic.Bool
+	addr        atomic.Pointer[net.TCPAddr]
+	ready       chan struct{}
+}
+
+// New returns an endpoint process.
+func New(set Settings, bundles *rollout.Holder, authority Authority, log logging.Logger) *Endpoint {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: idleConnTimeout}
+	hc := &http.Client{Transport: transport}
+	e := &Endpoint{
+		set:         set,
+		id:          ident.EndpointID(set.ID),
+		incarnation: ident.NewIncarnation(),
+		started:     time.Now(),
+		log:         log.With("endpoint", set.ID),
+		bundles:     bundles,
+		authority:   authority,
+		engine:      engine.New(set.Address, hc),
+		service:     service.New(set.Address, hc),
+		ledger:      attempts.New(),
+		ready:       make(chan struct{}),
+	}
+	e.hub = newHub(e)
+	e.control = newControl(e)
+	return e
+}
+
+// Ready is closed once the endpoint listens.
+func (e *Endpoint) Ready() <-chan struct{} { return e.ready }
+
+// Addr returns the address the endpoint listens on. It is valid after Ready.
+func (e *Endpoint) Addr() string { return e.addr.Load().String() }
+
+// Incarnation returns the incarnation of this process.
+func (e *Endpoint) Incarnation() ident.Incarnation { return e.incarnation }
+
+// Run serves until ctx ends, then drains: new work is refused at once, queued
+// and running attempts complete.
+func (e *Endpoint) Run(ctx context.Context) error {
+	lis, err := net.Listen("tcp", e.set.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	if a, ok := lis.Addr().(*net.TCPAddr); ok {
+		e.addr.Store(a)
+	}
+	srv := grpc.NewServer(
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveMinTime, PermitWithoutStream: true}),
+	)
+	fescuev1.RegisterEndpointServer(srv, &server{e: e})
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	controlDone := make(chan struct{})
+	go func() {
+		defer close(controlDone)
+		e.control.run(background)
+	}()
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(lis) }()
+	close(e.ready)
+	e.log.For(logging.PartEndpoint).Info().Str("address", e.Addr()).Uint("incarnation", uint64(e.incarnation)).Msg("listening")
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	e.drain(background)
+	srv.Stop()
+	stop()
+	<-controlDone
+	return nil
+}
+
+// drain refuses new work and waits for queued and running attempts.
+func (e *Endpoint) drain(ctx context.Context) {
+	e.leaving.Store(true)
+	e.control.send(leaveEvent{})
+	e.log.For(logging.PartEndpoint).Info().Msg("leaving, new work is refused")
+	ctx, cancel := context.WithTimeout(ctx, e.set.DrainTimeout)
+	defer cancel()
+	grace := time.NewTimer(leaveGrace)
+	defer grace.Stop()
+	select {
+	case <-grace.C:
+	case <-ctx.Done():
+	}
+	select {
+	case <-e.control.idle():
+		e.log.For(logging.PartEndpoint).Info().Msg("drained")
+	case <-ctx.Done():
+		e.log.For(logging.PartEndpoint).Warn().Msg("drain timed out")
+	}
+}
+
+// clockMS is the monotonic clock of the process in milliseconds.
+func (e *Endpoint) clockMS() uint64 { return uint64(time.Since(e.started).Milliseconds()) }
+
+func (e *Endpoint) kind() fescuev1.EndpointKind {
+	if e.set.Kind == KindService {
+		return fescuev1.EndpointKind_ENDPOINT_KIND_SERVICE
+	}
+	return fescuev1.EndpointKind_ENDPOINT_KIND_MODEL
+}
--- /dev/null
+++ b/pkg/endpoint/hub.go
@@ -0,0 +1,188 @@
+package endpoint
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/scheduler"
+)
+
+// Intervals of reports.
+const (
+	// loadReportInterval limits reports that only carry new load figures.
+	loadReportInterval = 250 * time.Millisecond
+	// heartbeatInterval is the longest time between two reports.
+	heartbeatInterval = 2 * time.Second
+	streamBuffer      = 256
+)
+
+// hub holds the control streams of the connected entries.
+type hub struct {
+	e   *Endpoint
+	log logging.Logger
+
+	mu      sync.Mutex
+	streams map[ident.EntryID]*controlStream
+}
+
+// controlStream is the control stream of one entry.
+type controlStream struct {
+	entry   ident.EntryID
+	out     chan *fescuev1.ControlResponse
+	changed chan struct{}
+}
+
+func newHub(e *Endpoint) *hub {
+	return &hub{e: e, log: e.log.For(logging.PartPermit), streams: map[ident.EntryID]*controlStream{}}
+}
+
+// notify wakes the report goroutines of all streams.
+func (h *hub) notify() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.streams {
+		select {
+		case s.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (h *hub) add(s *controlStream) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.streams[s.entry] = s
+}
+
+func (h *hub) remove(s *controlStream) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.streams[s.entry] == s {
+		delete(h.streams, s.entry)
+	}
+}
+
+func (h *hub) connected() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.streams)
+}
+
+// coordinator returns the stream of the entry that grants permits: the highest
+// rendezvous hash among the connected entries.
+func (h *hub) coordinator() *controlStream {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var best *controlStream
+	var bestHash uint64
+	for id, s := range h.streams {
+		f := fnv.New64a()
+		_, _ = f.Write([]byte(id)) // hash.Hash never fails
+		if n := f.Sum64(); best == nil || n > bestHash {
+			best, bestHash = s, n
+		}
+	}
+	return best
+}
+
+func (h *hub) requestPermit(a scheduler.Action) {
+	h.sendToCoordinator(&fescuev1.ControlResponse{Body: &fescuev1.ControlResponse_PermitRequest{PermitRequest: &fescuev1.PermitRequest{
+		Adapter:         a.Adapter.String(),
+		Team:            string(a.Adapter.Team),
+		WaitingRequests: uint32(a.Waiting),
+		WaitedMs:        uint64(a.Waited.Milliseconds()),
+		Priority:        fescuev1.Priority(a.Priority),
+	}}})
+}
+
+func (h *hub) releasePermit(a ident.Adapter) {
+	h.sendToCoordinator(&fescuev1.ControlResponse{Body: &fescuev1.ControlResponse_PermitRelease{PermitRelease: &fescuev1.PermitRelease{Adapter: a.String()}}})
+}
+
+func (h *hub) sendToCoordinator(m *fescuev1.ControlResponse) {
+	s := h.coordinator()
+	if s == nil {
+		return
+	}
+	select {
+	case s.out <- m:
+	default:
+		h.log.Warn().Str("entry", string(s.entry)).Msg("control stream is full")
+	}
+}
+
+// Control serves the control stream of one entry.
+func (s *server) Control(stream grpc.BidiStreamingServer[fescuev1.ControlRequest, fescuev1.ControlResponse]) error {
+	e := s.e
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	cs := &controlStream{
+		entry:   ident.EntryID(first.GetHello().GetEntryId()),
+		out:     make(chan *fescuev1.ControlResponse, streamBuffer),
+		changed: make(chan struct{}, 1),
+	}
+	e.hub.add(cs)
+	defer e.hub.remove(cs)
+	e.log.For(logging.PartEndpoint).Info().Str("entry", string(cs.entry)).Msg("entry connected")
+	go e.receiveControl(stream)
+	return e.sendReports(stream, cs)
+}
+
+// receiveControl reads grants until the stream ends.
+func (e *Endpoint) receiveControl(stream grpc.BidiStreamingServer[fescuev1.ControlRequest, fescuev1.ControlResponse]) {
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		if g := m.GetPermitGrant(); g != nil {
+			if a, err := ident.ParseAdapter(g.GetAdapter()); err == nil {
+				e.control.send(permitEvent{adapter: a})
+			}
+		}
+	}
+}
+
+// sendReports sends a report when the state has changed and as a heartbeat.
+func (e *Endpoint) sendReports(stream grpc.BidiStreamingServer[fescuev1.ControlRequest, fescuev1.ControlResponse], s *controlStream) error {
+	last := e.report()
+	if err := sendReport(stream, last); err != nil {
+		return err
+	}
+	sent := time.Now()
+	heartbeat := time.NewTicker(loadReportInterval)
+	defer heartbeat.Stop()
+	for {
+		select {
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		case m := <-s.out:
+			if err := stream.Send(m); err != nil {
+				return err
+			}
+			continue
+		case <-s.changed:
+		case <-heartbeat.C:
+		}
+		next := e.report()
+		if !reportDue(last, next, time.Since(sent)) {
+			continue
+		}
+		if err := sendReport(stream, next); err != nil {
+			return err
+		}
+		last, sent = next, time.Now()
+	}
+}
+
+func sendReport(stream grpc.BidiStreamingServer[fescuev1.ControlRequest, fescuev1.ControlResponse], r *fescuev1.Report) error {
+	return stream.Send(&fescuev1.ControlResponse{Body: &fescuev1.ControlResponse_Report{Report: r}})
+}
--- /dev/null
+++ b/pkg/endpoint/report.go
@@ -0,0 +1,68 @@
+package endpoint
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// report describes the current state of the endpoint.
+func (e *Endpoint) report() *fescuev1.Report {
+	s := e.control.snapshot.Load()
+	return &fescuev1.Report{
+		EndpointId:       string(e.id),
+		Incarnation:      uint64(e.incarnation),
+		Zone:             e.set.Zone,
+		Kind:             e.kind(),
+		Backend:          e.set.Backend,
+		State:            e.state(s),
+		BundleVersion:    uint64(e.bundles.Version()),
+		ClockMs:          e.clockMS(),
+		PositionsTotal:   uint32(s.limits.Positions),
+		PositionsUsed:    uint32(s.stats.Running),
+		Queued:           uint32(s.stats.Queued),
+		SlotsTotal:       uint32(s.limits.Slots),
+		ResidentsChanged: true,
+		Residents:        names(s.stats.Residents),
+		Loading:          names(s.stats.Loading),
+		ConnectedEntries: uint32(e.hub.connected()),
+		CanLoad:          s.canLoad,
+	}
+}
+
+func (e *Endpoint) state(s *snapshot) fescuev1.EndpointState {
+	switch {
+	case e.leaving.Load():
+		return fescuev1.EndpointState_ENDPOINT_STATE_LEAVING
+	case !s.ready || e.bundles.Version() == 0:
+		return fescuev1.EndpointState_ENDPOINT_STATE_STARTING
+	default:
+		return fescuev1.EndpointState_ENDPOINT_STATE_READY
+	}
+}
+
+func names(adapters []ident.Adapter) []string {
+	out := make([]string, len(adapters))
+	for i, a := range adapters {
+		out[i] = a.String()
+	}
+	slices.Sort(out)
+	return out
+}
+
+// reportDue decides whether a new report is worth sending.
+func reportDue(last, next *fescuev1.Report, age time.Duration) bool {
+	if age >= heartbeatInterval {
+		return true
+	}
+	if last.State != next.State || last.BundleVersion != next.BundleVersion || last.CanLoad != next.CanLoad {
+		return true
+	}
+	if !slices.Equal(last.Residents, next.Residents) {
+		return true
+	}
+	loadChanged := last.PositionsUsed != next.PositionsUsed || last.Queued != next.Queued || last.ConnectedEntries != next.ConnectedEntries
+	return loadChanged && age >= loadReportInterval
+}
--- /dev/null
+++ b/pkg/endpoint/run.go
@@ -0,0 +1,237 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/engine"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/invariant"
+	"github.com/fescuecourse/fescuecourse/pkg/service"
+)
+
+// maxKeptBytes bounds the stored answer of one attempt.
+const maxKeptBytes = 256 << 10
+
+// frameWriter sends the frames of one attempt and keeps them if asked to.
+type frameWriter struct {
+	ref    *fescuev1.AttemptRef
+	stream grpc.ServerStreamingServer[fescuev1.RunFrame]
+	keep   bool
+
+	mu     sync.Mutex
+	broken bool
+	frames []*fescuev1.RunFrame
+	bytes  int
+}
+
+// send writes a frame. After a failed write the remaining frames are only kept.
+func (w *frameWriter) send(f *fescuev1.RunFrame) {
+	f.Ref = w.ref
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.broken && w.stream.Send(f) != nil {
+		w.broken = true
+	}
+}
+
+func (w *frameWriter) sendAndKeep(f *fescuev1.RunFrame) {
+	w.send(f)
+	if !w.keep {
+		return
+	}
+	w.bytes += len(f.GetData().GetPayload())
+	if w.bytes > maxKeptBytes {
+		w.keep, w.frames = false, nil
+		return
+	}
+	w.frames = append(w.frames, f)
+}
+
+func (w *frameWriter) kept() []*fescuev1.RunFrame { return w.frames }
+
+func (w *frameWriter) accepted() {
+	w.send(&fescuev1.RunFrame{Body: &fescuev1.RunFrame_Accepted{Accepted: &fescuev1.Accepted{}}})
+}
+
+func (w *frameWriter) notRun(nr *fescuev1.NotRun) error {
+	w.send(&fescuev1.RunFrame{Body: &fescuev1.RunFrame_NotRun{NotRun: nr}})
+	return nil
+}
+
+// run is one started attempt.
+type run struct {
+	e      *Endpoint
+	req    *fescuev1.RunRequest
+	id     ident.AttemptID
+	out    *frameWriter
+	stall  time.Duration
+	queued time.Duration
+}
+
+// do runs the attempt and reports whether its answer is complete.
+func (r *run) do(ctx context.Context) bool {
+	stop := r.heartbeat()
+	defer stop()
+	if m := r.req.GetModel(); m != nil {
+		return r.model(ctx, m)
+	}
+	return r.service(ctx, r.req.GetService())
+}
+
+// heartbeat sends Accepted frames so that the entry can tell a slow run from a
+// silent connection.
+func (r *run) heartbeat() (stop func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		t := time.NewTicker(acceptedInterval)
+		defer t.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-t.C:
+				r.out.accepted()
+			}
+		}
+	})
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
+func (r *run) header(status uint32, contentType, adapter string) {
+	r.out.sendAndKeep(&fescuev1.RunFrame{Body: &fescuev1.RunFrame_Header{Header: &fescuev1.Header{
+		Status:        status,
+		ContentType:   contentType,
+		ServedAdapter: adapter,
+		LoadStallUs:   uint64(r.stall.Microseconds()),
+		QueueUs:       uint64(r.queued.Microseconds()),
+	}}})
+}
+
+func (r *run) data(offset uint64, payload []byte) {
+	r.out.sendAndKeep(&fescuev1.RunFrame{Body: &fescuev1.RunFrame_Data{Data: &fescuev1.Data{Offset: offset, Payload: payload}}})
+}
+
+func (r *run) end(total uint64) bool {
+	r.out.sendAndKeep(&fescuev1.RunFrame{Body: &fescuev1.RunFrame_End{End: &fescuev1.End{Total: total}}})
+	return true
+}
+
+func (r *run) fail(reason fescuev1.FailedReason, detail string) bool {
+	r.out.send(&fescuev1.RunFrame{Body: &fescuev1.RunFrame_Failed{Failed: &fescuev1.Failed{Reason: reason, Detail: detail}}})
+	return false
+}
+
+// model runs a generation. An event from another adapter than the named one is
+// discarded and ends the run.
+func (r *run) model(ctx context.Context, m *fescuev1.ModelCall) bool {
+	want := r.servedName(m)
+	body, err := setModel(m.GetBody(), want)
+	if err != nil {
+		return r.fail(fescuev1.FailedReason_FAILED_REASON_BACKEND_LOST, err.Error())
+	}
+	call := engine.Call{Path: m.GetPath(), Body: body, RequestID: r.id.Request, Priority: ident.Priority(r.req.GetPriority()), ResumeEvents: m.GetResumeEvents()}
+	st, err := r.e.engine.Generate(ctx, call)
+	if errors.Is(err, engine.ErrRefused) {
+		return r.refusedByEngine(err)
+	}
+	if err != nil {
+		return r.lost(ctx, err)
+	}
+	defer st.Close()
+	return r.relay(ctx, st, want, m.GetResumeEvents())
+}
+
+func (r *run) servedName(m *fescuev1.ModelCall) string {
+	if m.GetAdapter() == "" {
+		return m.GetBaseModel()
+	}
+	return ident.Adapter{Team: ident.Team(r.req.GetTeam()), Name: m.GetAdapter(), Version: m.GetVersion()}.String()
+}
+
+func (r *run) relay(ctx context.Context, st *engine.Stream, want string, offset uint64) bool {
+	first := true
+	for {
+		ev, err := st.Next()
+		if errors.Is(err, io.EOF) {
+			return r.end(offset)
+		}
+		if err != nil {
+			return r.lost(ctx, err)
+		}
+		if !invariant.Check(ev.Model == want, invariant.RightAdapter, "engine used %q, request names %q", ev.Model, want) {
+			return r.fail(fescuev1.FailedReason_FAILED_REASON_WRONG_ADAPTER, "engine used "+ev.Model)
+		}
+		if first {
+			r.header(200, "text/event-stream", want)
+			first = false
+		}
+		r.data(offset, ev.Payload)
+		offset++
+	}
+}
+
+// refusedByEngine ends a run that the engine did not start.
+func (r *run) refusedByEngine(err error) bool {
+	r.out.send(&fescuev1.RunFrame{Body: &fescuev1.RunFrame_NotRun{NotRun: &fescuev1.NotRun{
+		Reason: fescuev1.NotRunReason_NOT_RUN_REASON_ENGINE_REFUSED,
+		Detail: err.Error(),
+	}}})
+	return false
+}
+
+func (r *run) lost(ctx context.Context, err error) bool {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return r.fail(fescuev1.FailedReason_FAILED_REASON_DEADLINE, "deadline passed during the run")
+	case ctx.Err() != nil:
+		return r.fail(fescuev1.FailedReason_FAILED_REASON_CANCELLED, "run cancelled")
+	default:
+		return r.fail(fescuev1.FailedReason_FAILED_REASON_BACKEND_LOST, err.Error())
+	}
+}
+
+// service runs one call to a plain service.
+func (r *run) service(ctx context.Context, c *fescuev1.ServiceCall) bool {
+	resp, err := r.e.service.Do(ctx, service.Call{
+		Method:      c.GetMethod(),
+		Path:        c.GetPath(),
+		ContentType: c.GetContentType(),
+		Body:        c.GetBody(),
+		RequestID:   r.id.Request,
+	})
+	if err != nil {
+		return r.lost(ctx, err)
+	}
+	r.header(uint32(resp.Status), resp.ContentType, "")
+	if len(resp.Body) > 0 {
+		r.data(0, resp.Body)
+	}
+	return r.end(uint64(len(resp.Body)))
+}
+
+// setModel replaces the model field of a JSON request and asks for a stream.
+func setModel(body []byte, model string) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, errors.Wrap(err, "decode request")
+	}
+	name, err := json.Marshal(model)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode model name")
+	}
+	fields["model"] = name
+	fields["stream"] = json.RawMessage("true")
+	return json.Marshal(fields)
+}
--- /dev/null
+++ b/pkg/endpoint/server.go
@@ -0,0 +1,171 @@
+package endpoint
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/attempts"
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/scheduler"
+)
+
+// acceptedInterval is the interval of the heartbeat of a run without data.
+const acceptedInterval = time.Second
+
+// server serves the gRPC service of an endpoint.
+type server struct {
+	fescuev1.UnimplementedEndpointServer
+	e *Endpoint
+}
+
+// Run executes one attempt. Every refusal before the start is a proven not-run.
+func (s *server) Run(req *fescuev1.RunRequest, stream grpc.ServerStreamingServer[fescuev1.RunFrame]) error {
+	id := attemptID(req.GetRef())
+	out := &frameWriter{ref: req.GetRef(), stream: stream, keep: !req.GetIdempotent()}
+	if nr := s.e.precheck(req); nr != nil {
+		if st := s.e.ledger.Refuse(time.Now(), id); st != attempts.Refused {
+			return status.Error(codes.AlreadyExists, "attempt is known")
+		}
+		return out.notRun(nr)
+	}
+	switch s.e.ledger.Begin(id) {
+	case attempts.Absent:
+	case attempts.Refused:
+		return out.notRun(&fescuev1.NotRun{Reason: fescuev1.NotRunReason_NOT_RUN_REASON_REVOKED})
+	default:
+		return status.Error(codes.AlreadyExists, "attempt is known")
+	}
+	return s.execute(req, id, out)
+}
+
+// execute queues the attempt, waits for its start and runs it.
+func (s *server) execute(req *fescuev1.RunRequest, id ident.AttemptID, out *frameWriter) error {
+	queued := time.Now()
+	deadline := queued.Add(time.Duration(req.GetDeadlineMs()) * time.Millisecond)
+	result := make(chan verdict, 1)
+	s.e.control.send(submitEvent{work: s.e.work(req, id, deadline), result: result})
+	v := s.await(out, id, result)
+	if !v.started {
+		return out.notRun(&fescuev1.NotRun{Reason: v.reason})
+	}
+	defer s.e.control.send(runDoneEvent{id: id})
+	ctx, cancel := s.runContext(out.stream.Context(), req.GetIdempotent(), deadline)
+	defer cancel()
+	r := &run{e: s.e, req: req, id: id, out: out, stall: v.stall, queued: time.Since(queued)}
+	ok := r.do(ctx)
+	s.e.ledger.Finish(time.Now(), id, ok, out.kept())
+	return nil
+}
+
+// runContext ends an idempotent run with its stream. A non-idempotent run goes
+// on to its end, because a cancelled one would leave the result unknown.
+func (s *server) runContext(stream context.Context, idempotent bool, deadline time.Time) (context.Context, context.CancelFunc) {
+	if idempotent {
+		return context.WithDeadline(stream, deadline)
+	}
+	return context.WithDeadline(context.WithoutCancel(stream), deadline)
+}
+
+// await waits for the verdict on a queued attempt and sends heartbeats. If the
+// stream ends, the attempt is withdrawn from the queue.
+func (s *server) await(out *frameWriter, id ident.AttemptID, result <-chan verdict) verdict {
+	heartbeat := time.NewTicker(acceptedInterval)
+	defer heartbeat.Stop()
+	out.accepted()
+	done := out.stream.Context().Done()
+	for {
+		select {
+		case v := <-result:
+			return v
+		case <-heartbeat.C:
+			out.accepted()
+		case <-done:
+			done = nil
+			s.e.control.revoke(id)
+		}
+	}
+}
+
+// precheck returns the reason to refuse an attempt outright, or nil.
+func (e *Endpoint) precheck(req *fescuev1.RunRequest) *fescuev1.NotRun {
+	refuse := func(r fescuev1.NotRunReason) *fescuev1.NotRun { return &fescuev1.NotRun{Reason: r} }
+	version := uint64(e.bundles.Version())
+	switch {
+	case req.GetIncarnation() != uint64(e.incarnation) || req.GetEndpointId() != string(e.id):
+		return refuse(fescuev1.NotRunReason_NOT_RUN_REASON_WRONG_INCARNATION)
+	case e.leaving.Load():
+		return refuse(fescuev1.NotRunReason_NOT_RUN_REASON_LEAVING)
+	case e.clockMS()-min(req.GetEndpointClockMs(), e.clockMS()) > uint64(attempts.MaxEchoAge.Milliseconds()):
+		return refuse(fescuev1.NotRunReason_NOT_RUN_REASON_STALE_ATTEMPT)
+	case version == 0:
+		return refuse(fescuev1.NotRunReason_NOT_RUN_REASON_NOT_READY)
+	case req.GetBundleVersion() < version:
+		return &fescuev1.NotRun{Reason: fescuev1.NotRunReason_NOT_RUN_REASON_OLD_BUNDLE, BundleVersion: version}
+	case !e.serves(req):
+		return refuse(fescuev1.NotRunReason_NOT_RUN_REASON_WRONG_BACKEND)
+	case req.GetDeadlineMs() == 0:
+		return refuse(fescuev1.NotRunReason_NOT_RUN_REASON_DEADLINE)
+	}
+	return nil
+}
+
+func (e *Endpoint) serves(req *fescuev1.RunRequest) bool {
+	if m := req.GetModel(); m != nil {
+		return e.set.Kind == KindModel && m.GetBaseModel() == e.set.Backend
+	}
+	return req.GetService() != nil && e.set.Kind == KindService && req.GetService().GetService() == e.set.Backend
+}
+
+func (e *Endpoint) work(req *fescuev1.RunRequest, id ident.AttemptID, deadline time.Time) scheduler.Work {
+	w := scheduler.Work{
+		ID:       id,
+		Team:     ident.Team(req.GetTeam()),
+		Priority: ident.Priority(req.GetPriority()),
+		Weight:   1,
+		Deadline: deadline,
+	}
+	if p, ok := e.teamPolicy(w.Team); ok {
+		w.Weight = p.Weight
+	}
+	if m := req.GetModel(); m != nil && m.GetAdapter() != "" {
+		w.Adapter = ident.Adapter{Team: w.Team, Name: m.GetAdapter(), Version: m.GetVersion()}
+	}
+	return w
+}
+
+func (e *Endpoint) teamPolicy(t ident.Team) (bundle.TeamPolicy, bool) {
+	b := e.bundles.Current()
+	if b == nil {
+		return bundle.TeamPolicy{}, false
+	}
+	return b.Team(t)
+}
+
+// Revoke stores a tombstone for an attempt that has not started.
+func (s *server) Revoke(_ context.Context, req *fescuev1.RevokeRequest) (*fescuev1.RevokeReply, error) {
+	if req.GetIncarnation() != uint64(s.e.incarnation) {
+		return &fescuev1.RevokeReply{State: fescuev1.RevokeReply_STATE_OTHER_INCARNATION}, nil
+	}
+	id := attemptID(req.GetRef())
+	switch s.e.control.revoke(id) {
+	case attempts.Refused:
+		return &fescuev1.RevokeReply{State: fescuev1.RevokeReply_STATE_NOT_RUN}, nil
+	case attempts.Done:
+		_, answer := s.e.ledger.Lookup(id)
+		return &fescuev1.RevokeReply{State: fescuev1.RevokeReply_STATE_DONE, Answer: answer}, nil
+	case attempts.Running:
+		return &fescuev1.RevokeReply{State: fescuev1.RevokeReply_STATE_RUNNING}, nil
+	default:
+		return &fescuev1.RevokeReply{State: fescuev1.RevokeReply_STATE_FAILED}, nil
+	}
+}
+
+func attemptID(ref *fescuev1.AttemptRef) ident.AttemptID {
+	return ident.AttemptID{Request: ident.RequestID(ref.GetRequestId()), Attempt: ref.GetAttempt()}
+}
--- /dev/null
+++ b/pkg/endpoint/settings.go
@@ -0,0 +1,67 @@
+// Package endpoint is the role of the process beside each back end: it accepts
+// attempts from entries, schedules them and gives commands to the engine.
+package endpoint
+
+import (
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/config"
+)
+
+// Settings configure an endpoint process.
+type Settings struct {
+	ID       string
+	Zone     string
+	Listen   string
+	Kind     string
+	Backend  string
+	Address  string
+	KV       string
+	Fencing  string
+	LogLevel string
+
+	MaxQueued    int
+	Positions    int
+	DrainTimeout time.Duration
+}
+
+// Kinds of back ends.
+const (
+	KindModel   = "model"
+	KindService = "service"
+)
+
+// Values of the fencing setting.
+const (
+	FencingChecked = "checked"
+	FencingIgnored = "ignored"
+)
+
+// Register adds the settings to a set.
+func (s *Settings) Register(set *config.Set) {
+	set.StringVar(&s.ID, "id", "", "unique `name` of the endpoint")
+	set.StringVar(&s.Zone, "zone", "", "availability `zone` of the VM")
+	set.StringVar(&s.Listen, "listen", "127.0.0.1:0", "`address` for entries (gRPC)")
+	set.StringVar(&s.Kind, "kind", KindModel, "kind of the back end: model or service")
+	set.StringVar(&s.Backend, "backend", "", "base model or service `name`")
+	set.StringVar(&s.Address, "backend-address", "", "`address` of the engine or service")
+	set.StringVar(&s.KV, "kv", "", "`address` of the key-value service")
+	set.StringVar(&s.Fencing, "fencing", FencingIgnored, "whether the engine checks fencing tokens: checked or ignored")
+	set.StringVar(&s.LogLevel, "log-level", "info", "lowest `level` that is logged")
+	set.IntVar(&s.MaxQueued, "max-queued", 256, "largest number of queued attempts")
+	set.IntVar(&s.Positions, "positions", 16, "concurrent calls to a plain service")
+	set.DurationVar(&s.DrainTimeout, "drain-timeout", 2*time.Minute, "longest time that a stop waits for running requests")
+}
+
+// Check records findings for wrong settings.
+func (s *Settings) Check(set *config.Set) {
+	set.Requiref(s.ID != "", "id", "must be set")
+	set.Requiref(s.Zone != "", "zone", "must be set")
+	set.Requiref(s.Backend != "", "backend", "must be set")
+	set.Requiref(s.Address != "", "backend-address", "must be set")
+	set.Requiref(s.Kind == KindModel || s.Kind == KindService, "kind", "must be model or service")
+	set.Requiref(s.Fencing == FencingChecked || s.Fencing == FencingIgnored, "fencing", "must be checked or ignored")
+	set.Requiref(s.MaxQueued > 0, "max-queued", "must be above zero")
+	set.Requiref(s.Positions > 0, "positions", "must be above zero")
+	set.RequirePositive("drain-timeout", s.DrainTimeout)
+}
--- /dev/null
+++ b/pkg/entry/control.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/bus"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/membership"
+	"github.com/fescuecourse/fescuecourse/pkg/permits"
+)
+
+// Limits of the control loop.
+const (
+	controlBuffer  = 1024
+	permitTick     = 100 * time.Millisecond
+	permitTTL      = 10 * time.Second
+	permitParallel = 1
+)
+
+// reportEvent is one report from an endpoint.
+type reportEvent struct {
+	at     time.Time
+	report *fescuev1.Report
+}
+
+// goneEvent is the end of a control stream.
+type goneEvent struct{ endpoint ident.EndpointID }
+
+// permitEvent is a request or release of a load permit.
+type permitEvent struct {
+	endpoint ident.EndpointID
+	request  *fescuev1.PermitRequest
+	release  *fescuev1.PermitRelease
+}
+
+// events are the topics of control events.
+type events struct {
+	reports bus.Topic[reportEvent]
+	leavers bus.Topic[goneEvent]
+	permits bus.Topic[permitEvent]
+}
+
+func newEvents(b *bus.Bus) events {
+	return events{
+		reports: bus.NewTopic[reportEvent](b, "reports"),
+		leavers: bus.NewTopic[goneEvent](b, "control-streams"),
+		permits: bus.NewTopic[permitEvent](b, "permits"),
+	}
+}
+
+// received publishes a message from a control stream. A full or closed bus only
+// delays the directory, so errors are dropped.
+func (ev events) received(id ident.EndpointID, m *fescuev1.ControlResponse) {
+	switch b := m.GetBody().(type) {
+	case *fescuev1.ControlResponse_Report:
+		_ = ev.reports.Publish(reportEvent{at: time.Now(), report: b.Report})
+	case *fescuev1.ControlResponse_PermitRequest:
+		_ = ev.permits.Publish(permitEvent{endpoint: id, request: b.PermitRequest})
+	case *fescuev1.ControlResponse_PermitRelease:
+		_ = ev.permits.Publish(permitEvent{endpoint: id, release: b.PermitRelease})
+	}
+}
+
+func (ev events) gone(id ident.EndpointID) { _ = ev.leavers.Publish(goneEvent{endpoint: id}) }
+
+// control owns the directory and the permit coordinator. All changes go through
+// its goroutine.
+type control struct {
+	e           *Entry
+	log         logging.Logger
+	directory   *membership.Directory
+	coordinator *permits.Coordinator
+	inbox       chan func(now time.Time)
+}
+
+func newControl(e *Entry) *control {
+	c := &control{
+		e:           e,
+		log:         e.log.For(logging.PartPermit),
+		directory:   membership.New(),
+		coordinator: permits.New(permits.Config{MaxConcurrent: permitParallel, GrantTTL: permitTTL}),
+		inbox:       make(chan func(now time.Time), controlBuffer),
+	}
+	e.events.reports.Handle("directory-reports", func(ev reportEvent) { c.post(func(time.Time) { c.onReport(ev) }) })
+	e.events.leavers.Handle("directory-gone", func(ev goneEvent) { c.post(func(now time.Time) { c.onGone(now, ev) }) })
+	e.events.permits.Handle("permit-requests", func(ev permitEvent) { c.post(func(now time.Time) { c.onPermit(now, ev) }) })
+	return c
+}
+
+func (c *control) post(fn func(now time.Time)) {
+	select {
+	case c.inbox <- fn:
+	case <-c.e.stopped:
+	}
+}
+
+// run applies events until ctx ends.
+func (c *control) run(ctx context.Context) {
+	tick := time.NewTicker(permitTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case fn := <-c.inbox:
+			fn(time.Now())
+		case now := <-tick.C:
+			c.send(c.coordinator.Tick(now))
+		}
+	}
+}
+
+func (c *control) onReport(ev reportEvent) {
+	c.directory.Apply(ev.at, ev.report)
+	c.e.directory.Store(c.directory.Snapshot())
+}
+
+func (c *control) onGone(now time.Time, ev goneEvent) {
+	c.directory.Remove(ev.endpoint)
+	c.e.directory.Store(c.directory.Snapshot())
+	c.send(c.coordinator.Drop(now, ev.endpoint))
+}
+
+func (c *control) onPermit(now time.Time, ev permitEvent) {
+	if r := ev.request; r != nil {
+		if a, err := ident.ParseAdapter(r.GetAdapter()); err == nil {
+			c.send(c.coordinator.Request(now, c.permitRequest(ev.endpoint, a, r)))
+		}
+		return
+	}
+	if a, err := ident.ParseAdapter(ev.release.GetAdapter()); err == nil {
+		c.send(c.coordinator.Release(now, permits.Key{Endpoint: ev.endpoint, Adapter: a}))
+	}
+}
+
+func (c *control) permitRequest(id ident.EndpointID, a ident.Adapter, r *fescuev1.PermitRequest) permits.Request {
+	req := permits.Request{
+		Key:      permits.Key{Endpoint: id, Adapter: a},
+		Waiting:  int(r.GetWaitingRequests()),
+		Waited:   time.Duration(r.GetWaitedMs()) * time.Millisecond,
+		Weight:   1,
+		Priority: ident.Priority(r.GetPriority()),
+	}
+	if b := c.e.bundles.Current(); b != nil {
+		if p, ok := b.Team(a.Team); ok {
+			req.Weight = p.Weight
+		}
+	}
+	return req
+}
+
+func (c *control) send(grants []permits.Key) {
+	for _, k := range grants {
+		c.log.Info().Str("endpoint", string(k.Endpoint)).Str("adapter", k.Adapter.String()).Msg("load permitted")
+		l := c.e.connector.link(k.Endpoint)
+		if l == nil {
+			continue
+		}
+		l.grant(&fescuev1.PermitGrant{Adapter: k.Adapter.String(), ValidMs: uint64(permitTTL.Milliseconds())})
+	}
+}
--- /dev/null
+++ b/pkg/entry/failure.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// Names of response headers.
+const (
+	headerOutcome       = "Fescue-Outcome"
+	headerRequestID     = "Fescue-Request-Id"
+	headerEndpoint      = "Fescue-Endpoint"
+	headerBundleVersion = "Fescue-Bundle-Version"
+	headerAdapter       = "Fescue-Adapter"
+	headerIdempotent    = "Fescue-Idempotent"
+	headerDeadline      = "Fescue-Deadline-Ms"
+	headerKey           = "Idempotency-Key"
+)
+
+// errorType is the type field of an OpenAI error object.
+type errorType string
+
+// Types of errors.
+const (
+	typeInvalidRequest errorType = "invalid_request_error"
+	typeAuthentication errorType = "authentication_error"
+	typeNotFound       errorType = "not_found_error"
+	typeRateLimit      errorType = "rate_limit_error"
+	typeOverloaded     errorType = "overloaded_error"
+	typeServer         errorType = "server_error"
+)
+
+// Failure is the end of a request without an answer.
+type Failure struct {
+	Outcome    ident.Outcome
+	Status     int
+	Type       errorType
+	Code       string
+	Message    string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (f *Failure) Error() string { return f.Code + ": " + f.Message }
+
+// rejected returns a failure of a request that was refused before dispatch.
+func rejected(status int, t errorType, code, message string) *Failure {
+	return &Failure{Outcome: ident.NotRun, Status: status, Type: t, Code: code, Message: message}
+}
+
+// unavailable returns a failure for lack of capacity.
+func unavailable(code, message string, retryAfter time.Duration) *Failure {
+	return &Failure{Outcome: ident.NotRun, Status: http.StatusServiceUnavailable, Type: typeOverloaded, Code: code, Message: message, RetryAfter: retryAfter}
+}
+
+// unknownResult returns a failure of a request whose result is not known.
+func unknownResult(status int, code, message string) *Failure {
+	return &Failure{Outcome: ident.Unknown, Status: status, Type: typeServer, Code: code, Message: message}
+}
+
+type errorBody struct {
+	Error errorObject `json:"error"`
+}
+
+type errorObject struct {
+	Message string    `json:"message"`
+	Type    errorType `json:"type"`
+	Param   *string   `json:"param"`
+	Code    string    `json:"code"`
+	Outcome string    `json:"outcome"`
+}
+
+// body returns the failure in the OpenAI error shape.
+func (f *Failure) body() []byte {
+	out, _ := json.Marshal(errorBody{Error: errorObject{Message: f.Message, Type: f.Type, Code: f.Code, Outcome: f.Outcome.String()}}) // plain struct, cannot fail
+	return out
+}
+
+// write sends the failure as a complete response.
+func (f *Failure) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerOutcome, f.Outcome.String())
+	if f.RetryAfter > 0 {
+		seconds := int64((f.RetryAfter + time.Second - 1) / time.Second)
+		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(f.Status)
+	_, _ = w.Write(f.body()) // the caller may be gone
+}
--- /dev/null
+++ b/pkg/entry/filter.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+)
+
+// Next runs the rest of the chain.
+type Next func(ctx context.Context, x *Exchange) *Failure
+
+// Filter is one step of the request path. It either ends the request with a
+// Failure or passes it on.
+type Filter interface {
+	Name() string
+	Do(ctx context.Context, x *Exchange, next Next) *Failure
+}
+
+// chain joins filters; the last one gets a Next that does nothing.
+func chain(filters ...Filter) Next {
+	next := func(context.Context, *Exchange) *Failure { return nil }
+	for i := len(filters) - 1; i >= 0; i-- {
+		f, inner := filters[i], next
+		next = func(ctx context.Context, x *Exchange) *Failure { return f.Do(ctx, x, inner) }
+	}
+	return next
+}
+
+// authenticate finds the team of the caller's key.
+type authenticate struct{ e *Entry }
+
+func (authenticate) Name() string { return "authenticate" }
+
+func (f authenticate) Do(ctx context.Context, x *Exchange, next Next) *Failure {
+	x.bundle = f.e.bundles.Current()
+	if x.bundle == nil {
+		return unavailable("no_bundle", "no configuration bundle is active yet", time.Second)
+	}
+	x.w.Header().Set(headerBundleVersion, strconv.FormatUint(uint64(x.bundle.Version()), 10))
+	key, ok := strings.CutPrefix(x.r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return rejected(http.StatusUnauthorized, typeAuthentication, "missing_key", "the request has no team key")
+	}
+	team, ok := x.bundle.Authenticate(key)
+	if !ok {
+		return rejected(http.StatusUnauthorized, typeAuthentication, "invalid_key", "the team key is not valid")
+	}
+	x.team, _ = x.bundle.Team(team)
+	return next(ctx, x)
+}
+
+// resolve reads the request and finds its adapter and version, or its service.
+type resolve struct{ e *Entry }
+
+func (resolve) Name() string { return "resolve" }
+
+func (f resolve) Do(ctx context.Context, x *Exchange, next Next) *Failure {
+	if fail := f.headers(x); fail != nil {
+		return fail
+	}
+	if fail := f.readBody(x); fail != nil {
+		return fail
+	}
+	target := f.service
+	if x.kind == fescuev1.EndpointKind_ENDPOINT_KIND_MODEL {
+		target = f.model
+	}
+	if fail := target(x); fail != nil {
+		return fail
+	}
+	if fail := f.idempotency(x); fail != nil {
+		return fail
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	return next(ctx, x)
+}
+
+func (f resolve) headers(x *Exchange) *Failure {
+	x.key = x.r.Header.Get(headerKey)
+	deadline := f.e.set.DefaultDeadline
+	if v := x.r.Header.Get(headerDeadline); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms <= 0 || ms > f.e.set.MaxDeadline.Milliseconds() {
+			return rejected(http.StatusBadRequest, typeInvalidRequest, "invalid_deadline", headerDeadline+" must be milliseconds between 1 and "+strconv.FormatInt(f.e.set.MaxDeadline.Milliseconds(), 10))
+		}
+		deadline = time.Duration(ms) * time.Millisecond
+	}
+	x.deadline = time.Now().Add(deadline)
+	return nil
+}
+
+func (f resolve) readBody(x *Exchange) *Failure {
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, f.e.set.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return rejected(http.StatusRequestEntityTooLarge, typeInvalidRequest, "body_too_large", "the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+	}
+	if err != nil {
+		return rejected(http.StatusBadRequest, typeInvalidRequest, "unreadable_body", "the body could not be read")
+	}
+	x.body = body
+	return nil
+}
+
+// modelRequest is the part of an OpenAI request that the entry reads.
+type modelRequest struct {
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Prompt   json.RawMessage `json:"prompt"`
+	Messages json.RawMessage `json:"messages"`
+}
+
+func (f resolve) model(x *Exchange) *Failure {
+	var req modelRequest
+	if err := json.Unmarshal(x.body, &req); err != nil {
+		return rejected(http.StatusBadRequest, typeInvalidRequest, "malformed_json", "the body is not valid JSON: "+err.Error())
+	}
+	x.model, x.stream = req.Model, req.Stream
+	a, base, err := x.bundle.Resolve(req.Model)
+	switch {
+	case errors.Is(err, bundle.ErrUnknownAdapter), errors.Is(err, bundle.ErrUnknownVersion):
+		return rejected(http.StatusNotFound, typeNotFound, "model_not_found", err.Error()+": "+req.Model)
+	case err != nil:
+		return rejected(http.StatusBadRequest, typeInvalidRequest, "invalid_model", err.Error())
+	case a.Team != x.team.Team:
+		return rejected(http.StatusNotFound, typeNotFound, "model_not_found", "unknown adapter: "+req.Model)
+	}
+	x.adapter, x.backend = a, base
+	x.answer = newModelResponder(x)
+	return nil
+}
+
+func (f resolve) service(x *Exchange) *Failure {
+	name, _, _ := strings.Cut(strings.TrimPrefix(x.r.URL.Path, servicePrefix), "/")
+	if !x.bundle.HasService(name) {
+		return rejected(http.StatusNotFound, typeNotFound, "service_not_found", "unknown service: "+name)
+	}
+	x.backend = name
+	x.answer = &serviceResponder{x: x}
+	return nil
+}
+
+func (f resolve) idempotency(x *Exchange) *Failure {
+	x.idempotent = x.bundle.Idempotent(x.route)
+	switch x.r.Header.Get(headerIdempotent) {
+	case "":
+	case "true":
+		x.idempotent = true
+	case "false":
+		x.idempotent = false
+	default:
+		return rejected(http.StatusBadRequest, typeInvalidRequest, "invalid_idempotent", headerIdempotent+" must be true or false")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/entry/respond.go
@@ -0,0 +1,254 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// errCallerGone reports that the caller's connection has ended.
+var errCallerGone = errors.New("caller is gone")
+
+// responder turns frames into the caller's answer.
+type responder interface {
+	// received returns the number of events held, for a resume.
+	received() uint64
+	// committed reports whether bytes have been sent to the caller.
+	committed() bool
+	header(h *fescuev1.Header)
+	data(payload []byte) error
+	// end completes the answer.
+	end()
+	// fail ends the answer with an error.
+	fail(f *Failure)
+}
+
+func newModelResponder(x *Exchange) responder {
+	chat := strings.HasSuffix(x.route, "chat/completions")
+	if x.stream {
+		return &streamResponder{x: x}
+	}
+	return &completionResponder{x: x, chat: chat}
+}
+
+// describe sets the headers that every answer has.
+func describe(x *Exchange) {
+	h := x.w.Header()
+	if x.endpoint != nil {
+		h.Set(headerEndpoint, string(x.endpoint.ID))
+	}
+	if !x.adapter.IsZero() {
+		h.Set(headerAdapter, x.adapter.String())
+	}
+}
+
+// streamResponder relays server-sent events.
+type streamResponder struct {
+	x       *Exchange
+	events  uint64
+	started bool
+}
+
+func (s *streamResponder) received() uint64 { return s.events }
+func (s *streamResponder) committed() bool  { return s.started }
+
+func (s *streamResponder) header(*fescuev1.Header) {
+	if s.started {
+		return
+	}
+	s.started = true
+	describe(s.x)
+	h := s.x.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set("Trailer", headerOutcome)
+	s.x.w.WriteHeader(http.StatusOK)
+}
+
+func (s *streamResponder) data(payload []byte) error {
+	s.events++
+	return s.event(payload)
+}
+
+func (s *streamResponder) event(payload []byte) error {
+	buf := make([]byte, 0, len(payload)+len("data: \n\n"))
+	buf = append(buf, "data: "...)
+	buf = append(buf, payload...)
+	buf = append(buf, "\n\n"...)
+	if _, err := s.x.w.Write(buf); err != nil {
+		return errors.Mark(err, errCallerGone)
+	}
+	if err := http.NewResponseController(s.x.w).Flush(); err != nil {
+		return errors.Mark(err, errCallerGone)
+	}
+	return nil
+}
+
+func (s *streamResponder) end() {
+	s.header(nil)
+	s.x.w.Header().Set(headerOutcome, ident.Answered.String())
+	_ = s.event([]byte("[DONE]")) // the caller may be gone
+}
+
+// fail sends an error event and no normal end, so that the caller cannot take
+// the answer for a complete one.
+func (s *streamResponder) fail(f *Failure) {
+	if !s.started {
+		describe(s.x)
+		f.write(s.x.w)
+		return
+	}
+	s.x.w.Header().Set(headerOutcome, f.Outcome.String())
+	_ = s.event(f.body()) // the caller may be gone
+}
+
+// completionResponder collects events into one completion object.
+type completionResponder struct {
+	x      *Exchange
+	chat   bool
+	events uint64
+	text   strings.Builder
+	last   completionChunk
+}
+
+type completionChunk struct {
+	ID      string            `json:"id"`
+	Created int64             `json:"created"`
+	Model   string            `json:"model"`
+	Choices []completionDelta `json:"choices"`
+	Usage   json.RawMessage   `json:"usage"`
+}
+
+type completionDelta struct {
+	Text  string `json:"text"`
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   any                `json:"usage"`
+}
+
+type completionChoice struct {
+	Index        int          `json:"index"`
+	Text         *string      `json:"text,omitempty"`
+	Message      *chatMessage `json:"message,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+	Logprobs     *string      `json:"logprobs"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     uint64 `json:"prompt_tokens"`
+	CompletionTokens uint64 `json:"completion_tokens"`
+	TotalTokens      uint64 `json:"total_tokens"`
+}
+
+func (c *completionResponder) received() uint64        { return c.events }
+func (c *completionResponder) committed() bool         { return false }
+func (c *completionResponder) header(*fescuev1.Header) {}
+
+func (c *completionResponder) data(payload []byte) error {
+	var chunk completionChunk
+	if err := json.Unmarshal(payload, &chunk); err != nil {
+		return errors.Wrap(err, "decode engine event")
+	}
+	c.events++
+	for _, d := range chunk.Choices {
+		c.text.WriteString(d.Text)
+		c.text.WriteString(d.Delta.Content)
+	}
+	c.last = chunk
+	return nil
+}
+
+func (c *completionResponder) end() {
+	describe(c.x)
+	body, _ := json.Marshal(c.completion()) // plain struct, cannot fail
+	h := c.x.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(headerOutcome, ident.Answered.String())
+	_, _ = c.x.w.Write(body) // the caller may be gone
+}
+
+func (c *completionResponder) completion() completion {
+	text := c.text.String()
+	choice := completionChoice{}
+	object := "text_completion"
+	if c.chat {
+		object = "chat.completion"
+		choice.Message = &chatMessage{Role: "assistant", Content: text}
+	} else {
+		choice.Text = &text
+	}
+	if len(c.last.Choices) > 0 {
+		choice.FinishReason = c.last.Choices[0].FinishReason
+	}
+	out := completion{ID: string(c.x.ID), Object: object, Created: c.last.Created, Model: c.last.Model, Choices: []completionChoice{choice}}
+	out.Usage = usage{CompletionTokens: c.events, TotalTokens: c.events}
+	if len(c.last.Usage) > 0 {
+		out.Usage = c.last.Usage
+	}
+	return out
+}
+
+func (c *completionResponder) fail(f *Failure) {
+	describe(c.x)
+	f.write(c.x.w)
+}
+
+// serviceResponder buffers the answer of a plain service, so that a broken one
+// is never sent as a short body.
+type serviceResponder struct {
+	x           *Exchange
+	status      int
+	contentType string
+	body        []byte
+}
+
+func (s *serviceResponder) received() uint64 { return uint64(len(s.body)) }
+func (s *serviceResponder) committed() bool  { return false }
+
+func (s *serviceResponder) header(h *fescuev1.Header) {
+	s.status = int(h.GetStatus())
+	s.contentType = h.GetContentType()
+	s.body = nil
+}
+
+func (s *serviceResponder) data(payload []byte) error {
+	s.body = append(s.body, payload...)
+	return nil
+}
+
+func (s *serviceResponder) end() {
+	describe(s.x)
+	h := s.x.w.Header()
+	h.Set("Content-Type", s.contentType)
+	h.Set("Content-Length", strconv.Itoa(len(s.body)))
+	h.Set(headerOutcome, ident.Answered.String())
+	s.x.w.WriteHeader(s.status)
+	_, _ = s.x.w.Write(s.body) // the caller may be gone
+}
+
+func (s *serviceResponder) fail(f *Failure) {
+	describe(s.x)
+	f.write(s.x.w)
+}
--- /dev/null
+++ b/pkg/entry/settings.go
@@ -0,0 +1,52 @@
+// Package entry is the role of the entry process: it takes callers' requests
+// over HTTP, places them on endpoints and relays the answers.
+package entry
+
+import (
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/config"
+)
+
+// Settings configure an entry process.
+type Settings struct {
+	ID       string
+	Zone     string
+	Listen   string
+	KV       string
+	VMList   string
+	LogLevel string
+
+	DefaultDeadline time.Duration
+	MaxDeadline     time.Duration
+	MaxBodyBytes    int64
+	UnreadyDelay    time.Duration
+	DrainTimeout    time.Duration
+}
+
+// Register adds the settings to a set.
+func (s *Settings) Register(set *config.Set) {
+	set.StringVar(&s.ID, "id", "", "unique `name` of the entry")
+	set.StringVar(&s.Zone, "zone", "", "availability `zone` of the VM")
+	set.StringVar(&s.Listen, "listen", "127.0.0.1:8080", "`address` for callers (HTTP)")
+	set.StringVar(&s.KV, "kv", "", "`address` of the key-value service")
+	set.StringVar(&s.VMList, "vm-list", "", "`address` of the platform's VM list")
+	set.StringVar(&s.LogLevel, "log-level", "info", "lowest `level` that is logged")
+	set.DurationVar(&s.DefaultDeadline, "default-deadline", 30*time.Second, "deadline of requests that set none")
+	set.DurationVar(&s.MaxDeadline, "max-deadline", 10*time.Minute, "longest deadline that a request may set")
+	set.Int64Var(&s.MaxBodyBytes, "max-body-bytes", 4<<20, "largest request body")
+	set.DurationVar(&s.UnreadyDelay, "unready-delay", 5*time.Second, "time between unready and the end of acceptance at a stop")
+	set.DurationVar(&s.DrainTimeout, "drain-timeout", 2*time.Minute, "longest time that a stop waits for requests")
+}
+
+// Check records findings for wrong settings.
+func (s *Settings) Check(set *config.Set) {
+	set.Requiref(s.ID != "", "id", "must be set")
+	set.Requiref(s.Zone != "", "zone", "must be set")
+	set.Requiref(s.VMList != "", "vm-list", "must be set")
+	set.Requiref(s.MaxBodyBytes > 0, "max-body-bytes", "must be above zero")
+	set.Requiref(s.UnreadyDelay >= 0, "unready-delay", "must not be negative")
+	set.RequirePositive("default-deadline", s.DefaultDeadline)
+	set.RequirePositive("max-deadline", s.MaxDeadline)
+	set.RequirePositive("drain-timeout", s.DrainTimeout)
+}
--- /dev/null
+++ b/pkg/findings/findings.go
@@ -0,0 +1,59 @@
+// Package findings collects problems with their place, so that they can be
+// reported together.
+package findings
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Finding is one problem at one place.
+type Finding struct {
+	File string
+	Line int
+	Text string
+}
+
+// String returns file:line: text. The line is left out if it is not known.
+func (f Finding) String() string {
+	if f.Line == 0 {
+		return fmt.Sprintf("%s: %s", f.File, f.Text)
+	}
+	return fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Text)
+}
+
+// List is a collection of findings. It is an error if it is not empty.
+type List []Finding
+
+// Addf appends a finding.
+func (l *List) Addf(file string, line int, format string, args ...any) {
+	*l = append(*l, Finding{File: file, Line: line, Text: fmt.Sprintf(format, args...)})
+}
+
+// Err returns the list as an error, or nil if it is empty.
+func (l List) Err() error {
+	if len(l) == 0 {
+		return nil
+	}
+	return l
+}
+
+// Sort orders the findings by file and line.
+func (l List) Sort() {
+	sort.SliceStable(l, func(i, j int) bool {
+		if l[i].File != l[j].File {
+			return l[i].File < l[j].File
+		}
+		return l[i].Line < l[j].Line
+	})
+}
+
+// Error returns one finding a line.
+func (l List) Error() string {
+	lines := make([]string, len(l))
+	for i, f := range l {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/pkg/logging/logging.go
@@ -0,0 +1,79 @@
+// Package logging sets up structured logs with a fixed prefix for each part.
+package logging
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+)
+
+// Part is the fixed prefix of all log messages of one part.
+type Part string
+
+// Prefixes of the parts.
+const (
+	PartEntry    Part = "entry: "
+	PartRoute    Part = "route: "
+	PartPlace    Part = "place: "
+	PartEndpoint Part = "endpoint: "
+	PartSched    Part = "sched: "
+	PartLease    Part = "lease: "
+	PartBundle   Part = "bundle: "
+	PartPermit   Part = "permit: "
+	PartStandin  Part = "standin: "
+)
+
+// Logger writes messages of one part.
+type Logger struct {
+	z    zerolog.Logger
+	part Part
+}
+
+// New returns a logger that writes JSON lines to w at the given level or above.
+func New(w io.Writer, level zerolog.Level) Logger {
+	return Logger{z: zerolog.New(w).Level(level).With().Timestamp().Logger()}
+}
+
+// Nop returns a logger that discards everything.
+func Nop() Logger { return Logger{z: zerolog.Nop()} }
+
+// For returns a logger for the given part.
+func (l Logger) For(p Part) Logger { return Logger{z: l.z, part: p} }
+
+// With returns a logger that adds a field to every message.
+func (l Logger) With(key, value string) Logger {
+	return Logger{z: l.z.With().Str(key, value).Logger(), part: l.part}
+}
+
+// Debug starts a debug message.
+func (l Logger) Debug() Event { return Event{e: l.z.Debug(), part: l.part} }
+
+// Info starts an informational message.
+func (l Logger) Info() Event { return Event{e: l.z.Info(), part: l.part} }
+
+// Warn starts a warning.
+func (l Logger) Warn() Event { return Event{e: l.z.Warn(), part: l.part} }
+
+// Error starts an error message.
+func (l Logger) Error() Event { return Event{e: l.z.Error(), part: l.part} }
+
+// Event is a message under construction.
+type Event struct {
+	e    *zerolog.Event
+	part Part
+}
+
+// Str adds a string field.
+func (e Event) Str(key, value string) Event { e.e.Str(key, value); return e }
+
+// Uint adds an unsigned integer field.
+func (e Event) Uint(key string, value uint64) Event { e.e.Uint64(key, value); return e }
+
+// Int adds an integer field.
+func (e Event) Int(key string, value int) Event { e.e.Int(key, value); return e }
+
+// Err adds an error field.
+func (e Event) Err(err error) Event { e.e.Err(err); return e }
+
+// Msg writes the message with the prefix of its part.
+func (e Event) Msg(text string) { e.e.Msg(string(e.part) + text) }
--- /dev/null
+++ b/pkg/rollout/holder.go
@@ -0,0 +1,42 @@
+// Package rollout brings configuration bundles into force: rollout by
+// compare-and-swap, adoption by each node and propagation between nodes.
+package rollout
+
+import (
+	"sync/atomic"
+
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/invariant"
+)
+
+// Holder holds the active bundle of a process. Reads take no lock.
+type Holder struct {
+	current atomic.Pointer[bundle.Bundle]
+}
+
+// Current returns the active bundle, or nil before the first adoption.
+func (h *Holder) Current() *bundle.Bundle { return h.current.Load() }
+
+// Version returns the version of the active bundle, or 0.
+func (h *Holder) Version() ident.BundleVersion {
+	if b := h.current.Load(); b != nil {
+		return b.Version()
+	}
+	return 0
+}
+
+// Adopt replaces the active bundle if b has a higher version. It reports
+// whether it did.
+func (h *Holder) Adopt(b *bundle.Bundle) bool {
+	for {
+		old := h.current.Load()
+		if old != nil && b.Version() <= old.Version() {
+			return false
+		}
+		if h.current.CompareAndSwap(old, b) {
+			invariant.Check(old == nil || old.Version() < b.Version(), invariant.BundleVersionRises, "adopted %d", b.Version())
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/pkg/service/service.go
@@ -0,0 +1,74 @@
+// Package service is the client for plain HTTP services.
+package service
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// Errors returned by the client.
+var (
+	// ErrNotSent reports a call that did not reach the service.
+	ErrNotSent = errors.New("call not sent")
+	// ErrLost reports a call whose result is not known.
+	ErrLost = errors.New("connection to the service lost")
+)
+
+// HeaderRequestID carries the request id to the service.
+const HeaderRequestID = "X-Request-Id"
+
+// Call is one request to a service.
+type Call struct {
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+	RequestID   ident.RequestID
+}
+
+// Response is a complete answer.
+type Response struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Client talks to one service server.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client for the service at addr (host:port).
+func New(addr string, hc *http.Client) *Client {
+	return &Client{base: "http://" + addr, http: hc}
+}
+
+// Do sends the call once and reads the whole answer.
+func (c *Client) Do(ctx context.Context, call Call) (Response, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return Response{}, errors.Mark(errors.Wrap(err, "build request"), ErrNotSent)
+	}
+	// A nil GetBody keeps net/http from sending the body a second time on
+	// another connection.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", call.ContentType)
+	req.Header.Set(HeaderRequestID, string(call.RequestID))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Response{}, errors.Mark(errors.Wrap(err, "call service"), ErrLost)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return Response{}, errors.Mark(errors.Wrap(err, "read answer"), ErrLost)
+	}
+	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
--- /dev/null
+++ b/pkg/settle/settle.go
@@ -0,0 +1,39 @@
+// Package settle records the outcome of each accepted request exactly once.
+package settle
+
+import (
+	"sync/atomic"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/invariant"
+)
+
+// Settlement is the outcome of one request.
+type Settlement struct {
+	id      ident.RequestID
+	sent    atomic.Bool
+	outcome atomic.Uint32
+}
+
+// New returns the pending settlement of a request.
+func New(id ident.RequestID) *Settlement { return &Settlement{id: id} }
+
+// MarkSent records that an attempt has been sent to an endpoint. Only then may
+// the outcome be unknown.
+func (s *Settlement) MarkSent() { s.sent.Store(true) }
+
+// Settle records the outcome. A second call violates an invariant and has no
+// effect.
+func (s *Settlement) Settle(o ident.Outcome) {
+	first := s.outcome.CompareAndSwap(uint32(ident.Pending), uint32(o))
+	if !invariant.Check(first, invariant.OneOutcome, "request %s settled as %s and again as %s", s.id, s.Outcome(), o) {
+		return
+	}
+	invariant.Check(o != ident.Unknown || s.sent.Load(), invariant.UnknownOnlyAfterSend, "request %s", s.id)
+	metrics.GetOrRegisterCounter("requests.outcome."+o.String(), metrics.DefaultRegistry).Inc(1)
+}
+
+// Outcome returns the recorded outcome.
+func (s *Settlement) Outcome() ident.Outcome { return ident.Outcome(s.outcome.Load()) }
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,68 @@
+// Package service is a fake of a plain HTTP service that counts how often each
+// request ran.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/fescuecourse/fescuecourse/pkg/service"
+)
+
+// Answer is the document that the service returns.
+type Answer struct {
+	Path      string `json:"path"`
+	RequestID string `json:"request_id"`
+	Echo      string `json:"echo"`
+}
+
+// Server is a fake service. It does not deduplicate.
+type Server struct {
+	delay time.Duration
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// New returns a service that takes delay for each call.
+func New(delay time.Duration) *Server {
+	return &Server{delay: delay, runs: map[string]int{}}
+}
+
+// Runs returns the number of runs by request body. Callers that send unique
+// bodies can count the runs of each of their requests.
+func (s *Server) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.runs))
+	for k, v := range s.runs {
+		out[k] = v
+	}
+	return out
+}
+
+// Handler returns the HTTP surface.
+func (s *Server) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.HandleFunc("/*", s.serve)
+	return r
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.runs[string(body)]++
+	s.mu.Unlock()
+	time.Sleep(s.delay)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Answer{Path: r.URL.Path, RequestID: r.Header.Get(service.HeaderRequestID), Echo: string(body)})
+}
