Add the etcd gateway client and a fake key-value server

Cause: kv.Store has no implementation, and leases, claims and rollouts need one. Change: pkg/kv/etcd speaks the etcd v3 JSON gateway with net/http.

--- /dev/null
+++ b/standin/kvstore/server.go
@@ -0,0 +1,197 @@
+package kvstore
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/kv"
+	"github.com/fescuecourse/fescuecourse/pkg/kv/etcd"
+)
+
+// Defaults of a server.
+const (
+	// DefaultProgress is the interval of progress notifications.
+	DefaultProgress = time.Second
+	// expireInterval is the resolution of lease expiry seen by watches.
+	expireInterval = 50 * time.Millisecond
+	// headerTimeout bounds the time in which a client sends its request header.
+	headerTimeout = 10 * time.Second
+)
+
+// Faults are the faults of a server. The zero value has none.
+type Faults struct {
+	// Down breaks the connection of every call without applying it.
+	Down bool
+	// Delay is waited before each call is applied.
+	Delay time.Duration
+	// LoseReplies breaks the connection of this many of the next writes (Txn,
+	// Grant, KeepAlive, Revoke) after they were applied.
+	LoseReplies int
+	// MuteWatches keeps all watches open but sends nothing on them any more.
+	MuteWatches bool
+}
+
+// Counts are the calls received by kind. A waiting watch is one call.
+type Counts struct {
+	Range     int
+	Txn       int
+	Grant     int
+	KeepAlive int
+	Revoke    int
+	Watch     int
+}
+
+// Total returns the number of all calls.
+func (c Counts) Total() int { return c.Range + c.Txn + c.Grant + c.KeepAlive + c.Revoke + c.Watch }
+
+// Server offers a Memory over HTTP.
+type Server struct {
+	// Progress is the interval of progress notifications. Set it before Run.
+	Progress time.Duration
+
+	mem  *Memory
+	mu   sync.Mutex
+	flt  Faults
+	cnt  Counts
+	addr string
+	lis  net.Listener
+}
+
+// New returns a server that listens on address (host:port). Run serves.
+func New(address string) (*Server, error) {
+	lis, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	return &Server{Progress: DefaultProgress, mem: NewMemory(time.Now), lis: lis, addr: lis.Addr().String()}, nil
+}
+
+// Addr returns the address of the server.
+func (s *Server) Addr() string { return s.addr }
+
+// Memory returns the store behind the server.
+func (s *Server) Memory() *Memory { return s.mem }
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.flt = f
+}
+
+// Counts returns the calls so far.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cnt
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	srv := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}
+	go s.expire(ctx)
+	context.AfterFunc(ctx, func() { srv.Close() })
+	if err := srv.Serve(s.lis); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
+
+func (s *Server) expire(ctx context.Context) {
+	t := time.NewTicker(expireInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			s.mem.Expire()
+		}
+	}
+}
+
+// Handler returns the HTTP handler of the gateway API.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+etcd.PathRange, handle(s, read, func(c *Counts) { c.Range++ }, s.serveRange))
+	mux.HandleFunc("POST "+etcd.PathTxn, handle(s, write, func(c *Counts) { c.Txn++ }, s.txn))
+	mux.HandleFunc("POST "+etcd.PathGrant, handle(s, write, func(c *Counts) { c.Grant++ }, s.grant))
+	mux.HandleFunc("POST "+etcd.PathKeepAlive, handle(s, write, func(c *Counts) { c.KeepAlive++ }, s.keepAlive))
+	mux.HandleFunc("POST "+etcd.PathRevoke, handle(s, write, func(c *Counts) { c.Revoke++ }, s.revoke))
+	mux.HandleFunc("POST "+etcd.PathWatch, s.watch)
+	return mux
+}
+
+type callKind bool
+
+const (
+	read  callKind = false
+	write callKind = true
+)
+
+// begin counts a call and applies the faults that precede it. A broken
+// connection ends the handler with http.ErrAbortHandler.
+func (s *Server) begin(ctx context.Context, count func(*Counts)) {
+	s.mu.Lock()
+	count(&s.cnt)
+	f := s.flt
+	s.mu.Unlock()
+	if f.Delay > 0 {
+		t := time.NewTimer(f.Delay)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+	}
+	if f.Down {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) loseReply() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.flt.LoseReplies == 0 {
+		return false
+	}
+	s.flt.LoseReplies--
+	return true
+}
+
+func handle[Req, Resp any](s *Server, kind callKind, count func(*Counts), serve func(context.Context, Req) (Resp, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var req Req
+		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+			fail(w, http.StatusBadRequest, etcd.CodeInvalid, err.Error())
+			return
+		}
+		s.begin(r.Context(), count)
+		resp, err := serve(r.Context(), req)
+		if kind == write && s.loseReply() {
+			panic(http.ErrAbortHandler)
+		}
+		if errors.Is(err, kv.ErrLeaseNotFound) {
+			fail(w, http.StatusNotFound, etcd.CodeNotFound, etcd.LeaseNotFound)
+			return
+		}
+		if err != nil {
+			fail(w, http.StatusBadRequest, etcd.CodeInvalid, err.Error())
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(resp)
+	}
+}
+
+func fail(w http.ResponseWriter, status, code int, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(etcd.Status{Code: code, Message: message})
+}
