Test the number of calls of a lease holder

Cause: the key-value service counts every call, and the rate of a holder was not checked. Change: a test counts calls at rest and in an outage in virtual time. Measured: go test ./pkg/lease -run CallsPerMinute -v: 30 calls in 10 minutes at rest, 32 in an outage of 10 minutes. Conclusion: 2,800 holders make 140 calls/s at rest and about 150 in an outage.

--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -37,6 +37,7 @@
 	*kvstore.Memory
 	now    time.Time
 	down   atomic.Bool
+	calls  atomic.Int64
 	before time.Duration
 	after  time.Duration
 	lose   bool
@@ -51,6 +52,7 @@
 
 // do makes one call with the faults chosen for it.
 func (f *faulty) do(call func()) error {
+	f.calls.Add(1)
 	f.now = f.now.Add(f.before)
 	switch {
 	case f.down.Load():
@@ -344,3 +346,29 @@
 		})
 	}
 }
+
+// Guards against a holder that makes more calls than the key-value service can
+// take from 2,800 of them, at rest and in an outage.
+func TestCallsPerMinute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &faulty{Memory: kvstore.NewMemory(time.Now)}
+		h := New(Settings{Endpoint: "e"}, store, logging.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); h.Run(ctx) }()
+		synctest.Wait()
+		start := store.calls.Load()
+		time.Sleep(10 * time.Minute)
+		synctest.Wait()
+		rest := store.calls.Load() - start
+		store.down.Store(true)
+		time.Sleep(10 * time.Minute)
+		synctest.Wait()
+		outage := store.calls.Load() - start - rest
+		t.Logf("%d calls in 10 minutes at rest, %d in an outage of 10 minutes", rest, outage)
+		assert.Equal(t, rest, int64(30))
+		assert.Assert(t, outage <= 36)
+		cancel()
+		<-done
+	})
+}
