Test that a connection that timed out is not reused

Cause: the fault test did not look at the connection of the call after a time-out. Change: the test traces the next calls: the first uses a new connection, the second uses it again.

--- a/standin/kvstore/kvstore_test.go
+++ b/standin/kvstore/kvstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http/httptrace"
 	"testing"
 	"time"
 
@@ -96,8 +97,19 @@
 	assert.DeepEqual(t, s.Counts(), kvstore.Counts{Range: 2, Txn: 4, Grant: 1, KeepAlive: 2, Revoke: 2, Watch: 2})
 }
 
+// reused makes a call and tells whether it used an existing connection.
+func reused(t *testing.T, c *etcd.Client) bool {
+	t.Helper()
+	var info httptrace.GotConnInfo
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { info = i }}
+	_, err := c.Get(httptrace.WithClientTrace(context.Background(), trace), "/a")
+	assert.NilError(t, err)
+	return info.Reused
+}
+
 // Guards against a lost reply or an outage that is reported as a definite
-// result, and against a watch that waits forever on a silent connection.
+// result, against the reuse of a connection that timed out, and against a watch
+// that waits forever on a silent connection.
 func TestFaultsOverLoopback(t *testing.T) {
 	s := start(t)
 	c := client(t, s, never, never)
@@ -116,9 +128,13 @@
 	_, open := <-events
 	assert.Assert(t, !open)
 	s.SetFaults(kvstore.Faults{Delay: time.Hour})
-	_, err = client(t, s, soon, never).KeepAlive(ctx, 1)
+	short, cancel := context.WithTimeout(ctx, soon)
+	defer cancel()
+	_, err = c.KeepAlive(short, 1)
 	assert.ErrorIs(t, err, kv.ErrUnavailable)
 	s.SetFaults(kvstore.Faults{})
+	assert.Assert(t, !reused(t, c))
+	assert.Assert(t, reused(t, c))
 	events, err = client(t, s, never, soon).Watch(ctx, "/a", 0)
 	assert.NilError(t, err)
 	s.SetFaults(kvstore.Faults{MuteWatches: true})
