Tell when a new lease holder may rely on the engine's adapters

Cause: a process that starts after a crash could start a run on a resident adapter while a late unload command of its predecessor was still under way. An engine that ignores fencing tokens would evict the adapter under the run. Change: Holder.Settled; no wait for engines that check tokens. Conclusion: the window is closed once the endpoint consults Settled.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -105,6 +105,8 @@
 	expiry time.Time
 	// notBefore is when commands of earlier holders can no longer take effect.
 	notBefore time.Time
+	// superseded is true while another process holds the lease.
+	superseded bool
 }
 
 // Holder acquires, renews and releases one engine lease. Run uses it from one
@@ -115,6 +117,8 @@
 	log   logging.Logger
 	self  string
 	view  atomic.Pointer[view]
+	// started is when the holder was created.
+	started time.Time
 
 	// State of the goroutine that runs the steps.
 	phase      phase
@@ -139,6 +143,7 @@
 		log:   log.For(logging.PartLease).With("endpoint", string(set.Endpoint)),
 		self:  strconv.FormatUint(uint64(ident.NewIncarnation()), 16),
 	}
+	h.started = h.set.Now()
 	h.view.Store(&view{})
 	return h
 }
@@ -166,6 +171,22 @@
 	return a.Token, a.State != None
 }
 
+// Settled reports whether no other process can change the engine's adapters any
+// more, so that runs may rely on them. Without contact to the key-value service
+// that is so once the lease and the last command of a predecessor have run out.
+func (h *Holder) Settled() bool {
+	v := h.view.Load()
+	now := h.set.Now()
+	switch {
+	case v.superseded:
+		return false
+	case v.token != 0:
+		return !now.Before(v.notBefore)
+	default:
+		return !now.Before(v.notBefore) && !now.Before(h.started.Add(h.set.TTL+h.set.CommandDeadline))
+	}
+}
+
 // Run acquires and renews the lease until ctx ends, then releases it. The caller
 // ends ctx only when each command it gave was answered or has passed its deadline.
 func (h *Holder) Run(ctx context.Context) {
@@ -205,6 +226,7 @@
 	h.superseded = false
 	v := *h.view.Load()
 	v.token = r.Token
+	v.superseded = false
 	v.expiry = h.ownSent.Add(h.set.TTL)
 	h.view.Store(&v)
 }
@@ -216,6 +238,7 @@
 	}
 	v := *h.view.Load()
 	v.token = 0
+	v.superseded = h.superseded
 	h.view.Store(&v)
 }
 
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -372,3 +372,67 @@
 		<-done
 	})
 }
+
+// Guards against runs on adapters that a predecessor may still evict: a process
+// that starts after a crash is not settled before the lease and the command
+// deadline of its predecessor have run out, with and without the key-value
+// service. With an engine that checks tokens there is nothing to wait for.
+func TestSettledAfterCrash(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		checked, down bool
+		want          time.Duration
+	}{
+		{"tokens ignored", false, false, DefaultTTL + DefaultCommandDeadline},
+		{"tokens ignored, service down", false, true, DefaultTTL + DefaultCommandDeadline},
+		{"tokens checked", true, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := kvstore.NewMemory(time.Now)
+				crashed, crash := context.WithCancel(t.Context())
+				old := New(Settings{Endpoint: "e", TokensChecked: c.checked}, unreleased{store}, logging.Nop())
+				done := make(chan struct{})
+				go func() { defer close(done); old.Run(crashed) }()
+				synctest.Wait()
+				assert.Assert(t, old.Settled())
+				crash()
+				<-done
+				var next kv.Store = store
+				if c.down {
+					next = unavailable{}
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				h := New(Settings{Endpoint: "e", TokensChecked: c.checked}, next, logging.Nop())
+				stopped := make(chan struct{})
+				go func() { defer close(stopped); h.Run(ctx) }()
+				began := time.Now()
+				for !h.Settled() {
+					time.Sleep(time.Second)
+				}
+				took := time.Since(began)
+				assert.Assert(t, took >= c.want && took <= c.want+2*time.Second, "settled after %s", took)
+				cancel()
+				<-stopped
+			})
+		})
+	}
+}
+
+// unreleased makes a holder end like a crash: its release does not arrive.
+type unreleased struct{ kv.Store }
+
+func (u unreleased) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	if txn.Compares[0].ModRevision != 0 {
+		return kv.TxnResult{}, kv.ErrUnavailable
+	}
+	return u.Store.Txn(ctx, txn)
+}
+
+// unavailable is a key-value service that does not answer.
+type unavailable struct{ kv.Store }
+
+func (unavailable) Get(context.Context, string) (kv.Pair, error) {
+	return kv.Pair{}, kv.ErrUnavailable
+}
--- a/pkg/lease/step.go
+++ b/pkg/lease/step.go
@@ -132,7 +132,11 @@
 	if err != nil && !errors.Is(err, kv.ErrLeaseNotFound) {
 		return h.retry(err)
 	}
-	h.waitUntil(h.set.Now().Add(h.seen.settle()))
+	if !h.set.TokensChecked {
+		// An engine that checks tokens needs no wait: the first command of this
+		// holder ends the authority of the predecessor.
+		h.waitUntil(h.set.Now().Add(h.seen.settle()))
+	}
 	h.log.Info().Str("holder", h.seen.Holder).Uint("token", h.seen.Token).Msg("lease of the predecessor revoked")
 	return h.next(phaseGrant)
 }
