Store bundles as signed parts and compile them compactly

Cause: the bundle had no stored form, no signatures and no diff, and parsing 98,000 adapters with a general INI reader allocated 330 MB and kept 22 MB. Change: a line scanner feeds the compiler and the canonical form; adapters are kept in a sorted index with shared version sets; parts are split by section hash, root records carry reviewers' signatures and a chain of reviewer changes.

--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"strings"
 	"time"
 
@@ -39,20 +40,13 @@
 	RatePerSecond float64
 }
 
-// adapterEntry lists the versions of one adapter.
-type adapterEntry struct {
-	baseModel string
-	current   string
-	versions  []string
-}
-
 // Bundle is a compiled configuration bundle. It is immutable.
 type Bundle struct {
 	version    ident.BundleVersion
 	deployment Deployment
 	teams      map[ident.Team]TeamPolicy
 	keys       map[[sha256.Size]byte]ident.Team
-	adapters   map[string]adapterEntry
+	adapters   index
 	services   map[string]bool
 	routes     map[string]bool
 	reviewers  map[string][]byte
@@ -83,22 +77,35 @@
 	if err != nil {
 		return ident.Adapter{}, "", err
 	}
-	e, ok := b.adapters[string(a.Team)+"/"+a.Name]
+	rec, ok := b.adapters.find(string(a.Team), a.Name)
 	if !ok {
 		return ident.Adapter{}, "", ErrUnknownAdapter
 	}
+	base := b.adapters.bases[rec.base]
+	set := &b.adapters.sets[rec.set]
 	if a.Version == "" {
-		a.Version = e.current
-		return a, e.baseModel, nil
+		a.Version = set.versions[set.current]
+		return a, base, nil
 	}
-	for _, v := range e.versions {
-		if v == a.Version {
-			return a, e.baseModel, nil
-		}
+	if !slices.Contains(set.versions, a.Version) {
+		return ident.Adapter{}, "", ErrUnknownVersion
 	}
-	return ident.Adapter{}, "", ErrUnknownVersion
+	return a, base, nil
 }
 
+// Reviewers returns the reviewers that the bundle defines, sorted by name.
+func (b *Bundle) Reviewers() Reviewers {
+	out := Reviewers{}
+	for name, key := range b.reviewers {
+		out = append(out, Reviewer{Name: name, Key: key})
+	}
+	slices.SortFunc(out, func(a, c Reviewer) int { return strings.Compare(a.Name, c.Name) })
+	return out
+}
+
+// Adapters returns the number of adapters.
+func (b *Bundle) Adapters() int { return len(b.adapters.records) }
+
 // HasService reports whether the service is configured.
 func (b *Bundle) HasService(name string) bool { return b.services[name] }
 
--- /dev/null
+++ b/pkg/bundle/index.go
@@ -0,0 +1,141 @@
+package bundle
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+	"strings"
+)
+
+// versionSet is a list of versions with the index of the current one. Adapters
+// with equal lists share one set.
+type versionSet struct {
+	versions []string
+	current  uint16
+}
+
+// record locates one adapter in the index. It has 12 bytes.
+type record struct {
+	end  uint32
+	base uint32
+	set  uint32
+}
+
+// index holds all adapters. Names are concatenated in ascending order; the
+// name of adapter i ends at records[i].end.
+type index struct {
+	names   string
+	records []record
+	bases   []string
+	sets    []versionSet
+}
+
+func (x *index) name(i int) string {
+	start := uint32(0)
+	if i > 0 {
+		start = x.records[i-1].end
+	}
+	return x.names[start:x.records[i].end]
+}
+
+// find returns the record of an adapter named team/name without building a string.
+func (x *index) find(team, name string) (record, bool) {
+	i := sort.Search(len(x.records), func(i int) bool { return compareName(x.name(i), team, name) >= 0 })
+	if i == len(x.records) || compareName(x.name(i), team, name) != 0 {
+		return record{}, false
+	}
+	return x.records[i], true
+}
+
+// compareName compares full with team + "/" + name.
+func compareName(full, team, name string) int {
+	if len(full) <= len(team) {
+		if c := strings.Compare(full, team); c != 0 {
+			return c
+		}
+		return -1
+	}
+	if c := strings.Compare(full[:len(team)], team); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(full[len(team)], '/'); c != 0 {
+		return c
+	}
+	return strings.Compare(full[len(team)+1:], name)
+}
+
+// pending is an adapter that is not in the index yet.
+type pending struct {
+	name string
+	line int
+	file string
+	base uint32
+	set  uint32
+}
+
+// builder collects adapters for an index.
+type builder struct {
+	adapters []pending
+	bases    []string
+	baseIDs  map[string]uint32
+	sets     []versionSet
+	setIDs   map[setKey]uint32
+}
+
+type setKey struct {
+	versions string
+	current  string
+}
+
+func newBuilder() *builder {
+	return &builder{baseIDs: map[string]uint32{}, setIDs: map[setKey]uint32{}}
+}
+
+func (b *builder) base(name string) uint32 {
+	id, ok := b.baseIDs[name]
+	if !ok {
+		id = uint32(len(b.bases))
+		name = strings.Clone(name)
+		b.bases = append(b.bases, name)
+		b.baseIDs[name] = id
+	}
+	return id
+}
+
+// set returns the id of the version set written as in the text. It calls parse
+// for a new one; parse returns false if the set is not valid.
+func (b *builder) set(k setKey, parse func() (versionSet, bool)) (uint32, bool) {
+	if id, ok := b.setIDs[k]; ok {
+		return id, true
+	}
+	vs, ok := parse()
+	if !ok {
+		return 0, false
+	}
+	id := uint32(len(b.sets))
+	b.sets = append(b.sets, vs)
+	b.setIDs[setKey{strings.Clone(k.versions), strings.Clone(k.current)}] = id
+	return id, true
+}
+
+// build sorts the adapters and passes each repeated one to duplicate.
+func (b *builder) build(duplicate func(pending)) index {
+	slices.SortStableFunc(b.adapters, func(a, c pending) int { return strings.Compare(a.name, c.name) })
+	size := 0
+	for _, a := range b.adapters {
+		size += len(a.name)
+	}
+	x := index{records: make([]record, 0, len(b.adapters)), bases: b.bases, sets: b.sets}
+	var names strings.Builder
+	names.Grow(size)
+	for i, a := range b.adapters {
+		if i > 0 && a.name == b.adapters[i-1].name {
+			duplicate(a)
+			continue
+		}
+		names.WriteString(a.name)
+		x.records = append(x.records, record{end: uint32(names.Len()), base: a.base, set: a.set})
+	}
+	x.names = names.String()
+	return x
+}
--- a/pkg/bundle/parse.go
+++ b/pkg/bundle/parse.go
@@ -5,14 +5,12 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/hex"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
-	"gopkg.in/ini.v1"
-
-	"github.com/fescuecourse/fescuecourse/pkg/config"
 	"github.com/fescuecourse/fescuecourse/pkg/findings"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
@@ -24,28 +22,72 @@
 	defaultWeight        = 1
 	defaultMaxInFlight   = 100
 	defaultRatePerSecond = 100
+	// maxVersions bounds the versions of one adapter.
+	maxVersions = 1024
 )
 
 // Parse compiles the INI text of a bundle. It returns all problems together;
 // the bundle is nil if there are any.
 func Parse(file, text string) (*Bundle, findings.List) {
-	p := &parser{file: file, lines: config.Lines(text), b: &Bundle{
-		teams:     map[ident.Team]TeamPolicy{},
-		keys:      map[[sha256.Size]byte]ident.Team{},
-		adapters:  map[string]adapterEntry{},
-		services:  map[string]bool{},
-		routes:    map[string]bool{},
-		reviewers: map[string][]byte{},
-	}}
-	f, err := ini.LoadSources(ini.LoadOptions{ChildSectionDelimiter: "\x00"}, []byte(text))
-	if err != nil {
-		p.found.Addf(file, 0, "%v", err)
-		return nil, p.found
+	p := newParser()
+	p.scan(file, text)
+	return p.finish(file)
+}
+
+// Compile compiles the parts of a bundle whose version is in its root record.
+func Compile(version ident.BundleVersion, parts []Part) (*Bundle, findings.List) {
+	p := newParser()
+	p.scan("root", versionSection(version))
+	for _, part := range parts {
+		p.scan("part "+part.Name, part.Content)
 	}
-	for _, s := range f.Sections() {
-		p.section(s)
+	return p.finish("root")
+}
+
+func versionSection(v ident.BundleVersion) string {
+	return "[" + kindBundle + "]\nversion = " + strconv.FormatUint(uint64(v), 10) + "\n"
+}
+
+// place is where a section stands in the source text.
+type place struct {
+	file string
+	line int
+}
+
+type parser struct {
+	file     string
+	found    findings.List
+	b        *Bundle
+	adapters *builder
+	// places holds all sections but adapters, which the index checks itself.
+	places map[string]place
+}
+
+func newParser() *parser {
+	return &parser{
+		adapters: newBuilder(),
+		places:   map[string]place{},
+		b: &Bundle{
+			teams:     map[ident.Team]TeamPolicy{},
+			keys:      map[[sha256.Size]byte]ident.Team{},
+			services:  map[string]bool{},
+			routes:    map[string]bool{},
+			reviewers: map[string][]byte{},
+		},
 	}
-	p.crossCheck()
+}
+
+func (p *parser) scan(file, text string) {
+	p.file = file
+	p.adapters.adapters = slices.Grow(p.adapters.adapters, strings.Count(text, "["+kindAdapter+" "))
+	scan(file, text, &p.found, p.section)
+}
+
+func (p *parser) finish(file string) (*Bundle, findings.List) {
+	p.b.adapters = p.adapters.build(func(a pending) {
+		p.found.Addf(a.file, a.line, "[adapter %q] section is defined twice", a.name)
+	})
+	p.crossCheck(file)
 	if len(p.found) > 0 {
 		p.found.Sort()
 		return nil, p.found
@@ -53,44 +95,43 @@
 	return p.b, nil
 }
 
-type parser struct {
-	file  string
-	lines map[config.Place]int
-	found findings.List
-	b     *Bundle
+// section parses one section by its kind.
+func (p *parser) section(s *Section) {
+	r := &reader{p: p, s: s}
+	if s.Kind == kindAdapter {
+		p.adapter(r, s.Name)
+		r.rejectUnknownKeys()
+		return
+	}
+	title := strings.Clone(s.Title())
+	_, twice := p.places[title]
+	r.check(!twice, "", "section is defined twice")
+	p.places[title] = place{p.file, s.Line}
+	p.rareSection(r, strings.Clone(s.Name))
+	r.rejectUnknownKeys()
 }
 
-// section parses one section by its kind.
-func (p *parser) section(s *ini.Section) {
-	kind, name := splitSection(s.Name())
-	r := &reader{p: p, s: s, seen: map[string]bool{}}
-	switch kind {
-	case ini.DefaultSection:
-	case "bundle":
+// rareSection parses the kinds of which a bundle has few.
+func (p *parser) rareSection(r *reader, name string) {
+	switch r.s.Kind {
+	case kindBundle:
 		p.b.version = ident.BundleVersion(r.uint("version", 0))
 		r.check(p.b.version > 0, "version", "must be above zero")
-	case "deployment":
+	case kindDeployment:
 		p.b.deployment = r.deployment()
-	case "reviewer":
+	case kindReviewer:
+		r.check(name != "", "", "needs a name")
 		p.b.reviewers[name] = r.publicKey()
-	case "team":
+	case kindTeam:
 		p.team(r, name)
-	case "adapter":
-		p.adapter(r, name)
-	case "service":
-		r.check(name != "", "", "needs a name")
+	case kindService:
+		r.check(name != "" && !strings.Contains(name, "/"), "", "needs a name without '/'")
 		p.b.services[name] = true
-	case "route":
+	case kindRoute:
 		p.b.routes[strings.Trim(name, "/")] = r.bool("idempotent", false)
 	default:
 		r.check(false, "", "unknown section")
 	}
-	r.rejectUnknownKeys()
-}
-
-func splitSection(section string) (kind, name string) {
-	kind, name, _ = strings.Cut(section, " ")
-	return kind, strings.Trim(strings.TrimSpace(name), `"`)
 }
 
 func (p *parser) team(r *reader, name string) {
@@ -128,68 +169,90 @@
 	if !r.check(err == nil && a.Version == "", "", "adapter name must be team/adapter") {
 		return
 	}
-	e := adapterEntry{baseModel: r.str("base_model"), current: r.str("current"), versions: r.list("versions")}
-	r.check(e.baseModel != "", "base_model", "must be set")
-	r.check(len(e.versions) > 0, "versions", "must list at least one version")
-	for _, v := range e.versions {
-		r.check(!strings.ContainsAny(v, "/@ "), "versions", "version "+strconv.Quote(v)+" must not contain '/', '@' or spaces")
+	base := r.str("base_model")
+	r.check(base != "", "base_model", "must be set")
+	set, _ := p.adapters.set(setKey{r.str("versions"), r.str("current")}, r.versions)
+	p.adapters.adapters = append(p.adapters.adapters, pending{name: name, file: p.file, line: r.s.Line, base: p.adapters.base(base), set: set})
+}
+
+// versions reads the versions of an adapter.
+func (r *reader) versions() (versionSet, bool) {
+	vs := versionSet{}
+	for _, v := range r.list("versions") {
+		vs.versions = append(vs.versions, strings.Clone(v))
+	}
+	ok := r.check(len(vs.versions) > 0 && len(vs.versions) <= maxVersions, "versions", "must list between 1 and 1024 versions")
+	for _, v := range vs.versions {
+		ok = r.check(!strings.ContainsAny(v, "/@ "), "versions", "version "+strconv.Quote(v)+" must not contain '/', '@' or spaces") && ok
 	}
-	r.check(slices.Contains(e.versions, e.current), "current", "must be one of the versions")
-	p.b.adapters[name] = e
+	current := slices.Index(vs.versions, r.str("current"))
+	ok = r.check(current >= 0, "current", "must be one of the versions") && ok
+	vs.current = uint16(max(current, 0))
+	return vs, ok
 }
 
 // crossCheck checks references between sections.
-func (p *parser) crossCheck() {
-	p.require(p.b.version > 0, "bundle", "section is missing")
-	p.require(p.b.deployment.Name != "", "deployment", "section is missing")
-	for name := range p.b.adapters {
-		team, _, _ := strings.Cut(name, "/")
-		_, ok := p.b.teams[ident.Team(team)]
-		p.require(ok, `adapter "`+name+`"`, "team "+strconv.Quote(team)+" is not defined")
+func (p *parser) crossCheck(file string) {
+	if p.b.version == 0 {
+		p.found.Addf(file, 0, "[bundle]: section with the version is missing")
+	}
+	if p.b.deployment.Name == "" {
+		p.found.Addf(file, 0, "[deployment]: section with the name is missing")
+	}
+	for _, a := range p.adapters.adapters {
+		team, _, _ := strings.Cut(a.name, "/")
+		if _, ok := p.b.teams[ident.Team(team)]; !ok {
+			p.found.Addf(a.file, a.line, "[adapter %q]: team %q is not defined", a.name, team)
+		}
 	}
 	for route := range p.b.routes {
 		service, _, _ := strings.Cut(route, "/")
-		p.require(isModelRoute(route) || p.b.services[service], `route "`+route+`"`, "service "+strconv.Quote(service)+" is not defined")
-	}
-}
-
-func (p *parser) require(ok bool, section, text string) {
-	if !ok {
-		p.found.Addf(p.file, p.lines[config.Place{Section: section}], "[%s]: %s", section, text)
+		if !isModelRoute(route) && !p.b.services[service] {
+			at := p.places[kindRoute+` "`+route+`"`]
+			p.found.Addf(at.file, at.line, "[route %q]: service %q is not defined", route, service)
+		}
 	}
 }
 
-// reader reads the keys of one section and records problems.
+// reader reads the keys of one section and records problems. Bit i of seen is
+// set once key i has been read.
 type reader struct {
 	p    *parser
-	s    *ini.Section
-	seen map[string]bool
+	s    *Section
+	seen uint64
 }
 
 func (r *reader) check(ok bool, key, text string) bool {
 	if ok {
 		return true
 	}
-	line := r.p.lines[config.Place{Section: r.s.Name(), Key: key}]
-	if line == 0 {
-		line = r.p.lines[config.Place{Section: r.s.Name()}]
-	}
+	line := r.s.Line
 	if key != "" {
 		text = key + ": " + text
 	}
-	r.p.found.Addf(r.p.file, line, "[%s] %s", r.s.Name(), text)
+	for _, k := range r.s.Keys {
+		if k.Name == key {
+			line = k.Line
+		}
+	}
+	r.p.found.Addf(r.p.file, line, "[%s] %s", r.s.Title(), text)
 	return false
 }
 
 func (r *reader) rejectUnknownKeys() {
-	for _, k := range r.s.Keys() {
-		r.check(r.seen[k.Name()], k.Name(), "unknown key")
+	for i, k := range r.s.Keys {
+		r.check(i < 64 && r.seen&(1<<i) != 0, k.Name, "unknown key")
 	}
 }
 
 func (r *reader) str(key string) string {
-	r.seen[key] = true
-	return strings.TrimSpace(r.s.Key(key).String())
+	for i, k := range r.s.Keys {
+		if k.Name == key {
+			r.seen |= 1 << i
+			return k.Value
+		}
+	}
+	return ""
 }
 
 func (r *reader) list(key string) []string {
@@ -218,7 +281,7 @@
 		return def
 	}
 	n, err := strconv.ParseFloat(v, 64)
-	r.check(err == nil, key, "must be a number")
+	r.check(err == nil && !math.IsNaN(n) && !math.IsInf(n, 0), key, "must be a finite number")
 	return n
 }
 
@@ -263,7 +326,7 @@
 
 func (r *reader) deployment() Deployment {
 	d := Deployment{
-		Name:         r.str("name"),
+		Name:         strings.Clone(r.str("name")),
 		StallWeight:  r.float("stall_weight", 0.5),
 		BatchWeight:  r.float("batch_weight", 0.5),
 		RetryBudget:  r.float("retry_budget", defaultRetryBudget),
--- /dev/null
+++ b/pkg/bundle/root.go
@@ -0,0 +1,185 @@
+package bundle
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// Limits of root records.
+const (
+	// MaxRootBytes is the value limit of the key-value service.
+	MaxRootBytes = 1 << 20
+	// RequiredReviewers is the number of different reviewers that must sign.
+	RequiredReviewers = 2
+	// maxRecent is how many accepted rollouts a root record lists.
+	maxRecent = 32
+)
+
+// Errors of root records.
+var (
+	ErrMalformedRoot = errors.New("root record is malformed")
+	ErrUnverified    = errors.New("root record is not signed by two trusted reviewers")
+)
+
+// Reviewer is a person whose signature counts.
+type Reviewer struct {
+	Name string            `json:"name"`
+	Key  ed25519.PublicKey `json:"key"`
+}
+
+// Reviewers is a set of reviewers, sorted by name.
+type Reviewers []Reviewer
+
+// Equal reports whether both sets have the same names and keys.
+func (r Reviewers) Equal(o Reviewers) bool {
+	return slices.EqualFunc(r, o, func(a, b Reviewer) bool { return a.Name == b.Name && bytes.Equal(a.Key, b.Key) })
+}
+
+// Signature is one reviewer's signature over a Statement.
+type Signature struct {
+	Reviewer string `json:"reviewer"`
+	Value    []byte `json:"value"`
+}
+
+// Statement holds the signed fields of a root record.
+type Statement struct {
+	Version   ident.BundleVersion `json:"version"`
+	RolloutID string              `json:"rollout_id"`
+	Operator  string              `json:"operator"`
+	// PartsHash is the SHA-256 of the list of part names.
+	PartsHash string `json:"parts_hash"`
+	// Previous is the hash of the previous statement, empty in version 1.
+	Previous string `json:"previous"`
+	// Reviewers are the reviewers that the bundle defines. They sign the next one.
+	Reviewers Reviewers `json:"reviewers"`
+}
+
+// payload returns the bytes that are signed and hashed.
+func (s *Statement) payload() []byte {
+	raw, _ := json.Marshal(s) // never fails for these types
+	return append([]byte("fescue-bundle-root-v1\n"), raw...)
+}
+
+// Hash returns the SHA-256 of the signed fields in hexadecimal.
+func (s *Statement) Hash() string {
+	sum := sha256.Sum256(s.payload())
+	return hex.EncodeToString(sum[:])
+}
+
+// Sign returns a reviewer's signature over the hash of the signed fields.
+func (s *Statement) Sign(reviewer string, key ed25519.PrivateKey) Signature {
+	return Signature{Reviewer: reviewer, Value: ed25519.Sign(key, []byte(s.Hash()))}
+}
+
+// Signers returns the different trusted reviewers with a valid signature.
+// Reviewers who share a key count once.
+func (s *Statement) Signers(trusted Reviewers, signatures []Signature) []string {
+	hash := []byte(s.Hash())
+	var names []string
+	var keys []ed25519.PublicKey
+	for _, sig := range signatures {
+		for _, r := range trusted {
+			known := slices.Contains(names, r.Name) || slices.ContainsFunc(keys, func(k ed25519.PublicKey) bool { return k.Equal(r.Key) })
+			if r.Name != sig.Reviewer || known || len(r.Key) != ed25519.PublicKeySize || !ed25519.Verify(r.Key, hash, sig.Value) {
+				continue
+			}
+			names = append(names, r.Name)
+			keys = append(keys, r.Key)
+		}
+	}
+	return names
+}
+
+// Link is an earlier statement that changed the reviewers.
+type Link struct {
+	Statement  Statement   `json:"statement"`
+	Signatures []Signature `json:"signatures"`
+}
+
+// Accepted names one accepted rollout.
+type Accepted struct {
+	Version   ident.BundleVersion `json:"version"`
+	RolloutID string              `json:"rollout_id"`
+	Operator  string              `json:"operator"`
+}
+
+// Root is the root record of one bundle version. Chain lists the earlier
+// statements that changed the reviewers, so that a node that missed versions
+// can follow from the keys it trusts to the present ones. Recent is not signed;
+// it lets an operator whose reply was lost find out which rollout won.
+type Root struct {
+	Statement
+	Parts      []string    `json:"parts"`
+	Signatures []Signature `json:"signatures"`
+	Chain      []Link      `json:"chain,omitempty"`
+	Recent     []Accepted  `json:"recent,omitempty"`
+}
+
+// PartsHash returns the hash of a list of part names.
+func PartsHash(names []string) string {
+	raw, _ := json.Marshal(names) // never fails for strings
+	sum := sha256.Sum256(raw)
+	return hex.EncodeToString(sum[:])
+}
+
+// Encode returns the stored form of the record.
+func (r *Root) Encode() ([]byte, error) {
+	raw, err := json.Marshal(r)
+	if err == nil && len(raw) > MaxRootBytes {
+		err = errors.Wrapf(ErrTooLarge, "root record with %d bytes", len(raw))
+	}
+	return raw, err
+}
+
+// DecodeRoot reads a stored record. It checks the form, not the signatures.
+func DecodeRoot(raw []byte) (*Root, error) {
+	if len(raw) > MaxRootBytes {
+		return nil, errors.Wrapf(ErrTooLarge, "root record with %d bytes", len(raw))
+	}
+	r := &Root{}
+	if err := json.Unmarshal(raw, r); err != nil {
+		return nil, errors.Mark(err, ErrMalformedRoot)
+	}
+	if r.Version == 0 || len(r.Parts) == 0 || len(r.Parts) > MaxParts || r.PartsHash != PartsHash(r.Parts) {
+		return nil, ErrMalformedRoot
+	}
+	return r, nil
+}
+
+// Verify checks that two different reviewers signed the record. The caller
+// trusts the given reviewers as of version since; later changes of the
+// reviewers are followed along Chain, each signed by two reviewers before it.
+func (r *Root) Verify(trusted Reviewers, since ident.BundleVersion) error {
+	last := since
+	for i := range r.Chain {
+		l := &r.Chain[i]
+		if l.Statement.Version <= last || l.Statement.Version >= r.Version {
+			continue
+		}
+		if len(l.Statement.Signers(trusted, l.Signatures)) < RequiredReviewers {
+			continue
+		}
+		trusted = l.Statement.Reviewers
+		last = l.Statement.Version
+	}
+	if len(r.Signers(trusted, r.Signatures)) < RequiredReviewers {
+		return errors.Wrapf(ErrUnverified, "version %d by %s", r.Version, r.Operator)
+	}
+	return nil
+}
+
+// Trusted returns the reviewers whose signatures the version after r needs.
+func (r *Root) Trusted(first Reviewers) Reviewers {
+	if r == nil || len(r.Reviewers) == 0 {
+		return first
+	}
+	return r.Reviewers
+}
