Roll out and propagate bundles

Cause: a bundle reached a process only at its start. Change: Rollout writes parts and replaces the root by compare-and-swap, and settles lost replies by its rollout id; Syncer adopts verified, higher versions from the key-value service or a peer; endpoints serve the bundle methods and entries push or fetch when a report names another version. Conclusion: the exchange in pkg/entry is built but not yet tested itself.

--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -48,6 +48,7 @@
 	started     time.Time
 	log         logging.Logger
 	bundles     *rollout.Holder
+	peer        *rollout.PeerServer
 	authority   Authority
 	engine      *engine.Client
 	service     *service.Client
--- a/pkg/entry/connector.go
+++ b/pkg/entry/connector.go
@@ -202,6 +202,7 @@
 		}
 		watchdog.Reset(reportSilence)
 		l.c.e.events.received(l.id, m)
+		l.c.e.exchanger.reported(l.id, m, l.conn.Load())
 	}
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -31,6 +31,7 @@
 	zone      ident.AvailabilityZone
 	log       logging.Logger
 	bundles   *rollout.Holder
+	exchanger *exchanger
 	vms       *vmlist.Client
 	policy    placement.Policy
 	directory atomic.Pointer[membership.Snapshot]
@@ -96,6 +97,7 @@
 	wg.Go(func() { _ = e.bus.Run(background) }) // ends with background
 	<-e.bus.Running()
 	wg.Go(func() { e.connector.run(background) })
+	wg.Go(func() { e.exchanger.run(background) })
 	srv := &http.Server{Handler: e.routes(), ReadHeaderTimeout: readHeaderTimeout}
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(lis) }()
--- a/pkg/invariant/invariant.go
+++ b/pkg/invariant/invariant.go
@@ -19,6 +19,7 @@
 	OneOutcome           Name = "one_outcome"
 	AtMostOneRun         Name = "at_most_one_run"
 	BundleVersionRises   Name = "bundle_version_rises"
+	BundleVerified       Name = "bundle_verified"
 	NoWorkAfterLeaving   Name = "no_work_after_leaving"
 	ContiguousFrames     Name = "contiguous_frames"
 	OrderNeedsAuthority  Name = "order_needs_authority"
--- /dev/null
+++ b/pkg/rollout/fake_test.go
@@ -0,0 +1,223 @@
+package rollout
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/kv"
+)
+
+// fakeStore is a key-value service in memory with faults.
+type fakeStore struct {
+	mu       sync.Mutex
+	pairs    map[string]kv.Pair
+	revision int64
+	watches  []chan kv.Event
+	accepted []*bundle.Root // the oracle: every root ever stored
+	late     []kv.Txn       // transactions that take effect after their call failed
+
+	down bool
+	// nextTxn is the fate of the next write of a root.
+	nextTxn fate
+	// beforeRoot runs before the next write of a root.
+	beforeRoot func()
+}
+
+type fate int
+
+const (
+	fateNormal fate = iota
+	fateLostReply
+	fateLostRequest
+	fateLate
+)
+
+func newFakeStore() *fakeStore { return &fakeStore{pairs: map[string]kv.Pair{}} }
+
+func (f *fakeStore) Get(_ context.Context, key string) (kv.Pair, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return kv.Pair{}, kv.ErrUnavailable
+	}
+	p, ok := f.pairs[key]
+	if !ok {
+		return kv.Pair{}, kv.ErrNotFound
+	}
+	return p, nil
+}
+
+func (f *fakeStore) List(_ context.Context, prefix string) ([]kv.Pair, int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, 0, kv.ErrUnavailable
+	}
+	var out []kv.Pair
+	for k, p := range f.pairs {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, p)
+		}
+	}
+	return out, f.revision, nil
+}
+
+func (f *fakeStore) Txn(_ context.Context, t kv.Txn) (kv.TxnResult, error) {
+	root := t.Ops[0].Key == RootKey
+	if hook := f.beforeRoot; root && hook != nil {
+		f.beforeRoot = nil
+		hook()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := fateNormal
+	if root {
+		next, f.nextTxn = f.nextTxn, fateNormal
+	}
+	switch {
+	case f.down || next == fateLostRequest:
+		return kv.TxnResult{}, kv.ErrUnavailable
+	case next == fateLate:
+		f.late = append(f.late, t)
+		return kv.TxnResult{}, kv.ErrUnavailable
+	}
+	res := f.apply(t)
+	if next == fateLostReply {
+		return kv.TxnResult{}, kv.ErrUnavailable
+	}
+	return res, nil
+}
+
+func (f *fakeStore) apply(t kv.Txn) kv.TxnResult {
+	for _, c := range t.Compares {
+		if f.pairs[c.Key].ModRevision != c.ModRevision {
+			res := kv.TxnResult{Revision: f.revision}
+			for _, k := range t.OnFailure {
+				if p, ok := f.pairs[k]; ok {
+					res.Read = append(res.Read, p)
+				}
+			}
+			return res
+		}
+	}
+	f.revision++
+	for _, op := range t.Ops {
+		p := kv.Pair{Key: op.Key, Value: op.Value, ModRevision: f.revision}
+		f.pairs[op.Key] = p
+		if op.Key == RootKey {
+			f.rootStored(p)
+		}
+	}
+	return kv.TxnResult{Succeeded: true, Revision: f.revision}
+}
+
+func (f *fakeStore) rootStored(p kv.Pair) {
+	root, err := bundle.DecodeRoot(p.Value)
+	if err != nil {
+		panic(err)
+	}
+	f.accepted = append(f.accepted, root)
+	for _, w := range f.watches {
+		w <- kv.Event{Type: kv.EventPut, Pair: p}
+	}
+}
+
+func (f *fakeStore) applyLate() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.late {
+		f.apply(t)
+	}
+	f.late = nil
+}
+
+func (f *fakeStore) Watch(ctx context.Context, _ string, _ int64) (<-chan kv.Event, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, kv.ErrUnavailable
+	}
+	ch := make(chan kv.Event, 100)
+	f.watches = append(f.watches, ch)
+	context.AfterFunc(ctx, func() { f.closeWatch(ch) })
+	return ch, nil
+}
+
+func (f *fakeStore) closeWatch(ch chan kv.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if i := slices.Index(f.watches, ch); i >= 0 {
+		f.watches = slices.Delete(f.watches, i, i+1)
+		close(ch)
+	}
+}
+
+// setDown starts or ends an outage. An outage closes all watches.
+func (f *fakeStore) setDown(down bool) {
+	f.mu.Lock()
+	f.down = down
+	watches := slices.Clone(f.watches)
+	f.mu.Unlock()
+	if down {
+		for _, ch := range watches {
+			f.closeWatch(ch)
+		}
+	}
+}
+
+func (f *fakeStore) Grant(context.Context, time.Duration) (kv.LeaseID, error) {
+	return 0, kv.ErrUnavailable
+}
+func (f *fakeStore) KeepAlive(context.Context, kv.LeaseID) (time.Duration, error) {
+	return 0, kv.ErrUnavailable
+}
+func (f *fakeStore) Revoke(context.Context, kv.LeaseID) error { return kv.ErrUnavailable }
+
+func testKey(name string) ed25519.PrivateKey {
+	seed := make([]byte, ed25519.SeedSize)
+	copy(seed, name)
+	return ed25519.NewKeyFromSeed(seed)
+}
+
+func testReviewers(names ...string) bundle.Reviewers {
+	var rs bundle.Reviewers
+	for _, n := range names {
+		rs = append(rs, bundle.Reviewer{Name: n, Key: testKey(n).Public().(ed25519.PublicKey)})
+	}
+	return rs
+}
+
+func testText(version, adapters, changed int, reviewers bundle.Reviewers) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[bundle]\nversion = %d\n[deployment]\nname = test\n[team \"t\"]\n", version)
+	for _, r := range reviewers {
+		fmt.Fprintf(&b, "[reviewer %q]\npublic_key = %s\n", r.Name, base64.StdEncoding.EncodeToString(r.Key))
+	}
+	for i := range adapters {
+		fmt.Fprintf(&b, "[adapter \"t/a%d\"]\nbase_model = m%d\nversions = 1\ncurrent = 1\n", i, max(0, changed-i))
+	}
+	return b.String()
+}
+
+// propose returns a proposal that follows base and is signed by the given reviewers.
+func propose(operator, text string, base *bundle.Root, signers ...string) *bundle.Proposal {
+	p, err := bundle.Propose("test", text, operator, base)
+	if err != nil {
+		panic(err)
+	}
+	root, _, err := p.Build()
+	if err != nil {
+		panic(err)
+	}
+	for _, s := range signers {
+		p.Signatures = append(p.Signatures, root.Sign(s, testKey(s)))
+	}
+	return p
+}
--- /dev/null
+++ b/pkg/rollout/machine_test.go
@@ -0,0 +1,215 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/kv"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+)
+
+// machine drives operators and nodes over one store, one call at a time.
+type machine struct {
+	store     *fakeStore
+	first     bundle.Reviewers
+	operators [3]*attempt
+	bases     []*bundle.Root // roots that operators have read
+	nodes     []*Syncer
+	seen      []ident.BundleVersion
+	proposals int
+}
+
+func newMachine() *machine {
+	m := &machine{store: newFakeStore(), first: testReviewers("a", "b"), bases: []*bundle.Root{nil}}
+	for range 4 {
+		m.nodes = append(m.nodes, NewSyncer(&Holder{}, m.first, logging.Nop()))
+	}
+	m.seen = make([]ident.BundleVersion, len(m.nodes))
+	return m
+}
+
+// start lets an operator propose a bundle on a base that may be outdated, with
+// the signatures of reviewers that may not be the right ones.
+func (m *machine) start(t *rapid.T, i int) {
+	m.proposals++
+	base := m.bases[len(m.bases)-1-rapid.IntRange(0, min(3, len(m.bases)-1)).Draw(t, "age")]
+	version := 1
+	if base != nil {
+		version = int(base.Version) + 1
+	}
+	sets := []bundle.Reviewers{testReviewers("a", "b"), testReviewers("b", "c"), testReviewers("c", "d", "e")}
+	text := testText(version, 3, m.proposals, rapid.SampledFrom(sets).Draw(t, "reviewers"))
+	trusted := base.Trusted(m.first)
+	signers := []string{trusted[0].Name, trusted[len(trusted)-1].Name}
+	if rapid.IntRange(0, 5).Draw(t, "unsigned") == 0 {
+		signers = []string{signers[0], signers[0], "mallory"}
+	}
+	p := propose(fmt.Sprint("operator-", i), text, base, signers...)
+	root, parts, err := p.Build()
+	assert.NilError(t, err)
+	record, err := root.Encode()
+	assert.NilError(t, err)
+	m.operators[i] = &attempt{store: m.store, root: root, record: record, parts: parts, first: m.first, written: map[string]bool{}}
+}
+
+// step lets an operator try once and compares the result with the oracle.
+func (m *machine) step(t *rapid.T, i int) {
+	a := m.operators[i]
+	if a == nil {
+		m.start(t, i)
+		return
+	}
+	done, err := a.try(context.Background())
+	if errors.Is(err, kv.ErrUnavailable) {
+		return
+	}
+	m.operators[i] = nil
+	won := m.accepted(a.root.Version) == a.root.RolloutID
+	conflict := &ConflictError{}
+	switch {
+	case done:
+		assert.Assert(t, won, "an operator was told of a rollout that was not accepted")
+	case errors.As(err, &conflict):
+		assert.Assert(t, !won, "the winner was told that it lost")
+		assert.Equal(t, m.accepted(conflict.Winner.Version), conflict.Winner.RolloutID)
+	case errors.Is(err, bundle.ErrUnverified):
+		assert.Assert(t, !won)
+	default:
+		assert.NilError(t, err)
+	}
+}
+
+func (m *machine) accepted(v ident.BundleVersion) string {
+	if v == 0 || int(v) > len(m.store.accepted) {
+		return ""
+	}
+	return m.store.accepted[v-1].RolloutID
+}
+
+func (m *machine) readBase() {
+	root, _, err := ReadRoot(context.Background(), m.store)
+	if err == nil && root != nil {
+		m.bases = append(m.bases, root)
+	}
+}
+
+// transfer sends the bundle of one node to another. Damage loses or changes a
+// part, or replaces the signatures.
+func (m *machine) transfer(from, to *Syncer, damage string) error {
+	active := from.Active()
+	if active == nil {
+		return nil
+	}
+	record := active.Record
+	if damage == "forge" {
+		forged := *active.Root
+		forged.Version += 3
+		forged.Signatures = []bundle.Signature{forged.Sign("a", testKey("a")), forged.Sign("x", testKey("x"))}
+		record, _ = forged.Encode()
+	}
+	_, names, err := to.Check(record)
+	if err != nil {
+		return err
+	}
+	parts := map[string]string{}
+	for _, n := range names {
+		parts[n] = active.Parts[n]
+	}
+	if damage == "drop" && len(names) > 0 {
+		delete(parts, names[0])
+	}
+	if damage == "change" && len(names) > 0 {
+		parts[names[0]] += "\n"
+	}
+	return to.Adopt(record, parts)
+}
+
+func (m *machine) check(t *rapid.T) {
+	for i, r := range m.store.accepted {
+		assert.Equal(t, int(r.Version), i+1, "versions of accepted rollouts have a gap or two winners")
+	}
+	for i, n := range m.nodes {
+		v := n.Version()
+		assert.Assert(t, v >= m.seen[i], "node %d went back from %d to %d", i, m.seen[i], v)
+		m.seen[i] = v
+		if v > 0 {
+			assert.Equal(t, n.Active().Root.Hash(), m.store.accepted[v-1].Hash(), "node %d has a bundle that was never accepted", i)
+			assert.Equal(t, n.Active().Root.Version, v)
+		}
+	}
+}
+
+// converge stops all faults and lets each node synchronize once.
+func (m *machine) converge(t *rapid.T) {
+	m.store.setDown(false)
+	m.store.applyLate()
+	m.store.nextTxn, m.store.beforeRoot = fateNormal, nil
+	for _, n := range m.nodes[:2] {
+		_, err := n.Sync(context.Background(), m.store)
+		assert.NilError(t, err)
+	}
+	for _, n := range m.nodes[2:] {
+		if err := m.transfer(m.nodes[0], n, ""); err != nil {
+			assert.ErrorIs(t, err, ErrNotHigher)
+		}
+	}
+	for i, n := range m.nodes {
+		assert.Equal(t, int(n.Version()), len(m.store.accepted), "node %d did not converge", i)
+	}
+}
+
+// Guards against two winners of one version, a wrong result told to an
+// operator, nodes that go back or adopt a bundle that was not accepted, and
+// nodes that do not converge after faults. Nodes 0 and 1 are entries that read
+// the key-value service; 2 and 3 are endpoints.
+func TestRolloutMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		operator := rapid.IntRange(0, len(m.operators)-1)
+		node := rapid.IntRange(0, len(m.nodes)-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"":          m.check,
+			"operator":  func(t *rapid.T) { m.step(t, operator.Draw(t, "operator")) },
+			"operator2": func(t *rapid.T) { m.step(t, operator.Draw(t, "operator")) },
+			"give up":   func(t *rapid.T) { m.operators[operator.Draw(t, "operator")] = nil },
+			"read base": func(*rapid.T) { m.readBase() },
+			"race": func(t *rapid.T) {
+				i := operator.Draw(t, "operator")
+				m.store.beforeRoot = func() {
+					if m.operators[i] != nil {
+						_, _ = m.operators[i].try(context.Background())
+					}
+				}
+			},
+			"overtaken": func(t *rapid.T) {
+				i := operator.Draw(t, "operator")
+				m.store.nextTxn = fateLostReply
+				m.step(t, i)
+				m.readBase()
+				for range 2 {
+					m.step(t, (i+1)%len(m.operators))
+				}
+				m.step(t, i)
+			},
+			"fate":   func(t *rapid.T) { m.store.nextTxn = fate(rapid.IntRange(1, 3).Draw(t, "fate")) },
+			"late":   func(*rapid.T) { m.store.applyLate() },
+			"outage": func(t *rapid.T) { m.store.setDown(rapid.IntRange(0, 3).Draw(t, "down") == 0) },
+			"sync": func(t *rapid.T) {
+				_, _ = m.nodes[rapid.IntRange(0, 1).Draw(t, "entry")].Sync(context.Background(), m.store)
+			},
+			"transfer": func(t *rapid.T) {
+				damage := rapid.SampledFrom([]string{"", "", "drop", "change", "forge"}).Draw(t, "damage")
+				_ = m.transfer(m.nodes[node.Draw(t, "from")], m.nodes[node.Draw(t, "to")], damage)
+			},
+		})
+		m.converge(t)
+		m.check(t)
+	})
+}
--- /dev/null
+++ b/pkg/rollout/peer.go
@@ -0,0 +1,247 @@
+package rollout
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+)
+
+// maxUploadBytes bounds the parts of one bundle that a process accepts.
+const maxUploadBytes = 24 << 20
+
+// errNoRoot reports a part that arrives before a verified root.
+var errNoRoot = errors.New("part arrived before a verified root")
+
+// PeerServer serves the bundle methods of the endpoint service from a Syncer.
+type PeerServer struct {
+	syncer *Syncer
+	// upload bounds memory: one upload is collected at a time.
+	upload sync.Mutex
+}
+
+// NewPeerServer returns the server side of bundle propagation.
+func NewPeerServer(s *Syncer) *PeerServer { return &PeerServer{syncer: s} }
+
+// OfferBundle verifies an offered root and returns the parts that are missing.
+func (p *PeerServer) OfferBundle(_ context.Context, req *fescuev1.OfferBundleRequest) (*fescuev1.OfferBundleReply, error) {
+	reply := &fescuev1.OfferBundleReply{}
+	_, names, err := p.syncer.Check(req.GetRoot().GetRecord())
+	if err != nil && !errors.Is(err, ErrNotHigher) {
+		return nil, statusOf(err)
+	}
+	reply.CurrentVersion = uint64(p.syncer.Version())
+	reply.MissingParts = names
+	return reply, nil
+}
+
+// PutParts collects the missing parts of a verified root and adopts the bundle.
+// The first message carries the root. Only one upload runs at a time; another
+// one gets the status Aborted and may try again later.
+func (p *PeerServer) PutParts(stream grpc.ClientStreamingServer[fescuev1.BundlePart, fescuev1.PutPartsReply]) error {
+	if !p.upload.TryLock() {
+		return status.Error(codes.Aborted, "another upload is running")
+	}
+	defer p.upload.Unlock()
+	c := &collector{syncer: p.syncer}
+	for {
+		m, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if err := c.add(m.GetRoot(), m); err != nil {
+			return statusOf(err)
+		}
+	}
+	if err := c.adopt(); err != nil {
+		return statusOf(err)
+	}
+	return stream.SendAndClose(&fescuev1.PutPartsReply{CurrentVersion: uint64(p.syncer.Version())})
+}
+
+// FetchBundle sends the active bundle without the parts that the caller has.
+// It sends nothing if the caller's version is not lower.
+func (p *PeerServer) FetchBundle(req *fescuev1.FetchBundleRequest, stream grpc.ServerStreamingServer[fescuev1.FetchBundleFrame]) error {
+	active := p.syncer.Active()
+	if active == nil || uint64(active.Root.Version) <= req.GetHaveVersion() {
+		return nil
+	}
+	if err := stream.Send(&fescuev1.FetchBundleFrame{Root: rootMessage(active)}); err != nil {
+		return err
+	}
+	sent := map[string]bool{}
+	for _, name := range req.GetHaveParts() {
+		sent[name] = true
+	}
+	for _, name := range active.Root.Parts {
+		if sent[name] {
+			continue
+		}
+		sent[name] = true
+		part := &fescuev1.BundlePart{Name: name, Content: []byte(active.Parts[name])}
+		if err := stream.Send(&fescuev1.FetchBundleFrame{Part: part}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// PushTo offers the active bundle to an endpoint and uploads the parts that it
+// lacks. It returns the version that is active at the endpoint afterwards.
+func (s *Syncer) PushTo(ctx context.Context, client fescuev1.EndpointClient) (uint64, error) {
+	active := s.Active()
+	if active == nil {
+		return 0, nil
+	}
+	reply, err := client.OfferBundle(ctx, &fescuev1.OfferBundleRequest{Root: rootMessage(active)})
+	if err != nil {
+		return 0, errors.Wrap(err, "offer bundle")
+	}
+	if reply.GetCurrentVersion() >= uint64(active.Root.Version) {
+		return reply.GetCurrentVersion(), nil
+	}
+	stream, err := client.PutParts(ctx)
+	if err != nil {
+		return 0, errors.Wrap(err, "upload bundle")
+	}
+	if err := sendParts(stream, active, reply.GetMissingParts()); err != nil && !errors.Is(err, io.EOF) {
+		return 0, errors.Wrap(err, "upload bundle")
+	}
+	done, err := stream.CloseAndRecv()
+	return done.GetCurrentVersion(), errors.Wrap(err, "upload bundle")
+}
+
+func sendParts(stream grpc.ClientStreamingClient[fescuev1.BundlePart, fescuev1.PutPartsReply], active *Active, names []string) error {
+	if err := stream.Send(&fescuev1.BundlePart{Root: rootMessage(active)}); err != nil {
+		return err
+	}
+	for _, name := range names {
+		content, ok := active.Parts[name]
+		if !ok {
+			return errors.Wrapf(ErrMissingParts, "part %s", name)
+		}
+		if err := stream.Send(&fescuev1.BundlePart{Name: name, Content: []byte(content)}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// FetchFrom adopts the bundle of an endpoint if it is higher than the active one.
+func (s *Syncer) FetchFrom(ctx context.Context, client fescuev1.EndpointClient) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	req := &fescuev1.FetchBundleRequest{HaveVersion: uint64(s.Version())}
+	if active := s.Active(); active != nil {
+		for name := range active.Parts {
+			req.HaveParts = append(req.HaveParts, name)
+		}
+	}
+	stream, err := client.FetchBundle(ctx, req)
+	if err != nil {
+		return errors.Wrap(err, "fetch bundle")
+	}
+	c := &collector{syncer: s}
+	for {
+		m, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return errors.Wrap(err, "fetch bundle")
+		}
+		if err := c.add(m.GetRoot(), m.GetPart()); err != nil {
+			return err
+		}
+	}
+	if c.record == nil {
+		return nil
+	}
+	return c.adopt()
+}
+
+// collector collects the parts of one bundle from a peer.
+type collector struct {
+	syncer *Syncer
+	record []byte
+	wanted map[string]bool
+	parts  map[string]string
+	bytes  int
+}
+
+// add accepts a verified root first and then only parts that it lacks.
+func (c *collector) add(root *fescuev1.BundleRoot, part *fescuev1.BundlePart) error {
+	if root != nil {
+		return c.begin(root)
+	}
+	if c.record == nil {
+		return errNoRoot
+	}
+	name, content := part.GetName(), part.GetContent()
+	if !c.wanted[name] {
+		return errors.Wrapf(bundle.ErrPartMismatch, "part %q is not missing", name)
+	}
+	c.bytes += len(content)
+	if len(content) > bundle.MaxPartBytes || c.bytes > maxUploadBytes {
+		return errors.Wrapf(bundle.ErrTooLarge, "%d bytes of parts", c.bytes)
+	}
+	if bundle.PartName(string(content)) != name {
+		return errors.Wrapf(bundle.ErrPartMismatch, "part %s", name)
+	}
+	delete(c.wanted, name)
+	c.parts[name] = string(content)
+	return nil
+}
+
+func (c *collector) begin(root *fescuev1.BundleRoot) error {
+	if c.record != nil {
+		return errors.Wrap(bundle.ErrMalformedRoot, "second root")
+	}
+	_, names, err := c.syncer.Check(root.GetRecord())
+	if err != nil {
+		return err
+	}
+	c.record = root.GetRecord()
+	c.parts = map[string]string{}
+	c.wanted = map[string]bool{}
+	for _, name := range names {
+		c.wanted[name] = true
+	}
+	return nil
+}
+
+func (c *collector) adopt() error {
+	if c.record == nil {
+		return errNoRoot
+	}
+	return c.syncer.Adopt(c.record, c.parts)
+}
+
+func rootMessage(a *Active) *fescuev1.BundleRoot {
+	return &fescuev1.BundleRoot{Version: uint64(a.Root.Version), Record: a.Record}
+}
+
+func statusOf(err error) error {
+	code := codes.InvalidArgument
+	switch {
+	case errors.Is(err, bundle.ErrUnverified), errors.Is(err, ErrForeignRoot):
+		code = codes.PermissionDenied
+	case errors.Is(err, bundle.ErrTooLarge):
+		code = codes.ResourceExhausted
+	case errors.Is(err, ErrNotHigher):
+		code = codes.AlreadyExists
+	case errors.Is(err, ErrMissingParts), errors.Is(err, errNoRoot):
+		code = codes.FailedPrecondition
+	}
+	return status.Error(code, err.Error())
+}
--- /dev/null
+++ b/pkg/rollout/syncer_test.go
@@ -0,0 +1,152 @@
+package rollout
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/test/bufconn"
+	"gotest.tools/v3/assert"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+)
+
+var first = testReviewers("a", "b")
+
+func roll(t *testing.T, store *fakeStore, base *bundle.Root, version, adapters int) *bundle.Root {
+	t.Helper()
+	root, err := Rollout(t.Context(), store, propose("op", testText(version, adapters, version, first), base, "a", "b"), first)
+	assert.NilError(t, err)
+	return root
+}
+
+// Guards against entries that miss a rollout after an outage, a closed watch or
+// a watch that delivers nothing, and against adoption later than 8 s.
+func TestRunFollowsTheRoot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		s := NewSyncer(&Holder{}, first, logging.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.Run(ctx, store)
+		root := roll(t, store, nil, 1, 3)
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, int(s.Version()), 1)
+		for range 20 {
+			store.setDown(true)
+			time.Sleep(time.Minute)
+			store.setDown(false)
+			root = roll(t, store, root, int(root.Version)+1, 3)
+			time.Sleep(8 * time.Second)
+			assert.Equal(t, s.Version(), root.Version)
+			root = roll(t, store, root, int(root.Version)+1, 3)
+			time.Sleep(8 * time.Second)
+			assert.Equal(t, s.Version(), root.Version)
+		}
+		store.mu.Lock()
+		store.watches = nil // the watches stay open but deliver nothing
+		store.mu.Unlock()
+		root = roll(t, store, root, int(root.Version)+1, 3)
+		time.Sleep(pollInterval + watchPauseMax)
+		assert.Equal(t, s.Version(), root.Version)
+	})
+}
+
+// Guards against a rollout that gives up or runs twice when replies are lost,
+// and against one that never ends during an outage.
+func TestRolloutSettlesLostReplies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, f := range []fate{fateLostReply, fateLostRequest} {
+			store := newFakeStore()
+			store.nextTxn = f
+			roll(t, store, nil, 1, 3)
+			assert.Equal(t, len(store.accepted), 1)
+		}
+		store := newFakeStore()
+		store.nextTxn = fateLate
+		store.beforeRoot = func() { store.down = false }
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		time.AfterFunc(10*time.Millisecond, func() { store.setDown(true) })
+		_, err := Rollout(ctx, store, propose("op", testText(1, 3, 0, first), nil, "a", "b"), first)
+		assert.Assert(t, errors.Is(err, ErrResultUnknown), "%v", err)
+	})
+}
+
+type peerService struct {
+	fescuev1.UnimplementedEndpointServer
+	*PeerServer
+}
+
+func (p peerService) OfferBundle(ctx context.Context, r *fescuev1.OfferBundleRequest) (*fescuev1.OfferBundleReply, error) {
+	return p.PeerServer.OfferBundle(ctx, r)
+}
+
+func (p peerService) PutParts(s grpc.ClientStreamingServer[fescuev1.BundlePart, fescuev1.PutPartsReply]) error {
+	return p.PeerServer.PutParts(s)
+}
+
+func (p peerService) FetchBundle(r *fescuev1.FetchBundleRequest, s grpc.ServerStreamingServer[fescuev1.FetchBundleFrame]) error {
+	return p.PeerServer.FetchBundle(r, s)
+}
+
+func dialPeer(t *testing.T, s *Syncer) fescuev1.EndpointClient {
+	lis := bufconn.Listen(1 << 20)
+	srv := grpc.NewServer()
+	fescuev1.RegisterEndpointServer(srv, peerService{PeerServer: NewPeerServer(s)})
+	go func() { _ = srv.Serve(lis) }()
+	t.Cleanup(srv.Stop)
+	conn, err := grpc.NewClient("passthrough:///peer", grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return lis.DialContext(ctx) }))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return fescuev1.NewEndpointClient(conn)
+}
+
+// Guards against bundles that do not travel between nodes, repeat parts that the
+// peer has, or bring parts in without a verified root.
+func TestPeersExchangeBundles(t *testing.T) {
+	store := newFakeStore()
+	entry := NewSyncer(&Holder{}, first, logging.Nop())
+	endpoint := NewSyncer(&Holder{}, first, logging.Nop())
+	late := NewSyncer(&Holder{}, first, logging.Nop())
+	client := dialPeer(t, endpoint)
+	var root *bundle.Root
+	for v := 1; v <= 3; v++ {
+		root = roll(t, store, root, v, 3000)
+		_, err := entry.Sync(t.Context(), store)
+		assert.NilError(t, err)
+		_, names, err := endpoint.Check(entry.Active().Record)
+		assert.NilError(t, err)
+		if v > 1 {
+			assert.Assert(t, len(names) < len(root.Parts), "%d of %d parts are missing", len(names), len(root.Parts))
+		}
+		got, err := entry.PushTo(t.Context(), client)
+		assert.NilError(t, err)
+		assert.Equal(t, int(got), v)
+		assert.Equal(t, int(endpoint.Version()), v)
+	}
+	assert.NilError(t, late.FetchFrom(t.Context(), client))
+	assert.Equal(t, int(late.Version()), 3)
+	assert.NilError(t, late.FetchFrom(t.Context(), client))
+
+	stream, err := client.PutParts(t.Context())
+	assert.NilError(t, err)
+	_ = stream.Send(&fescuev1.BundlePart{Name: bundle.PartName("x"), Content: []byte("x")})
+	_, err = stream.CloseAndRecv()
+	assert.Equal(t, status.Code(err), codes.FailedPrecondition)
+	forged := *root
+	forged.Version = 9
+	record, _ := forged.Encode()
+	_, err = client.OfferBundle(t.Context(), &fescuev1.OfferBundleRequest{Root: &fescuev1.BundleRoot{Record: record}})
+	assert.Equal(t, status.Code(err), codes.PermissionDenied)
+}
--- /dev/null
+++ b/pkg/rollout/watch.go
@@ -0,0 +1,138 @@
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/kv"
+)
+
+// Intervals of the watch on the root record.
+const (
+	// pollInterval bounds the delay if a watch delivers nothing although the
+	// root has changed.
+	pollInterval = 30 * time.Second
+	// fetchSpread spreads the reads of all entries after a change.
+	fetchSpread   = time.Second
+	watchPauseMin = 100 * time.Millisecond
+	watchPauseMax = 3 * time.Second
+	// stableWatch is how long a watch must last before its end resets the backoff.
+	stableWatch = 10 * time.Second
+)
+
+// Run keeps the active bundle up to date from the key-value service until ctx
+// ends. Only entries run it.
+func (s *Syncer) Run(ctx context.Context, store kv.Store) {
+	pause := newBackoff(watchPauseMin, watchPauseMax)
+	for ctx.Err() == nil {
+		revision, err := s.Sync(ctx, store)
+		if err == nil {
+			started := time.Now()
+			err = s.watch(ctx, store, revision+1)
+			if time.Since(started) >= stableWatch {
+				pause.reset()
+			}
+		}
+		if err != nil && ctx.Err() == nil {
+			s.log.Warn().Err(err).Msg("bundle could not be synchronized")
+		}
+		if !pause.wait(ctx) {
+			return
+		}
+	}
+}
+
+// Sync reads the root once and adopts it if it is higher. It returns the
+// revision of the store.
+func (s *Syncer) Sync(ctx context.Context, store kv.Store) (int64, error) {
+	pairs, revision, err := store.List(ctx, RootKey)
+	if err != nil {
+		return 0, errors.Wrap(err, "read root")
+	}
+	for _, p := range pairs {
+		if err := s.take(ctx, store, p); err != nil {
+			return 0, err
+		}
+	}
+	return revision, nil
+}
+
+// take fetches the missing parts of a root and adopts it.
+func (s *Syncer) take(ctx context.Context, store kv.Store, p kv.Pair) error {
+	if p.Key != RootKey {
+		return nil
+	}
+	_, names, err := s.Check(p.Value)
+	if errors.Is(err, ErrNotHigher) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	parts := make(map[string]string, len(names))
+	for _, name := range names {
+		content, err := readPart(ctx, store, name)
+		if err != nil {
+			return err
+		}
+		parts[name] = content
+	}
+	err = s.Adopt(p.Value, parts)
+	if errors.Is(err, ErrNotHigher) {
+		return nil
+	}
+	return err
+}
+
+// watch adopts each new root. It returns when the watch ends or the poll is due.
+func (s *Syncer) watch(ctx context.Context, store kv.Store, revision int64) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	events, err := store.Watch(ctx, RootKey, revision)
+	if err != nil {
+		return errors.Wrap(err, "watch root")
+	}
+	poll := time.NewTimer(jitter(pollInterval))
+	defer poll.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-poll.C:
+			return nil
+		case e, ok := <-events:
+			if !ok {
+				return nil
+			}
+			if e.Type != kv.EventPut {
+				continue
+			}
+			if !sleep(ctx, jitter(fetchSpread)) {
+				return nil
+			}
+			if err := s.take(ctx, store, latest(events, e.Pair)); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// latest skips to the last of the events that have arrived, so that a node that
+// is behind does not fetch the parts of every version in between.
+func latest(events <-chan kv.Event, p kv.Pair) kv.Pair {
+	for {
+		select {
+		case e, ok := <-events:
+			if !ok {
+				return p
+			}
+			if e.Type == kv.EventPut {
+				p = e.Pair
+			}
+		default:
+			return p
+		}
+	}
+}
