Add fescuectl bundle

Cause: operators had no tool to write, review and roll out a bundle. Change: pkg/bundlecmd has init, keygen, validate, diff, propose, approve, rollout and status; fescuectl dispatches with ffcli. Measured: go test -race ./pkg/bundlecmd ./pkg/bundle passed. validate exits 1 with findings, a wrong flag, a missing argument or an unknown command exit 2. Conclusion: fescuectl has no client for the key-value service yet; commands that need one exit 1 and say so.

--- a/cmd/fescuectl/main.go
+++ b/cmd/fescuectl/main.go
@@ -9,7 +9,13 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/fescuecourse/fescuecourse/pkg/bundlecmd"
+	"github.com/fescuecourse/fescuecourse/pkg/config"
 	"github.com/fescuecourse/fescuecourse/pkg/demo"
+	"github.com/fescuecourse/fescuecourse/pkg/kv"
 )
 
 // Exit codes.
@@ -20,23 +26,56 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	os.Exit(run(ctx, os.Args[1:]))
+	code := run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
 }
 
 func run(ctx context.Context, args []string) int {
-	if len(args) == 0 || args[0] != "demo" {
-		fmt.Fprintln(os.Stderr, "usage: fescuectl demo [flags]")
+	root := rootCommand()
+	if err := root.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return 0
+		}
 		return exitUsage
 	}
-	fs := flag.NewFlagSet("demo", flag.ContinueOnError)
-	seed := fs.Uint64("seed", 1, "seed of the demo's requests")
-	if fs.Parse(args[1:]) != nil {
+	err := root.Run(ctx)
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, bundlecmd.ErrRejected):
+		return exitFailure
+	case errors.Is(err, config.ErrUsage):
+		fmt.Fprintln(os.Stderr, "fescuectl:", err)
 		return exitUsage
-	}
-	if err := demo.Run(ctx, demo.DefaultOptions(), *seed, os.Stdout); err != nil {
+	default:
 		fmt.Fprintln(os.Stderr, "fescuectl:", err)
 		return exitFailure
 	}
-	return 0
+}
+
+func rootCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("fescuectl", flag.ContinueOnError)
+	bundles := &bundlecmd.Tool{Out: os.Stdout, Err: os.Stderr, Open: openStore}
+	return &ffcli.Command{
+		Name:        "fescuectl",
+		ShortUsage:  "fescuectl <bundle|demo> [flags]",
+		FlagSet:     fs,
+		Subcommands: []*ffcli.Command{bundles.Command(), demoCommand()},
+		Exec: func(context.Context, []string) error {
+			return errors.Mark(errors.New("usage: fescuectl <bundle|demo> [flags]"), config.ErrUsage)
+		},
+	}
+}
+
+func openStore(string) (kv.Store, error) {
+	return nil, errors.New("this build has no client for the key-value service")
+}
+
+func demoCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("fescuectl demo", flag.ContinueOnError)
+	seed := fs.Uint64("seed", 1, "seed of the demo's requests")
+	return &ffcli.Command{Name: "demo", ShortUsage: "fescuectl demo [flags]", FlagSet: fs, Exec: func(ctx context.Context, _ []string) error {
+		return demo.Run(ctx, demo.DefaultOptions(), *seed, os.Stdout)
+	}}
 }
--- a/pkg/bundle/parse.go
+++ b/pkg/bundle/parse.go
@@ -193,10 +193,10 @@
 
 // crossCheck checks references between sections.
 func (p *parser) crossCheck(file string) {
-	if p.b.version == 0 {
+	if _, ok := p.places[kindBundle]; !ok {
 		p.found.Addf(file, 0, "[bundle]: section with the version is missing")
 	}
-	if p.b.deployment.Name == "" {
+	if _, ok := p.places[kindDeployment]; !ok {
 		p.found.Addf(file, 0, "[deployment]: section with the name is missing")
 	}
 	for _, a := range p.adapters.adapters {
--- a/pkg/bundle/proposal.go
+++ b/pkg/bundle/proposal.go
@@ -1,6 +1,7 @@
 package bundle
 
 import (
+	"crypto/ed25519"
 	"crypto/rand"
 	"encoding/hex"
 	"slices"
@@ -109,3 +110,14 @@
 		r.Recent = r.Recent[n-maxRecent:]
 	}
 }
+
+// Approve adds a reviewer's signature, or replaces the earlier one of the same reviewer.
+func (p *Proposal) Approve(reviewer string, key ed25519.PrivateKey) error {
+	root, _, err := p.Build()
+	if err != nil {
+		return err
+	}
+	p.Signatures = slices.DeleteFunc(p.Signatures, func(s Signature) bool { return s.Reviewer == reviewer })
+	p.Signatures = append(p.Signatures, root.Sign(reviewer, key))
+	return nil
+}
--- a/pkg/bundle/root.go
+++ b/pkg/bundle/root.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuecourse/fescuecourse/pkg/findings"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
 
@@ -183,3 +184,16 @@
 	}
 	return r.Reviewers
 }
+
+// ParseReviewers reads a text with reviewer sections only.
+func ParseReviewers(file, text string) (Reviewers, findings.List) {
+	p := newParser()
+	p.file = file
+	scan(file, text, &p.found, func(s *Section) {
+		r := &reader{p: p, s: s}
+		if r.check(s.Kind == kindReviewer, "", "only reviewer sections are allowed here") {
+			p.section(s)
+		}
+	})
+	return p.b.Reviewers(), p.found
+}
--- a/pkg/bundle/text.go
+++ b/pkg/bundle/text.go
@@ -61,6 +61,13 @@
 	flush(s, yield)
 }
 
+// Scan passes each section of a stored part to yield, which must not keep it.
+// Stored parts are well-formed, so problems are not reported.
+func Scan(text string, yield func(*Section)) {
+	var found findings.List
+	scan("part", text, &found, yield)
+}
+
 func flush(s *Section, yield func(*Section)) {
 	if s.Line > 0 {
 		yield(s)
--- /dev/null
+++ b/pkg/bundlecmd/bundlecmd_test.go
@@ -0,0 +1,139 @@
+package bundlecmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/config"
+	"github.com/fescuecourse/fescuecourse/pkg/kv"
+	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+)
+
+// memory is a key-value service for one sequential caller.
+type memory struct {
+	kv.Store
+	pairs map[string]kv.Pair
+	rev   int64
+}
+
+func (m *memory) Get(_ context.Context, key string) (kv.Pair, error) {
+	p, ok := m.pairs[key]
+	if !ok {
+		return p, kv.ErrNotFound
+	}
+	return p, nil
+}
+
+func (m *memory) Txn(_ context.Context, t kv.Txn) (kv.TxnResult, error) {
+	for _, c := range t.Compares {
+		if m.pairs[c.Key].ModRevision != c.ModRevision {
+			return kv.TxnResult{}, nil
+		}
+	}
+	m.rev++
+	for _, op := range t.Ops {
+		m.pairs[op.Key] = kv.Pair{Key: op.Key, Value: op.Value, ModRevision: m.rev}
+	}
+	return kv.TxnResult{Succeeded: true}, nil
+}
+
+type bench struct {
+	t     *testing.T
+	dir   string
+	store *memory
+}
+
+func (b *bench) run(args ...string) (string, error) {
+	var out bytes.Buffer
+	tool := &Tool{Out: &out, Err: &bytes.Buffer{}, Open: func(string) (kv.Store, error) { return b.store, nil }}
+	err := tool.Command().ParseAndRun(b.t.Context(), args)
+	return out.String(), err
+}
+
+func (b *bench) must(args ...string) string {
+	b.t.Helper()
+	out, err := b.run(args...)
+	assert.NilError(b.t, err)
+	return out
+}
+
+func (b *bench) path(name string) string { return filepath.Join(b.dir, name) }
+
+func (b *bench) write(name, text string) string {
+	assert.NilError(b.t, os.WriteFile(b.path(name), []byte(text), publicMode))
+	return b.path(name)
+}
+
+// Guards against a rollout without two different reviewers, and against a loser
+// that is not told who won.
+func TestFromTextToAccepted(t *testing.T) {
+	b := &bench{t: t, dir: t.TempDir(), store: &memory{pairs: map[string]kv.Pair{}}}
+	alice := b.must("keygen", "alice", b.path("alice.key"))
+	bob := b.must("keygen", "bob", b.path("bob.key"))
+	reviewers := b.write("reviewers.ini", alice+bob)
+	b.must("init", b.path("template.ini"))
+	template, err := os.ReadFile(b.path("template.ini"))
+	assert.NilError(t, err)
+	file := b.write("bundle.ini", string(template)+alice+bob)
+	b.must("validate", file)
+
+	approve := func(name, proposal string) {
+		b.must("approve", "-reviewer", name, "-key", b.path(name+".key"), proposal)
+	}
+	one, two := b.path("one.json"), b.path("two.json")
+	b.must("propose", "-kv", "x", "-operator", "olga", file, one)
+	b.must("propose", "-kv", "x", "-operator", "omar", file, two)
+	approve("alice", one)
+	approve("alice", one)
+	_, err = b.run("rollout", "-kv", "x", "-reviewers", reviewers, one)
+	assert.ErrorIs(t, err, bundle.ErrUnverified)
+	approve("bob", one)
+	approve("alice", two)
+	approve("bob", two)
+	b.must("rollout", "-kv", "x", "-reviewers", reviewers, one)
+	_, err = b.run("rollout", "-kv", "x", "-reviewers", reviewers, two)
+	conflict := &rollout.ConflictError{}
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.Equal(t, conflict.Winner.Operator, "olga")
+	accepted := bundle.Accepted{}
+	assert.NilError(t, json.Unmarshal([]byte(b.must("status", "-kv", "x", "-json")), &accepted))
+	assert.DeepEqual(t, accepted, conflict.Winner)
+
+	next := b.write("next.ini", strings.Replace(b.must("status", "-kv", "x", "-text"), "version = 1", "version = 2", 1)+"[service \"desk\"]\n")
+	diff := b.must("diff", file, next)
+	assert.Equal(t, diff, "changed [bundle] version: 1 -> 2\nadded [service \"desk\"]\n")
+	three := b.path("three.json")
+	b.must("propose", "-kv", "x", "-operator", "omar", next, three)
+	approve("bob", three)
+	approve("alice", three)
+	b.must("rollout", "-kv", "x", three)
+}
+
+// Guards against findings that are lost or printed without their place, and
+// against wrong exit codes: ErrRejected gives 1, ErrUsage gives 2.
+func TestValidatePrintsAllFindings(t *testing.T) {
+	b := &bench{t: t, dir: t.TempDir()}
+	bad := b.write("bad.ini", "[bundle]\nversion = x\n[team \"t\"]\nrate = -1\n")
+	out, err := b.run("validate", bad)
+	assert.ErrorIs(t, err, ErrRejected)
+	assert.Assert(t, strings.Contains(out, bad+":2: "), out)
+	assert.Assert(t, strings.Contains(out, bad+":4: "), out)
+	out, err = b.run("validate", "-json", bad)
+	assert.ErrorIs(t, err, ErrRejected)
+	var list []struct{ Line int }
+	assert.NilError(t, json.Unmarshal([]byte(out), &list))
+	assert.Assert(t, len(list) >= 3)
+	_, err = b.run("validate")
+	assert.Assert(t, errors.Is(err, config.ErrUsage), "%v", err)
+	_, err = b.run("rollout", "only.json")
+	assert.Assert(t, errors.Is(err, config.ErrUsage), "%v", err)
+}
--- a/pkg/findings/findings.go
+++ b/pkg/findings/findings.go
@@ -10,9 +10,9 @@
 
 // Finding is one problem at one place.
 type Finding struct {
-	File string
-	Line int
-	Text string
+	File string `json:"file"`
+	Line int    `json:"line"`
+	Text string `json:"text"`
 }
 
 // String returns file:line: text. The line is left out if it is not known.
