Add the administration API

Cause: teams, adapters, priorities and route rules could be changed only by editing the whole text of a bundle. Change: pkg/admin serves /admin/v1/: lists and items, PUT and DELETE that respond with a proposal, approvals and rollouts. Requests are signed by a reviewer; the signature is checked before the body is read. The server keeps no state, so any entry can take any request. Conclusion: no process serves these routes yet; pkg/entry has to mount them.

--- /dev/null
+++ b/pkg/admin/admin.go
@@ -0,0 +1,196 @@
+// Package admin serves the administration API under /admin/v1/. It changes the
+// configuration only by proposals that two reviewers sign and that are rolled
+// out by compare-and-swap. It keeps no state: a proposal travels in the requests.
+package admin
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/findings"
+	"github.com/fescuecourse/fescuecourse/pkg/kv"
+	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+)
+
+// Headers of a signed request.
+const (
+	HeaderReviewer  = "Fescue-Reviewer"
+	HeaderTime      = "Fescue-Time-S"
+	HeaderBodyHash  = "Fescue-Content-Sha256"
+	HeaderSignature = "Fescue-Signature"
+)
+
+// Limits of requests.
+const (
+	// maxBodyBytes bounds a proposal, which holds the text of a bundle.
+	maxBodyBytes = 32 << 20
+	// maxSkew is the largest difference between the clocks of a reviewer and a node.
+	maxSkew        = 2 * time.Minute
+	rolloutTimeout = 30 * time.Second
+)
+
+// Server serves the administration API.
+type Server struct {
+	syncer *rollout.Syncer
+	store  kv.Store
+	first  bundle.Reviewers
+	now    func() time.Time
+	busy   chan struct{}
+}
+
+// New returns a server. The first reviewers are trusted until a bundle is active.
+func New(s *rollout.Syncer, store kv.Store, first bundle.Reviewers, now func() time.Time) *Server {
+	return &Server{syncer: s, store: store, first: first, now: now, busy: make(chan struct{}, 1)}
+}
+
+// Routes returns the handler of all paths under /admin/v1/.
+func (s *Server) Routes() http.Handler {
+	r := chi.NewRouter()
+	r.Route("/admin/v1", func(r chi.Router) {
+		r.Use(s.authenticate)
+		r.Get("/bundle", s.getBundle)
+		r.Get("/priorities/{team}", s.getPriority)
+		r.Put("/priorities/{team}", s.putPriority)
+		r.Post("/approvals", s.approve)
+		r.Post("/rollouts", s.rollout)
+		r.Get("/{collection}", s.list)
+		r.Get("/{collection}/*", s.get)
+		r.Put("/{collection}/*", s.put)
+		r.Delete("/{collection}/*", s.remove)
+	})
+	return r
+}
+
+// SignRequest sets the headers that authenticate a reviewer. The signature
+// covers the method, the path with its query, the time and the hash of the body.
+func SignRequest(r *http.Request, reviewer string, key ed25519.PrivateKey, now time.Time, body []byte) {
+	seconds := strconv.FormatInt(now.Unix(), 10)
+	r.Header.Set(HeaderReviewer, reviewer)
+	r.Header.Set(HeaderTime, seconds)
+	r.Header.Set(HeaderBodyHash, hashOf(body))
+	r.Header.Set(HeaderSignature, base64.StdEncoding.EncodeToString(ed25519.Sign(key, requestPayload(r))))
+}
+
+func hashOf(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+func requestPayload(r *http.Request) []byte {
+	lines := []string{"fescue-admin-v1", r.Method, r.URL.RequestURI(), r.Header.Get(HeaderTime), r.Header.Get(HeaderBodyHash)}
+	return []byte(strings.Join(lines, "\n"))
+}
+
+// authenticate lets only requests pass that a trusted reviewer has signed. The
+// signature is checked before the body is read. One request is admitted at a
+// time, because each may hold the text of a bundle.
+func (s *Server) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.signed(r) {
+			writeProblem(w, http.StatusUnauthorized, errors.New("request is not signed by a trusted reviewer"))
+			return
+		}
+		select {
+		case s.busy <- struct{}{}:
+			defer func() { <-s.busy }()
+		case <-r.Context().Done():
+			return
+		}
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err != nil {
+			writeProblem(w, http.StatusRequestEntityTooLarge, errors.Wrap(err, "read request"))
+			return
+		}
+		if hashOf(body) != r.Header.Get(HeaderBodyHash) {
+			writeProblem(w, http.StatusUnauthorized, errors.New("body does not match its signed hash"))
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) signed(r *http.Request) bool {
+	at, err := strconv.ParseInt(r.Header.Get(HeaderTime), 10, 64)
+	if err != nil || s.now().Sub(time.Unix(at, 0)).Abs() > maxSkew {
+		return false
+	}
+	signature, err := base64.StdEncoding.DecodeString(r.Header.Get(HeaderSignature))
+	if err != nil {
+		return false
+	}
+	for _, rev := range s.trusted() {
+		if rev.Name == r.Header.Get(HeaderReviewer) && ed25519.Verify(rev.Key, requestPayload(r), signature) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) trusted() bundle.Reviewers {
+	if a := s.syncer.Active(); a != nil {
+		return a.Root.Trusted(s.first)
+	}
+	return s.first
+}
+
+// Problem is the body of an error response.
+type Problem struct {
+	Message  string           `json:"message"`
+	Findings findings.List    `json:"findings,omitempty"`
+	Winner   *bundle.Accepted `json:"winner,omitempty"`
+}
+
+func writeProblem(w http.ResponseWriter, code int, err error) {
+	p := Problem{Message: err.Error()}
+	conflict := &rollout.ConflictError{}
+	if errors.As(err, &p.Findings) {
+		p.Message = "bundle has findings"
+	}
+	if errors.As(err, &conflict) {
+		p.Winner = &conflict.Winner
+	}
+	writeJSON(w, code, p)
+}
+
+func writeJSON(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(v) // the client may be gone
+}
+
+// fail maps an error to its status code.
+func fail(w http.ResponseWriter, err error) {
+	conflict := &rollout.ConflictError{}
+	found := findings.List{}
+	code := http.StatusBadRequest
+	switch {
+	case errors.Is(err, errNotFound):
+		code = http.StatusNotFound
+	case errors.As(err, &conflict):
+		code = http.StatusConflict
+	case errors.As(err, &found):
+		code = http.StatusUnprocessableEntity
+	case errors.Is(err, bundle.ErrUnverified):
+		code = http.StatusForbidden
+	case errors.Is(err, rollout.ErrResultUnknown):
+		code = http.StatusGatewayTimeout
+	case errors.Is(err, errNoBundle), errors.Is(err, kv.ErrUnavailable), errors.Is(err, context.DeadlineExceeded):
+		code = http.StatusServiceUnavailable
+	}
+	writeProblem(w, code, err)
+}
--- /dev/null
+++ b/pkg/admin/items.go
@@ -0,0 +1,211 @@
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+)
+
+// Sizes of a page of a list.
+const (
+	defaultPage = 1000
+	maxPage     = 10_000
+)
+
+var (
+	errNotFound = errors.New("not found")
+	errNoBundle = errors.New("no bundle is active")
+)
+
+// Field is one key of an item, such as weight or versions.
+type Field struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// Item is one section of the active bundle, such as a team or an adapter.
+type Item struct {
+	Name   string  `json:"name"`
+	Fields []Field `json:"fields"`
+}
+
+// Page is a part of a collection, sorted by name. A further page starts after
+// the last name if More is set.
+type Page struct {
+	Version uint64 `json:"version"`
+	Items   []Item `json:"items"`
+	More    bool   `json:"more"`
+}
+
+// kindOf returns the section kind of a collection, or an empty string.
+func kindOf(collection string) string {
+	switch collection {
+	case "teams":
+		return "team"
+	case "adapters":
+		return "adapter"
+	case "services":
+		return "service"
+	case "routes":
+		return "route"
+	case "reviewers":
+		return "reviewer"
+	}
+	return ""
+}
+
+// getBundle returns the accepted rollout that is active on this node.
+func (s *Server) getBundle(w http.ResponseWriter, _ *http.Request) {
+	a := s.syncer.Active()
+	if a == nil {
+		fail(w, errNoBundle)
+		return
+	}
+	writeJSON(w, http.StatusOK, bundle.Accepted{Version: a.Root.Version, RolloutID: a.Root.RolloutID, Operator: a.Root.Operator})
+}
+
+// list returns a page of a collection. Query: after, limit.
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	kind := kindOf(chi.URLParam(r, "collection"))
+	a := s.syncer.Active()
+	switch {
+	case kind == "":
+		fail(w, errNotFound)
+		return
+	case a == nil:
+		fail(w, errNoBundle)
+		return
+	}
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil || limit < 1 {
+		limit = defaultPage
+	}
+	limit = min(limit, maxPage)
+	names := namesAfter(a, kind, r.URL.Query().Get("after"))
+	page := Page{Version: uint64(a.Root.Version), More: len(names) > limit, Items: []Item{}}
+	names = names[:min(limit, len(names))]
+	each(a, kind, func(sec *bundle.Section) {
+		if _, ok := slices.BinarySearch(names, sec.Name); ok {
+			page.Items = append(page.Items, itemOf(sec))
+		}
+	})
+	slices.SortFunc(page.Items, func(x, y Item) int { return compare(x.Name, y.Name) })
+	writeJSON(w, http.StatusOK, page)
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// each passes each section of a kind to yield.
+func each(a *rollout.Active, kind string, yield func(*bundle.Section)) {
+	seen := map[string]bool{}
+	for _, name := range a.Root.Parts {
+		if seen[name] {
+			continue
+		}
+		seen[name] = true
+		bundle.Scan(a.Parts[name], func(sec *bundle.Section) {
+			if sec.Kind == kind {
+				yield(sec)
+			}
+		})
+	}
+}
+
+func namesAfter(a *rollout.Active, kind, after string) []string {
+	var names []string
+	each(a, kind, func(sec *bundle.Section) {
+		if sec.Name > after {
+			names = append(names, sec.Name)
+		}
+	})
+	slices.Sort(names)
+	return names
+}
+
+func itemOf(sec *bundle.Section) Item {
+	item := Item{Name: sec.Name, Fields: []Field{}}
+	for _, k := range sec.Keys {
+		item.Fields = append(item.Fields, Field{Name: k.Name, Value: k.Value})
+	}
+	return item
+}
+
+func (s *Server) find(kind, name string) (Item, error) {
+	a := s.syncer.Active()
+	if a == nil {
+		return Item{}, errNoBundle
+	}
+	item, err := Item{}, errNotFound
+	each(a, kind, func(sec *bundle.Section) {
+		if sec.Name == name {
+			item, err = itemOf(sec), nil
+		}
+	})
+	return item, err
+}
+
+// get returns one item.
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	item, err := s.find(kindOf(chi.URLParam(r, "collection")), chi.URLParam(r, "*"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, item)
+}
+
+// Priority is the scheduling class and weight of a team.
+type Priority struct {
+	Priority string `json:"priority"`
+	Weight   int    `json:"weight"`
+}
+
+func (s *Server) getPriority(w http.ResponseWriter, r *http.Request) {
+	item, err := s.find("team", chi.URLParam(r, "team"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	p := Priority{Priority: "normal", Weight: 1}
+	for _, f := range item.Fields {
+		switch f.Name {
+		case "priority":
+			p.Priority = f.Value
+		case "weight":
+			p.Weight, _ = strconv.Atoi(f.Value) // validated when it was proposed
+		}
+	}
+	writeJSON(w, http.StatusOK, p)
+}
+
+// putPriority proposes a bundle with another priority and weight of a team.
+func (s *Server) putPriority(w http.ResponseWriter, r *http.Request) {
+	p := Priority{}
+	if err := json.NewDecoder(r.Body).Decode(&p); err != nil {
+		fail(w, errors.Wrap(err, "decode priority"))
+		return
+	}
+	item, err := s.find("team", chi.URLParam(r, "team"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	fields := slices.DeleteFunc(item.Fields, func(f Field) bool { return f.Name == "priority" || f.Name == "weight" })
+	item.Fields = append(fields, Field{"priority", p.Priority}, Field{"weight", strconv.Itoa(p.Weight)})
+	s.propose(w, r, "team", item.Name, &item)
+}
--- /dev/null
+++ b/pkg/admin/proposals.go
@@ -0,0 +1,173 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+)
+
+// Pending is a proposal with the hash that reviewers sign and the trusted
+// reviewers who have signed it.
+type Pending struct {
+	Proposal *bundle.Proposal `json:"proposal"`
+	Hash     string           `json:"hash"`
+	Signers  []string         `json:"signers"`
+}
+
+// Approval adds a signature to a proposal.
+type Approval struct {
+	Proposal  *bundle.Proposal `json:"proposal"`
+	Signature bundle.Signature `json:"signature"`
+}
+
+// put proposes a bundle with a new or replaced item.
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	item := Item{}
+	if err := json.NewDecoder(r.Body).Decode(&item); err != nil {
+		fail(w, errors.Wrap(err, "decode item"))
+		return
+	}
+	s.propose(w, r, kindOf(chi.URLParam(r, "collection")), chi.URLParam(r, "*"), &item)
+}
+
+// remove proposes a bundle without an item.
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	s.propose(w, r, kindOf(chi.URLParam(r, "collection")), chi.URLParam(r, "*"), nil)
+}
+
+// propose responds with the proposal of the next bundle, in which the named
+// section is replaced by the item, or left out if item is nil.
+func (s *Server) propose(w http.ResponseWriter, r *http.Request, kind, name string, item *Item) {
+	a := s.syncer.Active()
+	switch {
+	case kind == "":
+		fail(w, errNotFound)
+		return
+	case a == nil:
+		fail(w, errNoBundle)
+		return
+	}
+	text, err := nextText(a, kind, name, item)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	p, err := bundle.Propose("proposal", text, r.Header.Get(HeaderReviewer), a.Root)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	s.writePending(w, http.StatusCreated, p)
+}
+
+// nextText returns the text of the next version with one section replaced.
+func nextText(a *rollout.Active, kind, name string, item *Item) (string, error) {
+	sections, err := activeSections(a)
+	if err != nil {
+		return "", err
+	}
+	same := func(sec bundle.Section) bool { return sec.Kind == kind && sec.Name == name }
+	if item == nil && !slices.ContainsFunc(sections, same) {
+		return "", errNotFound
+	}
+	sections = slices.DeleteFunc(sections, same)
+	if item != nil {
+		sec, err := sectionOf(kind, name, item)
+		if err != nil {
+			return "", err
+		}
+		sections = append(sections, sec)
+	}
+	return bundle.Format(sections), nil
+}
+
+// activeSections returns the sections of the active bundle with the next version.
+func activeSections(a *rollout.Active) ([]bundle.Section, error) {
+	parts := make([]bundle.Part, 0, len(a.Root.Parts))
+	for _, n := range a.Root.Parts {
+		parts = append(parts, bundle.Part{Name: n, Content: a.Parts[n]})
+	}
+	text, err := bundle.Join(a.Root.Version, parts)
+	if err != nil {
+		return nil, err
+	}
+	sections, found := bundle.Sections("bundle", text)
+	for i := range sections {
+		if sections[i].Kind == "bundle" {
+			sections[i].Keys = []bundle.Key{{Name: "version", Value: strconv.FormatUint(uint64(a.Root.Version)+1, 10)}}
+		}
+	}
+	return sections, found.Err()
+}
+
+// sectionOf refuses names and values that would add lines to the text.
+func sectionOf(kind, name string, item *Item) (bundle.Section, error) {
+	sec := bundle.Section{Kind: kind, Name: name}
+	unsafe := strings.ContainsAny(name, "\r\n\"[]") || name == ""
+	for _, f := range item.Fields {
+		unsafe = unsafe || strings.ContainsAny(f.Name, "\r\n=[];#") || strings.ContainsAny(f.Value, "\r\n;#") || f.Name == ""
+		sec.Keys = append(sec.Keys, bundle.Key{Name: f.Name, Value: f.Value})
+	}
+	if unsafe {
+		return sec, errors.New("name or value has characters that are not allowed")
+	}
+	return sec, nil
+}
+
+func (s *Server) writePending(w http.ResponseWriter, code int, p *bundle.Proposal) {
+	root, _, err := p.Build()
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	signers := root.Signers(s.trusted(), root.Signatures)
+	writeJSON(w, code, Pending{Proposal: p, Hash: root.Hash(), Signers: append([]string{}, signers...)})
+}
+
+// approve adds a signature that is valid and from a trusted reviewer.
+func (s *Server) approve(w http.ResponseWriter, r *http.Request) {
+	a := Approval{}
+	if err := json.NewDecoder(r.Body).Decode(&a); err != nil || a.Proposal == nil {
+		fail(w, errors.Newf("decode approval: %v", err))
+		return
+	}
+	root, _, err := a.Proposal.Build()
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	if len(root.Signers(s.trusted(), []bundle.Signature{a.Signature})) == 0 {
+		fail(w, errors.Wrap(bundle.ErrUnverified, "signature is not valid"))
+		return
+	}
+	p := a.Proposal
+	p.Signatures = slices.DeleteFunc(p.Signatures, func(o bundle.Signature) bool { return o.Reviewer == a.Signature.Reviewer })
+	p.Signatures = append(p.Signatures, a.Signature)
+	s.writePending(w, http.StatusOK, p)
+}
+
+// rollout makes a proposal with two signatures the accepted bundle.
+func (s *Server) rollout(w http.ResponseWriter, r *http.Request) {
+	p := &bundle.Proposal{}
+	if err := json.NewDecoder(r.Body).Decode(p); err != nil {
+		fail(w, errors.Wrap(err, "decode proposal"))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), rolloutTimeout)
+	defer cancel()
+	root, err := rollout.Rollout(ctx, s.store, p, s.first)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, bundle.Accepted{Version: root.Version, RolloutID: root.RolloutID, Operator: root.Operator})
+}
