Compile bundles with less memory and reject ambiguous values

Cause: adoption at 98,000 adapters spent half its time in a stable sort and grew its list of adapters repeatedly. Fuzzing found two texts whose canonical form differed after a round trip: 'version = 01' and a value that starts with '#' directly after '='. Change: an unstable sort with ties broken by place, one allocation for the list; a version must not start with zero; a value that starts like a comment is one.

--- a/pkg/bundle/index.go
+++ b/pkg/bundle/index.go
@@ -67,8 +67,8 @@
 // pending is an adapter that is not in the index yet.
 type pending struct {
 	name string
-	line int
-	file string
+	file uint32 // index into parser.files
+	line uint32
 	base uint32
 	set  uint32
 }
@@ -120,7 +120,12 @@
 
 // build sorts the adapters and passes each repeated one to duplicate.
 func (b *builder) build(duplicate func(pending)) index {
-	slices.SortStableFunc(b.adapters, func(a, c pending) int { return strings.Compare(a.name, c.name) })
+	slices.SortFunc(b.adapters, func(a, c pending) int {
+		if d := strings.Compare(a.name, c.name); d != 0 {
+			return d
+		}
+		return cmp.Or(cmp.Compare(a.file, c.file), cmp.Compare(a.line, c.line))
+	})
 	size := 0
 	for _, a := range b.adapters {
 		size += len(a.name)
--- a/pkg/bundle/parse.go
+++ b/pkg/bundle/parse.go
@@ -30,6 +30,7 @@
 // the bundle is nil if there are any.
 func Parse(file, text string) (*Bundle, findings.List) {
 	p := newParser()
+	p.expect(countAdapters(text))
 	p.scan(file, text)
 	return p.finish(file)
 }
@@ -37,6 +38,11 @@
 // Compile compiles the parts of a bundle whose version is in its root record.
 func Compile(version ident.BundleVersion, parts []Part) (*Bundle, findings.List) {
 	p := newParser()
+	n := 0
+	for _, part := range parts {
+		n += countAdapters(part.Content)
+	}
+	p.expect(n)
 	p.scan("root", versionSection(version))
 	for _, part := range parts {
 		p.scan("part "+part.Name, part.Content)
@@ -56,6 +62,7 @@
 
 type parser struct {
 	file     string
+	files    []string
 	found    findings.List
 	b        *Bundle
 	adapters *builder
@@ -77,15 +84,22 @@
 	}
 }
 
+// expect reserves memory for adapters, so that growing does not double the peak.
+func (p *parser) expect(adapters int) {
+	p.adapters.adapters = make([]pending, 0, adapters)
+}
+
+func countAdapters(text string) int { return strings.Count(text, "["+kindAdapter+" ") }
+
 func (p *parser) scan(file, text string) {
 	p.file = file
-	p.adapters.adapters = slices.Grow(p.adapters.adapters, strings.Count(text, "["+kindAdapter+" "))
+	p.files = append(p.files, file)
 	scan(file, text, &p.found, p.section)
 }
 
 func (p *parser) finish(file string) (*Bundle, findings.List) {
 	p.b.adapters = p.adapters.build(func(a pending) {
-		p.found.Addf(a.file, a.line, "[adapter %q] section is defined twice", a.name)
+		p.found.Addf(p.files[a.file], int(a.line), "[adapter %q] section is defined twice", a.name)
 	})
 	p.crossCheck(file)
 	if len(p.found) > 0 {
@@ -117,6 +131,8 @@
 	case kindBundle:
 		p.b.version = ident.BundleVersion(r.uint("version", 0))
 		r.check(p.b.version > 0, "version", "must be above zero")
+		// The stored form keeps the number only, so another spelling would change the text.
+		r.check(!strings.HasPrefix(r.str("version"), "0") || p.b.version == 0, "version", "must not start with zero")
 	case kindDeployment:
 		p.b.deployment = r.deployment()
 	case kindReviewer:
@@ -172,7 +188,7 @@
 	base := r.str("base_model")
 	r.check(base != "", "base_model", "must be set")
 	set, _ := p.adapters.set(setKey{r.str("versions"), r.str("current")}, r.versions)
-	p.adapters.adapters = append(p.adapters.adapters, pending{name: name, file: p.file, line: r.s.Line, base: p.adapters.base(base), set: set})
+	p.adapters.adapters = append(p.adapters.adapters, pending{name: name, file: uint32(len(p.files) - 1), line: uint32(r.s.Line), base: p.adapters.base(base), set: set})
 }
 
 // versions reads the versions of an adapter.
@@ -202,7 +218,7 @@
 	for _, a := range p.adapters.adapters {
 		team, _, _ := strings.Cut(a.name, "/")
 		if _, ok := p.b.teams[ident.Team(team)]; !ok {
-			p.found.Addf(a.file, a.line, "[adapter %q]: team %q is not defined", a.name, team)
+			p.found.Addf(p.files[a.file], int(a.line), "[adapter %q]: team %q is not defined", a.name, team)
 		}
 	}
 	for route := range p.b.routes {
--- a/pkg/bundle/text.go
+++ b/pkg/bundle/text.go
@@ -77,6 +77,12 @@
 func scanKey(file, row string, line int, found *findings.List, s *Section) {
 	name, value, ok := strings.Cut(row, "=")
 	name = strings.TrimSpace(name)
+	value = strings.TrimSpace(value)
+	// The canonical form has a space before the value, so a value that starts
+	// like a comment is one.
+	if value != "" && (value[0] == ';' || value[0] == '#') {
+		value = ""
+	}
 	switch {
 	case !ok || name == "":
 		found.Addf(file, line, "line must be a section or key = value")
@@ -85,7 +91,7 @@
 	case slices.ContainsFunc(s.Keys, func(k Key) bool { return k.Name == name }):
 		found.Addf(file, line, "[%s] %s: key is set twice", s.Title(), name)
 	default:
-		s.Keys = append(s.Keys, Key{Name: name, Value: strings.TrimSpace(value), Line: line})
+		s.Keys = append(s.Keys, Key{Name: name, Value: value, Line: line})
 	}
 }
 
