Write only the changed parts of a rollout

Cause: each rollout sent one transaction for every part, although the parts of the accepted bundle are stored already. Change: parts of the accepted root are skipped.

--- a/pkg/rollout/fake_test.go
+++ b/pkg/rollout/fake_test.go
@@ -21,7 +21,8 @@
 	revision int64
 	watches  []chan kv.Event
 	accepted []*bundle.Root // the oracle: every root ever stored
-	late     []kv.Txn       // transactions that take effect after their call failed
+	txns     int
+	late     []kv.Txn // transactions that take effect after their call failed
 
 	down bool
 	// nextTxn is the fate of the next write of a root.
@@ -77,6 +78,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.txns++
 	next := fateNormal
 	if root {
 		next, f.nextTxn = f.nextTxn, fateNormal
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -117,6 +117,7 @@
 	if err := r.root.Verify(current.Trusted(r.first), r.root.Version-1); err != nil {
 		return false, err
 	}
+	r.skipStored(current)
 	if err := r.writeParts(ctx); err != nil {
 		return false, err
 	}
@@ -185,6 +186,17 @@
 	return accepted(current), false
 }
 
+// skipStored notes the parts of the accepted root, which are stored already.
+// One changed section then costs two writes.
+func (r *attempt) skipStored(current *bundle.Root) {
+	if current == nil {
+		return
+	}
+	for _, name := range current.Parts {
+		r.written[name] = true
+	}
+}
+
 // writeParts writes the parts that are not stored yet. A stored part is never
 // changed, because its name is the hash of its content.
 func (r *attempt) writeParts(ctx context.Context) error {
--- a/pkg/rollout/syncer_test.go
+++ b/pkg/rollout/syncer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,6 +83,19 @@
 	})
 }
 
+// Guards against a rollout that writes unchanged parts: at the target rate of
+// changes, that would use up the writes of the key-value service.
+func TestRolloutWritesChangedPartsOnly(t *testing.T) {
+	store := newFakeStore()
+	root := roll(t, store, nil, 1, 10_000)
+	assert.Equal(t, store.txns, len(root.Parts)+1)
+	store.txns = 0
+	text := strings.Replace(testText(2, 10_000, 1, first), "[adapter \"t/a7000\"]\nbase_model = m0", "[adapter \"t/a7000\"]\nbase_model = m1", 1)
+	_, err := Rollout(t.Context(), store, propose("op", text, root, "a", "b"), first)
+	assert.NilError(t, err)
+	assert.Equal(t, store.txns, 2) // the part of the changed adapter and the root
+}
+
 type peerService struct {
 	fescuev1.UnimplementedEndpointServer
 	*PeerServer
