Open the key-value service in fescuectl

Cause: the bundle commands had no client for the key-value service. Change: openStore uses pkg/kv/etcd.

--- a/cmd/fescuectl/main.go
+++ b/cmd/fescuectl/main.go
@@ -16,6 +16,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/config"
 	"github.com/fescuecourse/fescuecourse/pkg/demo"
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
+	"github.com/fescuecourse/fescuecourse/pkg/kv/etcd"
 )
 
 // Exit codes.
@@ -68,8 +69,11 @@
 	}
 }
 
-func openStore(string) (kv.Store, error) {
-	return nil, errors.New("this build has no client for the key-value service")
+func openStore(address string) (kv.Store, error) {
+	if address == "" {
+		return nil, errors.Mark(errors.New("the address of the key-value service is not set"), config.ErrUsage)
+	}
+	return etcd.New(address, etcd.Options{}), nil
 }
 
 func demoCommand() *ffcli.Command {
