Add a fair queue with a guaranteed minimum

Cause: The endpoint queue was first in, first out, so one team could delay all others. Change: Weighted deficit round robin over teams inside priority classes. Every flow with ready work is served within the floor, or within the number of ready flows if that is larger. Work whose adapter is not resident does not hold up other work.

--- /dev/null
+++ b/pkg/fairqueue/fairqueue.go
@@ -0,0 +1,198 @@
+// Package fairqueue orders queued items by weighted deficit round robin over
+// teams inside priority classes, with a guaranteed minimum for every team. It is
+// a deterministic data structure without clock and locks.
+package fairqueue
+
+import (
+	"container/list"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// DefaultFloor is the guaranteed minimum if Config.Floor is zero.
+const DefaultFloor = 32
+
+// classes is the number of priority classes plus the unused zero value.
+const classes = int(ident.PriorityHigh) + 1
+
+// Config are the parameters of a queue.
+type Config struct {
+	// Floor is the number of dispatches within which every flow with ready work
+	// is served, whatever its class. With more ready flows than Floor, the bound
+	// is the number of ready flows.
+	Floor int
+	// Quantum is the cost that a flow of weight 1 may dispatch per round.
+	Quantum int
+}
+
+// Item is one queued item. Its fields must not change while it is queued.
+type Item[L comparable, V any] struct {
+	Team   ident.Team
+	Class  ident.Priority
+	Weight int
+	Cost   int
+	// Lane groups the items that become ready together.
+	Lane  L
+	Value V
+
+	seq        uint64
+	lane       *lane[L, V]
+	prev, next *Item[L, V]
+}
+
+// Queued reports whether the item is in a queue.
+func (it *Item[L, V]) Queued() bool { return it.lane != nil }
+
+// lane is the first-in first-out list of the items of one flow with the same lane.
+type lane[L comparable, V any] struct {
+	flow       *flow[L, V]
+	head, tail *Item[L, V]
+	count      int
+}
+
+// laneSet holds the lanes of all flows that become ready together.
+type laneSet[L comparable, V any] struct {
+	ready bool
+	lanes []*lane[L, V]
+}
+
+type flowKey struct {
+	team  ident.Team
+	class ident.Priority
+}
+
+// flow is the queued work of one team in one class.
+type flow[L comparable, V any] struct {
+	key     flowKey
+	weight  int
+	deficit int
+	// turn states that the deficit has been raised in the current round.
+	turn  bool
+	lanes map[L]*lane[L, V]
+	ready []*lane[L, V]
+	// mark is the number of dispatches when the flow was last served or became ready.
+	mark  uint64
+	ring  *list.Element
+	order *list.Element
+}
+
+// Queue holds items. An item is dispatched only while its lane is ready.
+type Queue[L comparable, V any] struct {
+	cfg        Config
+	flows      map[flowKey]*flow[L, V]
+	sets       map[L]*laneSet[L, V]
+	rings      [classes]list.List
+	order      list.List
+	teams      map[ident.Team]int
+	length     int
+	seq        uint64
+	dispatched uint64
+}
+
+// New returns an empty queue. Lanes are not ready at first.
+func New[L comparable, V any](cfg Config) *Queue[L, V] {
+	if cfg.Floor <= 0 {
+		cfg.Floor = DefaultFloor
+	}
+	if cfg.Quantum <= 0 {
+		cfg.Quantum = 1
+	}
+	return &Queue[L, V]{
+		cfg:   cfg,
+		flows: map[flowKey]*flow[L, V]{},
+		sets:  map[L]*laneSet[L, V]{},
+		teams: map[ident.Team]int{},
+	}
+}
+
+// Len returns the number of queued items.
+func (q *Queue[L, V]) Len() int { return q.length }
+
+// TeamLen returns the number of queued items of a team.
+func (q *Queue[L, V]) TeamLen(t ident.Team) int { return q.teams[t] }
+
+// Push queues an item. Weights and costs below 1 count as 1.
+func (q *Queue[L, V]) Push(it *Item[L, V]) {
+	it.Weight = max(it.Weight, 1)
+	it.Cost = max(it.Cost, 1)
+	if it.Class < ident.PriorityBatch || it.Class > ident.PriorityHigh {
+		it.Class = ident.PriorityNormal
+	}
+	f := q.flow(it)
+	f.weight = it.Weight
+	ln := q.lane(f, it.Lane)
+	it.seq = q.seq
+	q.seq++
+	ln.append(it)
+	q.length++
+	q.teams[it.Team]++
+}
+
+func (q *Queue[L, V]) flow(it *Item[L, V]) *flow[L, V] {
+	key := flowKey{team: it.Team, class: it.Class}
+	f := q.flows[key]
+	if f == nil {
+		f = &flow[L, V]{key: key, lanes: map[L]*lane[L, V]{}}
+		q.flows[key] = f
+	}
+	return f
+}
+
+func (q *Queue[L, V]) lane(f *flow[L, V], l L) *lane[L, V] {
+	if ln := f.lanes[l]; ln != nil {
+		return ln
+	}
+	ln := &lane[L, V]{flow: f}
+	f.lanes[l] = ln
+	set := q.set(l)
+	set.lanes = append(set.lanes, ln)
+	if set.ready {
+		q.enable(ln)
+	}
+	return ln
+}
+
+func (q *Queue[L, V]) set(l L) *laneSet[L, V] {
+	set := q.sets[l]
+	if set == nil {
+		set = &laneSet[L, V]{}
+		q.sets[l] = set
+	}
+	return set
+}
+
+// SetReady states whether the items of a lane may be dispatched.
+func (q *Queue[L, V]) SetReady(l L, ready bool) {
+	set := q.set(l)
+	if set.ready == ready {
+		return
+	}
+	set.ready = ready
+	for _, ln := range set.lanes {
+		if ready {
+			q.enable(ln)
+		} else {
+			q.disable(ln)
+		}
+	}
+	if !ready && len(set.lanes) == 0 {
+		delete(q.sets, l)
+	}
+}
+
+// Remove takes an item out of the queue. It reports false if it is not queued.
+func (q *Queue[L, V]) Remove(it *Item[L, V]) bool {
+	ln := it.lane
+	if ln == nil {
+		return false
+	}
+	ln.unlink(it)
+	q.length--
+	if q.teams[it.Team]--; q.teams[it.Team] == 0 {
+		delete(q.teams, it.Team)
+	}
+	if ln.count == 0 {
+		q.dropLane(ln, it.Lane)
+	}
+	return true
+}
