Order load permits by class, waiting work and age

Cause: Permits were granted in the order of arrival and searched linearly. Change: A heap by virtual starting time per weight store. All requests age at the same rate, so each one is granted in the end. Running loads that an endpoint reports count against the limit.

--- a/pkg/permits/permits.go
+++ b/pkg/permits/permits.go
@@ -1,9 +1,10 @@
 // Package permits decides which endpoint may load an adapter next, so that loads
-// from the rate-limited weight store run one at a time at full speed. It is a
+// from a rate-limited weight store run one at a time at full speed. It is a
 // deterministic state machine without I/O and clock.
 package permits
 
 import (
+	"math"
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
@@ -18,99 +19,147 @@
 // Request asks for one load.
 type Request struct {
 	Key
+	// Store names the weight store. Loads from different stores do not wait for
+	// each other.
+	Store string
 	// Waiting is the number of queued attempts for the adapter.
 	Waiting int
 	// Waited is the age of the oldest of them at the time of the request.
 	Waited   time.Duration
 	Weight   int
 	Priority ident.Priority
+	// Loading states that the load is already running. It counts against the
+	// limit, so that a new coordinator does not start a second one beside it.
+	Loading bool
 }
 
 // Config are the limits of a coordinator.
 type Config struct {
-	// MaxConcurrent is the number of loads granted at once.
+	// MaxConcurrent is the number of loads granted at once per weight store.
 	MaxConcurrent int
-	// GrantTTL is how long a grant is valid without a release.
+	// GrantTTL is how long a grant is valid without a release or a renewal.
 	GrantTTL time.Duration
 }
 
-type pending struct {
-	req   Request
-	since time.Time
+// The order of requests is that of their virtual starting times. All requests age
+// at the same rate, so any request is granted in the end.
+const (
+	// classHeadStart is the waiting time that one priority class is worth.
+	classHeadStart = 10 * time.Second
+	// doublingHeadStart is the waiting time that twice as much weighted work is worth.
+	doublingHeadStart = 500 * time.Millisecond
+	// maxWorkHeadStart keeps the waiting work from outweighing a class.
+	maxWorkHeadStart = 8 * time.Second
+)
+
+// start returns the virtual starting time of a request.
+func start(now time.Time, r Request) time.Time {
+	work := float64(max(r.Waiting, 1)) * float64(max(r.Weight, 1))
+	head := min(time.Duration(math.Log2(work)*float64(doublingHeadStart)), maxWorkHeadStart)
+	return now.Add(-r.Waited - head - time.Duration(r.Priority)*classHeadStart)
 }
 
 // Coordinator grants loads.
 type Coordinator struct {
-	cfg     Config
-	waiting []pending
-	granted map[Key]time.Time
+	cfg   Config
+	pools map[string]*pool
+	// stores names the pool of each key and groups the keys by endpoint.
+	stores map[ident.EndpointID]map[ident.Adapter]string
 }
 
 // New returns a coordinator without requests.
 func New(cfg Config) *Coordinator {
-	return &Coordinator{cfg: cfg, granted: map[Key]time.Time{}}
+	return &Coordinator{cfg: cfg, pools: map[string]*pool{}, stores: map[ident.EndpointID]map[ident.Adapter]string{}}
 }
 
-// Request adds or replaces a request and returns new grants.
+// Request adds or replaces a request and returns new grants. The request for a
+// granted load renews the grant and returns it again.
 func (c *Coordinator) Request(now time.Time, r Request) []Key {
-	if _, ok := c.granted[r.Key]; ok {
+	p := c.pool(r.Store)
+	c.index(r)
+	if _, granted := p.granted[r.Key]; granted || r.Loading {
+		p.remove(r.Key)
+		p.granted[r.Key] = now
+		if r.Loading {
+			return nil
+		}
 		return []Key{r.Key}
 	}
-	for i := range c.waiting {
-		if c.waiting[i].req.Key == r.Key {
-			c.waiting[i].req = r
-			return c.grant(now)
-		}
+	p.put(r.Key, start(now, r))
+	return p.grant(now, c.cfg.MaxConcurrent)
+}
+
+func (c *Coordinator) pool(store string) *pool {
+	p := c.pools[store]
+	if p == nil {
+		p = newPool()
+		c.pools[store] = p
 	}
-	c.waiting = append(c.waiting, pending{req: r, since: now.Add(-r.Waited)})
-	return c.grant(now)
+	return p
+}
+
+func (c *Coordinator) index(r Request) {
+	m := c.stores[r.Endpoint]
+	if m == nil {
+		m = map[ident.Adapter]string{}
+		c.stores[r.Endpoint] = m
+	}
+	m[r.Adapter] = r.Store
 }
 
 // Release ends a grant or withdraws a request and returns new grants.
 func (c *Coordinator) Release(now time.Time, k Key) []Key {
-	delete(c.granted, k)
-	c.remove(func(p pending) bool { return p.req.Key == k })
-	return c.grant(now)
+	store, known := c.stores[k.Endpoint][k.Adapter]
+	if !known {
+		return nil
+	}
+	c.forget(store, k)
+	return c.pools[store].grant(now, c.cfg.MaxConcurrent)
+}
+
+func (c *Coordinator) forget(store string, k Key) {
+	p := c.pools[store]
+	delete(p.granted, k)
+	p.remove(k)
+	delete(c.stores[k.Endpoint], k.Adapter)
+	if len(c.stores[k.Endpoint]) == 0 {
+		delete(c.stores, k.Endpoint)
+	}
 }
 
 // Drop forgets everything about an endpoint and returns new grants.
 func (c *Coordinator) Drop(now time.Time, id ident.EndpointID) []Key {
-	for k := range c.granted {
-		if k.Endpoint == id {
-			delete(c.granted, k)
-		}
+	for a, store := range c.stores[id] {
+		c.forget(store, Key{Endpoint: id, Adapter: a})
 	}
-	c.remove(func(p pending) bool { return p.req.Endpoint == id })
-	return c.grant(now)
+	return c.grantAll(now)
 }
 
 // Tick expires grants and returns new ones.
 func (c *Coordinator) Tick(now time.Time) []Key {
-	for k, at := range c.granted {
-		if now.Sub(at) > c.cfg.GrantTTL {
-			delete(c.granted, k)
+	for store, p := range c.pools {
+		for k, at := range p.granted {
+			if now.Sub(at) > c.cfg.GrantTTL {
+				c.forget(store, k)
+			}
 		}
 	}
-	return c.grant(now)
+	return c.grantAll(now)
 }
 
-func (c *Coordinator) remove(match func(pending) bool) {
-	kept := c.waiting[:0]
-	for _, p := range c.waiting {
-		if !match(p) {
-			kept = append(kept, p)
-		}
+func (c *Coordinator) grantAll(now time.Time) []Key {
+	var out []Key
+	for _, p := range c.pools {
+		out = append(out, p.grant(now, c.cfg.MaxConcurrent)...)
 	}
-	c.waiting = kept
+	return out
 }
 
-func (c *Coordinator) grant(now time.Time) []Key {
-	var out []Key
-	for len(c.waiting) > 0 && len(c.granted) < c.cfg.MaxConcurrent {
-		k := c.waiting[0].req.Key
-		c.waiting = c.waiting[1:]
-		c.granted[k] = now
-		out = append(out, k)
+// Waiting returns the number of requests that wait for a grant.
+func (c *Coordinator) Waiting() int {
+	n := 0
+	for _, p := range c.pools {
+		n += len(p.heap)
 	}
-	return out
+	return n
 }
