--- a/pkg/attempts/attempts.go
+++ b/pkg/attempts/attempts.go
@@ -20,6 +20,9 @@
 	MaxEchoAge = 30 * time.Second
 	// maxStoredBytes bounds the stored answers of all attempts together.
 	maxStoredBytes = 8 << 20
+	// maxEntries bounds the remembered attempts. At 5 attempts/s the retention
+	// needs 1,500.
+	maxEntries = 64 << 10
 )
 
 // State is the state of an attempt.
@@ -36,37 +39,73 @@
 	Failed
 	// Refused means that the attempt did not run and never will.
 	Refused
+	// Forgotten means that the attempt is older than what the ledger remembers.
+	// Nothing is known about it, and it must not run.
+	Forgotten
 )
 
 type entry struct {
 	state  State
-	ended  time.Time
+	keep   bool
 	answer []*fescuev1.RunFrame
 	bytes  int
 }
 
+// ended is one ended attempt in the order of the ends.
+type ended struct {
+	id ident.AttemptID
+	at time.Time
+}
+
+// Limits bound the memory of a ledger.
+type Limits struct {
+	Entries int
+	Bytes   int
+}
+
 // Ledger remembers attempts. It is safe for concurrent use.
 type Ledger struct {
+	limits  Limits
 	mu      sync.Mutex
 	entries map[ident.AttemptID]*entry
+	ends    fifo[ended]
+	answers fifo[ident.AttemptID]
 	stored  int
+	// horizon is the latest end of a forgotten attempt. An attempt that was sent
+	// before it may have been forgotten.
+	horizon time.Time
 }
 
 // New returns an empty ledger.
-func New() *Ledger { return &Ledger{entries: map[ident.AttemptID]*entry{}} }
+func New() *Ledger { return NewLimited(Limits{Entries: maxEntries, Bytes: maxStoredBytes}) }
+
+// NewLimited returns an empty ledger with the given limits.
+func NewLimited(limits Limits) *Ledger {
+	return &Ledger{limits: limits, entries: map[ident.AttemptID]*entry{}}
+}
 
 // Begin records a new attempt as queued. It returns the earlier state if the
-// attempt is known; the attempt must not run then.
-func (l *Ledger) Begin(id ident.AttemptID) State {
+// attempt is known, or Forgotten if it may have been; the attempt must not run
+// then. sent is the endpoint's clock when the attempt was addressed to it. The
+// answer of the attempt is stored only if keep is set.
+func (l *Ledger) Begin(id ident.AttemptID, sent time.Time, keep bool) State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := l.entries[id]; e != nil {
 		return e.state
 	}
-	l.entries[id] = &entry{state: Queued}
+	if l.forgotten(sent) {
+		return Forgotten
+	}
+	l.entries[id] = &entry{state: Queued, keep: keep}
+	l.shrink()
 	return Absent
 }
 
+func (l *Ledger) forgotten(sent time.Time) bool {
+	return !l.horizon.IsZero() && !sent.After(l.horizon)
+}
+
 // Start moves a queued attempt to running. It reports false if the attempt was
 // refused in the meantime.
 func (l *Ledger) Start(id ident.AttemptID) bool {
@@ -76,60 +115,116 @@
 	if e == nil || e.state == Refused {
 		return false
 	}
-	invariant.Check(e.state == Queued, invariant.AtMostOneRun, "start of %v in state %d", id, e.state)
-	if e.state != Queued {
+	if !invariant.Check(e.state == Queued, invariant.AtMostOneRun, "start of %v in state %d", id, e.state) {
 		return false
 	}
 	e.state = Running
 	return true
 }
 
-// Refuse records a tombstone unless the attempt has started. It returns the
-// state after the call.
-func (l *Ledger) Refuse(now time.Time, id ident.AttemptID) State {
+// Refuse records a tombstone unless the attempt has started, also for an attempt
+// never seen. It returns the state after the call: Refused proves that the attempt
+// did not run and never will, Forgotten proves nothing.
+func (l *Ledger) Refuse(now time.Time, id ident.AttemptID, sent time.Time) State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[id]
 	if e == nil {
+		if l.forgotten(sent) {
+			return Forgotten
+		}
 		e = &entry{}
 		l.entries[id] = e
 	}
 	if e.state == Absent || e.state == Queued {
 		e.state = Refused
-		e.ended = now
+		l.end(now, id)
 	}
 	return e.state
 }
 
-// Finish records the end of a running attempt. The answer may be nil if it need
-// not be kept.
+// NotStarted turns a running attempt into a refused one after the back end has
+// stated that it did not start it.
+func (l *Ledger) NotStarted(now time.Time, id ident.AttemptID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.entries[id]; e != nil && e.state == Running {
+		e.state = Refused
+		l.end(now, id)
+	}
+}
+
+// Finish records the end of a running attempt. The answer is stored if the
+// attempt asked for it and it fits.
 func (l *Ledger) Finish(now time.Time, id ident.AttemptID, ok bool, answer []*fescuev1.RunFrame) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[id]
-	if e == nil {
+	if e == nil || e.state != Running {
 		return
 	}
-	e.ended = now
 	e.state = Failed
 	if ok {
 		e.state = Done
+		l.store(id, e, answer)
 	}
+	l.end(now, id)
+}
+
+// store keeps an answer and drops the oldest ones beyond the limit.
+func (l *Ledger) store(id ident.AttemptID, e *entry, answer []*fescuev1.RunFrame) {
 	size := answerBytes(answer)
-	if ok && l.stored+size <= maxStoredBytes {
-		e.answer, e.bytes = answer, size
-		l.stored += size
+	if !e.keep || len(answer) == 0 || size > l.limits.Bytes {
+		return
+	}
+	e.answer, e.bytes = answer, size
+	l.stored += size
+	l.answers.push(id)
+	for l.stored > l.limits.Bytes {
+		l.dropAnswer(l.entries[l.answers.pop()])
+	}
+}
+
+func (l *Ledger) dropAnswer(e *entry) {
+	if e == nil {
+		return
 	}
+	l.stored -= e.bytes
+	e.answer, e.bytes = nil, 0
 }
 
+// frameBytes is the memory of a frame besides its payload.
+const frameBytes = 64
+
 func answerBytes(frames []*fescuev1.RunFrame) int {
 	n := 0
 	for _, f := range frames {
-		n += len(f.GetData().GetPayload())
+		n += len(f.GetData().GetPayload()) + frameBytes
 	}
 	return n
 }
 
+func (l *Ledger) end(now time.Time, id ident.AttemptID) {
+	l.ends.push(ended{id: id, at: now})
+	l.shrink()
+}
+
+// shrink forgets the oldest ended attempts beyond the limit.
+func (l *Ledger) shrink() {
+	for len(l.entries) > l.limits.Entries && l.ends.len() > 0 {
+		l.forgetOldest()
+	}
+}
+
+func (l *Ledger) forgetOldest() {
+	old := l.ends.pop()
+	l.dropAnswer(l.entries[old.id])
+	delete(l.entries, old.id)
+	if old.at.After(l.horizon) {
+		l.horizon = old.at
+	}
+}
+
 // Lookup returns the state of an attempt and its stored answer.
 func (l *Ledger) Lookup(id ident.AttemptID) (State, []*fescuev1.RunFrame) {
 	l.mu.Lock()
@@ -145,17 +240,29 @@
 func (l *Ledger) Expire(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, e := range l.entries {
-		if !e.ended.IsZero() && now.Sub(e.ended) > Retention {
-			l.stored -= e.bytes
-			delete(l.entries, id)
-		}
+	for l.ends.len() > 0 && now.Sub(l.ends.front().at) > Retention {
+		l.forgetOldest()
+	}
+	for l.answers.len() > 0 && l.stale(l.answers.front()) {
+		l.answers.pop()
 	}
 }
 
+func (l *Ledger) stale(id ident.AttemptID) bool {
+	e := l.entries[id]
+	return e == nil || e.answer == nil
+}
+
 // Len returns the number of remembered attempts.
 func (l *Ledger) Len() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.entries)
 }
+
+// StoredBytes returns the size of the stored answers.
+func (l *Ledger) StoredBytes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stored
+}
--- a/pkg/endpoint/control.go
+++ b/pkg/endpoint/control.go
@@ -49,6 +49,9 @@
 	synced  bool
 	canLoad bool
 	limits  scheduler.Config
+	// applied is the bundle version whose weights the scheduler uses.
+	applied ident.BundleVersion
+	ticked  time.Time
 
 	// snapshot is read by report goroutines.
 	snapshot atomic.Pointer[snapshot]
@@ -61,6 +64,9 @@
 	limits  scheduler.Config
 	ready   bool
 	canLoad bool
+	// commands is the number of engine commands so far, quiet states that none runs.
+	commands scheduler.CommandID
+	quiet    bool
 }
 
 func newControl(e *Endpoint) *control {
@@ -113,6 +119,7 @@
 	s := &snapshot{limits: c.limits, ready: c.synced, canLoad: c.canLoad}
 	if c.sched != nil {
 		s.stats = c.sched.Stats()
+		s.commands, s.quiet = c.sched.Quiet()
 	}
 	c.snapshot.Store(s)
 	c.e.hub.notify()
@@ -146,12 +153,13 @@
 func (c *control) pollEngine(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
+	before := c.snapshot.Load()
 	st, err := c.e.engine.Status(ctx)
 	if err != nil {
 		c.log.Warn().Err(err).Msg("engine does not answer")
 		return
 	}
-	c.send(engineStatusEvent{status: st})
+	c.send(engineStatusEvent{status: st, before: before})
 }
 
 // perform carries out the decisions of the scheduler.
@@ -166,19 +174,20 @@
 	case scheduler.Start:
 		c.start(a)
 	case scheduler.Refuse:
-		c.e.ledger.Refuse(time.Now(), a.ID)
+		c.e.ledger.Refuse(time.Now(), a.ID, time.Now())
+		c.e.metrics.refused(a.Reason)
 		c.log.Info().Str("request", string(a.ID.Request)).Str("reason", a.Reason.String()).Msg("attempt refused")
 		c.reply(a.ID, verdict{reason: a.Reason})
 	case scheduler.Load:
 		c.log.Info().Str("adapter", a.Adapter.String()).Msg("loading adapter")
-		go c.command(a.Adapter, true)
+		go c.command(a, true)
 	case scheduler.Unload:
 		c.log.Info().Str("adapter", a.Adapter.String()).Msg("evicting adapter")
-		go c.command(a.Adapter, false)
+		go c.command(a, false)
 	case scheduler.RequestPermit:
 		c.e.hub.requestPermit(a)
 	case scheduler.ReleasePermit:
-		c.e.hub.releasePermit(a.Adapter)
+		c.e.hub.releasePermit(a)
 	}
 }
 
@@ -189,6 +198,7 @@
 		return
 	}
 	c.log.Info().Str("request", string(a.ID.Request)).Str("adapter", a.Adapter.String()).Uint("stall_ms", uint64(a.Stall.Milliseconds())).Msg("attempt started")
+	c.e.metrics.stallUS.Update(a.Stall.Microseconds())
 	c.reply(a.ID, verdict{started: true, stall: a.Stall})
 }
 
@@ -200,27 +210,28 @@
 }
 
 // command gives one load or unload command to the engine.
-func (c *control) command(a ident.Adapter, load bool) {
+func (c *control) command(a scheduler.Action, load bool) {
 	token, ok := c.e.authority.Token()
 	if !ok {
-		c.send(commandDoneEvent{adapter: a, load: load, err: errNoAuthority})
+		c.send(commandDoneEvent{adapter: a.Adapter, id: a.Command, load: load, err: errNoAuthority})
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
-	cmd := engine.Command{Adapter: a, Token: token, Deadline: time.Now().Add(commandDeadline)}
+	cmd := engine.Command{Adapter: a.Adapter, Token: token, Deadline: time.Now().Add(commandDeadline)}
 	call := c.e.engine.Unload
 	if load {
 		call = c.e.engine.Load
 	}
 	began := time.Now()
 	err := call(ctx, cmd)
-	c.send(commandDoneEvent{adapter: a, load: load, err: err, took: time.Since(began)})
+	c.send(commandDoneEvent{adapter: a.Adapter, id: a.Command, load: load, err: err, took: time.Since(began)})
 }
 
 // revoke makes sure that an attempt which has not started never will.
-func (c *control) revoke(id ident.AttemptID) attempts.State {
-	state := c.e.ledger.Refuse(time.Now(), id)
+// sent is the endpoint's clock when the attempt was addressed to it.
+func (c *control) revoke(id ident.AttemptID, sent time.Time) attempts.State {
+	state := c.e.ledger.Refuse(time.Now(), id, sent)
 	if state == attempts.Refused {
 		c.send(revokeEvent{id: id})
 	}
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -30,6 +30,8 @@
 	// leaveGrace is how long a leaving endpoint keeps its server open, so that
 	// late attempts get a refusal instead of a broken connection.
 	leaveGrace = time.Second
+	// stopGrace is how long the server waits for the last frames to be written.
+	stopGrace = 5 * time.Second
 	// idleConnTimeout closes idle connections to the back end.
 	idleConnTimeout = 30 * time.Second
 )
@@ -54,6 +56,7 @@
 	ledger      *attempts.Ledger
 	control     *control
 	hub         *hub
+	metrics     *meters
 	leaving     atomic.Bool
 	addr        atomic.Pointer[net.TCPAddr]
 	ready       chan struct{}
@@ -75,6 +78,7 @@
 		service:     service.New(set.Address, hc),
 		ledger:      attempts.New(),
 		ready:       make(chan struct{}),
+		metrics:     newMeters(),
 	}
 	e.hub = newHub(e)
 	e.control = newControl(e)
@@ -122,7 +126,7 @@
 	case <-ctx.Done():
 	}
 	e.drain(background)
-	srv.Stop()
+	e.stopServer(srv)
 	stop()
 	<-controlDone
 	return nil
@@ -149,6 +153,27 @@
 	}
 }
 
+// stopServer ends the control streams and lets the last frames of the runs go out.
+func (e *Endpoint) stopServer(srv *grpc.Server) {
+	e.hub.close()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		srv.GracefulStop()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(stopGrace):
+		srv.Stop()
+		<-stopped
+	}
+}
+
+// sentAt converts an echoed endpoint clock into a time of this process.
+func (e *Endpoint) sentAt(clockMS uint64) time.Time {
+	return e.started.Add(time.Duration(min(clockMS, e.clockMS())) * time.Millisecond)
+}
+
 // clockMS is the monotonic clock of the process in milliseconds.
 func (e *Endpoint) clockMS() uint64 { return uint64(time.Since(e.started).Milliseconds()) }
 
--- a/pkg/endpoint/hub.go
+++ b/pkg/endpoint/hub.go
@@ -16,10 +16,12 @@
 // Intervals of reports.
 const (
 	// loadReportInterval limits reports that only carry new load figures.
-	loadReportInterval = 250 * time.Millisecond
+	loadReportInterval = 2 * time.Second
 	// heartbeatInterval is the longest time between two reports.
-	heartbeatInterval = 2 * time.Second
-	streamBuffer      = 256
+	heartbeatInterval = 5 * time.Second
+	// reportCheckInterval is how often a held back report is looked at again.
+	reportCheckInterval = 250 * time.Millisecond
+	streamBuffer        = 256
 )
 
 // hub holds the control streams of the connected entries.
@@ -29,6 +31,9 @@
 
 	mu      sync.Mutex
 	streams map[ident.EntryID]*controlStream
+	granter *controlStream
+	closed  chan struct{}
+	once    sync.Once
 }
 
 // controlStream is the control stream of one entry.
@@ -39,7 +44,7 @@
 }
 
 func newHub(e *Endpoint) *hub {
-	return &hub{e: e, log: e.log.For(logging.PartPermit), streams: map[ident.EntryID]*controlStream{}}
+	return &hub{e: e, log: e.log.For(logging.PartPermit), streams: map[ident.EntryID]*controlStream{}, closed: make(chan struct{})}
 }
 
 // notify wakes the report goroutines of all streams.
@@ -56,16 +61,30 @@
 
 func (h *hub) add(s *controlStream) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.streams[s.entry] = s
+	changed := h.elect()
+	h.mu.Unlock()
+	h.announce(changed)
 }
 
 func (h *hub) remove(s *controlStream) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	if h.streams[s.entry] == s {
 		delete(h.streams, s.entry)
 	}
+	changed := h.elect()
+	h.mu.Unlock()
+	h.announce(changed)
+}
+
+// close ends all control streams.
+func (h *hub) close() { h.once.Do(func() { close(h.closed) }) }
+
+// announce repeats the permit requests to a new coordinator.
+func (h *hub) announce(changed bool) {
+	if changed {
+		h.e.control.send(permitsLostEvent{})
+	}
 }
 
 func (h *hub) connected() int {
@@ -74,21 +93,28 @@
 	return len(h.streams)
 }
 
-// coordinator returns the stream of the entry that grants permits: the highest
-// rendezvous hash among the connected entries.
+// coordinator returns the stream of the entry that grants permits.
 func (h *hub) coordinator() *controlStream {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.granter
+}
+
+// elect chooses the coordinator: the highest rendezvous hash of weight store and
+// entry among the connected entries. It reports whether it has changed.
+func (h *hub) elect() bool {
 	var best *controlStream
 	var bestHash uint64
 	for id, s := range h.streams {
 		f := fnv.New64a()
-		_, _ = f.Write([]byte(id)) // hash.Hash never fails
+		_, _ = f.Write([]byte(h.e.set.WeightStore + "\x00" + string(id))) // hash.Hash never fails
 		if n := f.Sum64(); best == nil || n > bestHash {
 			best, bestHash = s, n
 		}
 	}
-	return best
+	changed := best != h.granter
+	h.granter = best
+	return changed
 }
 
 func (h *hub) requestPermit(a scheduler.Action) {
@@ -98,11 +124,13 @@
 		WaitingRequests: uint32(a.Waiting),
 		WaitedMs:        uint64(a.Waited.Milliseconds()),
 		Priority:        fescuev1.Priority(a.Priority),
+		Loading:         a.Loading,
+		WeightStore:     h.e.set.WeightStore,
 	}}})
 }
 
-func (h *hub) releasePermit(a ident.Adapter) {
-	h.sendToCoordinator(&fescuev1.ControlResponse{Body: &fescuev1.ControlResponse_PermitRelease{PermitRelease: &fescuev1.PermitRelease{Adapter: a.String()}}})
+func (h *hub) releasePermit(a scheduler.Action) {
+	h.sendToCoordinator(&fescuev1.ControlResponse{Body: &fescuev1.ControlResponse_PermitRelease{PermitRelease: &fescuev1.PermitRelease{Adapter: a.Adapter.String(), Loaded: a.Loaded}}})
 }
 
 func (h *hub) sendToCoordinator(m *fescuev1.ControlResponse) {
@@ -158,10 +186,12 @@
 		return err
 	}
 	sent := time.Now()
-	heartbeat := time.NewTicker(loadReportInterval)
+	heartbeat := time.NewTicker(reportCheckInterval)
 	defer heartbeat.Stop()
 	for {
 		select {
+		case <-e.hub.closed:
+			return nil
 		case <-stream.Context().Done():
 			return stream.Context().Err()
 		case m := <-s.out:
@@ -176,7 +206,7 @@
 		if !reportDue(last, next, time.Since(sent)) {
 			continue
 		}
-		if err := sendReport(stream, next); err != nil {
+		if err := sendReport(stream, delta(last, next)); err != nil {
 			return err
 		}
 		last, sent = next, time.Now()
--- /dev/null
+++ b/pkg/endpoint/metrics.go
@@ -0,0 +1,72 @@
+package endpoint
+
+import (
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+)
+
+// sampleSize is the number of values that a histogram keeps.
+const sampleSize = 1028
+
+// meters are the metrics of the endpoints of a process.
+type meters struct {
+	registry     metrics.Registry
+	stallUS      metrics.Histogram
+	queueWaitUS  metrics.Histogram
+	loadUS       metrics.Histogram
+	loads        metrics.Counter
+	loadFailures metrics.Counter
+	evictions    metrics.Counter
+	evictFails   metrics.Counter
+	// usedMS and offeredMS add up position-milliseconds. Their quotient is the
+	// batch efficiency.
+	usedMS    metrics.Counter
+	offeredMS metrics.Counter
+}
+
+func newMeters() *meters {
+	r := metrics.DefaultRegistry
+	return &meters{
+		registry:     r,
+		stallUS:      histogram("endpoint.load_stall_us", r),
+		queueWaitUS:  histogram("endpoint.queue_wait_us", r),
+		loadUS:       histogram("endpoint.load_us", r),
+		loads:        metrics.GetOrRegisterCounter("endpoint.loads", r),
+		loadFailures: metrics.GetOrRegisterCounter("endpoint.load_failures", r),
+		evictions:    metrics.GetOrRegisterCounter("endpoint.evictions", r),
+		evictFails:   metrics.GetOrRegisterCounter("endpoint.eviction_failures", r),
+		usedMS:       metrics.GetOrRegisterCounter("endpoint.positions_used_ms", r),
+		offeredMS:    metrics.GetOrRegisterCounter("endpoint.positions_offered_ms", r),
+	}
+}
+
+func histogram(name string, r metrics.Registry) metrics.Histogram {
+	return metrics.GetOrRegisterHistogram(name, r, metrics.NewUniformSample(sampleSize))
+}
+
+func (m *meters) loaded(took time.Duration) {
+	m.loads.Inc(1)
+	m.loadUS.Update(took.Microseconds())
+}
+
+func (m *meters) evicted(err error) {
+	if err != nil {
+		m.evictFails.Inc(1)
+		return
+	}
+	m.evictions.Inc(1)
+}
+
+func (m *meters) refused(reason fescuev1.NotRunReason) {
+	name := strings.ToLower(strings.TrimPrefix(reason.String(), "NOT_RUN_REASON_"))
+	metrics.GetOrRegisterCounter("endpoint.refused."+name, m.registry).Inc(1)
+}
+
+func (m *meters) positions(elapsed time.Duration, used, offered int) {
+	m.usedMS.Inc(elapsed.Milliseconds() * int64(used))
+	m.offeredMS.Inc(elapsed.Milliseconds() * int64(offered))
+}
--- a/pkg/endpoint/report.go
+++ b/pkg/endpoint/report.go
@@ -60,9 +60,37 @@
 	if last.State != next.State || last.BundleVersion != next.BundleVersion || last.CanLoad != next.CanLoad {
 		return true
 	}
-	if !slices.Equal(last.Residents, next.Residents) {
+	if residentsChanged(last, next) {
 		return true
 	}
 	loadChanged := last.PositionsUsed != next.PositionsUsed || last.Queued != next.Queued || last.ConnectedEntries != next.ConnectedEntries
 	return loadChanged && age >= loadReportInterval
 }
+
+func residentsChanged(last, next *fescuev1.Report) bool {
+	return !slices.Equal(last.Residents, next.Residents) || !slices.Equal(last.Loading, next.Loading)
+}
+
+// delta returns next without the fields that are known from the last report of
+// the same stream.
+func delta(last, next *fescuev1.Report) *fescuev1.Report {
+	d := &fescuev1.Report{
+		EndpointId:       next.EndpointId,
+		Incarnation:      next.Incarnation,
+		State:            next.State,
+		BundleVersion:    next.BundleVersion,
+		ClockMs:          next.ClockMs,
+		PositionsTotal:   next.PositionsTotal,
+		PositionsUsed:    next.PositionsUsed,
+		Queued:           next.Queued,
+		SlotsTotal:       next.SlotsTotal,
+		ConnectedEntries: next.ConnectedEntries,
+		CanLoad:          next.CanLoad,
+	}
+	if residentsChanged(last, next) {
+		d.ResidentsChanged = true
+		d.Residents = next.Residents
+		d.Loading = next.Loading
+	}
+	return d
+}
--- a/pkg/endpoint/server.go
+++ b/pkg/endpoint/server.go
@@ -27,14 +27,16 @@
 // Run executes one attempt. Every refusal before the start is a proven not-run.
 func (s *server) Run(req *fescuev1.RunRequest, stream grpc.ServerStreamingServer[fescuev1.RunFrame]) error {
 	id := attemptID(req.GetRef())
+	sent := s.e.sentAt(req.GetEndpointClockMs())
 	out := &frameWriter{ref: req.GetRef(), stream: stream, keep: !req.GetIdempotent()}
 	if nr := s.e.precheck(req); nr != nil {
-		if st := s.e.ledger.Refuse(time.Now(), id); st != attempts.Refused {
+		s.e.metrics.refused(nr.GetReason())
+		if st := s.e.ledger.Refuse(time.Now(), id, sent); st != attempts.Refused {
 			return status.Error(codes.AlreadyExists, "attempt is known")
 		}
 		return out.notRun(nr)
 	}
-	switch s.e.ledger.Begin(id) {
+	switch s.e.ledger.Begin(id, sent, !req.GetIdempotent()) {
 	case attempts.Absent:
 	case attempts.Refused:
 		return out.notRun(&fescuev1.NotRun{Reason: fescuev1.NotRunReason_NOT_RUN_REASON_REVOKED})
@@ -57,8 +59,12 @@
 	defer s.e.control.send(runDoneEvent{id: id})
 	ctx, cancel := s.runContext(out.stream.Context(), req.GetIdempotent(), deadline)
 	defer cancel()
+	s.e.metrics.queueWaitUS.Update(time.Since(queued).Microseconds())
 	r := &run{e: s.e, req: req, id: id, out: out, stall: v.stall, queued: time.Since(queued)}
 	ok := r.do(ctx)
+	if r.notStarted {
+		s.e.ledger.NotStarted(time.Now(), id)
+	}
 	s.e.ledger.Finish(time.Now(), id, ok, out.kept())
 	return nil
 }
@@ -87,7 +93,7 @@
 			out.accepted()
 		case <-done:
 			done = nil
-			s.e.control.revoke(id)
+			s.e.control.revoke(id, time.Now())
 		}
 	}
 }
@@ -153,7 +159,7 @@
 		return &fescuev1.RevokeReply{State: fescuev1.RevokeReply_STATE_OTHER_INCARNATION}, nil
 	}
 	id := attemptID(req.GetRef())
-	switch s.e.control.revoke(id) {
+	switch s.e.control.revoke(id, s.e.sentAt(req.GetEndpointClockMs())) {
 	case attempts.Refused:
 		return &fescuev1.RevokeReply{State: fescuev1.RevokeReply_STATE_NOT_RUN}, nil
 	case attempts.Done:
--- a/pkg/endpoint/settings.go
+++ b/pkg/endpoint/settings.go
@@ -23,6 +23,10 @@
 	MaxQueued    int
 	Positions    int
 	DrainTimeout time.Duration
+	// WeightStore names the store that adapters are loaded from.
+	WeightStore string
+	// ShareInterval is the time between two loads while no entry grants permits.
+	ShareInterval time.Duration
 }
 
 // Kinds of back ends.
@@ -50,6 +54,8 @@
 	set.StringVar(&s.LogLevel, "log-level", "info", "lowest `level` that is logged")
 	set.IntVar(&s.MaxQueued, "max-queued", 256, "largest number of queued attempts")
 	set.IntVar(&s.Positions, "positions", 16, "concurrent calls to a plain service")
+	set.StringVar(&s.WeightStore, "weight-store", "", "`name` of the weight store, for load permits")
+	set.DurationVar(&s.ShareInterval, "share-interval", 5*time.Second, "time between two loads while no entry grants permits")
 	set.DurationVar(&s.DrainTimeout, "drain-timeout", 2*time.Minute, "longest time that a stop waits for running requests")
 }
 
@@ -63,5 +69,6 @@
 	set.Requiref(s.Fencing == FencingChecked || s.Fencing == FencingIgnored, "fencing", "must be checked or ignored")
 	set.Requiref(s.MaxQueued > 0, "max-queued", "must be above zero")
 	set.Requiref(s.Positions > 0, "positions", "must be above zero")
+	set.RequirePositive("share-interval", s.ShareInterval)
 	set.RequirePositive("drain-timeout", s.DrainTimeout)
 }
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -143,6 +143,8 @@
 		Waited:   time.Duration(r.GetWaitedMs()) * time.Millisecond,
 		Weight:   1,
 		Priority: ident.Priority(r.GetPriority()),
+		Store:    r.GetWeightStore(),
+		Loading:  r.GetLoading(),
 	}
 	if b := c.e.bundles.Current(); b != nil {
 		if p, ok := b.Team(a.Team); ok {
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -169,7 +169,7 @@
 		return lost
 	}
 	defer closeConn()
-	reply, err := client.Revoke(ctx, &fescuev1.RevokeRequest{Ref: x.ref(), Incarnation: uint64(x.endpoint.Incarnation)})
+	reply, err := client.Revoke(ctx, &fescuev1.RevokeRequest{Ref: x.ref(), Incarnation: uint64(x.endpoint.Incarnation), EndpointClockMs: x.endpoint.ClockMS})
 	if err != nil {
 		return lost
 	}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -76,13 +76,14 @@
 	return &Directory{endpoints: map[ident.EndpointID]*Endpoint{}, loads: map[ident.EndpointID]*Load{}}
 }
 
-// Apply records a report.
+// Apply records a report. Fields that it leaves out keep the values of the
+// previous report of the same incarnation.
 func (d *Directory) Apply(now time.Time, r *fescuev1.Report) {
 	id := ident.EndpointID(r.GetEndpointId())
 	if d.loads[id] == nil {
 		d.loads[id] = &Load{}
 	}
-	d.endpoints[id] = &Endpoint{
+	e := &Endpoint{
 		ID:               id,
 		Incarnation:      ident.Incarnation(r.GetIncarnation()),
 		Zone:             ident.AvailabilityZone(r.GetZone()),
@@ -102,6 +103,20 @@
 		ReportedAt:       now,
 		Load:             d.loads[id],
 	}
+	if prev := d.endpoints[id]; prev != nil && prev.Incarnation == e.Incarnation {
+		e.inherit(prev, r)
+	}
+	d.endpoints[id] = e
+}
+
+// inherit keeps the earlier values of the fields that a report leaves out.
+func (e *Endpoint) inherit(prev *Endpoint, r *fescuev1.Report) {
+	if !r.GetResidentsChanged() {
+		e.Residents, e.Loading = prev.Residents, prev.Loading
+	}
+	if r.GetZone() == "" {
+		e.Zone, e.Kind, e.Backend = prev.Zone, prev.Kind, prev.Backend
+	}
 }
 
 func adapters(names []string) []ident.Adapter {
--- /dev/null
+++ b/pkg/scheduler/bench_test.go
@@ -0,0 +1,44 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// benchWork returns attempt n of 1 of 20 adapters.
+func benchWork(n int, now time.Time) Work {
+	team := ident.Team(fmt.Sprintf("team-%d", n%4))
+	return Work{
+		ID:       ident.AttemptID{Request: ident.RequestID(fmt.Sprint(n)), Attempt: 1},
+		Team:     team,
+		Adapter:  ident.Adapter{Team: team, Name: fmt.Sprint(n % 20), Version: "1"},
+		Priority: ident.PriorityNormal,
+		Weight:   1,
+		Deadline: now.Add(time.Hour),
+	}
+}
+
+// BenchmarkSubmit measures one Submit, with its scheduling and withdrawal, over
+// a queue of the given length whose positions are all used.
+func BenchmarkSubmit(b *testing.B) {
+	for _, queued := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(queued), func(b *testing.B) {
+			now := time.Unix(0, 0)
+			s := New(Config{Slots: 4, Positions: 8, MaxQueued: 1 << 20})
+			s.SetAuthority(now, true)
+			s.SetResidents(now, []ident.Adapter{benchWork(0, now).Adapter, benchWork(1, now).Adapter})
+			for i := range queued + 8 {
+				s.Submit(now, benchWork(i, now))
+			}
+			w := benchWork(1<<20, now)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Submit(now, w)
+				s.Revoke(now, w.ID)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/scheduler/loads.go
@@ -0,0 +1,362 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// agingStep is the waiting time that counts as one class in the order of loads,
+// so that the lowest class is loaded in the end.
+const agingStep = 5 * time.Second
+
+// Worth of the waiting work in the order of loads.
+const (
+	// doublingStep is the waiting time that twice as much weighted work is worth.
+	doublingStep = 250 * time.Millisecond
+	// maxWorkStep keeps the waiting work from outweighing a class.
+	maxWorkStep = 4 * time.Second
+)
+
+// candidate is an absent adapter with queued work.
+type candidate struct {
+	st      *adapter
+	class   ident.Priority
+	waiting int
+	weight  int
+	waited  time.Duration
+	// aging is the waiting time since the last load for the team. Without this limit
+	// a team whose whole queue is old would come before all others for ever.
+	aging time.Duration
+	// slack is the time to the deadline of the oldest attempt.
+	slack time.Duration
+}
+
+// compare orders candidates by urgency.
+func (c candidate) compare(d candidate) int {
+	return cmp.Or(
+		cmp.Compare(d.urgency(), c.urgency()),
+		cmp.Compare(d.waited, c.waited),
+		compareAdapters(c.st.name, d.st.name),
+	)
+}
+
+// urgency adds the worth of the class and of the waiting work to the aging time.
+// All candidates age at the same rate, so their order changes only with events.
+func (c candidate) urgency() time.Duration {
+	work := float64(max(c.waiting, 1)) * float64(max(c.weight, 1))
+	head := min(time.Duration(math.Log2(work)*float64(doublingStep)), maxWorkStep)
+	return c.aging + time.Duration(c.class)*agingStep + head
+}
+
+// agedClass raises the class by one for each aging step.
+func (c candidate) agedClass() int { return int(c.class) + int(c.aging/agingStep) }
+
+func (s *Scheduler) candidate(now time.Time, st *adapter) (candidate, bool) {
+	oldest, n, class := s.queue.Waiting(st.name)
+	if n == 0 {
+		return candidate{}, false
+	}
+	q := oldest.Value
+	return candidate{
+		st:      st,
+		class:   class,
+		waiting: n,
+		weight:  oldest.Weight,
+		waited:  now.Sub(q.since),
+		aging:   now.Sub(later(q.since, s.teamLoaded[oldest.Team])),
+		slack:   q.work.Deadline.Sub(now),
+	}, true
+}
+
+// candidates returns the adapters to load, most urgent first. Adapters without
+// queued work are no longer wanted.
+func (s *Scheduler) candidates(now time.Time) []candidate {
+	var out []candidate
+	for a, st := range s.wanted {
+		c, ok := s.candidate(now, st)
+		if !ok {
+			delete(s.wanted, a)
+			continue
+		}
+		if now.Before(st.retryAt) || s.heldBack(now, c) {
+			continue
+		}
+		out = append(out, c)
+	}
+	slices.SortFunc(out, candidate.compare)
+	return out
+}
+
+// heldBack reports whether a load for batch-class work alone waits for more work.
+// Work that is due soon is not held back.
+func (s *Scheduler) heldBack(now time.Time, c candidate) bool {
+	hold := s.cfg.batchHold()
+	return c.class == ident.PriorityBatch && c.waited < hold && c.slack > 2*(hold+s.loads.shortest(now))
+}
+
+// planDue reports whether an event may change the planned loads. Between ticks
+// the plan is made again only while more slots can be freed than are asked for.
+func (s *Scheduler) planDue() bool {
+	if len(s.wanted) == 0 && len(s.asks) == 0 {
+		return false
+	}
+	openings := s.cfg.Slots - s.occupied()
+	for _, st := range s.slots {
+		if st.draining && st.pins == 0 {
+			return true
+		}
+		if st.state == stateResident && st.pins == 0 {
+			openings++
+		}
+	}
+	if openings > len(s.asks) && len(s.wanted) > len(s.asks) {
+		return true
+	}
+	return slices.ContainsFunc(s.asks, s.askChanged)
+}
+
+// planLoads gives the free slots, and those that can be freed, to the most urgent
+// adapters and asks for their permits. A busy adapter gives way to work that has
+// waited long. It is drained only after a first grant, which is returned: a drained
+// slot serves nothing, and a held permit keeps other endpoints from loading.
+func (s *Scheduler) planLoads(now time.Time) []Action {
+	var out []Action
+	free := s.cfg.Slots - s.occupied()
+	taken := map[*adapter]bool{}
+	drained := map[*adapter]bool{}
+	keep := map[*adapter]bool{}
+	for _, c := range s.candidates(now) {
+		if len(taken) >= s.cfg.Slots || len(keep) >= s.cfg.Slots {
+			break
+		}
+		v := s.opening(now, c, free, taken)
+		if v == nil && free == 0 {
+			continue
+		}
+		keep[c.st] = true
+		if v == nil {
+			free--
+		} else {
+			taken[v] = true
+			drained[v] = c.st.ask.drain
+			s.setDraining(v, c.st.ask.drain)
+		}
+		if v == nil || v.pins == 0 || !c.st.ask.drain {
+			out = append(out, s.askFor(now, c)...)
+		}
+	}
+	for _, st := range slices.Clone(s.asks) {
+		if !keep[st] {
+			out = append(out, s.withdraw(st)...)
+		}
+	}
+	if s.undrain(drained) {
+		out = append(out, s.startReady(now)...)
+	}
+	return out
+}
+
+// opening returns the adapter that gives way to a candidate, pinned if it must
+// be drained first, or nil.
+func (s *Scheduler) opening(now time.Time, c candidate, free int, taken map[*adapter]bool) *adapter {
+	if free > 0 {
+		return nil
+	}
+	if v := s.victim(now, c, false, taken); v != nil {
+		return v
+	}
+	return s.victim(now, c, true, taken)
+}
+
+// undrain lets drained adapters start work again unless they are still needed.
+// It reports whether there were any.
+func (s *Scheduler) undrain(needed map[*adapter]bool) bool {
+	changed := false
+	for _, st := range s.held() {
+		if st.draining && !needed[st] {
+			s.setDraining(st, false)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// stopLoads ends draining and refuses the work that only a load could serve.
+func (s *Scheduler) stopLoads() []Action {
+	var out []Action
+	s.undrain(nil)
+	for _, st := range slices.Clone(s.asks) {
+		out = append(out, s.withdraw(st)...)
+	}
+	if len(s.wanted) == 0 {
+		return out
+	}
+	for _, a := range slices.SortedFunc(maps.Keys(s.wanted), compareAdapters) {
+		out = append(out, s.refuseAll(a, fescuev1.NotRunReason_NOT_RUN_REASON_NO_AUTHORITY)...)
+	}
+	clear(s.wanted)
+	return out
+}
+
+// beginLoad orders the load of an adapter, after an unload if no slot is free. It
+// returns nil if there is no slot for it.
+func (s *Scheduler) beginLoad(now time.Time, st *adapter) []Action {
+	c, ok := s.candidate(now, st)
+	if !ok || !s.canLoad || !s.known || st.state != stateAbsent {
+		return nil
+	}
+	if s.occupied() < s.cfg.Slots {
+		s.setState(st, stateLoading)
+		return []Action{s.orderLoad(now, st)}
+	}
+	v := s.victim(now, c, false, nil)
+	if v == nil {
+		return nil
+	}
+	for _, it := range s.queue.Items(v.name) {
+		it.Value.stall = true
+	}
+	s.setState(v, stateUnloading)
+	s.setState(st, stateLoading)
+	st.victim = v.name
+	st.ask.sent = now
+	return []Action{s.command(v, Unload)}
+}
+
+func (s *Scheduler) orderLoad(now time.Time, st *adapter) Action {
+	s.teamLoaded[st.name.Team] = now
+	st.began = now
+	st.ask.sent = now
+	return s.command(st, Load)
+}
+
+// LoadDone marks an adapter as resident. Results of earlier commands are ignored.
+func (s *Scheduler) LoadDone(now time.Time, a ident.Adapter, id CommandID) []Action {
+	st := s.commanded(a, id)
+	if st == nil {
+		return nil
+	}
+	took := now.Sub(st.began)
+	s.loads.add(now, took)
+	st.loadTime = took
+	st.failures = 0
+	st.lastUsed, st.loaded = now, now
+	s.setState(st, stateResident)
+	st.fresh = true
+	return append([]Action{{Kind: ReleasePermit, Adapter: a, Loaded: true}}, s.schedule(now)...)
+}
+
+// LoadFailed refuses all attempts that wait for the adapter and delays its next
+// load. Results of earlier commands are ignored.
+func (s *Scheduler) LoadFailed(now time.Time, a ident.Adapter, id CommandID) []Action {
+	st := s.commanded(a, id)
+	if st == nil {
+		return nil
+	}
+	s.setState(st, stateAbsent)
+	st.retryAt = now.Add(s.backoff(st.failures))
+	st.failures++
+	out := []Action{{Kind: ReleasePermit, Adapter: a}}
+	out = append(out, s.refuseAll(a, fescuev1.NotRunReason_NOT_RUN_REASON_LOAD_FAILED)...)
+	return append(out, s.schedule(now)...)
+}
+
+func (s *Scheduler) backoff(failures int) time.Duration {
+	d := s.cfg.BackoffMin
+	for range failures {
+		if d >= s.cfg.BackoffMax {
+			return s.cfg.BackoffMax
+		}
+		d *= 2
+	}
+	return min(d, s.cfg.BackoffMax)
+}
+
+// UnloadDone ends an unload command. On failure the adapter stays resident and
+// the load that needed its slot is planned anew. Results of earlier commands are
+// ignored.
+func (s *Scheduler) UnloadDone(now time.Time, a ident.Adapter, id CommandID, ok bool) []Action {
+	v := s.commanded(a, id)
+	if v == nil {
+		return nil
+	}
+	next := s.waitsFor(a)
+	if ok {
+		s.setState(v, stateAbsent)
+	} else {
+		s.setState(v, stateResident)
+		v.retryAt = now.Add(s.cfg.BackoffMin)
+	}
+	var out []Action
+	if next != nil {
+		out = s.continueLoad(now, next, ok)
+	}
+	return append(out, s.schedule(now)...)
+}
+
+// continueLoad orders the load whose slot has been freed.
+func (s *Scheduler) continueLoad(now time.Time, st *adapter, freed bool) []Action {
+	st.victim = ident.Adapter{}
+	_, n, _ := s.queue.Waiting(st.name)
+	if freed && s.canLoad && n > 0 {
+		return []Action{s.orderLoad(now, st)}
+	}
+	s.setState(st, stateAbsent)
+	return []Action{{Kind: ReleasePermit, Adapter: st.name}}
+}
+
+func (s *Scheduler) waitsFor(victim ident.Adapter) *adapter {
+	for _, st := range s.slots {
+		if st.state == stateLoading && st.victim == victim {
+			return st
+		}
+	}
+	return nil
+}
+
+// commanded returns the adapter whose running command has the given id, or nil.
+func (s *Scheduler) commanded(a ident.Adapter, id CommandID) *adapter {
+	st := s.adapters[a]
+	if st == nil || id == 0 || st.command != id {
+		return nil
+	}
+	return st
+}
+
+// Quiet returns the number of commands so far and whether none is running. It
+// frames a reading of the engine's state for Reconcile.
+func (s *Scheduler) Quiet() (CommandID, bool) {
+	for _, st := range s.slots {
+		if st.state != stateResident {
+			return s.commands, false
+		}
+	}
+	return s.commands, true
+}
+
+// Reconcile adopts the resident adapters that the engine reports, if no command
+// has been given since before the reading. A command whose reply was lost may
+// have taken effect.
+func (s *Scheduler) Reconcile(now time.Time, before CommandID, residents []ident.Adapter) []Action {
+	if n, quiet := s.Quiet(); !quiet || n != before || !s.known {
+		return nil
+	}
+	for _, st := range s.held() {
+		if st.pins == 0 && !slices.Contains(residents, st.name) {
+			s.setState(st, stateAbsent)
+		}
+	}
+	for _, a := range residents {
+		if st := s.adapter(now, a); st.state == stateAbsent && len(s.slots) < s.cfg.Slots {
+			s.setState(st, stateResident)
+			st.lastUsed = now
+		}
+	}
+	return s.schedule(now)
+}
--- /dev/null
+++ b/pkg/scheduler/queue.go
@@ -0,0 +1,139 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/invariant"
+)
+
+// Submit queues an attempt or refuses it at once.
+func (s *Scheduler) Submit(now time.Time, w Work) []Action {
+	if reason := s.refusal(now, w); reason != 0 {
+		return []Action{{Kind: Refuse, ID: w.ID, Adapter: w.Adapter, Reason: reason}}
+	}
+	var out []Action
+	if s.queue.Len() >= s.cfg.MaxQueued {
+		it := s.queue.Displace(w.Team, w.Weight)
+		if it == nil {
+			return []Action{{Kind: Refuse, ID: w.ID, Adapter: w.Adapter, Reason: fescuev1.NotRunReason_NOT_RUN_REASON_QUEUE_FULL}}
+		}
+		out = append(out, s.refuse(it, fescuev1.NotRunReason_NOT_RUN_REASON_QUEUE_FULL))
+	}
+	s.enqueue(now, w)
+	return append(out, s.schedule(now)...)
+}
+
+// refusal returns the reason to refuse an attempt before it is queued, or zero.
+func (s *Scheduler) refusal(now time.Time, w Work) fescuev1.NotRunReason {
+	if s.leaving {
+		return fescuev1.NotRunReason_NOT_RUN_REASON_LEAVING
+	}
+	if !now.Before(w.Deadline) {
+		return fescuev1.NotRunReason_NOT_RUN_REASON_DEADLINE
+	}
+	if w.Adapter.IsZero() || !s.known {
+		return 0
+	}
+	st := s.adapters[w.Adapter]
+	if st != nil && (st.state == stateResident || st.state == stateLoading) {
+		return 0
+	}
+	if !s.canLoad {
+		return fescuev1.NotRunReason_NOT_RUN_REASON_NO_AUTHORITY
+	}
+	if st != nil && st.failures > 0 && now.Before(st.retryAt) {
+		return fescuev1.NotRunReason_NOT_RUN_REASON_LOAD_FAILED
+	}
+	if !now.Add(s.expectedLoad(now, st)).Before(w.Deadline) {
+		return fescuev1.NotRunReason_NOT_RUN_REASON_DEADLINE
+	}
+	return 0
+}
+
+func (s *Scheduler) expectedLoad(now time.Time, st *adapter) time.Duration {
+	shortest := s.loads.shortest(now)
+	if shortest > 0 && st != nil && st.loadTime > 0 {
+		return min(shortest, st.loadTime)
+	}
+	return shortest
+}
+
+func (s *Scheduler) enqueue(now time.Time, w Work) {
+	invariant.Check(!s.leaving, invariant.NoWorkAfterLeaving, "submit of %v", w.ID)
+	_, twice := s.items[w.ID]
+	invariant.Check(!twice, invariant.AtMostOneRun, "second submit of %v", w.ID)
+	q := &queued{work: w, since: now}
+	it := &item{Team: w.Team, Class: w.Priority, Weight: w.Weight, Cost: w.Cost, Lane: w.Adapter, Value: q}
+	if !w.Adapter.IsZero() {
+		st := s.adapter(now, w.Adapter)
+		st.touch(now)
+		q.stall = st.state != stateResident
+		if st.state == stateAbsent {
+			s.wanted[w.Adapter] = st
+		}
+	}
+	s.items[w.ID] = it
+	s.queue.Push(it)
+	if s.deadline.IsZero() || w.Deadline.Before(s.deadline) {
+		s.deadline = w.Deadline
+	}
+	invariant.Check(s.queue.Len() == len(s.items), invariant.QueueAccounting, "%d queued, %d indexed", s.queue.Len(), len(s.items))
+}
+
+func (s *Scheduler) refuse(it *item, reason fescuev1.NotRunReason) Action {
+	id := it.Value.work.ID
+	s.queue.Remove(it)
+	delete(s.items, id)
+	return Action{Kind: Refuse, ID: id, Adapter: it.Lane, Reason: reason}
+}
+
+// refuseAll refuses all queued attempts for an adapter.
+func (s *Scheduler) refuseAll(a ident.Adapter, reason fescuev1.NotRunReason) []Action {
+	var out []Action
+	for _, it := range s.queue.Items(a) {
+		out = append(out, s.refuse(it, reason))
+	}
+	return out
+}
+
+// Revoke removes a queued attempt. It reports false if the attempt is not queued.
+func (s *Scheduler) Revoke(now time.Time, id ident.AttemptID) ([]Action, bool) {
+	it := s.items[id]
+	if it == nil {
+		return nil, false
+	}
+	out := []Action{s.refuse(it, fescuev1.NotRunReason_NOT_RUN_REASON_REVOKED)}
+	return append(out, s.schedule(now)...), true
+}
+
+// expire refuses queued attempts whose deadline has passed. It scans the queue
+// only when the earliest deadline has passed.
+func (s *Scheduler) expire(now time.Time) []Action {
+	if s.deadline.IsZero() || now.Before(s.deadline) {
+		return nil
+	}
+	s.deadline = time.Time{}
+	var late []*item
+	for _, it := range s.items {
+		d := it.Value.work.Deadline
+		if !now.Before(d) {
+			late = append(late, it)
+		} else if s.deadline.IsZero() || d.Before(s.deadline) {
+			s.deadline = d
+		}
+	}
+	slices.SortFunc(late, func(a, b *item) int { return compareIDs(a.Value.work.ID, b.Value.work.ID) })
+	out := make([]Action, 0, len(late))
+	for _, it := range late {
+		out = append(out, s.refuse(it, fescuev1.NotRunReason_NOT_RUN_REASON_DEADLINE))
+	}
+	return out
+}
+
+func compareIDs(a, b ident.AttemptID) int {
+	return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Attempt, b.Attempt))
+}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/fairqueue"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/invariant"
 )
@@ -19,7 +20,9 @@
 	Adapter  ident.Adapter
 	Priority ident.Priority
 	// Weight is the scheduling weight of the team, at least 1.
-	Weight   int
+	Weight int
+	// Cost is the charge against the share of the team, 1 if zero.
+	Cost     int
 	Deadline time.Time
 }
 
@@ -42,11 +45,17 @@
 	ReleasePermit
 )
 
+// CommandID names one load or unload command. The result of a command carries
+// it, so that results from before an engine restart are recognised.
+type CommandID uint64
+
 // Action is one decision to carry out.
 type Action struct {
 	Kind    ActionKind
 	ID      ident.AttemptID
 	Adapter ident.Adapter
+	// Command is set with Load and Unload.
+	Command CommandID
 	Reason  fescuev1.NotRunReason
 	// Stall is the time the attempt waited for its adapter, set with Start.
 	Stall time.Duration
@@ -55,31 +64,10 @@
 	Waiting  int
 	Waited   time.Duration
 	Priority ident.Priority
-}
-
-// Config are the limits of a scheduler.
-type Config struct {
-	// Slots is the number of adapters the engine can hold.
-	Slots int
-	// Positions is the number of attempts that run at once.
-	Positions int
-	// MaxQueued bounds the queue.
-	MaxQueued int
-}
-
-type slotState uint8
-
-const (
-	slotWanted slotState = iota + 1
-	slotLoading
-	slotResident
-	slotUnloading
-)
-
-type slot struct {
-	state    slotState
-	pins     int
-	lastUsed time.Time
+	// Loading states that the load is already running, set with RequestPermit.
+	Loading bool
+	// Loaded states that the load has succeeded, set with ReleasePermit.
+	Loaded bool
 }
 
 type queued struct {
@@ -88,29 +76,94 @@
 	stall bool
 }
 
+// item is a queued attempt. Its lane is its adapter.
+type item = fairqueue.Item[ident.Adapter, *queued]
+
 // Scheduler holds the state of one endpoint.
 type Scheduler struct {
 	cfg     Config
-	slots   map[ident.Adapter]*slot
-	queue   []*queued
-	running map[ident.AttemptID]ident.Adapter
-	canLoad bool
-	leaving bool
+	evictor Evictor
+	// known is false until the state of the engine has been read.
+	known    bool
+	canLoad  bool
+	leaving  bool
+	queue    *fairqueue.Queue[ident.Adapter, *queued]
+	items    map[ident.AttemptID]*item
+	running  map[ident.AttemptID]ident.Adapter
+	adapters map[ident.Adapter]*adapter
+	// teamLoaded is the time of the last load for each team with demand.
+	teamLoaded map[ident.Team]time.Time
+	// slots are the adapters that hold a slot.
+	slots map[ident.Adapter]*adapter
+	// wanted are the absent adapters that may have queued work.
+	wanted map[ident.Adapter]*adapter
+	// asks are the adapters for which a permit is requested, at most one per slot.
+	asks     []*adapter
+	commands CommandID
+	// deadline is the earliest deadline in the queue, or zero if unknown.
+	deadline time.Time
+	loads    loadTimes
+	fallback fallback
+	cleaned  time.Time
+	view     residentView
 }
 
-// New returns a scheduler with an empty engine and without authority to load.
+// New returns a scheduler that does not know the engine's state and has no
+// authority to load. Work is queued until SetResidents is called; a scheduler
+// without slots serves work without adapters at once.
 func New(cfg Config) *Scheduler {
-	return &Scheduler{cfg: cfg, slots: map[ident.Adapter]*slot{}, running: map[ident.AttemptID]ident.Adapter{}}
+	cfg = cfg.withDefaults()
+	s := &Scheduler{
+		cfg:        cfg,
+		evictor:    cfg.Evictor,
+		known:      cfg.Slots == 0,
+		queue:      fairqueue.New[ident.Adapter, *queued](fairqueue.Config{Floor: cfg.Floor}),
+		items:      map[ident.AttemptID]*item{},
+		running:    map[ident.AttemptID]ident.Adapter{},
+		adapters:   map[ident.Adapter]*adapter{},
+		slots:      map[ident.Adapter]*adapter{},
+		teamLoaded: map[ident.Team]time.Time{},
+		wanted:     map[ident.Adapter]*adapter{},
+	}
+	s.queue.SetReady(ident.Adapter{}, true)
+	return s
 }
 
-// SetResidents replaces the set of resident adapters after the engine's state
-// has been read.
+// ApplyConfig replaces the weights of load stalls and batch efficiency.
+func (s *Scheduler) ApplyConfig(stallWeight, batchWeight float64) {
+	s.cfg.StallWeight, s.cfg.BatchWeight = stallWeight, batchWeight
+}
+
+// SetCapacity sets the slots and positions of a restarted engine. It must be
+// followed by EngineRestarted.
+func (s *Scheduler) SetCapacity(slots, positions int) {
+	s.cfg.Slots, s.cfg.Positions = slots, positions
+}
+
+// SetResidents sets the resident adapters after the engine's state has been
+// read for the first time.
 func (s *Scheduler) SetResidents(now time.Time, residents []ident.Adapter) []Action {
-	s.slots = map[ident.Adapter]*slot{}
+	return s.EngineRestarted(now, residents)
+}
+
+// EngineRestarted replaces the set of resident adapters. The results of earlier
+// commands are ignored. Attempts that were started stay pinned until RunDone:
+// they may have reached the new engine before its restart was noticed.
+func (s *Scheduler) EngineRestarted(now time.Time, residents []ident.Adapter) []Action {
+	var out []Action
+	for _, st := range s.held() {
+		if st.state == stateLoading {
+			out = append(out, Action{Kind: ReleasePermit, Adapter: st.name})
+		}
+		s.setState(st, stateAbsent)
+	}
+	s.known = true
 	for _, a := range residents {
-		s.slots[a] = &slot{state: slotResident, lastUsed: now}
+		st := s.adapter(now, a)
+		s.setState(st, stateResident)
+		st.lastUsed = now
 	}
-	return s.schedule(now)
+	return append(out, s.schedule(now)...)
 }
 
 // SetAuthority states whether load and unload commands may be given.
@@ -122,30 +175,6 @@
 // Leave stops the acceptance of new work. Queued work still runs.
 func (s *Scheduler) Leave() { s.leaving = true }
 
-// Submit queues an attempt.
-func (s *Scheduler) Submit(now time.Time, w Work) []Action {
-	if s.leaving {
-		return []Action{{Kind: Refuse, ID: w.ID, Reason: fescuev1.NotRunReason_NOT_RUN_REASON_LEAVING}}
-	}
-	if len(s.queue) >= s.cfg.MaxQueued {
-		return []Action{{Kind: Refuse, ID: w.ID, Reason: fescuev1.NotRunReason_NOT_RUN_REASON_QUEUE_FULL}}
-	}
-	s.queue = append(s.queue, &queued{work: w, since: now})
-	return s.schedule(now)
-}
-
-// Revoke removes a queued attempt. It reports false if the attempt is not queued.
-func (s *Scheduler) Revoke(now time.Time, id ident.AttemptID) ([]Action, bool) {
-	for i, q := range s.queue {
-		if q.work.ID == id {
-			s.queue = append(s.queue[:i], s.queue[i+1:]...)
-			refuse := Action{Kind: Refuse, ID: id, Reason: fescuev1.NotRunReason_NOT_RUN_REASON_REVOKED}
-			return append([]Action{refuse}, s.schedule(now)...), true
-		}
-	}
-	return nil, false
-}
-
 // RunDone ends a started attempt and unpins its adapter.
 func (s *Scheduler) RunDone(now time.Time, id ident.AttemptID) []Action {
 	a, ok := s.running[id]
@@ -153,190 +182,76 @@
 		return nil
 	}
 	delete(s.running, id)
-	if sl := s.slots[a]; sl != nil && sl.pins > 0 {
-		sl.pins--
-		sl.lastUsed = now
+	if st := s.adapters[a]; st != nil {
+		st.pins--
+		st.lastUsed = now
+		invariant.Check(st.pins >= 0, invariant.ZeroPinsAtEviction, "%s has %d pins", a, st.pins)
 	}
 	return s.schedule(now)
 }
 
-// PermitGranted allows the load of an adapter.
-func (s *Scheduler) PermitGranted(now time.Time, a ident.Adapter) []Action {
-	sl := s.slots[a]
-	if sl == nil || sl.state != slotWanted || !s.canLoad {
-		return []Action{{Kind: ReleasePermit, Adapter: a}}
-	}
-	sl.state = slotLoading
-	if s.occupied() <= s.cfg.Slots {
-		return []Action{{Kind: Load, Adapter: a}}
-	}
-	victim, ok := s.victim()
-	if !ok {
-		delete(s.slots, a)
-		return append([]Action{{Kind: ReleasePermit, Adapter: a}}, s.schedule(now)...)
-	}
-	v := s.slots[victim]
-	invariant.Check(v.pins == 0, invariant.ZeroPinsAtEviction, "evict %s with %d pins", victim, v.pins)
-	v.state = slotUnloading
-	return []Action{{Kind: Unload, Adapter: victim}}
-}
-
-// occupied counts the slots that hold or are getting an adapter.
-func (s *Scheduler) occupied() int {
-	n := 0
-	for _, sl := range s.slots {
-		if sl.state != slotWanted {
-			n++
-		}
-	}
-	return n
-}
-
-func (s *Scheduler) victim() (ident.Adapter, bool) {
-	var best ident.Adapter
-	var found bool
-	for a, sl := range s.slots {
-		if sl.state != slotResident || sl.pins > 0 {
-			continue
-		}
-		if !found || sl.lastUsed.Before(s.slots[best].lastUsed) {
-			best, found = a, true
-		}
-	}
-	return best, found
-}
-
-// UnloadDone ends an unload command. On failure the adapter stays resident.
-func (s *Scheduler) UnloadDone(now time.Time, a ident.Adapter, ok bool) []Action {
-	if sl := s.slots[a]; sl != nil && sl.state == slotUnloading {
-		if ok {
-			delete(s.slots, a)
-		} else {
-			sl.state = slotResident
-		}
+// Tick refuses attempts whose deadline has passed, repeats permit requests and
+// loads without a permit if the coordinator does not answer.
+func (s *Scheduler) Tick(now time.Time) []Action {
+	out := s.expire(now)
+	if !s.known {
+		return out
 	}
-	var out []Action
-	for b, sl := range s.slots {
-		if sl.state != slotLoading || sl.pins < 0 {
-			continue
-		}
-		if ok {
-			out = append(out, Action{Kind: Load, Adapter: b})
-			break
-		}
+	out = append(out, s.startReady(now)...)
+	if s.canLoad {
+		out = append(out, s.planLoads(now)...)
+		out = append(out, s.repeatRequests(now)...)
+		out = append(out, s.loadWithoutPermit(now)...)
 	}
-	return append(out, s.schedule(now)...)
+	s.clean(now)
+	return out
 }
 
-// LoadDone marks an adapter as resident.
-func (s *Scheduler) LoadDone(now time.Time, a ident.Adapter) []Action {
-	sl := s.slots[a]
-	if sl == nil {
+// schedule starts what can start, then asks for the loads that are needed.
+func (s *Scheduler) schedule(now time.Time) []Action {
+	if !s.known {
 		return nil
 	}
-	sl.state = slotResident
-	sl.lastUsed = now
-	return append([]Action{{Kind: ReleasePermit, Adapter: a}}, s.schedule(now)...)
-}
-
-// LoadFailed refuses all attempts that wait for the adapter.
-func (s *Scheduler) LoadFailed(now time.Time, a ident.Adapter) []Action {
-	delete(s.slots, a)
-	out := []Action{{Kind: ReleasePermit, Adapter: a}}
-	kept := s.queue[:0]
-	for _, q := range s.queue {
-		if q.work.Adapter != a {
-			kept = append(kept, q)
-			continue
-		}
-		out = append(out, Action{Kind: Refuse, ID: q.work.ID, Reason: fescuev1.NotRunReason_NOT_RUN_REASON_LOAD_FAILED})
+	if !s.canLoad {
+		out := s.stopLoads()
+		return append(out, s.startReady(now)...)
 	}
-	s.queue = kept
-	return append(out, s.schedule(now)...)
-}
-
-// Tick refuses attempts whose deadline has passed and repeats permit requests.
-func (s *Scheduler) Tick(now time.Time) []Action {
-	var out []Action
-	kept := s.queue[:0]
-	for _, q := range s.queue {
-		if now.Before(q.work.Deadline) {
-			kept = append(kept, q)
-			continue
-		}
-		out = append(out, Action{Kind: Refuse, ID: q.work.ID, Reason: fescuev1.NotRunReason_NOT_RUN_REASON_DEADLINE})
+	out := s.startReady(now)
+	if s.planDue() {
+		out = append(out, s.planLoads(now)...)
 	}
-	s.queue = kept
-	return append(out, s.schedule(now)...)
+	return out
 }
 
-func (s *Scheduler) schedule(now time.Time) []Action {
+func (s *Scheduler) startReady(now time.Time) []Action {
 	var out []Action
-	kept := s.queue[:0]
-	for _, q := range s.queue {
-		switch {
-		case len(s.running) >= s.cfg.Positions:
-			kept = append(kept, q)
-		case q.work.Adapter.IsZero():
-			out = append(out, s.start(now, q))
-		case s.resident(q.work.Adapter):
-			out = append(out, s.start(now, q))
-		case s.slots[q.work.Adapter] == nil && !s.canLoad:
-			out = append(out, Action{Kind: Refuse, ID: q.work.ID, Reason: fescuev1.NotRunReason_NOT_RUN_REASON_NO_AUTHORITY})
-		default:
-			out = append(out, s.want(now, q)...)
-			kept = append(kept, q)
+	for len(s.running) < s.cfg.Positions {
+		it := s.queue.Next()
+		if it == nil {
+			break
 		}
+		out = append(out, s.start(now, it))
 	}
-	s.queue = kept
 	return out
 }
 
-func (s *Scheduler) resident(a ident.Adapter) bool {
-	sl := s.slots[a]
-	return sl != nil && sl.state == slotResident
-}
-
-func (s *Scheduler) start(now time.Time, q *queued) Action {
-	s.running[q.work.ID] = q.work.Adapter
-	if sl := s.slots[q.work.Adapter]; sl != nil {
-		sl.pins++
+func (s *Scheduler) start(now time.Time, it *item) Action {
+	w := it.Value.work
+	_, twice := s.running[w.ID]
+	invariant.Check(!twice, invariant.AtMostOneRun, "second start of %v", w.ID)
+	delete(s.items, w.ID)
+	s.running[w.ID] = w.Adapter
+	act := Action{Kind: Start, ID: w.ID, Adapter: w.Adapter}
+	if w.Adapter.IsZero() {
+		return act
 	}
-	act := Action{Kind: Start, ID: q.work.ID, Adapter: q.work.Adapter}
-	if q.stall {
-		act.Stall = now.Sub(q.since)
+	st := s.adapter(now, w.Adapter)
+	invariant.Check(st.state == stateResident, invariant.RightAdapter, "start on %s in state %d", w.Adapter, st.state)
+	st.pins++
+	st.fresh = false
+	st.lastUsed = now
+	if it.Value.stall {
+		act.Stall = now.Sub(it.Value.since)
 	}
 	return act
 }
-
-// want records that an adapter is needed and asks for a permit once.
-func (s *Scheduler) want(now time.Time, q *queued) []Action {
-	q.stall = true
-	if s.slots[q.work.Adapter] != nil {
-		return nil
-	}
-	s.slots[q.work.Adapter] = &slot{state: slotWanted}
-	return []Action{{Kind: RequestPermit, Adapter: q.work.Adapter, Waiting: 1, Waited: now.Sub(q.since), Priority: q.work.Priority}}
-}
-
-// Stats is a summary for reports.
-type Stats struct {
-	Running   int
-	Queued    int
-	Residents []ident.Adapter
-	Loading   []ident.Adapter
-}
-
-// Stats returns the current summary.
-func (s *Scheduler) Stats() Stats {
-	st := Stats{Running: len(s.running), Queued: len(s.queue)}
-	for a, sl := range s.slots {
-		if sl.state == slotResident {
-			st.Residents = append(st.Residents, a)
-		}
-		if sl.state == slotWanted || sl.state == slotLoading {
-			st.Loading = append(st.Loading, a)
-		}
-	}
-	return st
-}
--- /dev/null
+++ b/pkg/scheduler/slots.go
@@ -0,0 +1,225 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/invariant"
+)
+
+// Parameters of the demand estimate and of the clean-up.
+const (
+	// rateHalfLife is the time in which the weight of an earlier demand halves.
+	rateHalfLife = 5 * time.Minute
+	// forgottenRate is the demand below which an absent adapter is forgotten.
+	forgottenRate = 0.05
+	cleanInterval = 10 * time.Second
+	// loadTimeMemory is how long a measured load time is used for the estimate, so
+	// that one slow period does not refuse work for ever.
+	loadTimeMemory = time.Minute
+	loadTimeCount  = 8
+)
+
+type state uint8
+
+const (
+	stateAbsent state = iota
+	// stateLoading holds a slot: its load command or the unload before it runs.
+	stateLoading
+	stateResident
+	stateUnloading
+)
+
+// adapter is what the scheduler knows about one adapter.
+type adapter struct {
+	name     ident.Adapter
+	state    state
+	pins     int
+	lastUsed time.Time
+	// command is the running command for this adapter.
+	command CommandID
+	// victim is the adapter whose unload precedes the load of this one.
+	victim ident.Adapter
+	// draining adapters start no more work, so that their pins end.
+	draining bool
+	// rate is the demand, decayed up to rateAt.
+	rate     float64
+	rateAt   time.Time
+	loadTime time.Duration
+	began    time.Time
+	loaded   time.Time
+	// fresh adapters have started no attempt since their load. They are not evicted
+	// while work waits for them, or the load would be wasted.
+	fresh    bool
+	failures int
+	// retryAt is the earliest time of the next load or unload command.
+	retryAt time.Time
+	ask     ask
+}
+
+func (s *Scheduler) adapter(now time.Time, a ident.Adapter) *adapter {
+	st := s.adapters[a]
+	if st == nil {
+		st = &adapter{name: a, rateAt: now}
+		s.adapters[a] = st
+	}
+	return st
+}
+
+// setState moves an adapter to another state and keeps the slots, the ready
+// lanes and the report view in step.
+func (s *Scheduler) setState(st *adapter, to state) {
+	s.dropAsk(st)
+	st.state = to
+	st.command = 0
+	st.victim = ident.Adapter{}
+	st.draining = false
+	st.fresh = false
+	if to == stateAbsent {
+		delete(s.slots, st.name)
+		s.wanted[st.name] = st
+	} else {
+		s.slots[st.name] = st
+		delete(s.wanted, st.name)
+	}
+	s.queue.SetReady(st.name, to == stateResident)
+	s.view.stale = true
+}
+
+func (s *Scheduler) setDraining(st *adapter, draining bool) {
+	if st.draining == draining {
+		return
+	}
+	st.draining = draining
+	s.queue.SetReady(st.name, !draining)
+}
+
+// occupied counts the slots in use. An adapter that waits for the unload of
+// another one shares its slot.
+func (s *Scheduler) occupied() int {
+	n := len(s.slots)
+	for _, st := range s.slots {
+		if st.state == stateLoading && !st.victim.IsZero() {
+			n--
+		}
+	}
+	return n
+}
+
+// held returns the adapters that hold a slot in a fixed order.
+func (s *Scheduler) held() []*adapter {
+	return slices.SortedFunc(maps.Values(s.slots), func(a, b *adapter) int { return compareAdapters(a.name, b.name) })
+}
+
+func compareAdapters(a, b ident.Adapter) int {
+	return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Version, b.Version))
+}
+
+// touch counts one more request for the adapter.
+func (st *adapter) touch(now time.Time) {
+	st.rate = st.decayed(now) + 1
+	st.rateAt = now
+}
+
+func (st *adapter) decayed(now time.Time) float64 {
+	return st.rate * math.Exp2(-float64(now.Sub(st.rateAt))/float64(rateHalfLife))
+}
+
+// clean forgets absent adapters without work and demand.
+func (s *Scheduler) clean(now time.Time) {
+	if now.Sub(s.cleaned) < cleanInterval {
+		return
+	}
+	s.cleaned = now
+	maps.DeleteFunc(s.teamLoaded, func(_ ident.Team, at time.Time) bool { return now.Sub(at) > rateHalfLife })
+	for a, st := range s.adapters {
+		if st.state != stateAbsent || st.pins > 0 || st.ask.asked || now.Before(st.retryAt) {
+			continue
+		}
+		if _, n, _ := s.queue.Waiting(a); n == 0 && st.decayed(now) < forgottenRate {
+			delete(s.adapters, a)
+			delete(s.wanted, a)
+		}
+	}
+}
+
+// command checks the invariants of a command and numbers it.
+func (s *Scheduler) command(st *adapter, kind ActionKind) Action {
+	invariant.Check(s.canLoad && s.known, invariant.OrderNeedsAuthority, "command for %s", st.name)
+	if kind == Unload {
+		invariant.Check(st.pins == 0, invariant.ZeroPinsAtEviction, "evict %s with %d pins", st.name, st.pins)
+	}
+	invariant.Check(s.occupied() <= s.cfg.Slots, invariant.SlotsWithinCapacity, "%d of %d slots used", s.occupied(), s.cfg.Slots)
+	s.commands++
+	st.command = s.commands
+	return Action{Kind: kind, Adapter: st.name, Command: st.command}
+}
+
+// loadTimes estimates the shortest time that a load takes at present.
+type loadTimes struct {
+	took [loadTimeCount]time.Duration
+	at   [loadTimeCount]time.Time
+	next int
+}
+
+func (l *loadTimes) add(now time.Time, took time.Duration) {
+	l.took[l.next], l.at[l.next] = took, now
+	l.next = (l.next + 1) % loadTimeCount
+}
+
+// shortest returns the shortest of the recent load times, or zero if none is
+// known. It errs on the side of accepting work.
+func (l *loadTimes) shortest(now time.Time) time.Duration {
+	var best time.Duration
+	for i, took := range l.took {
+		if took > 0 && now.Sub(l.at[i]) < loadTimeMemory && (best == 0 || took < best) {
+			best = took
+		}
+	}
+	return best
+}
+
+// Stats is a summary for reports. The slices must not be changed.
+type Stats struct {
+	Running   int
+	Queued    int
+	Residents []ident.Adapter
+	// Loading are the adapters that are loading or waiting for a permit.
+	Loading []ident.Adapter
+}
+
+// residentView caches the sorted adapter lists between changes.
+type residentView struct {
+	stale     bool
+	residents []ident.Adapter
+	loading   []ident.Adapter
+}
+
+// Stats returns the current summary.
+func (s *Scheduler) Stats() Stats {
+	if s.view.stale {
+		s.view = s.buildView()
+	}
+	return Stats{Running: len(s.running), Queued: s.queue.Len(), Residents: s.view.residents, Loading: s.view.loading}
+}
+
+func (s *Scheduler) buildView() residentView {
+	var v residentView
+	for _, st := range s.held() {
+		switch st.state {
+		case stateResident:
+			v.residents = append(v.residents, st.name)
+		case stateLoading:
+			v.loading = append(v.loading, st.name)
+		}
+	}
+	for _, st := range s.asks {
+		v.loading = append(v.loading, st.name)
+	}
+	slices.SortFunc(v.loading, compareAdapters)
+	return v
+}
