Test the endpoint's drain, ended streams and reports

Cause: Drain, the end of streams and reports without unchanged fields had no test. The reports of all streams were built again on every event. Change: Tests with a fake engine over real connections, a property test of the reports against the directory, and a starvation test with many busy adapters. Streams are woken only by changes that are to be reported at once. Conclusion: A stop interrupts no run, and the directory agrees with the endpoint.

--- a/pkg/endpoint/control.go
+++ b/pkg/endpoint/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -64,11 +65,22 @@
 	limits  scheduler.Config
 	ready   bool
 	canLoad bool
+	leaving bool
+	bundle  ident.BundleVersion
 	// commands is the number of engine commands so far, quiet states that none runs.
 	commands scheduler.CommandID
 	quiet    bool
 }
 
+// urgent reports whether a change is to be reported at once. Load figures wait for
+// the next look of the report goroutines.
+func (s *snapshot) urgent(next *snapshot) bool {
+	if s.ready != next.ready || s.canLoad != next.canLoad || s.leaving != next.leaving || s.bundle != next.bundle {
+		return true
+	}
+	return !slices.Equal(s.stats.Residents, next.stats.Residents) || !slices.Equal(s.stats.Loading, next.stats.Loading)
+}
+
 func newControl(e *Endpoint) *control {
 	c := &control{
 		e:       e,
@@ -116,13 +128,14 @@
 }
 
 func (c *control) publish() {
-	s := &snapshot{limits: c.limits, ready: c.synced, canLoad: c.canLoad}
+	s := &snapshot{limits: c.limits, ready: c.synced, canLoad: c.canLoad, leaving: c.e.leaving.Load(), bundle: c.e.bundles.Version()}
 	if c.sched != nil {
 		s.stats = c.sched.Stats()
 		s.commands, s.quiet = c.sched.Quiet()
 	}
-	c.snapshot.Store(s)
-	c.e.hub.notify()
+	if prev := c.snapshot.Swap(s); prev == nil || prev.urgent(s) {
+		c.e.hub.notify()
+	}
 	if len(c.waiters) == 0 && s.stats.Running == 0 && s.stats.Queued == 0 {
 		for _, ch := range c.idleWait {
 			close(ch)
--- /dev/null
+++ b/pkg/endpoint/endpoint_test.go
@@ -0,0 +1,208 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/membership"
+	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+	fakeengine "github.com/fescuecourse/fescuecourse/standin/engine"
+	"github.com/fescuecourse/fescuecourse/standin/weightstore"
+)
+
+// Guards against a directory that differs from the endpoint's state because a
+// report left out a field that had changed.
+func TestDeltaReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, parts := membership.New(), membership.New()
+		adapters := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a/1@1", "a/2@1", "b/1@2"}), 0, 3, rapid.ID[string])
+		var last *fescuev1.Report
+		for step := range rapid.IntRange(1, 20).Draw(t, "reports") {
+			next := &fescuev1.Report{
+				EndpointId: "e", Incarnation: 7, Zone: "z", Kind: fescuev1.EndpointKind_ENDPOINT_KIND_MODEL, Backend: "base",
+				State:            fescuev1.EndpointState(rapid.IntRange(1, 3).Draw(t, "state")),
+				BundleVersion:    rapid.Uint64Range(1, 3).Draw(t, "version"),
+				ClockMs:          uint64(step),
+				PositionsTotal:   rapid.Uint32Range(0, 9).Draw(t, "total"),
+				PositionsUsed:    rapid.Uint32Range(0, 9).Draw(t, "used"),
+				Queued:           rapid.Uint32Range(0, 9).Draw(t, "queued"),
+				SlotsTotal:       rapid.Uint32Range(0, 9).Draw(t, "slots"),
+				ConnectedEntries: rapid.Uint32Range(1, 3).Draw(t, "entries"),
+				CanLoad:          rapid.Bool().Draw(t, "canLoad"),
+				ResidentsChanged: true,
+				Residents:        adapters.Draw(t, "residents"),
+				Loading:          adapters.Draw(t, "loading"),
+			}
+			sent := next
+			if last != nil && rapid.IntRange(0, 9).Draw(t, "newStream") > 0 {
+				sent = delta(last, next)
+			}
+			now := time.Unix(int64(step), 0)
+			whole.Apply(now, next)
+			parts.Apply(now, proto.Clone(sent).(*fescuev1.Report))
+			want, got := *whole.Snapshot().Endpoints[0], *parts.Snapshot().Endpoints[0]
+			want.Load, got.Load = nil, nil
+			if fmt.Sprintf("%+v", want) != fmt.Sprintf("%+v", got) {
+				t.Fatalf("report %d: directory has\n%+v, want\n%+v", step, got, want)
+			}
+			last = next
+		}
+	})
+}
+
+type authority struct{}
+
+func (authority) Token() (uint64, bool) { return 1, true }
+
+// started is an endpoint with a fake engine and one connected entry.
+type started struct {
+	e       *Endpoint
+	engine  *fakeengine.Server
+	client  fescuev1.EndpointClient
+	control grpc.BidiStreamingClient[fescuev1.ControlRequest, fescuev1.ControlResponse]
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+func startEndpoint(t *testing.T) *started {
+	t.Helper()
+	eng := fakeengine.New(fakeengine.Options{
+		BaseModel: "base", Slots: 1, Positions: 4,
+		Timing: fakeengine.Timing{Decode: 20 * time.Millisecond}, Weights: weightstore.New(1000),
+	})
+	backend := httptest.NewServer(eng.Handler())
+	t.Cleanup(backend.Close)
+	b, found := bundle.Parse("test", "[bundle]\nversion = 1\n\n[deployment]\nname = test\nstall_weight = 0.5\nbatch_weight = 0.5\n")
+	assert.NilError(t, found.Err())
+	h := &rollout.Holder{}
+	h.Adopt(b)
+	set := Settings{
+		ID: "e", Zone: "z", Listen: "127.0.0.1:0", Kind: KindModel, Backend: "base", Address: backend.Listener.Addr().String(),
+		MaxQueued: 16, Positions: 4, DrainTimeout: time.Minute, ShareInterval: time.Second,
+	}
+	s := &started{e: New(set, h, authority{}, logging.Nop()), engine: eng, ended: make(chan error, 1)}
+	ctx, stop := context.WithCancel(t.Context())
+	s.stop = stop
+	go func() { s.ended <- s.e.Run(ctx) }()
+	<-s.e.Ready()
+	conn, err := grpc.NewClient(s.e.Addr(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	assert.NilError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	s.client = fescuev1.NewEndpointClient(conn)
+	s.control, err = s.client.Control(t.Context())
+	assert.NilError(t, err)
+	hello := &fescuev1.ControlRequest{Body: &fescuev1.ControlRequest_Hello{Hello: &fescuev1.Hello{EntryId: "entry"}}}
+	assert.NilError(t, s.control.Send(hello))
+	s.await(t, fescuev1.EndpointState_ENDPOINT_STATE_READY)
+	return s
+}
+
+// await reads reports until one has the given state.
+func (s *started) await(t *testing.T, state fescuev1.EndpointState) {
+	t.Helper()
+	for {
+		m, err := s.control.Recv()
+		assert.NilError(t, err)
+		if m.GetReport().GetState() == state {
+			return
+		}
+	}
+}
+
+func (s *started) run(ctx context.Context, t *testing.T, id string, idempotent bool) grpc.ServerStreamingClient[fescuev1.RunFrame] {
+	t.Helper()
+	st, err := s.client.Run(ctx, &fescuev1.RunRequest{
+		Ref: &fescuev1.AttemptRef{RequestId: id, Attempt: 1}, EndpointId: "e", Incarnation: uint64(s.e.Incarnation()),
+		BundleVersion: 1, Team: "a", Idempotent: idempotent, Priority: fescuev1.Priority(ident.PriorityNormal),
+		DeadlineMs: 60000, EndpointClockMs: s.e.clockMS(),
+		Work: &fescuev1.RunRequest_Model{Model: &fescuev1.ModelCall{
+			Path: "/v1/completions", BaseModel: "base", Body: []byte(`{"prompt":"x","max_tokens":30}`),
+		}},
+	})
+	assert.NilError(t, err)
+	return st
+}
+
+// last returns the last frame before the stream ends.
+func last(t *testing.T, st grpc.ServerStreamingClient[fescuev1.RunFrame]) *fescuev1.RunFrame {
+	t.Helper()
+	var f *fescuev1.RunFrame
+	for {
+		next, err := st.Recv()
+		if err != nil {
+			return f
+		}
+		f = next
+	}
+}
+
+func awaitData(t *testing.T, st grpc.ServerStreamingClient[fescuev1.RunFrame]) {
+	t.Helper()
+	for {
+		f, err := st.Recv()
+		assert.NilError(t, err)
+		if f.GetData() != nil {
+			return
+		}
+	}
+}
+
+// Guards against a planned stop that interrupts a run or loses its last frames,
+// against new work after leaving, against entries that are not told, and against
+// an exit before the last run has ended.
+func TestDrain(t *testing.T) {
+	s := startEndpoint(t)
+	st := s.run(t.Context(), t, "r1", false)
+	awaitData(t, st)
+	s.stop()
+	s.await(t, fescuev1.EndpointState_ENDPOINT_STATE_LEAVING)
+	late := last(t, s.run(t.Context(), t, "r2", true))
+	assert.Equal(t, late.GetNotRun().GetReason(), fescuev1.NotRunReason_NOT_RUN_REASON_LEAVING)
+	assert.Equal(t, last(t, st).GetEnd().GetTotal(), uint64(30))
+	assert.NilError(t, <-s.ended)
+	assert.Equal(t, s.engine.Stats().Runs["r2"], 0)
+}
+
+// Guards against a non-idempotent run that is cancelled with its stream, whose
+// result would be unknown, and against an idempotent one that goes on for nobody.
+func TestStreamEnds(t *testing.T) {
+	s := startEndpoint(t)
+	for _, c := range []struct {
+		id         string
+		idempotent bool
+		want       fescuev1.RevokeReply_State
+	}{
+		{"keep", false, fescuev1.RevokeReply_STATE_DONE},
+		{"cancel", true, fescuev1.RevokeReply_STATE_FAILED},
+	} {
+		ctx, cancel := context.WithCancel(t.Context())
+		awaitData(t, s.run(ctx, t, c.id, c.idempotent))
+		cancel()
+		req := &fescuev1.RevokeRequest{Ref: &fescuev1.AttemptRef{RequestId: c.id, Attempt: 1}, Incarnation: uint64(s.e.Incarnation()), EndpointClockMs: s.e.clockMS()}
+		var reply *fescuev1.RevokeReply
+		running := []fescuev1.RevokeReply_State{fescuev1.RevokeReply_STATE_UNSPECIFIED, fescuev1.RevokeReply_STATE_RUNNING}
+		for slices.Contains(running, reply.GetState()) {
+			var err error
+			reply, err = s.client.Revoke(t.Context(), req)
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, reply.GetState(), c.want, c.id)
+		assert.Equal(t, len(reply.GetAnswer()) > 0, !c.idempotent)
+	}
+	s.stop()
+	assert.NilError(t, <-s.ended)
+}
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -354,12 +354,12 @@
 		silent := rapid.Bool().Draw(t, "silentCoordinator")
 		w.restart(nil)
 		w.setAuthority(true)
-		hot := rapid.IntRange(1, 8).Draw(t, "hotAdapters")
+		hot := rapid.OneOf(rapid.IntRange(1, 8), rapid.Just(150)).Draw(t, "hotAdapters")
 		small := Work{Team: "b", Adapter: ident.Adapter{Team: "b", Name: "x", Version: "1"}, Priority: ident.PriorityBatch, Weight: 1, Deadline: w.now.Add(time.Hour)}
 		var id ident.AttemptID
 		for step := range 1300 {
 			for i := range 2 * w.cfg.Positions {
-				a := ident.Adapter{Team: "a", Name: fmt.Sprint(i % hot), Version: "1"}
+				a := ident.Adapter{Team: "a", Name: fmt.Sprint((step*2*w.cfg.Positions + i) % hot), Version: "1"}
 				w.submit(Work{Team: "a", Adapter: a, Priority: ident.PriorityHigh, Weight: 10, Deadline: w.now.Add(time.Hour)})
 			}
 			if step == 100 {
