Keep the held slots in a sorted slice

Cause: Every plan sorted the held adapters again from a map. Change: The scheduler keeps them in a sorted slice that is replaced on change.

--- a/pkg/scheduler/eviction.go
+++ b/pkg/scheduler/eviction.go
@@ -102,7 +102,7 @@
 func (s *Scheduler) victim(now time.Time, c candidate, pinned bool, taken map[*adapter]bool) *adapter {
 	var best *adapter
 	bestTier, lowest := tierNever, tierNever
-	for _, st := range s.held() {
+	for _, st := range s.slots {
 		if st.state != stateResident || now.Before(st.retryAt) {
 			continue
 		}
--- a/pkg/scheduler/loads.go
+++ b/pkg/scheduler/loads.go
@@ -178,7 +178,7 @@
 // It reports whether there were any.
 func (s *Scheduler) undrain(needed map[*adapter]bool) bool {
 	changed := false
-	for _, st := range s.held() {
+	for _, st := range s.slots {
 		if st.draining && !needed[st] {
 			s.setDraining(st, false)
 			changed = true
@@ -347,7 +347,7 @@
 	if n, quiet := s.Quiet(); !quiet || n != before || !s.known {
 		return nil
 	}
-	for _, st := range s.held() {
+	for _, st := range s.slots {
 		if st.pins == 0 && !slices.Contains(residents, st.name) {
 			s.setState(st, stateAbsent)
 		}
--- a/pkg/scheduler/permit.go
+++ b/pkg/scheduler/permit.go
@@ -78,7 +78,7 @@
 		return nil
 	}
 	var out []Action
-	for _, st := range slices.Concat(s.asks, s.held()) {
+	for _, st := range slices.Concat(s.asks, s.slots) {
 		out = append(out, s.repeat(now, st)...)
 	}
 	return out
@@ -87,7 +87,7 @@
 // repeatRequests repeats requests without an answer and reports running loads.
 func (s *Scheduler) repeatRequests(now time.Time) []Action {
 	var out []Action
-	for _, st := range slices.Concat(s.asks, s.held()) {
+	for _, st := range slices.Concat(s.asks, s.slots) {
 		if now.Sub(st.ask.sent) >= s.cfg.PermitRetry {
 			out = append(out, s.repeat(now, st)...)
 		}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -93,8 +93,9 @@
 	adapters map[ident.Adapter]*adapter
 	// teamLoaded is the time of the last load for each team with demand.
 	teamLoaded map[ident.Team]time.Time
-	// slots are the adapters that hold a slot.
-	slots map[ident.Adapter]*adapter
+	// slots are the adapters that hold a slot, in the order of their names. The slice
+	// is replaced on every change.
+	slots []*adapter
 	// wanted are the absent adapters that may have queued work.
 	wanted map[ident.Adapter]*adapter
 	// asks are the adapters for which a permit is requested, at most one per slot.
@@ -121,7 +122,6 @@
 		items:      map[ident.AttemptID]*item{},
 		running:    map[ident.AttemptID]ident.Adapter{},
 		adapters:   map[ident.Adapter]*adapter{},
-		slots:      map[ident.Adapter]*adapter{},
 		teamLoaded: map[ident.Team]time.Time{},
 		wanted:     map[ident.Adapter]*adapter{},
 	}
@@ -151,7 +151,7 @@
 // they may have reached the new engine before its restart was noticed.
 func (s *Scheduler) EngineRestarted(now time.Time, residents []ident.Adapter) []Action {
 	var out []Action
-	for _, st := range s.held() {
+	for _, st := range s.slots {
 		if st.state == stateLoading {
 			out = append(out, Action{Kind: ReleasePermit, Adapter: st.name})
 		}
--- a/pkg/scheduler/slots.go
+++ b/pkg/scheduler/slots.go
@@ -80,16 +80,24 @@
 	st.draining = false
 	st.fresh = false
 	if to == stateAbsent {
-		delete(s.slots, st.name)
+		s.slots = slices.DeleteFunc(slices.Clone(s.slots), func(other *adapter) bool { return other == st })
 		s.wanted[st.name] = st
 	} else {
-		s.slots[st.name] = st
+		s.slots = withSlot(s.slots, st)
 		delete(s.wanted, st.name)
 	}
 	s.queue.SetReady(st.name, to == stateResident)
 	s.view.stale = true
 }
 
+func withSlot(slots []*adapter, st *adapter) []*adapter {
+	i, found := slices.BinarySearchFunc(slots, st.name, func(other *adapter, a ident.Adapter) int { return compareAdapters(other.name, a) })
+	if found {
+		return slots
+	}
+	return slices.Insert(slices.Clone(slots), i, st)
+}
+
 func (s *Scheduler) setDraining(st *adapter, draining bool) {
 	if st.draining == draining {
 		return
@@ -110,11 +118,6 @@
 	return n
 }
 
-// held returns the adapters that hold a slot in a fixed order.
-func (s *Scheduler) held() []*adapter {
-	return slices.SortedFunc(maps.Values(s.slots), func(a, b *adapter) int { return compareAdapters(a.name, b.name) })
-}
-
 func compareAdapters(a, b ident.Adapter) int {
 	return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Version, b.Version))
 }
@@ -209,7 +212,7 @@
 
 func (s *Scheduler) buildView() residentView {
 	var v residentView
-	for _, st := range s.held() {
+	for _, st := range s.slots {
 		switch st.state {
 		case stateResident:
 			v.residents = append(v.residents, st.name)
