Add the daemon's command line

Cause: fescued had no roles, settings or exit codes. Change: pkg/daemon runs the entry and endpoint roles from flags, FESCUE_ variables and an INI file, prints all findings together, logs JSON on stderr and drains on SIGTERM. Conclusion: each role has one assemble method for the remaining wiring.

--- a/cmd/fescued/main.go
+++ b/cmd/fescued/main.go
@@ -1,6 +1,10 @@
 // Command fescued is the daemon: fescued entry and fescued endpoint.
 package main
 
-import "os"
+import (
+	"os"
 
-func main() { os.Exit(2) }
+	"github.com/fescuecourse/fescuecourse/pkg/daemon"
+)
+
+func main() { os.Exit(daemon.Main(os.Args[1:], os.Stderr)) }
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -40,17 +40,20 @@
 
 // Parse reads the command line, the environment and the INI file, in falling
 // precedence. It returns ErrUsage for a wrong command line and findings for a
-// wrong file.
+// wrong variable or file.
 func (s *Set) Parse(args []string) error {
-	err := ff.Parse(s.FlagSet, args, ff.WithEnvVarPrefix(EnvPrefix))
+	err := s.FlagSet.Parse(args)
 	if errors.Is(err, flag.ErrHelp) {
 		return err
 	}
 	if err != nil {
 		return errors.Mark(err, ErrUsage)
 	}
+	if err := ff.Parse(s.FlagSet, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
+		s.found.Addf("environment", 0, "%v", err)
+	}
 	if *s.file == "" {
-		return nil
+		return s.found.Err()
 	}
 	return s.parseFile(*s.file)
 }
--- /dev/null
+++ b/pkg/daemon/daemon.go
@@ -0,0 +1,143 @@
+// Package daemon is the command line of fescued: it reads settings, assembles
+// one role and runs it until a signal asks for the end.
+package daemon
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/fescuecourse/fescuecourse/pkg/config"
+	"github.com/fescuecourse/fescuecourse/pkg/findings"
+	"github.com/fescuecourse/fescuecourse/pkg/invariant"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+const usage = "usage: fescued entry|endpoint [flags]"
+
+// runner is a role that serves until ctx ends and then drains.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+// role is one of the daemon's roles with its settings.
+type role interface {
+	// register adds the settings of the role to a set.
+	register(set *config.Set)
+	// check records findings for wrong settings.
+	check(set *config.Set)
+	logLevel() string
+	// assemble builds the role and everything it depends on.
+	assemble(log logging.Logger) (runner, error)
+}
+
+// Main runs the daemon until SIGTERM or SIGINT. A second signal ends the process
+// at once with status 1.
+func Main(args []string, stderr io.Writer) int {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		os.Exit(exitFailure)
+	}()
+	return Run(ctx, args, stderr)
+}
+
+// Run runs the role named by the first argument until ctx ends. It returns the
+// exit status: 0 after a drain, 1 for wrong settings or a failure, 2 for a wrong
+// command line.
+func Run(ctx context.Context, args []string, stderr io.Writer) int {
+	name, r, ok := selectRole(args)
+	if !ok {
+		fmt.Fprintln(stderr, usage)
+		return exitUsage
+	}
+	err := parse(name, r, args[1:], stderr)
+	if err != nil {
+		return report(stderr, err)
+	}
+	level, _ := zerolog.ParseLevel(r.logLevel()) // checked by parse
+	log := logging.New(stderr, level)
+	previous := invariant.SetHandler(logViolation(log))
+	defer invariant.SetHandler(previous)
+	proc, err := r.assemble(log)
+	if err != nil {
+		return report(stderr, err)
+	}
+	return report(stderr, proc.Run(ctx))
+}
+
+func selectRole(args []string) (string, role, bool) {
+	if len(args) == 0 {
+		return "", nil, false
+	}
+	switch args[0] {
+	case "entry":
+		return "fescued entry", &entryRole{}, true
+	case "endpoint":
+		return "fescued endpoint", &endpointRole{}, true
+	default:
+		return "", nil, false
+	}
+}
+
+// parse reads the settings and returns all findings together.
+func parse(name string, r role, args []string, stderr io.Writer) error {
+	set := config.NewSet(name, stderr)
+	r.register(set)
+	err := set.Parse(args)
+	var found findings.List
+	if err != nil && !errors.As(err, &found) {
+		return err
+	}
+	if set.NArg() > 0 {
+		return errors.Mark(errors.Newf("unexpected argument %q", set.Arg(0)), config.ErrUsage)
+	}
+	r.check(set)
+	_, levelErr := zerolog.ParseLevel(r.logLevel())
+	set.Requiref(levelErr == nil, "log-level", "must be trace, debug, info, warn, error or disabled")
+	return set.Err()
+}
+
+// report prints an error and returns the exit status.
+func report(stderr io.Writer, err error) int {
+	var found findings.List
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return exitOK
+	case errors.As(err, &found):
+		fmt.Fprintln(stderr, found.Error())
+		return exitFailure
+	case errors.Is(err, config.ErrUsage):
+		fmt.Fprintln(stderr, "fescued:", err)
+		return exitUsage
+	default:
+		fmt.Fprintln(stderr, "fescued:", err)
+		return exitFailure
+	}
+}
+
+// logViolation returns a handler that writes violated invariants to the log.
+func logViolation(log logging.Logger) invariant.Handler {
+	return func(name invariant.Name, detail string) {
+		log.Error().Str("invariant", string(name)).Str("detail", detail).Msg("invariant violated")
+	}
+}
