Add fault injection to the fake outside systems

Cause: the fakes could not fail, and no connection could go silent or slow. Change: standin/fault has a seeded and scripted injector and a TCP relay that silences, cuts or delays connections. Engine, service, weight store and VM list use them. The engine ends broken streams without a last event and counts runs by prompt. The daemon keeps its violation handler for the life of the process. Conclusion: fault schedules can be built on it.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -76,8 +76,7 @@
 	}
 	level, _ := zerolog.ParseLevel(r.logLevel()) // checked by parse
 	log := logging.New(stderr, level)
-	previous := invariant.SetHandler(logViolation(log))
-	defer invariant.SetHandler(previous)
+	invariant.SetHandler(logViolation(log))
 	proc, err := r.assemble(log)
 	if err != nil {
 		return report(stderr, err)
--- a/pkg/demo/cluster.go
+++ b/pkg/demo/cluster.go
@@ -93,7 +93,7 @@
 
 // Start brings up all parts and waits until the entries know all endpoints.
 func Start(ctx context.Context, opts Options) (*Cluster, error) {
-	c := &Cluster{Opts: opts, Weights: weightstore.New(opts.LoadsPerSecond), VMs: fakevmlist.New()}
+	c := &Cluster{Opts: opts, Weights: weightstore.New(opts.LoadsPerSecond, nil), VMs: fakevmlist.New()}
 	b, found := bundle.Parse("demo", BundleText(opts))
 	if found != nil {
 		return nil, found.Err()
@@ -155,7 +155,7 @@
 }
 
 func (c *Cluster) startServiceServer(i int) error {
-	svc := fakeservice.New(time.Millisecond)
+	svc := fakeservice.New(time.Millisecond, nil)
 	addr, err := c.serve(svc.Handler())
 	if err != nil {
 		return err
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -3,18 +3,19 @@
 package engine
 
 import (
-	"crypto/sha256"
+	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 
 	"github.com/fescuecourse/fescuecourse/pkg/engine"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/standin/fault"
 	"github.com/fescuecourse/fescuecourse/standin/weightstore"
 )
 
@@ -35,6 +36,8 @@
 	Weights   *weightstore.Store
 	// ChecksFencing makes the engine refuse commands with an old fencing token.
 	ChecksFencing bool
+	// Faults may be nil.
+	Faults *fault.Injector
 }
 
 // Stats are the counters of an engine.
@@ -43,14 +46,19 @@
 	Evictions int
 	// EvictedUnderRun counts unload commands for an adapter with running requests.
 	EvictedUnderRun int
-	// Runs counts the runs of each request id.
+	// Restarts counts cold restarts.
+	Restarts int
+	// Runs counts the runs of each prompt, so that callers with unique prompts
+	// can count the runs of each of their requests.
 	Runs map[string]int
 	// PositionSeconds is the time that batch positions were in use.
 	PositionSeconds float64
 }
 
 type run struct {
+	id      string
 	adapter string
+	cancel  context.CancelFunc
 }
 
 // Server is a fake engine.
@@ -60,7 +68,8 @@
 	mu        sync.Mutex
 	bootID    int
 	residents map[string]bool
-	running   map[string]run
+	running   map[*run]bool
+	late      engine.Status
 	positions chan struct{}
 	token     uint64
 	stats     Stats
@@ -72,7 +81,7 @@
 		opts:      opts,
 		bootID:    1,
 		residents: map[string]bool{},
-		running:   map[string]run{},
+		running:   map[*run]bool{},
 		positions: make(chan struct{}, opts.Positions),
 		stats:     Stats{Runs: map[string]int{}},
 	}
@@ -102,7 +111,22 @@
 }
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	if _, ok := s.opts.Faults.Hit(fault.EngineRestart); ok {
+		s.Restart()
+	}
+	_, late := s.opts.Faults.Hit(fault.StatusLate)
 	s.mu.Lock()
+	st := s.late
+	if !late || st.BootID == "" {
+		st = s.currentStatus()
+	}
+	s.late = st
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(st)
+}
+
+func (s *Server) currentStatus() engine.Status {
 	st := engine.Status{
 		BootID:         strconv.Itoa(s.bootID),
 		BaseModel:      s.opts.BaseModel,
@@ -110,15 +134,28 @@
 		PositionsTotal: s.opts.Positions,
 		PositionsUsed:  len(s.running),
 	}
-	for a := range s.residents {
-		st.Residents = append(st.Residents, a)
+	for a, loaded := range s.residents {
+		if loaded {
+			st.Residents = append(st.Residents, a)
+		}
 	}
-	for id, r := range s.running {
-		st.Running = append(st.Running, engine.Run{RequestID: id, Adapter: r.adapter})
+	for r := range s.running {
+		st.Running = append(st.Running, engine.Run{RequestID: r.id, Adapter: r.adapter})
+	}
+	return st
+}
+
+// Restart is a cold restart: the boot id changes, residents are dropped and
+// runs end without their last event.
+func (s *Server) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bootID++
+	s.stats.Restarts++
+	s.residents = map[string]bool{}
+	for r := range s.running {
+		r.cancel()
 	}
-	s.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(st)
 }
 
 type command struct {
@@ -153,13 +190,18 @@
 	if !ok {
 		return
 	}
-	if !s.reserve(c.LoraName) {
+	boot, ok := s.reserve(c.LoraName)
+	if !ok {
 		http.Error(w, "no free adapter slot", http.StatusConflict)
 		return
 	}
-	err := s.opts.Weights.Read(r.Context())
+	err := s.read(r.Context())
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if boot != s.bootID {
+		http.Error(w, "engine restarted during the load", http.StatusServiceUnavailable)
+		return
+	}
 	if err != nil {
 		delete(s.residents, c.LoraName)
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -169,15 +211,33 @@
 	s.stats.Loads++
 }
 
-// reserve takes a slot for an adapter that is not resident yet.
-func (s *Server) reserve(adapter string) bool {
+// errLoadFailed is an injected failure.
+var errLoadFailed = errors.New("adapter load failed")
+
+// read transfers an adapter from the weight store.
+func (s *Server) read(ctx context.Context) error {
+	if rule, ok := s.opts.Faults.Hit(fault.LoadSlow); ok {
+		sleep(ctx, rule.Delay)
+	}
+	if err := s.opts.Weights.Read(ctx); err != nil {
+		return err
+	}
+	if _, ok := s.opts.Faults.Hit(fault.LoadFailed); ok {
+		return errLoadFailed
+	}
+	return nil
+}
+
+// reserve takes a slot for an adapter that is not resident yet. It returns the
+// boot that the slot belongs to.
+func (s *Server) reserve(adapter string) (int, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, taken := s.residents[adapter]; taken || len(s.residents) >= s.opts.Slots {
-		return false
+		return 0, false
 	}
 	s.residents[adapter] = false
-	return true
+	return s.bootID, true
 }
 
 func (s *Server) unload(w http.ResponseWriter, r *http.Request) {
@@ -191,7 +251,7 @@
 		http.Error(w, "adapter is not resident", http.StatusNotFound)
 		return
 	}
-	for _, run := range s.running {
+	for run := range s.running {
 		if run.adapter == c.LoraName {
 			s.stats.EvictedUnderRun++
 			break
@@ -201,138 +261,6 @@
 	s.stats.Evictions++
 }
 
-// request is the part of an OpenAI request that the fake engine reads.
-type request struct {
-	Model     string          `json:"model"`
-	Prompt    json.RawMessage `json:"prompt"`
-	Messages  json.RawMessage `json:"messages"`
-	MaxTokens int             `json:"max_tokens"`
-}
-
-// defaultMaxTokens applies when a request does not set max_tokens.
-const defaultMaxTokens = 16
-
-func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
-	var req request
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	if req.MaxTokens <= 0 {
-		req.MaxTokens = defaultMaxTokens
-	}
-	id := r.Header.Get(engine.HeaderRequestID)
-	if !s.begin(id, req.Model) {
-		http.Error(w, "adapter is not resident", http.StatusNotFound)
-		return
-	}
-	started := time.Now()
-	defer s.end(id, started)
-	select {
-	case s.positions <- struct{}{}:
-		defer func() { <-s.positions }()
-	case <-r.Context().Done():
-		return
-	}
-	s.stream(w, r, req)
-}
-
-func (s *Server) begin(id, model string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if model != s.opts.BaseModel && !s.residents[model] {
-		return false
-	}
-	s.running[id] = run{adapter: model}
-	s.stats.Runs[id]++
-	return true
-}
-
-func (s *Server) end(id string, started time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.running, id)
-	s.stats.PositionSeconds += time.Since(started).Seconds()
-}
-
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, req request) {
-	resume, _ := strconv.Atoi(r.Header.Get(engine.HeaderResumeOffset))
-	w.Header().Set("Content-Type", "text/event-stream")
-	flusher, _ := w.(http.Flusher)
-	chat := r.URL.Path == "/v1/chat/completions"
-	seed := string(req.Prompt) + string(req.Messages)
-	if !sleep(r, s.opts.Timing.Prefill) {
-		return
-	}
-	for i := resume; i < req.MaxTokens; i++ {
-		if i > resume && !sleep(r, s.opts.Timing.Decode) {
-			return
-		}
-		last := i == req.MaxTokens-1
-		fmt.Fprintf(w, "data: %s\n\n", event(chat, req.Model, Word(req.Model, seed, i), last))
-		flusher.Flush()
-	}
-	fmt.Fprint(w, "data: [DONE]\n\n")
-}
-
-func sleep(r *http.Request, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-r.Context().Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
-// Word returns token i of the answer that the adapter gives to a prompt, so
-// that tests can check who answered.
-func Word(model, prompt string, i int) string {
-	sum := sha256.Sum256([]byte(model + "|" + prompt + "|" + strconv.Itoa(i)))
-	return fmt.Sprintf("%x ", sum[:2])
-}
-
-type choice struct {
-	Index        int     `json:"index"`
-	Text         *string `json:"text,omitempty"`
-	Delta        *delta  `json:"delta,omitempty"`
-	FinishReason *string `json:"finish_reason"`
-}
-
-type delta struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content"`
-}
-
-type chunk struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Created int64    `json:"created"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-}
-
-func event(chat bool, model, word string, last bool) []byte {
-	c := choice{}
-	object := "text_completion"
-	if chat {
-		object = "chat.completion.chunk"
-		c.Delta = &delta{Role: "assistant", Content: word}
-	} else {
-		c.Text = &word
-	}
-	if last {
-		reason := "length"
-		c.FinishReason = &reason
-	}
-	out, _ := json.Marshal(chunk{ID: "gen", Object: object, Created: time.Now().Unix(), Model: model, Choices: []choice{c}}) // plain struct, cannot fail
-	return out
-}
-
 // Adapters returns the resident adapters.
 func (s *Server) Adapters() []ident.Adapter {
 	s.mu.Lock()
--- /dev/null
+++ b/standin/engine/generate.go
@@ -0,0 +1,178 @@
+package engine
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/engine"
+	"github.com/fescuecourse/fescuecourse/standin/fault"
+)
+
+// request is the part of an OpenAI request that the fake engine reads.
+type request struct {
+	Model     string          `json:"model"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+}
+
+// content is the JSON text of the prompt or the messages.
+func (r request) content() string { return string(r.Prompt) + string(r.Messages) }
+
+// defaultMaxTokens applies when a request does not set max_tokens.
+const defaultMaxTokens = 16
+
+func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
+	var req request
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if req.MaxTokens <= 0 {
+		req.MaxTokens = defaultMaxTokens
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	started := &run{id: r.Header.Get(engine.HeaderRequestID), adapter: req.Model, cancel: cancel}
+	if !s.begin(started, req) {
+		http.Error(w, "adapter is not resident", http.StatusNotFound)
+		return
+	}
+	defer s.end(started)
+	select {
+	case s.positions <- struct{}{}:
+		defer s.leavePosition(time.Now())
+	case <-ctx.Done():
+		panic(http.ErrAbortHandler) // the engine restarted or the caller is gone
+	}
+	if !s.stream(ctx, w, r, req) {
+		panic(http.ErrAbortHandler) // closes the connection without the last event
+	}
+}
+
+func (s *Server) begin(started *run, req request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if req.Model != s.opts.BaseModel && !s.residents[req.Model] {
+		return false
+	}
+	s.running[started] = true
+	s.stats.Runs[req.content()]++
+	return true
+}
+
+func (s *Server) end(started *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, started)
+}
+
+func (s *Server) leavePosition(taken time.Time) {
+	<-s.positions
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.PositionSeconds += time.Since(taken).Seconds()
+}
+
+// stream sends the events. It reports false if the stream broke off.
+func (s *Server) stream(ctx context.Context, w http.ResponseWriter, r *http.Request, req request) bool {
+	resume, _ := strconv.Atoi(r.Header.Get(engine.HeaderResumeOffset))
+	cut, isCut := s.opts.Faults.Hit(fault.StreamCut)
+	named := req.Model
+	if _, wrong := s.opts.Faults.Hit(fault.WrongModel); wrong {
+		named = "other/adapter@1"
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	chat := r.URL.Path == "/v1/chat/completions"
+	if !sleep(ctx, s.prefill()) {
+		return false
+	}
+	for i := resume; i < req.MaxTokens; i++ {
+		if isCut && i-resume >= cut.AfterEvents {
+			return false
+		}
+		if i > resume && !sleep(ctx, s.opts.Timing.Decode) {
+			return false
+		}
+		last := i == req.MaxTokens-1
+		fmt.Fprintf(w, "data: %s\n\n", event(chat, named, Word(named, req.content(), i), last))
+		if http.NewResponseController(w).Flush() != nil {
+			return false
+		}
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+	return true
+}
+
+// prefill is the time before the first token.
+func (s *Server) prefill() time.Duration {
+	rule, slow := s.opts.Faults.Hit(fault.SlowStart)
+	if slow {
+		return s.opts.Timing.Prefill + rule.Delay
+	}
+	return s.opts.Timing.Prefill
+}
+
+// sleep waits for d. It reports false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// Word returns token i of the answer that the adapter gives to a prompt, so
+// that tests can check who answered.
+func Word(model, prompt string, i int) string {
+	sum := sha256.Sum256([]byte(model + "|" + prompt + "|" + strconv.Itoa(i)))
+	return fmt.Sprintf("%x ", sum[:2])
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Text         *string `json:"text,omitempty"`
+	Delta        *delta  `json:"delta,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+}
+
+func event(chat bool, model, word string, last bool) []byte {
+	c := choice{}
+	object := "text_completion"
+	if chat {
+		object = "chat.completion.chunk"
+		c.Delta = &delta{Role: "assistant", Content: word}
+	} else {
+		c.Text = &word
+	}
+	if last {
+		reason := "length"
+		c.FinishReason = &reason
+	}
+	out, _ := json.Marshal(chunk{ID: "gen", Object: object, Created: time.Now().Unix(), Model: model, Choices: []choice{c}}) // plain struct, cannot fail
+	return out
+}
--- /dev/null
+++ b/standin/fault/fault.go
@@ -0,0 +1,123 @@
+// Package fault injects faults into the fake outside systems and into TCP
+// connections. Which faults occur is decided by a seed or a script.
+package fault
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Kind is one kind of fault.
+type Kind string
+
+// Kinds of faults.
+const (
+	EngineRestart   Kind = "engine-restart"
+	LoadFailed      Kind = "load-failed"
+	LoadSlow        Kind = "load-slow"
+	StreamCut       Kind = "stream-cut"
+	WrongModel      Kind = "wrong-model"
+	SlowStart       Kind = "slow-start"
+	StatusLate      Kind = "status-late"
+	AnswerLost      Kind = "service-answer-lost"
+	ServiceSlow     Kind = "service-slow"
+	StoreReadFailed Kind = "store-read-failed"
+	StoreReadSlow   Kind = "store-read-slow"
+)
+
+// Rule states when a fault occurs.
+type Rule struct {
+	// Probability is the chance of the fault at each opportunity, 0 to 1.
+	Probability float64
+	// At are times since the start of the injector. The first opportunity at or
+	// after each of them gets the fault.
+	At []time.Duration
+	// Delay is the added time of slow and late faults.
+	Delay time.Duration
+	// AfterEvents is the number of events before a stream is cut.
+	AfterEvents int
+}
+
+// Count is the number of injected faults of one kind.
+type Count struct {
+	Kind     Kind
+	Injected int
+}
+
+// Injector decides at each opportunity whether a fault occurs. A nil injector
+// injects nothing.
+type Injector struct {
+	now   func() time.Time
+	start time.Time
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	rules    map[Kind]Rule
+	injected map[Kind]int
+}
+
+// New returns an injector without rules. now is the clock for scripted times.
+func New(seed uint64, now func() time.Time) *Injector {
+	return &Injector{
+		now:      now,
+		start:    now(),
+		rng:      rand.New(rand.NewPCG(seed, 0)),
+		rules:    map[Kind]Rule{},
+		injected: map[Kind]int{},
+	}
+}
+
+// Set replaces the rule of a kind.
+func (i *Injector) Set(k Kind, r Rule) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	r.At = slices.Sorted(slices.Values(r.At))
+	i.rules[k] = r
+}
+
+// Hit reports whether the fault occurs at this opportunity, with its rule.
+func (i *Injector) Hit(k Kind) (Rule, bool) {
+	if i == nil {
+		return Rule{}, false
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	r, ok := i.rules[k]
+	if !ok || !i.due(k, r) {
+		return r, false
+	}
+	i.injected[k]++
+	return r, true
+}
+
+// due consumes a scripted time that has been reached, or draws.
+func (i *Injector) due(k Kind, r Rule) bool {
+	if len(r.At) > 0 && i.now().Sub(i.start) >= r.At[0] {
+		r.At = r.At[1:]
+		i.rules[k] = r
+		return true
+	}
+	return r.Probability > 0 && i.rng.Float64() < r.Probability
+}
+
+// Counts returns the injected faults, ordered by kind.
+func (i *Injector) Counts() []Count {
+	if i == nil {
+		return nil
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	out := make([]Count, 0, len(i.injected))
+	for k, n := range i.injected {
+		out = append(out, Count{Kind: k, Injected: n})
+	}
+	slices.SortFunc(out, func(a, b Count) int {
+		if a.Kind < b.Kind {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- /dev/null
+++ b/standin/fault/fault_test.go
@@ -0,0 +1,100 @@
+package fault
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// echo serves connections that return what they receive.
+func echo(t *testing.T) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { lis.Close() })
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	return lis.Addr().String()
+}
+
+func dial(t *testing.T, r *Relay) net.Conn {
+	c, err := net.Dial("tcp", r.Addr())
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func roundTrip(t *testing.T, c net.Conn) {
+	_, err := c.Write([]byte("ping"))
+	assert.NilError(t, err)
+	buf := make([]byte, 4)
+	_, err = io.ReadFull(c, buf)
+	assert.NilError(t, err)
+	assert.Equal(t, string(buf), "ping")
+}
+
+// Guards against a relay whose silence ends the connection, delivers data or
+// affects new connections, because checks of silent connections would then
+// check a broken connection instead.
+func TestRelaySilence(t *testing.T) {
+	r, err := NewRelay(echo(t))
+	assert.NilError(t, err)
+	defer r.Close()
+	old := dial(t, r)
+	roundTrip(t, old)
+	assert.Equal(t, r.Silence(), 1)
+	_, err = old.Write([]byte("lost"))
+	assert.NilError(t, err)
+	roundTrip(t, dial(t, r))
+	assert.NilError(t, old.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = old.Read(make([]byte, 1))
+	timeout, ok := err.(net.Error) //nolint:errorlint // net.Conn returns the error unwrapped
+	assert.Assert(t, ok && timeout.Timeout(), "error: %v", err)
+}
+
+// Guards against a cut that leaves connections open or ends the relay.
+func TestRelayCut(t *testing.T) {
+	r, err := NewRelay(echo(t))
+	assert.NilError(t, err)
+	defer r.Close()
+	old := dial(t, r)
+	roundTrip(t, old)
+	assert.Equal(t, r.Cut(), 1)
+	_, err = old.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+	roundTrip(t, dial(t, r))
+}
+
+// Guards against fault sequences that a seed or a script does not reproduce.
+func TestInjectorIsDeterministic(t *testing.T) {
+	now := time.Unix(0, 0)
+	draw := func(seed uint64) (hits []bool) {
+		i := New(seed, func() time.Time { return now })
+		i.Set(LoadFailed, Rule{Probability: 0.3})
+		for range 64 {
+			_, hit := i.Hit(LoadFailed)
+			hits = append(hits, hit)
+		}
+		return hits
+	}
+	assert.DeepEqual(t, draw(7), draw(7))
+	i := New(1, func() time.Time { return now })
+	i.Set(EngineRestart, Rule{At: []time.Duration{2 * time.Second, time.Second}})
+	for _, want := range []bool{false, true, true, false} {
+		_, hit := i.Hit(EngineRestart)
+		assert.Equal(t, hit, want)
+		now = now.Add(time.Second)
+	}
+}
--- /dev/null
+++ b/standin/fault/relay.go
@@ -0,0 +1,190 @@
+package fault
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Sizes of a relay's buffers.
+const (
+	chunkBytes     = 32 << 10
+	chunksInFlight = 1024
+)
+
+// Relay forwards TCP connections to a target. Existing connections can be made
+// silent or be cut while new ones work, and each direction can be delayed.
+type Relay struct {
+	lis   net.Listener
+	delay atomic.Int64
+
+	mu     sync.Mutex
+	target string
+	pairs  map[*pair]bool
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// NewRelay listens on a loopback port and forwards to target (host:port).
+func NewRelay(target string) (*Relay, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	r := &Relay{lis: lis, target: target, pairs: map[*pair]bool{}}
+	r.wg.Go(r.accept)
+	return r, nil
+}
+
+// Addr returns the address of the relay.
+func (r *Relay) Addr() string { return r.lis.Addr().String() }
+
+// SetTarget changes the target of new connections.
+func (r *Relay) SetTarget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
+
+// SetDelay sets the one-way latency of data read from now on.
+func (r *Relay) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
+
+// Silence stops delivery on the existing connections in both directions. They
+// stay open. It returns their number.
+func (r *Relay) Silence() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		p.silent.Store(true)
+	}
+	return len(r.pairs)
+}
+
+// Cut closes the existing connections and returns their number.
+func (r *Relay) Cut() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		p.close()
+	}
+	return len(r.pairs)
+}
+
+// Close ends the relay and all its connections.
+func (r *Relay) Close() error {
+	err := r.lis.Close()
+	r.mu.Lock()
+	r.closed = true
+	for p := range r.pairs {
+		p.close()
+	}
+	r.mu.Unlock()
+	r.wg.Wait()
+	return errors.Wrap(err, "close relay")
+}
+
+func (r *Relay) accept() {
+	for {
+		c, err := r.lis.Accept()
+		if err != nil {
+			return
+		}
+		r.wg.Go(func() { r.serve(c) })
+	}
+}
+
+func (r *Relay) serve(client net.Conn) {
+	r.mu.Lock()
+	target := r.target
+	r.mu.Unlock()
+	server, err := net.Dial("tcp", target)
+	if err != nil {
+		client.Close()
+		return
+	}
+	p := &pair{client: client, server: server}
+	defer p.close()
+	if !r.add(p) {
+		return
+	}
+	defer r.remove(p)
+	var wg sync.WaitGroup
+	wg.Go(func() { r.forward(p, server, client) })
+	wg.Go(func() { r.forward(p, client, server) })
+	wg.Wait()
+}
+
+func (r *Relay) add(p *pair) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false
+	}
+	r.pairs[p] = true
+	return true
+}
+
+func (r *Relay) remove(p *pair) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.pairs, p)
+}
+
+// pair is one forwarded connection.
+type pair struct {
+	client net.Conn
+	server net.Conn
+	silent atomic.Bool
+}
+
+func (p *pair) close() {
+	p.client.Close()
+	p.server.Close()
+}
+
+// chunk is data with the time at which it is delivered.
+type chunk struct {
+	due  time.Time
+	data []byte
+}
+
+// forward copies one direction until either side ends. A silent pair drops what
+// it reads, so that the sender notices nothing.
+func (r *Relay) forward(p *pair, dst, src net.Conn) {
+	chunks := make(chan chunk, chunksInFlight)
+	var wg sync.WaitGroup
+	wg.Go(func() { deliver(p, dst, chunks) })
+	buf := make([]byte, chunkBytes)
+	for {
+		n, err := src.Read(buf)
+		if n > 0 && !p.silent.Load() {
+			due := time.Now().Add(time.Duration(r.delay.Load()))
+			chunks <- chunk{due: due, data: append([]byte(nil), buf[:n]...)}
+		}
+		if err != nil {
+			break
+		}
+	}
+	close(chunks)
+	wg.Wait()
+	if !p.silent.Load() {
+		p.close()
+	}
+}
+
+func deliver(p *pair, dst net.Conn, chunks <-chan chunk) {
+	for c := range chunks {
+		if wait := time.Until(c.due); wait > 0 {
+			time.Sleep(wait)
+		}
+		if p.silent.Load() {
+			continue
+		}
+		if _, err := dst.Write(c.data); err != nil {
+			p.close()
+		}
+	}
+}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -12,6 +12,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/fescuecourse/fescuecourse/pkg/service"
+	"github.com/fescuecourse/fescuecourse/standin/fault"
 )
 
 // Answer is the document that the service returns.
@@ -23,15 +24,16 @@
 
 // Server is a fake service. It does not deduplicate.
 type Server struct {
-	delay time.Duration
+	delay  time.Duration
+	faults *fault.Injector
 
 	mu   sync.Mutex
 	runs map[string]int
 }
 
-// New returns a service that takes delay for each call.
-func New(delay time.Duration) *Server {
-	return &Server{delay: delay, runs: map[string]int{}}
+// New returns a service that takes delay for each call. The injector may be nil.
+func New(delay time.Duration, faults *fault.Injector) *Server {
+	return &Server{delay: delay, faults: faults, runs: map[string]int{}}
 }
 
 // Runs returns the number of runs by request body. Callers that send unique
@@ -63,6 +65,12 @@
 	s.runs[string(body)]++
 	s.mu.Unlock()
 	time.Sleep(s.delay)
+	if rule, ok := s.faults.Hit(fault.ServiceSlow); ok {
+		time.Sleep(rule.Delay)
+	}
+	if _, ok := s.faults.Hit(fault.AnswerLost); ok {
+		panic(http.ErrAbortHandler) // closes the connection without an answer
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(Answer{Path: r.URL.Path, RequestID: r.Header.Get(service.HeaderRequestID), Echo: string(body)})
 }
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -4,7 +4,9 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
@@ -12,37 +14,67 @@
 	"github.com/fescuecourse/fescuecourse/pkg/vmlist"
 )
 
+// change is one change of the list that becomes visible later.
+type change struct {
+	due    time.Time
+	vm     vmlist.VM
+	remove bool
+}
+
 // Server serves a list of VMs.
 type Server struct {
-	mu  sync.Mutex
-	vms []vmlist.VM
+	mu      sync.Mutex
+	lag     time.Duration
+	pending []change
+	vms     []vmlist.VM
 }
 
 // New returns a server with an empty list.
 func New() *Server { return &Server{} }
 
-// Put adds a VM or replaces the entry of the same endpoint.
-func (s *Server) Put(vm vmlist.VM) {
+// SetLag delays the visibility of later changes.
+func (s *Server) SetLag(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range s.vms {
-		if s.vms[i].Endpoint == vm.Endpoint {
-			s.vms[i] = vm
-			return
-		}
-	}
-	s.vms = append(s.vms, vm)
+	s.lag = d
 }
 
+// Put adds a VM or replaces the entry of the same endpoint.
+func (s *Server) Put(vm vmlist.VM) { s.add(change{vm: vm}) }
+
 // Remove drops the VM of an endpoint from the list.
 func (s *Server) Remove(id ident.EndpointID) {
+	s.add(change{vm: vmlist.VM{Endpoint: id}, remove: true})
+}
+
+func (s *Server) add(c change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range s.vms {
-		if s.vms[i].Endpoint == id {
-			s.vms = append(s.vms[:i], s.vms[i+1:]...)
-			return
-		}
+	c.due = time.Now().Add(s.lag)
+	s.pending = append(s.pending, c)
+}
+
+// visible applies the changes that are due and returns the list.
+func (s *Server) visible(now time.Time) vmlist.List {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.pending) > 0 && !now.Before(s.pending[0].due) {
+		s.apply(s.pending[0])
+		s.pending = s.pending[1:]
+	}
+	return vmlist.List{VMs: slices.Clone(s.vms)}
+}
+
+func (s *Server) apply(c change) {
+	i := slices.IndexFunc(s.vms, func(vm vmlist.VM) bool { return vm.Endpoint == c.vm.Endpoint })
+	switch {
+	case c.remove && i >= 0:
+		s.vms = slices.Delete(s.vms, i, i+1)
+	case c.remove:
+	case i >= 0:
+		s.vms[i] = c.vm
+	default:
+		s.vms = append(s.vms, c.vm)
 	}
 }
 
@@ -50,11 +82,8 @@
 func (s *Server) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/v1/vms", func(w http.ResponseWriter, _ *http.Request) {
-		s.mu.Lock()
-		list := vmlist.List{VMs: append([]vmlist.VM(nil), s.vms...)}
-		s.mu.Unlock()
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(list)
+		_ = json.NewEncoder(w).Encode(s.visible(time.Now())) // the caller may be gone
 	})
 	return r
 }
--- a/standin/weightstore/weightstore.go
+++ b/standin/weightstore/weightstore.go
@@ -6,14 +6,22 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/standin/fault"
 )
 
+// ErrReadFailed is an injected failure.
+var ErrReadFailed = errors.New("weight store read failed")
+
 // progressStep is the resolution of the bandwidth model.
 const progressStep = 5 * time.Millisecond
 
 // Store models a rate-limited weight store.
 type Store struct {
 	loadTime time.Duration
+	faults   *fault.Injector
 
 	mu     sync.Mutex
 	active int
@@ -22,9 +30,9 @@
 }
 
 // New returns a store that completes loadsPerSecond loads when they run one at
-// a time.
-func New(loadsPerSecond float64) *Store {
-	return &Store{loadTime: time.Duration(float64(time.Second) / loadsPerSecond)}
+// a time. The injector may be nil.
+func New(loadsPerSecond float64, faults *fault.Injector) *Store {
+	return &Store{loadTime: time.Duration(float64(time.Second) / loadsPerSecond), faults: faults}
 }
 
 // Read transfers one adapter. With n concurrent readers each gets 1/n of the
@@ -33,6 +41,9 @@
 	s.enter()
 	defer s.leave()
 	remaining := s.loadTime
+	if rule, ok := s.faults.Hit(fault.StoreReadSlow); ok {
+		remaining += rule.Delay
+	}
 	ticker := time.NewTicker(progressStep)
 	defer ticker.Stop()
 	last := time.Now()
@@ -45,6 +56,9 @@
 			last = now
 		}
 	}
+	if _, ok := s.faults.Hit(fault.StoreReadFailed); ok {
+		return ErrReadFailed
+	}
 	return nil
 }
 
