Add an open-loop load generator

Cause: latency under load could not be measured. Callers get the load stall and queue time in Fescue-Load-Stall-Us and Fescue-Queue-Us.

--- a/pkg/entry/failure.go
+++ b/pkg/entry/failure.go
@@ -16,6 +16,8 @@
 	headerEndpoint      = "Fescue-Endpoint"
 	headerBundleVersion = "Fescue-Bundle-Version"
 	headerAdapter       = "Fescue-Adapter"
+	headerLoadStall     = "Fescue-Load-Stall-Us"
+	headerQueue         = "Fescue-Queue-Us"
 	headerIdempotent    = "Fescue-Idempotent"
 	headerDeadline      = "Fescue-Deadline-Ms"
 	headerKey           = "Idempotency-Key"
--- a/pkg/entry/respond.go
+++ b/pkg/entry/respond.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// describeWait sets the headers with the waiting times at the endpoint.
+func describeWait(x *Exchange, f *fescuev1.Header) {
+	h := x.w.Header()
+	h.Set(headerLoadStall, strconv.FormatUint(f.GetLoadStallUs(), 10))
+	h.Set(headerQueue, strconv.FormatUint(f.GetQueueUs(), 10))
+}
+
 // streamResponder relays server-sent events.
 type streamResponder struct {
 	x       *Exchange
@@ -58,11 +65,12 @@
 func (s *streamResponder) received() uint64 { return s.events }
 func (s *streamResponder) committed() bool  { return s.started }
 
-func (s *streamResponder) header(*fescuev1.Header) {
+func (s *streamResponder) header(f *fescuev1.Header) {
 	if s.started {
 		return
 	}
 	s.started = true
+	describeWait(s.x, f)
 	describe(s.x)
 	h := s.x.w.Header()
 	h.Set("Content-Type", "text/event-stream")
@@ -161,9 +169,9 @@
 	TotalTokens      uint64 `json:"total_tokens"`
 }
 
-func (c *completionResponder) received() uint64        { return c.events }
-func (c *completionResponder) committed() bool         { return false }
-func (c *completionResponder) header(*fescuev1.Header) {}
+func (c *completionResponder) received() uint64          { return c.events }
+func (c *completionResponder) committed() bool           { return false }
+func (c *completionResponder) header(f *fescuev1.Header) { describeWait(c.x, f) }
 
 func (c *completionResponder) data(payload []byte) error {
 	var chunk completionChunk
@@ -231,6 +239,7 @@
 	s.status = int(h.GetStatus())
 	s.contentType = h.GetContentType()
 	s.body = nil
+	describeWait(s.x, h)
 }
 
 func (s *serviceResponder) data(payload []byte) error {
--- /dev/null
+++ b/pkg/workload/check.go
@@ -0,0 +1,121 @@
+package workload
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// ViolationKind names a requirement that an answer or a back end violated.
+type ViolationKind string
+
+// Kinds of violations.
+const (
+	WrongAdapter     ViolationKind = "wrong adapter"
+	WrongText        ViolationKind = "wrong text"
+	IncompleteAnswer ViolationKind = "incomplete answer with a normal end"
+	NoOutcome        ViolationKind = "no outcome"
+	ContraryOutcome  ViolationKind = "outcome contradicts the answer"
+	BrokenConnection ViolationKind = "broken connection"
+	NotRunRan        ViolationKind = "not-run request ran"
+	RanTwice         ViolationKind = "non-idempotent request ran more than once"
+	AnsweredNotRan   ViolationKind = "answered request did not run"
+	EvictedUnderRun  ViolationKind = "adapter evicted under a running request"
+	WorkWhileLeaving ViolationKind = "new work at a leaving endpoint"
+	CutOffByStop     ViolationKind = "request cut off by a graceful stop"
+)
+
+// Violation is one violated requirement.
+type Violation struct {
+	Kind   ViolationKind
+	Detail string
+}
+
+// Words returns the token that an adapter generates at a position for a prompt
+// in JSON.
+type Words func(model, content string, i int) string
+
+// CheckAnswer checks one answer by what the caller got.
+func CheckAnswer(r *Request, a *Answer, words Words) []Violation {
+	var out []Violation
+	add := func(k ViolationKind, format string, args ...any) {
+		out = append(out, Violation{Kind: k, Detail: fmt.Sprintf("request %d: ", r.Seq) + fmt.Sprintf(format, args...)})
+	}
+	if a.Err != nil {
+		add(BrokenConnection, "%v", a.Err)
+		return out
+	}
+	switch a.Outcome {
+	case ident.Answered.String():
+		if !a.Complete {
+			add(ContraryOutcome, "answered with status %d without a normal end", a.Status)
+			return out
+		}
+	case ident.NotRun.String(), ident.Unknown.String():
+		if a.Complete {
+			add(ContraryOutcome, "%s with a normal end", a.Outcome)
+		}
+		return out
+	default:
+		add(NoOutcome, "status %d, outcome %q", a.Status, a.Outcome)
+		return out
+	}
+	if r.IsModel() {
+		return append(out, checkModel(r, a, words)...)
+	}
+	return append(out, checkService(r, a)...)
+}
+
+func checkModel(r *Request, a *Answer, words Words) []Violation {
+	var out []Violation
+	if a.Adapter != r.Adapter.String() {
+		out = append(out, Violation{WrongAdapter, fmt.Sprintf("request %d: asked for %s, got %s", r.Seq, r.Adapter, a.Adapter)})
+	}
+	if words == nil {
+		return out
+	}
+	want := ""
+	for i := range r.Tokens {
+		want += words(r.Adapter.String(), r.Content(), i)
+	}
+	switch {
+	case a.Text == want:
+	case len(a.Text) < len(want):
+		out = append(out, Violation{IncompleteAnswer, fmt.Sprintf("request %d: %d of %d bytes", r.Seq, len(a.Text), len(want))})
+	default:
+		out = append(out, Violation{WrongText, fmt.Sprintf("request %d: got %q, want %q", r.Seq, a.Text, want)})
+	}
+	return out
+}
+
+// serviceAnswer is the part of a service's answer that is checked.
+type serviceAnswer struct {
+	Echo string `json:"echo"`
+}
+
+func checkService(r *Request, a *Answer) []Violation {
+	var doc serviceAnswer
+	if err := json.Unmarshal([]byte(a.Text), &doc); err != nil {
+		return []Violation{{IncompleteAnswer, fmt.Sprintf("request %d: %v", r.Seq, err)}}
+	}
+	if doc.Echo != r.Prompt {
+		return []Violation{{WrongText, fmt.Sprintf("request %d: got %q, want %q", r.Seq, doc.Echo, r.Prompt)}}
+	}
+	return nil
+}
+
+// CheckRuns checks an answer against the true number of runs at all back ends.
+func CheckRuns(r *Request, a *Answer, runs int) []Violation {
+	var out []Violation
+	if a.Outcome == ident.NotRun.String() && runs > 0 {
+		out = append(out, Violation{NotRunRan, fmt.Sprintf("request %d: %d runs", r.Seq, runs)})
+	}
+	if a.Outcome == ident.Answered.String() && runs == 0 {
+		out = append(out, Violation{AnsweredNotRan, fmt.Sprintf("request %d", r.Seq)})
+	}
+	if r.Class == ClassServiceOnce && runs > 1 {
+		out = append(out, Violation{RanTwice, fmt.Sprintf("request %d: %d runs", r.Seq, runs)})
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/workload/client.go
@@ -0,0 +1,238 @@
+package workload
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// Names of headers.
+const (
+	headerOutcome  = "Fescue-Outcome"
+	headerEndpoint = "Fescue-Endpoint"
+	headerAdapter  = "Fescue-Adapter"
+	headerDeadline = "Fescue-Deadline-Ms"
+	headerStall    = "Fescue-Load-Stall-Us"
+	headerQueue    = "Fescue-Queue-Us"
+	headerKey      = "Idempotency-Key"
+)
+
+// Limits of the client.
+const (
+	idleConnsPerEntry = 1024
+	// deadlineGrace is how much longer than the request's deadline the client
+	// waits, so that a missing final answer is seen as one.
+	deadlineGrace = 10 * time.Second
+	maxEventBytes = 1 << 20
+)
+
+// Answer is what a caller got for one request.
+type Answer struct {
+	Status int
+	// Outcome is the value of the outcome trailer or header, empty if absent.
+	Outcome  string
+	Endpoint ident.EndpointID
+	Adapter  string
+	Text     string
+	// Complete is true if the answer had its normal end.
+	Complete bool
+	// Err is a broken connection or an undecodable answer.
+	Err   error
+	Start time.Time
+	End   time.Time
+	// FirstToken is the time from the intended start to the first token.
+	FirstToken time.Duration
+	Gaps       []time.Duration
+	Stall      time.Duration
+	Queue      time.Duration
+}
+
+// Client sends requests to entries.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client that keeps its connections open.
+func NewClient() *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnsPerEntry}}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+type completionBody struct {
+	Model     string          `json:"model"`
+	Prompt    json.RawMessage `json:"prompt,omitempty"`
+	Messages  json.RawMessage `json:"messages,omitempty"`
+	MaxTokens int             `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+}
+
+// Send sends a request to the entry at addr (host:port) and reads the answer.
+// intended is the start from which latencies are counted.
+func (c *Client) Send(ctx context.Context, addr string, r *Request, intended time.Time) Answer {
+	ctx, cancel := context.WithTimeout(ctx, r.Deadline+deadlineGrace)
+	defer cancel()
+	a := Answer{Start: time.Now()}
+	req, err := newHTTPRequest(ctx, addr, r)
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		a.Err, a.End = errors.Wrap(err, "send request"), time.Now()
+		return a
+	}
+	defer resp.Body.Close()
+	a.readHeader(resp)
+	if r.Streams() && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		a.readStream(resp.Body, intended)
+	} else {
+		a.readBody(resp.Body, r, intended)
+	}
+	if v := resp.Trailer.Get(headerOutcome); v != "" {
+		a.Outcome = v
+	}
+	a.End = time.Now()
+	return a
+}
+
+func newHTTPRequest(ctx context.Context, addr string, r *Request) (*http.Request, error) {
+	path, body := requestBody(r)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	// A nil GetBody keeps net/http from sending the request a second time.
+	req.GetBody = nil
+	req.Header.Set("Authorization", "Bearer "+r.Team.Key)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(headerDeadline, strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	if r.Key != "" {
+		req.Header.Set(headerKey, r.Key)
+	}
+	return req, nil
+}
+
+func requestBody(r *Request) (path string, body []byte) {
+	if !r.IsModel() {
+		return "/v1/services/" + r.Service + "/" + r.Path, []byte(r.Prompt)
+	}
+	b := completionBody{Model: r.Model, MaxTokens: r.Tokens, Stream: r.Streams()}
+	path = "/v1/completions"
+	b.Prompt = json.RawMessage(r.Content())
+	if r.Chat {
+		path, b.Prompt, b.Messages = "/v1/chat/completions", nil, b.Prompt
+	}
+	body, _ = json.Marshal(b) // plain struct, cannot fail
+	return path, body
+}
+
+func (a *Answer) readHeader(resp *http.Response) {
+	a.Status = resp.StatusCode
+	a.Outcome = resp.Header.Get(headerOutcome)
+	a.Endpoint = ident.EndpointID(resp.Header.Get(headerEndpoint))
+	a.Adapter = resp.Header.Get(headerAdapter)
+	a.Stall = microseconds(resp.Header.Get(headerStall))
+	a.Queue = microseconds(resp.Header.Get(headerQueue))
+}
+
+func microseconds(s string) time.Duration {
+	us, _ := strconv.ParseInt(s, 10, 64) // absent on failures
+	return time.Duration(us) * time.Microsecond
+}
+
+type completionAnswer struct {
+	Choices []struct {
+		Text    string      `json:"text"`
+		Message chatMessage `json:"message"`
+		Delta   chatMessage `json:"delta"`
+	} `json:"choices"`
+	Error *struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+func (c *completionAnswer) text() string {
+	var b strings.Builder
+	for _, ch := range c.Choices {
+		b.WriteString(ch.Text)
+		b.WriteString(ch.Message.Content)
+		b.WriteString(ch.Delta.Content)
+	}
+	return b.String()
+}
+
+func (a *Answer) readStream(body io.Reader, intended time.Time) {
+	sc := bufio.NewScanner(body)
+	sc.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	var text strings.Builder
+	last := time.Time{}
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.Complete = true
+			continue
+		}
+		var ev completionAnswer
+		if err := json.Unmarshal([]byte(data), &ev); err != nil {
+			a.Err = errors.Wrap(err, "decode event")
+			return
+		}
+		if ev.Error != nil {
+			continue
+		}
+		last = a.token(last, intended)
+		text.WriteString(ev.text())
+	}
+	a.Text = text.String()
+	if err := sc.Err(); err != nil {
+		a.Err = errors.Wrap(err, "read stream")
+	}
+}
+
+// token records the arrival time of one token.
+func (a *Answer) token(last, intended time.Time) time.Time {
+	now := time.Now()
+	if last.IsZero() {
+		a.FirstToken = now.Sub(intended)
+	} else {
+		a.Gaps = append(a.Gaps, now.Sub(last))
+	}
+	return now
+}
+
+func (a *Answer) readBody(body io.Reader, r *Request, intended time.Time) {
+	text, err := io.ReadAll(body)
+	if err != nil {
+		a.Err = errors.Wrap(err, "read answer")
+		return
+	}
+	a.FirstToken = time.Since(intended)
+	if a.Status != http.StatusOK {
+		return
+	}
+	a.Complete = true
+	if !r.IsModel() {
+		a.Text = string(text)
+		return
+	}
+	var doc completionAnswer
+	if err := json.Unmarshal(text, &doc); err != nil {
+		a.Err = errors.Wrap(err, "decode answer")
+		return
+	}
+	a.Text = doc.text()
+}
--- /dev/null
+++ b/pkg/workload/recorder.go
@@ -0,0 +1,197 @@
+package workload
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// Range and precision of histograms, in microseconds.
+const (
+	histogramMaxUS  = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+// Segment separates the dominant team from the tail.
+type Segment string
+
+// Segments of requests.
+const (
+	SegmentDominant Segment = "dominant"
+	SegmentTail     Segment = "tail"
+	SegmentBatch    Segment = "batch"
+)
+
+func segmentOf(r *Request) Segment {
+	switch {
+	case r.Class == ClassBatch:
+		return SegmentBatch
+	case r.Team.Dominant:
+		return SegmentDominant
+	default:
+		return SegmentTail
+	}
+}
+
+type group struct {
+	class   Class
+	segment Segment
+}
+
+// series are the histograms of one group, in microseconds.
+type series struct {
+	firstToken, interToken, total, stall, queue *hdrhistogram.Histogram
+
+	requests, answered, notRun, unknown, stalled int
+}
+
+func newSeries() *series {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, histogramMaxUS, histogramDigits) }
+	return &series{firstToken: h(), interToken: h(), total: h(), stall: h(), queue: h()}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), histogramMaxUS)) // in range
+}
+
+func (s *series) add(sm *Sample) {
+	s.requests++
+	switch sm.Answer.Outcome {
+	case ident.NotRun.String():
+		s.notRun++
+		return
+	case ident.Answered.String():
+		s.answered++
+	default:
+		s.unknown++
+		return
+	}
+	a := &sm.Answer
+	record(s.total, a.End.Sub(sm.Intended))
+	if !sm.Request.IsModel() {
+		return
+	}
+	if sm.Request.Streams() {
+		record(s.firstToken, a.FirstToken)
+	}
+	for _, g := range a.Gaps {
+		record(s.interToken, g)
+	}
+	record(s.stall, a.Stall)
+	record(s.queue, a.Queue)
+	if a.Stall > 0 {
+		s.stalled++
+	}
+}
+
+// point is one answered model request on the time line.
+type point struct {
+	at         time.Duration
+	firstToken time.Duration
+	stall      time.Duration
+	segment    Segment
+}
+
+// Recorder collects samples.
+type Recorder struct {
+	start time.Time
+	words Words
+
+	mu         sync.Mutex
+	groups     map[group]*series
+	points     []point
+	violations []Violation
+}
+
+// NewRecorder returns an empty recorder. Texts are checked unless words is nil.
+func NewRecorder(words Words) *Recorder {
+	return &Recorder{start: time.Now(), words: words, groups: map[group]*series{}}
+}
+
+// Add records and checks a sample.
+func (r *Recorder) Add(sm Sample) {
+	found := CheckAnswer(&sm.Request, &sm.Answer, r.words)
+	g := group{class: sm.Request.Class, segment: segmentOf(&sm.Request)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.violations = append(r.violations, found...)
+	if r.groups[g] == nil {
+		r.groups[g] = newSeries()
+	}
+	r.groups[g].add(&sm)
+	if sm.Answer.Outcome == ident.Answered.String() && sm.Request.IsModel() {
+		r.points = append(r.points, point{at: sm.Intended.Sub(r.start), firstToken: sm.Answer.FirstToken, stall: sm.Answer.Stall, segment: g.segment})
+	}
+}
+
+// Percentiles are in milliseconds.
+type Percentiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Percentiles{
+		Count: h.TotalCount(),
+		P50:   ms(h.ValueAtPercentile(50)),
+		P95:   ms(h.ValueAtPercentile(95)),
+		P99:   ms(h.ValueAtPercentile(99)),
+		Max:   ms(h.Max()),
+	}
+}
+
+// Row are the results of one class and segment.
+type Row struct {
+	Class    Class   `json:"class"`
+	Segment  Segment `json:"segment"`
+	Requests int     `json:"requests"`
+	Answered int     `json:"answered"`
+	NotRun   int     `json:"not_run"`
+	Unknown  int     `json:"unknown"`
+	// Stalled is the number of answers that waited for a load.
+	Stalled int `json:"stalled"`
+	// FirstToken is counted from the intended start, for streams only.
+	FirstToken Percentiles `json:"first_token"`
+	InterToken Percentiles `json:"inter_token"`
+	Total      Percentiles `json:"total"`
+	LoadStall  Percentiles `json:"load_stall"`
+	Queue      Percentiles `json:"queue"`
+}
+
+// Rows returns the results by class and segment, ordered.
+func (r *Recorder) Rows() []Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Row
+	for g, s := range r.groups {
+		out = append(out, Row{
+			Class: g.class, Segment: g.segment,
+			Requests: s.requests, Answered: s.answered, NotRun: s.notRun, Unknown: s.unknown, Stalled: s.stalled,
+			FirstToken: percentiles(s.firstToken), InterToken: percentiles(s.interToken), Total: percentiles(s.total),
+			LoadStall: percentiles(s.stall), Queue: percentiles(s.queue),
+		})
+	}
+	slices.SortFunc(out, func(a, b Row) int {
+		if c := strings.Compare(string(a.Class), string(b.Class)); c != 0 {
+			return c
+		}
+		return strings.Compare(string(a.Segment), string(b.Segment))
+	})
+	return out
+}
+
+// Violations returns the violations found so far.
+func (r *Recorder) Violations() []Violation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.violations)
+}
--- /dev/null
+++ b/pkg/workload/report.go
@@ -0,0 +1,98 @@
+package workload
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Report is the result of a load run.
+type Report struct {
+	Workload  string  `json:"workload"`
+	Seed      uint64  `json:"seed"`
+	DurationS float64 `json:"duration_s"`
+	Requests  int     `json:"requests"`
+	// OfferedPerS and AnsweredPerS are rates over the duration.
+	OfferedPerS  float64     `json:"offered_per_s"`
+	AnsweredPerS float64     `json:"answered_per_s"`
+	Rows         []Row       `json:"rows"`
+	Engines      *Engines    `json:"engines,omitempty"`
+	Violations   []Violation `json:"violations"`
+}
+
+// Engines are figures that only fake engines can give.
+type Engines struct {
+	Loads           int     `json:"loads"`
+	Evictions       int     `json:"evictions"`
+	ConcurrentLoads int     `json:"peak_concurrent_loads"`
+	BatchEfficiency float64 `json:"batch_efficiency"`
+	UsedPositionS   float64 `json:"used_position_s"`
+	OfferedS        float64 `json:"offered_position_s"`
+}
+
+// Fill sets the figures that follow from the rows.
+func (r *Report) Fill() {
+	answered := 0
+	r.Requests = 0
+	for _, row := range r.Rows {
+		r.Requests += row.Requests
+		answered += row.Answered
+	}
+	r.OfferedPerS = float64(r.Requests) / r.DurationS
+	r.AnsweredPerS = float64(answered) / r.DurationS
+}
+
+// WriteJSON writes the report as one JSON document.
+func (r *Report) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return errors.Wrap(enc.Encode(r), "write report")
+}
+
+// WriteText writes the report as a table.
+func (r *Report) WriteText(out io.Writer) error {
+	fmt.Fprintf(out, "workload %s, seed %d, %.0f s: %d requests, %.1f offered/s, %.1f answered/s\n",
+		r.Workload, r.Seed, r.DurationS, r.Requests, r.OfferedPerS, r.AnsweredPerS)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "class\tsegment\trequests\tanswered\tnot-run\tunknown\tstalled\tfirst token ms\tinter-token ms\ttotal ms\tload stall ms\tqueue ms\t")
+	for _, row := range r.Rows {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t\n", row.Class, row.Segment, row.Requests, row.Answered, row.NotRun, row.Unknown, row.Stalled,
+			row.FirstToken, row.InterToken, row.Total, row.LoadStall, row.Queue)
+	}
+	if err := w.Flush(); err != nil {
+		return errors.Wrap(err, "write report")
+	}
+	fmt.Fprintln(out, "latencies are p50/p95/p99, first token and total from the intended start")
+	if e := r.Engines; e != nil {
+		fmt.Fprintf(out, "loads %d, evictions %d, peak concurrent loads %d, batch efficiency %.4f (%.1f of %.1f position-seconds)\n",
+			e.Loads, e.Evictions, e.ConcurrentLoads, e.BatchEfficiency, e.UsedPositionS, e.OfferedS)
+	}
+	WriteViolations(out, r.Violations)
+	return nil
+}
+
+// String returns p50/p95/p99, or a dash if there are no values.
+func (p Percentiles) String() string {
+	if p.Count == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f/%.1f/%.1f", p.P50, p.P95, p.P99)
+}
+
+// maxPrinted is the number of violations printed in full.
+const maxPrinted = 10
+
+// WriteViolations prints the number of violations and the first of them.
+func WriteViolations(out io.Writer, list []Violation) {
+	fmt.Fprintf(out, "violations %d\n", len(list))
+	for i, v := range list {
+		if i == maxPrinted {
+			fmt.Fprintln(out, "  ...")
+			return
+		}
+		fmt.Fprintf(out, "  %s: %s\n", v.Kind, v.Detail)
+	}
+}
--- /dev/null
+++ b/pkg/workload/spec.go
@@ -0,0 +1,208 @@
+// Package workload generates open-loop load for an entry, checks the answers and
+// records latencies.
+package workload
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/config"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// Team is one team of a workload with its API key.
+type Team struct {
+	Name     ident.Team
+	Key      string
+	Weight   int
+	Priority ident.Priority
+	Adapters int
+	// Share is the fraction of the interactive requests, 0 to 1.
+	Share float64
+	// Dominant separates the dominant team from the tail in reports.
+	Dominant bool
+}
+
+// Deployment is the size and speed of the deployment under load.
+type Deployment struct {
+	Name           string
+	Zones          []string
+	OneWayLatency  time.Duration
+	Entries        int
+	ModelServers   int
+	ServiceServers int
+	Service        string
+	Adapters       int
+	Slots          int
+	Positions      int
+	LoadsPerSecond float64
+	Prefill        time.Duration
+	Decode         time.Duration
+}
+
+// Load is the shape of the requests.
+type Load struct {
+	RequestsPerSecond float64
+	// ZipfExponent is the skew of adapter popularity, above 1.
+	ZipfExponent float64
+	// ServiceShare is the fraction of plain service calls, NonIdempotentShare the
+	// fraction of those that must not be repeated, KeyedShare the fraction of
+	// those with an idempotency key.
+	ServiceShare       float64
+	NonIdempotentShare float64
+	KeyedShare         float64
+	StreamShare        float64
+	TokensMin          int
+	TokensMax          int
+	// ShiftAt is when ranks move by ShiftRanks adapters. Zero means never.
+	ShiftAt    time.Duration
+	ShiftRanks int
+	// BatchAt is when BatchRequests arrive within BatchSpread.
+	BatchAt       time.Duration
+	BatchSpread   time.Duration
+	BatchRequests int
+	Deadline      time.Duration
+}
+
+// Spec is a workload.
+type Spec struct {
+	Deployment Deployment
+	Load       Load
+	Teams      []Team
+	// BatchTeam is the index of the team that sends the batch, or -1.
+	BatchTeam int
+}
+
+// teamKeys are the settings that describe teams.
+type teamKeys struct {
+	dominant       string
+	dominantShare  float64
+	dominantWeight int
+	tail           int
+	batchAdapters  int
+}
+
+// Read reads a workload from an INI file. Problems are returned together as
+// findings.
+func Read(path string) (*Spec, error) {
+	s := &Spec{}
+	k := &teamKeys{}
+	zones := ""
+	set := config.NewSet("workload", io.Discard)
+	registerDeployment(set, &s.Deployment, &zones)
+	registerLoad(set, &s.Load)
+	registerTeams(set, k)
+	if err := set.Parse([]string{"--config", path}); err != nil {
+		return nil, err
+	}
+	for _, z := range strings.Split(zones, ",") {
+		s.Deployment.Zones = append(s.Deployment.Zones, strings.TrimSpace(z))
+	}
+	check(set, s, k)
+	if err := set.Err(); err != nil {
+		return nil, err
+	}
+	s.setTeams(k)
+	return s, nil
+}
+
+func registerDeployment(set *config.Set, d *Deployment, zones *string) {
+	set.StringVar(&d.Name, "deployment.name", "", "")
+	set.StringVar(zones, "deployment.zones", "", "")
+	set.DurationVar(&d.OneWayLatency, "deployment.one_way_latency", 0, "")
+	set.IntVar(&d.Entries, "deployment.entries", 3, "")
+	set.IntVar(&d.ModelServers, "deployment.model_servers", 0, "")
+	set.IntVar(&d.ServiceServers, "deployment.service_servers", 0, "")
+	set.StringVar(&d.Service, "deployment.service", "", "")
+	set.IntVar(&d.Adapters, "deployment.adapters", 0, "")
+	set.IntVar(&d.Slots, "deployment.slots", 0, "")
+	set.IntVar(&d.Positions, "deployment.positions", 0, "")
+	set.Float64Var(&d.LoadsPerSecond, "deployment.loads_per_second", 0, "")
+	set.DurationVar(&d.Prefill, "deployment.prefill", 0, "")
+	set.DurationVar(&d.Decode, "deployment.decode", 0, "")
+}
+
+func registerLoad(set *config.Set, l *Load) {
+	set.Float64Var(&l.RequestsPerSecond, "load.requests_per_second", 0, "")
+	set.Float64Var(&l.ZipfExponent, "load.zipf_exponent", 0, "")
+	set.Float64Var(&l.ServiceShare, "load.service_share", 0, "")
+	set.Float64Var(&l.NonIdempotentShare, "load.non_idempotent_share", 0, "")
+	set.Float64Var(&l.KeyedShare, "load.keyed_share", 0, "")
+	set.Float64Var(&l.StreamShare, "load.stream_share", 0, "")
+	set.IntVar(&l.TokensMin, "load.tokens_min", 0, "")
+	set.IntVar(&l.TokensMax, "load.tokens_max", 0, "")
+	set.DurationVar(&l.ShiftAt, "load.shift_at", 0, "")
+	set.IntVar(&l.ShiftRanks, "load.shift_ranks", 0, "")
+	set.DurationVar(&l.BatchAt, "load.batch_at", 0, "")
+	set.DurationVar(&l.BatchSpread, "load.batch_spread", 0, "")
+	set.IntVar(&l.BatchRequests, "load.batch_requests", 0, "")
+	set.DurationVar(&l.Deadline, "load.deadline", 30*time.Second, "")
+}
+
+func registerTeams(set *config.Set, k *teamKeys) {
+	set.StringVar(&k.dominant, "teams.dominant", "", "")
+	set.Float64Var(&k.dominantShare, "teams.dominant_share", 0, "")
+	set.IntVar(&k.dominantWeight, "teams.dominant_weight", 10, "")
+	set.IntVar(&k.tail, "teams.tail", 0, "")
+	set.IntVar(&k.batchAdapters, "teams.batch_adapters", 0, "")
+}
+
+func check(set *config.Set, s *Spec, k *teamKeys) {
+	d, l := &s.Deployment, &s.Load
+	share := func(v float64, name string) { set.Requiref(v >= 0 && v <= 1, name, "must be between 0 and 1") }
+	positive := func(n int, name string) { set.Requiref(n > 0, name, "must be above zero") }
+	set.Requiref(d.Name != "", "deployment.name", "must be set")
+	set.Requiref(d.Service != "", "deployment.service", "must be set")
+	positive(d.Entries, "deployment.entries")
+	positive(d.ModelServers, "deployment.model_servers")
+	positive(d.ServiceServers, "deployment.service_servers")
+	positive(d.Slots, "deployment.slots")
+	positive(d.Positions, "deployment.positions")
+	set.Requiref(d.LoadsPerSecond > 0, "deployment.loads_per_second", "must be above zero")
+	set.Requiref(d.Adapters >= k.batchAdapters+2*(k.tail+1), "deployment.adapters", "must be at least two for each team and those of the batch")
+	set.Requiref(l.RequestsPerSecond > 0, "load.requests_per_second", "must be above zero")
+	set.Requiref(l.ZipfExponent > 1, "load.zipf_exponent", "must be above one")
+	share(l.ServiceShare, "load.service_share")
+	share(l.NonIdempotentShare, "load.non_idempotent_share")
+	share(l.KeyedShare, "load.keyed_share")
+	share(l.StreamShare, "load.stream_share")
+	positive(l.TokensMin, "load.tokens_min")
+	set.Requiref(l.TokensMax >= l.TokensMin, "load.tokens_max", "must be at least tokens_min")
+	set.Requiref(l.BatchRequests == 0 || k.batchAdapters > 0, "teams.batch_adapters", "must be above zero with a batch")
+	set.RequirePositive("load.deadline", l.Deadline)
+	set.Requiref(k.dominant != "", "teams.dominant", "must be set")
+	share(k.dominantShare, "teams.dominant_share")
+	positive(k.tail, "teams.tail")
+}
+
+// setTeams creates the dominant team, the tail and the batch team. The dominant
+// team owns the same share of the adapters as of the requests.
+func (s *Spec) setTeams(k *teamKeys) {
+	interactive := s.Deployment.Adapters - k.batchAdapters
+	tailEach := max(2, int(float64(interactive)*(1-k.dominantShare))/k.tail)
+	s.add(Team{
+		Name: ident.Team(k.dominant), Weight: k.dominantWeight, Priority: ident.PriorityHigh,
+		Adapters: interactive - tailEach*k.tail, Share: k.dominantShare, Dominant: true,
+	})
+	for i := range k.tail {
+		s.add(Team{
+			Name: ident.Team(fmt.Sprintf("tail-%02d", i+1)), Weight: 1, Priority: ident.PriorityNormal,
+			Adapters: tailEach, Share: (1 - k.dominantShare) / float64(k.tail),
+		})
+	}
+	s.BatchTeam = -1
+	if k.batchAdapters > 0 {
+		s.BatchTeam = len(s.Teams)
+		s.add(Team{Name: "batch", Weight: 1, Priority: ident.PriorityBatch, Adapters: k.batchAdapters})
+	}
+}
+
+func (s *Spec) add(t Team) {
+	t.Key = "key-of-" + string(t.Name)
+	s.Teams = append(s.Teams, t)
+}
+
+// AdapterName returns the name of the i-th adapter of a team.
+func AdapterName(i int) string { return fmt.Sprintf("adapter-%03d", i+1) }
--- /dev/null
+++ b/pkg/workload/workload_test.go
@@ -0,0 +1,86 @@
+package workload
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+var files = []string{"../../workloads/tokachi.ini", "../../workloads/adwenpa.ini"}
+
+// Guards against schedules that a seed does not reproduce, that are out of
+// order, that repeat a prompt or that name adapters of another team or outside
+// the team's range.
+func TestScheduleIsDeterministic(t *testing.T) {
+	for _, file := range files {
+		spec, err := Read(file)
+		assert.NilError(t, err)
+		rapid.Check(t, func(t *rapid.T) {
+			seed := rapid.Uint64().Draw(t, "seed")
+			a, b := Schedule(spec, seed, time.Minute), Schedule(spec, seed, time.Minute)
+			assert.DeepEqual(t, a, b)
+			seen := map[string]bool{}
+			for i := range a {
+				r := &a[i].Request
+				assert.Assert(t, i == 0 || a[i-1].At <= a[i].At)
+				assert.Assert(t, !seen[r.Prompt], r.Prompt)
+				seen[r.Prompt] = true
+				assert.Assert(t, !r.IsModel() || r.Adapter.Team == r.Team.Name)
+			}
+			batch := 0
+			for i := range a {
+				if a[i].Request.Class == ClassBatch {
+					batch++
+				}
+			}
+			assert.Equal(t, batch, spec.Load.BatchRequests)
+		})
+	}
+}
+
+// Guards against workloads without a dominant team, a tail or all adapters.
+func TestTeams(t *testing.T) {
+	for _, file := range files {
+		spec, err := Read(file)
+		assert.NilError(t, err)
+		adapters, tail := 0, 0
+		for _, team := range spec.Teams {
+			adapters += team.Adapters
+			if !team.Dominant && team.Share > 0 {
+				tail++
+			}
+		}
+		assert.Equal(t, adapters, 3000)
+		assert.Assert(t, tail >= 20)
+	}
+}
+
+// Guards against checks that accept wrong, short or contradictory answers.
+func TestChecksFindViolations(t *testing.T) {
+	words := func(string, string, int) string { return "w " }
+	team := &Team{Name: "t"}
+	model := Request{Class: ClassStream, Team: team, Adapter: ident.Adapter{Team: "t", Name: "a", Version: "2"}, Tokens: 2}
+	once := Request{Class: ClassServiceOnce, Team: team, Service: "desk", Prompt: "p"}
+	good := Answer{Outcome: "answered", Complete: true, Adapter: "t/a@2", Text: "w w "}
+	assert.Equal(t, len(CheckAnswer(&model, &good, words)), 0)
+	for want, a := range map[ViolationKind]Answer{
+		WrongAdapter:     {Outcome: "answered", Complete: true, Adapter: "t/a@1", Text: "w w "},
+		WrongText:        {Outcome: "answered", Complete: true, Adapter: "t/a@2", Text: "w x "},
+		IncompleteAnswer: {Outcome: "answered", Complete: true, Adapter: "t/a@2", Text: "w "},
+		ContraryOutcome:  {Outcome: "unknown", Complete: true},
+		NoOutcome:        {Status: 500},
+	} {
+		found := CheckAnswer(&model, &a, words)
+		assert.Equal(t, len(found), 1, string(want))
+		assert.Equal(t, found[0].Kind, want)
+	}
+	notRun, answered := Answer{Outcome: "not-run"}, Answer{Outcome: "answered"}
+	assert.Equal(t, CheckRuns(&once, &notRun, 1)[0].Kind, NotRunRan)
+	assert.Equal(t, CheckRuns(&once, &answered, 0)[0].Kind, AnsweredNotRan)
+	assert.Equal(t, CheckRuns(&once, &answered, 2)[0].Kind, RanTwice)
+	assert.Equal(t, len(CheckRuns(&once, &answered, 1)), 0)
+}
