Add fault runs, load runs and a served demo

Cause: the demo could neither inject faults nor serve, and its checks did not count runs at the back ends. Endpoint.Kill ends an endpoint as a crash does. The checks count runs at the fakes. Conclusion: requirements are checked under faults by what callers and fakes see.

--- a/cmd/fescuectl/main.go
+++ b/cmd/fescuectl/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"os/signal"
@@ -12,11 +11,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/demo"
 )
 
-// Exit codes.
-const (
-	exitFailure = 1
-	exitUsage   = 2
-)
+const exitUsage = 2
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -25,18 +20,14 @@
 }
 
 func run(ctx context.Context, args []string) int {
-	if len(args) == 0 || args[0] != "demo" {
-		fmt.Fprintln(os.Stderr, "usage: fescuectl demo [flags]")
-		return exitUsage
-	}
-	fs := flag.NewFlagSet("demo", flag.ContinueOnError)
-	seed := fs.Uint64("seed", 1, "seed of the demo's requests")
-	if fs.Parse(args[1:]) != nil {
-		return exitUsage
-	}
-	if err := demo.Run(ctx, demo.DefaultOptions(), *seed, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "fescuectl:", err)
-		return exitFailure
+	if len(args) > 0 {
+		switch args[0] {
+		case "demo":
+			return demo.Command(ctx, args[1:], os.Stdout, os.Stderr)
+		case "load":
+			return demo.LoadCommand(ctx, args[1:], os.Stdout, os.Stderr)
+		}
 	}
-	return 0
+	fmt.Fprintln(os.Stderr, "usage: fescuectl demo|load [flags]")
+	return exitUsage
 }
--- /dev/null
+++ b/pkg/demo/check.go
@@ -0,0 +1,88 @@
+package demo
+
+import (
+	"fmt"
+	"sync"
+
+	fakeengine "github.com/fescuecourse/fescuecourse/standin/engine"
+
+	"github.com/fescuecourse/fescuecourse/pkg/workload"
+)
+
+// run records the samples of one load run and checks them by what callers and
+// fakes saw.
+type run struct {
+	recorder *workload.Recorder
+
+	mu      sync.Mutex
+	samples []workload.Sample
+}
+
+func newRun() *run { return &run{recorder: workload.NewRecorder(fakeengine.Word)} }
+
+func (r *run) add(s workload.Sample) {
+	r.recorder.Add(s)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.Answer.Text, s.Answer.Gaps = "", nil // checked already
+	r.samples = append(r.samples, s)
+}
+
+func (r *run) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.samples)
+}
+
+// violations checks all samples against the runs counted by the fakes. It is
+// called after the cluster has stopped, so that no run can follow.
+func (r *run) violations(c *Cluster) []workload.Violation {
+	out := r.recorder.Violations()
+	for i := range r.samples {
+		s := &r.samples[i]
+		out = append(out, workload.CheckRuns(&s.Request, &s.Answer, c.runs(s.Request.Content()))...)
+	}
+	return append(out, c.evictionViolations()...)
+}
+
+// runs returns the true number of runs of a request at all back ends.
+func (c *Cluster) runs(content string) int {
+	n := 0
+	for _, s := range c.Servers {
+		n += len(s.Starts(content))
+	}
+	return n
+}
+
+func (c *Cluster) evictionViolations() []workload.Violation {
+	var out []workload.Violation
+	for _, s := range c.Servers {
+		if s.Engine == nil {
+			continue
+		}
+		if n := s.Engine.Stats().EvictedUnderRun; n > 0 {
+			out = append(out, workload.Violation{Kind: workload.EvictedUnderRun, Detail: fmt.Sprintf("%s: %d", s.ID, n)})
+		}
+	}
+	return out
+}
+
+// engineTotals are summed counters of the fake engines.
+type engineTotals struct {
+	loads, evictions int
+	usedPositionS    float64
+}
+
+func (c *Cluster) engineTotals() engineTotals {
+	var t engineTotals
+	for _, s := range c.Servers {
+		if s.Engine == nil {
+			continue
+		}
+		st := s.Engine.Stats()
+		t.loads += st.Loads
+		t.evictions += st.Evictions
+		t.usedPositionS += st.PositionSeconds
+	}
+	return t
+}
--- /dev/null
+++ b/pkg/demo/command.go
@@ -0,0 +1,128 @@
+package demo
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/workload"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// Command runs fescuectl demo and returns the exit status.
+func Command(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	fs := flag.NewFlagSet("fescuectl demo", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	seed := fs.Uint64("seed", 1, "seed of requests and faults")
+	serve := fs.Bool("serve", false, "serve until SIGTERM instead of sending requests")
+	listen := fs.String("listen", "127.0.0.1:0", "`address` of the first entry, with --serve")
+	faults := fs.Bool("faults", false, "inject faults under load")
+	duration := fs.Duration("duration", time.Minute, "length of the load, with --faults")
+	level := fs.String("log-level", "disabled", "lowest `level` that is logged on stderr")
+	if code, ok := parseFlags(fs, args); !ok {
+		return code
+	}
+	lvl, err := zerolog.ParseLevel(*level)
+	if err != nil || (*serve && *faults) || *duration <= 0 {
+		fmt.Fprintln(stderr, "fescuectl demo: wrong log level, --serve together with --faults, or duration not above zero")
+		return exitUsage
+	}
+	opts := DefaultOptions()
+	if *faults {
+		opts = FaultOptions(*seed)
+	}
+	opts.Log = logging.New(stderr, lvl)
+	opts.EntryListen = *listen
+	switch {
+	case *serve:
+		err = Serve(ctx, opts, stdout)
+	case *faults:
+		err = RunFaults(ctx, opts, *seed, *duration, stdout)
+	default:
+		err = Run(ctx, opts, *seed, stdout)
+	}
+	return finish(stderr, err)
+}
+
+// LoadCommand runs fescuectl load and returns the exit status.
+func LoadCommand(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	fs := flag.NewFlagSet("fescuectl load", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	var opts LoadOptions
+	fs.StringVar(&opts.Workload, "workload", "", "INI `file` with the workload")
+	fs.Uint64Var(&opts.Seed, "seed", 1, "seed of the requests")
+	fs.DurationVar(&opts.Duration, "duration", time.Minute, "length of the load")
+	fs.StringVar(&opts.Target, "target", "", "`URL` of a running entry; without it a cluster with fakes is started")
+	fs.StringVar(&opts.ReportDir, "report", "", "`directory` for plots and an index page")
+	asJSON := fs.Bool("json", false, "print the report as JSON")
+	printBundle := fs.Bool("print-bundle", false, "print the bundle that a target needs, and exit")
+	if code, ok := parseFlags(fs, args); !ok {
+		return code
+	}
+	if opts.Workload == "" || opts.Duration <= 0 {
+		fmt.Fprintln(stderr, "fescuectl load: --workload must be set and --duration be above zero")
+		return exitUsage
+	}
+	if *printBundle {
+		return finish(stderr, writeBundle(opts.Workload, stdout))
+	}
+	rep, err := Load(ctx, opts)
+	if err != nil {
+		return finish(stderr, err)
+	}
+	write := rep.WriteText
+	if *asJSON {
+		write = rep.WriteJSON
+	}
+	if err := write(stdout); err != nil {
+		return finish(stderr, err)
+	}
+	if len(rep.Violations) > 0 {
+		return finish(stderr, ErrViolated)
+	}
+	return exitOK
+}
+
+func writeBundle(path string, out io.Writer) error {
+	spec, err := workload.Read(path)
+	if err != nil {
+		return err
+	}
+	_, err = io.WriteString(out, BundleText(optionsFor(spec)))
+	return errors.Wrap(err, "write bundle")
+}
+
+// parseFlags returns the exit status and false if the command ends here.
+func parseFlags(fs *flag.FlagSet, args []string) (int, bool) {
+	err := fs.Parse(args)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return exitOK, false
+	case err != nil:
+		return exitUsage, false
+	case fs.NArg() > 0:
+		fmt.Fprintf(fs.Output(), "%s: unexpected argument %q\n", fs.Name(), fs.Arg(0))
+		return exitUsage, false
+	}
+	return exitOK, true
+}
+
+func finish(stderr io.Writer, err error) int {
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(stderr, "fescuectl:", err)
+	return exitFailure
+}
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -1,189 +1,118 @@
 package demo
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net/http"
 	"sync"
 	"text/tabwriter"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
-	"github.com/fescuecourse/fescuecourse/pkg/ident"
-	fakeengine "github.com/fescuecourse/fescuecourse/standin/engine"
+	"github.com/fescuecourse/fescuecourse/pkg/workload"
 )
 
 // Parameters of the demo's load.
 const (
 	demoRequests    = 400
 	demoConcurrency = 16
-	maxLatencyUS    = int64(60 * time.Second / time.Microsecond)
+	demoProgress    = 100
 )
 
-// result collects what came back.
-type result struct {
-	mu       sync.Mutex
-	latency  *hdrhistogram.Histogram
-	outcomes map[string]int
-	adapters map[string]bool
-	broken   []string
-}
+// ErrViolated reports that an answer or a back end violated a requirement.
+var ErrViolated = errors.New("requirements were violated")
 
-// Run starts a cluster, sends requests and checks the answers. It returns an
-// error if a promise was broken.
+// Run starts a cluster, sends requests and checks the answers. It returns
+// ErrViolated if a requirement was violated.
 func Run(ctx context.Context, opts Options, seed uint64, out io.Writer) error {
 	c, err := Start(ctx, opts)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "running %d entries, %d model servers, %d service servers\n", opts.Entries, opts.ModelServers, opts.ServiceServers)
-	res := &result{latency: hdrhistogram.New(1, maxLatencyUS, 3), outcomes: map[string]int{}, adapters: map[string]bool{}}
+	printSize(out, c)
+	r := newRun()
 	began := time.Now()
-	c.load(ctx, seed, res)
+	c.closedLoop(ctx, r, seed, out)
 	took := time.Since(began)
 	if err := c.Stop(); err != nil {
 		return err
 	}
-	c.print(out, res, took)
-	if len(res.broken) > 0 {
-		return errors.Newf("%d answers broke a promise, the first: %s", len(res.broken), res.broken[0])
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	found := r.violations(c)
+	if err := printDemo(out, c, r, took); err != nil {
+		return err
+	}
+	workload.WriteViolations(out, found)
+	if len(found) > 0 {
+		return ErrViolated
 	}
 	return nil
 }
 
-func (c *Cluster) load(ctx context.Context, seed uint64, res *result) {
-	rng := rand.New(rand.NewPCG(seed, 0))
-	work := make(chan request)
+func printSize(out io.Writer, c *Cluster) {
+	adapters := 0
+	for _, t := range c.Opts.Teams {
+		adapters += t.Adapters
+	}
+	fmt.Fprintf(out, "running %d entries, %d model servers with %d adapter slots each, %d service servers, %d teams, %d adapters\n",
+		c.Opts.Entries, c.Opts.ModelServers, c.Opts.Slots, c.Opts.ServiceServers, len(c.Opts.Teams), adapters)
+}
+
+// closedLoop sends the demo's requests with a fixed concurrency.
+func (c *Cluster) closedLoop(ctx context.Context, r *run, seed uint64, out io.Writer) {
+	client := workload.NewClient()
+	defer client.Close()
+	source := workload.NewSource(specFor(&c.Opts, 1), seed)
+	addrs := c.Addrs()
+	work := make(chan workload.Request)
 	var wg sync.WaitGroup
 	for range demoConcurrency {
 		wg.Go(func() {
-			for r := range work {
-				res.add(r, c.send(ctx, r))
+			for req := range work {
+				now := time.Now()
+				a := client.Send(ctx, addrs[req.Seq%len(addrs)], &req, now)
+				r.add(workload.Sample{Request: req, Answer: a, Intended: now})
 			}
 		})
 	}
 	for i := range demoRequests {
-		work <- c.pick(rng, i)
+		if ctx.Err() != nil {
+			break
+		}
+		work <- source.Interactive(0)
+		if (i+1)%demoProgress == 0 {
+			fmt.Fprintf(out, "%d of %d requests sent, %d ended\n", i+1, demoRequests, r.count())
+		}
 	}
 	close(work)
 	wg.Wait()
 }
 
-// request is one request of the demo.
-type request struct {
-	entry  string
-	team   Team
-	model  ident.Adapter
-	prompt string
-	tokens int
-}
-
-func (c *Cluster) pick(rng *rand.Rand, i int) request {
-	t := c.Opts.Teams[rng.IntN(len(c.Opts.Teams))]
-	a := ident.Adapter{Team: t.Name, Name: AdapterName(rng.IntN(t.Adapters)), Version: fmt.Sprint(1 + rng.IntN(2))}
-	return request{
-		entry: c.Entries[i%len(c.Entries)].Addr(), team: t, model: a,
-		prompt: fmt.Sprintf("request %d", i), tokens: 4 + rng.IntN(12),
-	}
-}
-
-// answer is what came back for one request.
-type answer struct {
-	outcome string
-	adapter string
-	text    string
-	took    time.Duration
-	err     error
-}
-
-type completionRequest struct {
-	Model     string `json:"model"`
-	Prompt    string `json:"prompt"`
-	MaxTokens int    `json:"max_tokens"`
-}
-
-func (c *Cluster) send(ctx context.Context, r request) answer {
-	body, _ := json.Marshal(completionRequest{Model: r.model.String(), Prompt: r.prompt, MaxTokens: r.tokens}) // plain struct, cannot fail
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.entry+"/v1/completions", bytes.NewReader(body))
-	if err != nil {
-		return answer{err: err}
-	}
-	req.Header.Set("Authorization", "Bearer "+r.team.Key)
-	began := time.Now()
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer resp.Body.Close()
-	var doc struct {
-		Choices []struct {
-			Text string `json:"text"`
-		} `json:"choices"`
-	}
-	if err := json.NewDecoder(resp.Body).Decode(&doc); err != nil {
-		return answer{err: err}
-	}
-	a := answer{outcome: resp.Header.Get("Fescue-Outcome"), adapter: resp.Header.Get("Fescue-Adapter"), took: time.Since(began)}
-	if len(doc.Choices) > 0 {
-		a.text = doc.Choices[0].Text
-	}
-	return a
-}
-
-func (r *result) add(req request, a answer) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if a.err != nil {
-		r.broken = append(r.broken, a.err.Error())
-		return
-	}
-	r.outcomes[a.outcome]++
-	if a.outcome != ident.Answered.String() {
-		return
-	}
-	r.adapters[a.adapter] = true
-	_ = r.latency.RecordValue(a.took.Microseconds()) // out of range only above a minute
-	if a.adapter != req.model.String() {
-		r.broken = append(r.broken, fmt.Sprintf("asked for %s, got %s", req.model, a.adapter))
-	}
-	if want := expectedText(req); a.text != want {
-		r.broken = append(r.broken, fmt.Sprintf("%s: got %q, want %q", req.model, a.text, want))
-	}
-}
-
-func expectedText(r request) string {
-	prompt, _ := json.Marshal(r.prompt) // a string, cannot fail
-	text := ""
-	for i := range r.tokens {
-		text += fakeengine.Word(r.model.String(), string(prompt), i)
-	}
-	return text
-}
-
-func (c *Cluster) print(out io.Writer, r *result, took time.Duration) {
-	loads, evictions := 0, 0
-	for _, e := range c.Engines {
-		s := e.Stats()
-		loads += s.Loads
-		evictions += s.Evictions
-		if s.EvictedUnderRun > 0 {
-			r.broken = append(r.broken, "adapter evicted under a running request")
+func printDemo(out io.Writer, c *Cluster, r *run, took time.Duration) error {
+	sum := r.recorder.Sum()
+	totals := c.engineTotals()
+	adapters := map[string]bool{}
+	services, serviceRuns := 0, 0
+	for i := range r.samples {
+		s := &r.samples[i]
+		if s.Request.IsModel() {
+			adapters[s.Answer.Adapter] = true
+			continue
 		}
+		services++
+		serviceRuns += c.runs(s.Request.Content())
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "requests/s\t%.0f\n", float64(demoRequests)/took.Seconds())
-	fmt.Fprintf(w, "latency p50, p95, p99 (ms)\t%.1f, %.1f, %.1f\n", ms(r.latency, 50), ms(r.latency, 95), ms(r.latency, 99))
-	fmt.Fprintf(w, "adapters answered\t%d\n", len(r.adapters))
-	fmt.Fprintf(w, "loads, evictions\t%d, %d\n", loads, evictions)
-	fmt.Fprintf(w, "answered, not-run, unknown\t%d, %d, %d\n", r.outcomes["answered"], r.outcomes["not-run"], r.outcomes["unknown"])
-	fmt.Fprintf(w, "broken promises\t%d\n", len(r.broken))
-	_ = w.Flush() // standard output
+	fmt.Fprintf(w, "requests/s\t%.0f\n", float64(sum.Requests)/took.Seconds())
+	fmt.Fprintf(w, "first token p50/p95/p99 (ms)\t%s\n", sum.FirstToken)
+	fmt.Fprintf(w, "load stall p50/p95/p99 (ms)\t%s\n", sum.LoadStall)
+	fmt.Fprintf(w, "whole answer p50/p95/p99 (ms)\t%s\n", sum.Total)
+	fmt.Fprintf(w, "adapter versions used\t%d\n", len(adapters))
+	fmt.Fprintf(w, "service calls, runs counted by the services\t%d, %d\n", services, serviceRuns)
+	fmt.Fprintf(w, "loads, evictions\t%d, %d\n", totals.loads, totals.evictions)
+	fmt.Fprintf(w, "answered, not-run, unknown\t%d, %d, %d\n", sum.Answered, sum.NotRun, sum.Unknown)
+	return errors.Wrap(w.Flush(), "write result")
 }
-
-func ms(h *hdrhistogram.Histogram, p float64) float64 { return float64(h.ValueAtPercentile(p)) / 1000 }
--- /dev/null
+++ b/pkg/demo/faultrun.go
@@ -0,0 +1,309 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/workload"
+	"github.com/fescuecourse/fescuecourse/standin/fault"
+)
+
+// Parameters of fault runs.
+const (
+	faultRequestsPerSecond = 80
+	faultDeadline          = 15 * time.Second
+	faultProgress          = 5 * time.Second
+)
+
+// FaultOptions returns the cluster of fault runs.
+func FaultOptions(seed uint64) Options {
+	o := DefaultOptions()
+	o.ModelServers, o.ServiceServers = 4, 2
+	o.Decode = 5 * time.Millisecond
+	o.Relays = true
+	o.VMListLag = time.Second
+	o.FaultSeed = seed
+	return o
+}
+
+// faultRun drives a cluster through a fault plan under open-loop load.
+type faultRun struct {
+	c     *Cluster
+	load  *run
+	start time.Time
+	out   io.Writer
+
+	mu       sync.Mutex
+	injected map[FaultKind]int
+	skipped  int
+	silenced int
+	cut      int
+	leaves   []leave
+	errs     error
+	busy     map[int]bool
+	wg       sync.WaitGroup
+}
+
+// leave is one graceful stop of an endpoint.
+type leave struct {
+	server   *Server
+	from, to time.Time
+}
+
+// RunFaults starts a cluster, injects the faults of the seed's plan under load
+// and checks what callers and fakes saw. It returns ErrViolated if a
+// requirement was violated.
+func RunFaults(ctx context.Context, opts Options, seed uint64, duration time.Duration, out io.Writer) error {
+	c, err := Start(ctx, opts)
+	if err != nil {
+		return err
+	}
+	printSize(out, c)
+	spec := specFor(&c.Opts, faultRequestsPerSecond)
+	spec.Load.Deadline = faultDeadline
+	arrivals := workload.Schedule(spec, seed, duration)
+	plan := PlanFaults(seed, duration, len(c.Servers), c.Opts.Entries)
+	f := &faultRun{c: c, load: newRun(), out: out, injected: map[FaultKind]int{}, busy: map[int]bool{}, start: time.Now()}
+	f.setRules()
+	f.run(ctx, plan, arrivals, duration)
+	if err := c.Stop(); err != nil {
+		return err
+	}
+	if f.errs != nil {
+		return f.errs
+	}
+	found := append(f.load.violations(c), f.leaveViolations()...)
+	if err := f.print(duration); err != nil {
+		return err
+	}
+	workload.WriteViolations(out, found)
+	if len(found) > 0 {
+		return ErrViolated
+	}
+	return nil
+}
+
+// setRules sets the probabilities of faults inside the back ends.
+func (f *faultRun) setRules() {
+	for _, s := range f.c.Servers {
+		s.Faults.Set(fault.LoadFailed, fault.Rule{Probability: 0.03})
+		s.Faults.Set(fault.LoadSlow, fault.Rule{Probability: 0.03, Delay: 300 * time.Millisecond})
+		s.Faults.Set(fault.StreamCut, fault.Rule{Probability: 0.01, AfterEvents: 3})
+		s.Faults.Set(fault.WrongModel, fault.Rule{Probability: 0.005})
+		s.Faults.Set(fault.SlowStart, fault.Rule{Probability: 0.02, Delay: 200 * time.Millisecond})
+		s.Faults.Set(fault.StatusLate, fault.Rule{Probability: 0.1})
+		s.Faults.Set(fault.AnswerLost, fault.Rule{Probability: 0.05})
+		s.Faults.Set(fault.ServiceSlow, fault.Rule{Probability: 0.02, Delay: 200 * time.Millisecond})
+	}
+}
+
+func (f *faultRun) run(ctx context.Context, plan []PlannedFault, arrivals []workload.Arrival, duration time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var background sync.WaitGroup
+	background.Go(func() { f.inject(ctx, plan) })
+	background.Go(func() { f.followPhases(ctx) })
+	client := workload.NewClient()
+	defer client.Close()
+	workload.Drive(ctx, client, f.c.Addrs(), arrivals, f.load.add)
+	if wait := time.Until(f.start.Add(duration)); wait > 0 && ctx.Err() == nil {
+		time.Sleep(wait)
+	}
+	cancel()
+	background.Wait()
+	f.wg.Wait()
+}
+
+// followPhases pauses the faults of the back ends outside disturbed phases and
+// prints progress.
+func (f *faultRun) followPhases(ctx context.Context) {
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	printed := f.start
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			paused := phaseAt(now.Sub(f.start)) != phaseDisturbed
+			for _, s := range f.c.Servers {
+				s.Faults.Pause(paused)
+			}
+			if now.Sub(printed) >= faultProgress {
+				printed = now
+				fmt.Fprintf(f.out, "%3.0f s: %d requests ended, %d disturbances\n", now.Sub(f.start).Seconds(), f.load.count(), f.total())
+			}
+		}
+	}
+}
+
+func (f *faultRun) total() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, k := range f.injected {
+		n += k
+	}
+	return n
+}
+
+// inject carries out the plan. A disturbance of a server that is being stopped
+// or started is skipped.
+func (f *faultRun) inject(ctx context.Context, plan []PlannedFault) {
+	for _, p := range plan {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(f.start.Add(p.At))):
+		}
+		if !f.take(p) {
+			continue
+		}
+		f.wg.Go(func() {
+			err := f.apply(p)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.busy[p.Server] = false
+			f.errs = errors.CombineErrors(f.errs, err)
+		})
+	}
+}
+
+func (f *faultRun) take(p PlannedFault) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	noEngine := p.Kind == FaultRestart && f.c.Servers[p.Server].Engine == nil
+	if f.busy[p.Server] || noEngine {
+		f.skipped++
+		return false
+	}
+	f.busy[p.Server] = true
+	f.injected[p.Kind]++
+	return true
+}
+
+func (f *faultRun) apply(p PlannedFault) error {
+	s := f.c.Servers[p.Server]
+	switch p.Kind {
+	case FaultKill:
+		if err := s.Kill(); err != nil {
+			return err
+		}
+		time.Sleep(p.Down)
+		return s.Start()
+	case FaultLeave:
+		return f.leave(s, p.Down)
+	case FaultRestart:
+		s.Engine.Restart()
+	case FaultCut:
+		f.countConnections(&f.cut, s.relays[p.Connection].Cut())
+	case FaultSilence:
+		f.countConnections(&f.silenced, s.relays[p.Connection].Silence())
+	}
+	return nil
+}
+
+func (f *faultRun) countConnections(total *int, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*total += n
+}
+
+func (f *faultRun) leave(s *Server, down time.Duration) error {
+	l := leave{server: s, from: time.Now()}
+	err := s.Leave()
+	time.Sleep(down)
+	l.to = time.Now()
+	f.mu.Lock()
+	f.leaves = append(f.leaves, l)
+	f.mu.Unlock()
+	return errors.CombineErrors(err, s.Start())
+}
+
+// leaveLimit is the longest time in which a leaving endpoint may get new work.
+const leaveLimit = 2 * time.Second
+
+// leaveViolations checks that leaving endpoints got no new work and that
+// graceful stops cut off no request.
+func (f *faultRun) leaveViolations() []workload.Violation {
+	var out []workload.Violation
+	for i := range f.load.samples {
+		s := &f.load.samples[i]
+		out = append(out, f.lateWork(s)...)
+		if f.cutOffInCalm(s) {
+			detail := fmt.Sprintf("request %d: outcome %q from %s, %v", s.Request.Seq, s.Answer.Outcome, s.Answer.Endpoint, s.Answer.Err)
+			out = append(out, workload.Violation{Kind: workload.CutOffByStop, Detail: detail})
+		}
+	}
+	return out
+}
+
+func (f *faultRun) lateWork(s *workload.Sample) []workload.Violation {
+	var out []workload.Violation
+	for _, l := range f.leaves {
+		limit := l.from.Add(leaveLimit)
+		if s.Answer.Start.Before(limit) {
+			continue
+		}
+		for _, at := range l.server.Starts(s.Request.Content()) {
+			if at.After(limit) && at.Before(l.to) {
+				out = append(out, workload.Violation{Kind: workload.WorkWhileLeaving, Detail: fmt.Sprintf("request %d at %s", s.Request.Seq, l.server.ID)})
+			}
+		}
+	}
+	return out
+}
+
+// cutOffInCalm reports whether a request that lived in one calm phase did not
+// end with an answer or a proven not-run.
+func (f *faultRun) cutOffInCalm(s *workload.Sample) bool {
+	from, to := s.Answer.Start.Sub(f.start), s.Answer.End.Sub(f.start)
+	if phaseAt(from) != phaseCalm || phaseAt(to) != phaseCalm || to-from > calmPhase {
+		return false
+	}
+	return s.Answer.Outcome != "answered" && s.Answer.Outcome != "not-run"
+}
+
+func (f *faultRun) print(duration time.Duration) error {
+	sum, totals := f.load.recorder.Sum(), f.c.engineTotals()
+	w := tabwriter.NewWriter(f.out, 0, 0, 2, ' ', 0)
+	for _, k := range disruptive {
+		fmt.Fprintf(w, "%s\t%d\n", k, f.injected[k])
+	}
+	fmt.Fprintf(w, "disturbances skipped, server busy\t%d\n", f.skipped)
+	fmt.Fprintf(w, "connections cut, silenced\t%d, %d\n", f.cut, f.silenced)
+	for _, n := range f.backendFaults() {
+		fmt.Fprintf(w, "%s\t%d\n", n.Kind, n.Injected)
+	}
+	fmt.Fprintf(w, "requests, requests/s\t%d, %.1f\n", sum.Requests, float64(sum.Requests)/duration.Seconds())
+	fmt.Fprintf(w, "answered, not-run, unknown\t%d, %d, %d\n", sum.Answered, sum.NotRun, sum.Unknown)
+	fmt.Fprintf(w, "first token p50/p95/p99 (ms)\t%s\n", sum.FirstToken)
+	fmt.Fprintf(w, "load stall p50/p95/p99 (ms)\t%s\n", sum.LoadStall)
+	fmt.Fprintf(w, "whole answer p50/p95/p99 (ms)\t%s\n", sum.Total)
+	fmt.Fprintf(w, "loads, evictions\t%d, %d\n", totals.loads, totals.evictions)
+	return errors.Wrap(w.Flush(), "write result")
+}
+
+// backendFaults sums the injected faults of all back ends, ordered by kind.
+func (f *faultRun) backendFaults() []fault.Count {
+	sums := map[fault.Kind]int{}
+	for _, s := range f.c.Servers {
+		for _, n := range s.Faults.Counts() {
+			sums[n.Kind] += n.Injected
+		}
+	}
+	var out []fault.Count
+	for k, n := range sums {
+		out = append(out, fault.Count{Kind: k, Injected: n})
+	}
+	slices.SortFunc(out, func(a, b fault.Count) int { return strings.Compare(string(a.Kind), string(b.Kind)) })
+	return out
+}
--- /dev/null
+++ b/pkg/demo/options.go
@@ -0,0 +1,109 @@
+package demo
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/workload"
+)
+
+// Names used by the demo deployment.
+const (
+	BaseModel = "kuma-7b"
+	Service   = "desk"
+)
+
+// Options configure a cluster.
+type Options struct {
+	Name           string
+	Entries        int
+	ModelServers   int
+	ServiceServers int
+	Service        string
+	Slots          int
+	Positions      int
+	LoadsPerSecond float64
+	Prefill        time.Duration
+	Decode         time.Duration
+	Teams          []workload.Team
+	Log            logging.Logger
+	EntryListen    string
+	UnreadyDelay   time.Duration
+	// DrainTimeout bounds every graceful stop.
+	DrainTimeout     time.Duration
+	AvailabilityZone []string
+	// Relays puts a relay between each entry and each endpoint, so that their
+	// connections can be disturbed. OneWayLatency applies between zones.
+	Relays        bool
+	OneWayLatency time.Duration
+	// VMListLag is how late changes appear on the VM list.
+	VMListLag time.Duration
+	// FaultSeed seeds the injectors of the fakes.
+	FaultSeed uint64
+}
+
+// DefaultOptions returns 2 entries, 2 model servers and 1 service server.
+func DefaultOptions() Options {
+	return Options{
+		Name:    "demo",
+		Entries: 2, ModelServers: 2, ServiceServers: 1, Service: Service,
+		Slots: 8, Positions: 16, LoadsPerSecond: 40,
+		Prefill: 5 * time.Millisecond, Decode: time.Millisecond,
+		Teams: []workload.Team{
+			{Name: "tokachi", Key: "demo-key-tokachi", Weight: 10, Priority: ident.PriorityNormal, Adapters: 24, Share: 0.6, Dominant: true},
+			{Name: "adwenpa", Key: "demo-key-adwenpa", Weight: 1, Priority: ident.PriorityNormal, Adapters: 16, Share: 0.4},
+		},
+		Log: logging.Nop(), EntryListen: "127.0.0.1:0", DrainTimeout: time.Minute,
+		AvailabilityZone: []string{"obihiro-a", "kushiro-b", "kitami-c"},
+	}
+}
+
+// optionsFor returns the cluster that a workload describes.
+func optionsFor(spec *workload.Spec) Options {
+	d := &spec.Deployment
+	opts := DefaultOptions()
+	opts.Name = d.Name
+	opts.Entries, opts.ModelServers, opts.ServiceServers = d.Entries, d.ModelServers, d.ServiceServers
+	opts.Service = d.Service
+	opts.Slots, opts.Positions, opts.LoadsPerSecond = d.Slots, d.Positions, d.LoadsPerSecond
+	opts.Prefill, opts.Decode = d.Prefill, d.Decode
+	opts.Teams = spec.Teams
+	opts.AvailabilityZone = d.Zones
+	opts.Relays = d.OneWayLatency > 0
+	opts.OneWayLatency = d.OneWayLatency
+	return opts
+}
+
+// specFor returns the requests of the demo for a cluster.
+func specFor(opts *Options, requestsPerSecond float64) *workload.Spec {
+	return &workload.Spec{
+		Deployment: workload.Deployment{Name: opts.Name, Service: opts.Service},
+		Load: workload.Load{
+			RequestsPerSecond: requestsPerSecond, ZipfExponent: 1.1,
+			ServiceShare: 0.25, NonIdempotentShare: 0.5, KeyedShare: 0.5, StreamShare: 0.5,
+			TokensMin: 4, TokensMax: 16, Deadline: 30 * time.Second,
+		},
+		Teams:     opts.Teams,
+		BatchTeam: -1,
+	}
+}
+
+// BundleText returns the configuration bundle of a cluster.
+func BundleText(opts Options) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[bundle]\nversion = 1\n\n[deployment]\nname = %s\nstall_weight = 0.8\nbatch_weight = 0.2\n\n", opts.Name)
+	for _, t := range opts.Teams {
+		sum := sha256.Sum256([]byte(t.Key))
+		fmt.Fprintf(&b, "[team %q]\nkey_sha256 = %s\nweight = %d\npriority = %s\nmax_in_flight = 1000\nrate = 10000\n\n", t.Name, hex.EncodeToString(sum[:]), t.Weight, t.Priority)
+		for i := range t.Adapters {
+			fmt.Fprintf(&b, "[adapter \"%s/%s\"]\nbase_model = %s\nversions = 1, 2\ncurrent = %s\n\n", t.Name, workload.AdapterName(i), BaseModel, workload.CurrentVersion)
+		}
+	}
+	fmt.Fprintf(&b, "[service %q]\n\n[route \"%s/status\"]\nidempotent = true\n", opts.Service, opts.Service)
+	return b.String()
+}
--- /dev/null
+++ b/pkg/demo/server.go
@@ -0,0 +1,173 @@
+package demo
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/endpoint"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+	"github.com/fescuecourse/fescuecourse/pkg/vmlist"
+	fakeengine "github.com/fescuecourse/fescuecourse/standin/engine"
+	"github.com/fescuecourse/fescuecourse/standin/fault"
+	fakeservice "github.com/fescuecourse/fescuecourse/standin/service"
+)
+
+// serviceDelay is the time of one call to a fake service.
+const serviceDelay = time.Millisecond
+
+// Server is one VM of the cluster: a fake back end and the endpoint process
+// beside it, which can be stopped and started again.
+type Server struct {
+	ID     ident.EndpointID
+	Zone   ident.AvailabilityZone
+	Faults *fault.Injector
+	// Engine is nil for a service server, Service for a model server.
+	Engine  *fakeengine.Server
+	Service *fakeservice.Server
+
+	c       *Cluster
+	set     endpoint.Settings
+	relays  []*fault.Relay
+	mu      sync.Mutex
+	process *process
+	ep      *endpoint.Endpoint
+}
+
+// alwaysAuthorized stands for an endpoint that is the only one to command its
+// engine.
+type alwaysAuthorized struct{}
+
+func (alwaysAuthorized) Token() (uint64, bool) { return 1, true }
+
+func (c *Cluster) newServer(id, kind, backend string, i int) *Server {
+	zone := c.Opts.AvailabilityZone[i%len(c.Opts.AvailabilityZone)]
+	return &Server{
+		ID: ident.EndpointID(id), Zone: ident.AvailabilityZone(zone), c: c,
+		Faults: fault.New(c.Opts.FaultSeed+uint64(len(c.Servers)), time.Now),
+		set: endpoint.Settings{
+			ID: id, Zone: zone, Listen: "127.0.0.1:0", Kind: kind, Backend: backend,
+			MaxQueued: 256, Positions: c.Opts.Positions, DrainTimeout: c.Opts.DrainTimeout, Fencing: endpoint.FencingIgnored,
+		},
+	}
+}
+
+func (c *Cluster) startModelServer(i int) error {
+	s := c.newServer(fmt.Sprintf("model-%d", i+1), endpoint.KindModel, BaseModel, i)
+	s.Engine = fakeengine.New(fakeengine.Options{
+		BaseModel: BaseModel, Slots: c.Opts.Slots, Positions: c.Opts.Positions,
+		Timing:  fakeengine.Timing{Prefill: c.Opts.Prefill, Decode: c.Opts.Decode},
+		Weights: c.Weights, Faults: s.Faults,
+	})
+	addr, err := c.serve(s.Engine.Handler())
+	if err != nil {
+		return err
+	}
+	return c.addServer(s, addr)
+}
+
+func (c *Cluster) startServiceServer(i int) error {
+	s := c.newServer(fmt.Sprintf("%s-%d", c.Opts.Service, i+1), endpoint.KindService, c.Opts.Service, i)
+	s.Service = fakeservice.New(serviceDelay, s.Faults)
+	addr, err := c.serve(s.Service.Handler())
+	if err != nil {
+		return err
+	}
+	return c.addServer(s, addr)
+}
+
+func (c *Cluster) addServer(s *Server, backendAddr string) error {
+	s.set.Address = backendAddr
+	c.Servers = append(c.Servers, s)
+	return s.Start()
+}
+
+// Start starts a new endpoint process and lists it.
+func (s *Server) Start() error {
+	h := &rollout.Holder{}
+	h.Adopt(s.c.bundle)
+	ep := endpoint.New(s.set, h, alwaysAuthorized{}, s.c.Opts.Log)
+	p := startProcess(ep.Run)
+	select {
+	case <-ep.Ready():
+	case <-p.done:
+		return p.err
+	}
+	s.mu.Lock()
+	s.process, s.ep = p, ep
+	s.mu.Unlock()
+	return s.announce(ep.Addr())
+}
+
+// announce makes the endpoint known to every entry, directly or by a relay.
+func (s *Server) announce(addr string) error {
+	if s.c.Opts.Relays && s.relays == nil {
+		if err := s.createRelays(addr); err != nil {
+			return err
+		}
+	}
+	for _, r := range s.relays {
+		r.SetTarget(addr)
+	}
+	s.list(vmlist.StateLive)
+	return nil
+}
+
+func (s *Server) createRelays(addr string) error {
+	for i := range s.c.Opts.Entries {
+		r, err := fault.NewRelay(addr)
+		if err != nil {
+			return err
+		}
+		if s.c.entryZone(i) != string(s.Zone) {
+			r.SetDelay(s.c.Opts.OneWayLatency)
+		}
+		s.relays = append(s.relays, r)
+	}
+	return nil
+}
+
+// list puts the endpoint on the VM list of every entry.
+func (s *Server) list(state vmlist.State) {
+	for i, vms := range s.c.VMs {
+		addr := s.ep.Addr()
+		if s.relays != nil {
+			addr = s.relays[i].Addr()
+		}
+		vms.Put(vmlist.VM{Endpoint: s.ID, Zone: s.Zone, Address: addr, State: state})
+	}
+}
+
+// Leave stops the endpoint process gracefully.
+func (s *Server) Leave() error {
+	s.list(vmlist.StateLeaving)
+	err := s.current().stop()
+	for _, vms := range s.c.VMs {
+		vms.Remove(s.ID)
+	}
+	return err
+}
+
+// Kill ends the endpoint process without a drain. The VM list does not change.
+func (s *Server) Kill() error {
+	s.mu.Lock()
+	p, ep := s.process, s.ep
+	s.mu.Unlock()
+	ep.Kill()
+	return p.wait()
+}
+
+func (s *Server) current() *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.process
+}
+
+// Starts returns the start times of all runs of a request at the back end.
+func (s *Server) Starts(content string) []time.Time {
+	if s.Engine != nil {
+		return s.Engine.Starts(content)
+	}
+	return s.Service.Starts(content)
+}
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +55,9 @@
 	ledger      *attempts.Ledger
 	control     *control
 	hub         *hub
+	backends    *backendConns
+	killed      chan struct{}
+	killOnce    sync.Once
 	leaving     atomic.Bool
 	addr        atomic.Pointer[net.TCPAddr]
 	ready       chan struct{}
@@ -61,7 +65,8 @@
 
 // New returns an endpoint process.
 func New(set Settings, bundles *rollout.Holder, authority Authority, log logging.Logger) *Endpoint {
-	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: idleConnTimeout}
+	backends := newBackendConns()
+	transport := &http.Transport{DialContext: backends.dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: idleConnTimeout}
 	hc := &http.Client{Transport: transport}
 	e := &Endpoint{
 		set:         set,
@@ -74,6 +79,8 @@
 		engine:      engine.New(set.Address, hc),
 		service:     service.New(set.Address, hc),
 		ledger:      attempts.New(),
+		backends:    backends,
+		killed:      make(chan struct{}),
 		ready:       make(chan struct{}),
 	}
 	e.hub = newHub(e)
@@ -112,6 +119,15 @@
 		defer close(controlDone)
 		e.control.run(background)
 	}()
+	go func() {
+		select {
+		case <-background.Done():
+		case <-e.killed:
+			e.backends.kill()
+			stop()
+			srv.Stop()
+		}
+	}()
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(lis) }()
 	close(e.ready)
--- a/pkg/endpoint/server.go
+++ b/pkg/endpoint/server.go
@@ -83,6 +83,8 @@
 		select {
 		case v := <-result:
 			return v
+		case <-s.e.control.done:
+			return verdict{}
 		case <-heartbeat.C:
 			out.accepted()
 		case <-done:
--- a/pkg/workload/recorder.go
+++ b/pkg/workload/recorder.go
@@ -167,18 +167,46 @@
 	Queue      Percentiles `json:"queue"`
 }
 
+func (s *series) row(g group) Row {
+	return Row{
+		Class: g.class, Segment: g.segment,
+		Requests: s.requests, Answered: s.answered, NotRun: s.notRun, Unknown: s.unknown, Stalled: s.stalled,
+		FirstToken: percentiles(s.firstToken), InterToken: percentiles(s.interToken), Total: percentiles(s.total),
+		LoadStall: percentiles(s.stall), Queue: percentiles(s.queue),
+	}
+}
+
+// Sum returns the results of all classes together.
+func (r *Recorder) Sum() Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := newSeries()
+	for _, s := range r.groups {
+		all.merge(s)
+	}
+	return all.row(group{class: "all", segment: "all"})
+}
+
+func (s *series) merge(o *series) {
+	s.requests += o.requests
+	s.answered += o.answered
+	s.notRun += o.notRun
+	s.unknown += o.unknown
+	s.stalled += o.stalled
+	s.firstToken.Merge(o.firstToken)
+	s.interToken.Merge(o.interToken)
+	s.total.Merge(o.total)
+	s.stall.Merge(o.stall)
+	s.queue.Merge(o.queue)
+}
+
 // Rows returns the results by class and segment, ordered.
 func (r *Recorder) Rows() []Row {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Row
 	for g, s := range r.groups {
-		out = append(out, Row{
-			Class: g.class, Segment: g.segment,
-			Requests: s.requests, Answered: s.answered, NotRun: s.notRun, Unknown: s.unknown, Stalled: s.stalled,
-			FirstToken: percentiles(s.firstToken), InterToken: percentiles(s.interToken), Total: percentiles(s.total),
-			LoadStall: percentiles(s.stall), Queue: percentiles(s.queue),
-		})
+		out = append(out, s.row(g))
 	}
 	slices.SortFunc(out, func(a, b Row) int {
 		if c := strings.Compare(string(a.Class), string(b.Class)); c != 0 {
--- a/pkg/workload/workload_test.go
+++ b/pkg/workload/workload_test.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -12,6 +13,9 @@
 
 var files = []string{"../../workloads/tokachi.ini", "../../workloads/adwenpa.ini"}
 
+// scheduleLength contains the batches of all workloads.
+const scheduleLength = time.Minute
+
 // Guards against schedules that a seed does not reproduce, that are out of
 // order, that repeat a prompt or that name adapters of another team or outside
 // the team's range.
@@ -21,19 +25,17 @@
 		assert.NilError(t, err)
 		rapid.Check(t, func(t *rapid.T) {
 			seed := rapid.Uint64().Draw(t, "seed")
-			a, b := Schedule(spec, seed, time.Minute), Schedule(spec, seed, time.Minute)
-			assert.DeepEqual(t, a, b)
+			a, b := Schedule(spec, seed, scheduleLength), Schedule(spec, seed, scheduleLength)
+			assert.Assert(t, reflect.DeepEqual(a, b))
 			seen := map[string]bool{}
+			batch := 0
 			for i := range a {
 				r := &a[i].Request
 				assert.Assert(t, i == 0 || a[i-1].At <= a[i].At)
 				assert.Assert(t, !seen[r.Prompt], r.Prompt)
 				seen[r.Prompt] = true
 				assert.Assert(t, !r.IsModel() || r.Adapter.Team == r.Team.Name)
-			}
-			batch := 0
-			for i := range a {
-				if a[i].Request.Class == ClassBatch {
+				if r.Class == ClassBatch {
 					batch++
 				}
 			}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -48,9 +49,6 @@
 	EvictedUnderRun int
 	// Restarts counts cold restarts.
 	Restarts int
-	// Runs counts the runs of each prompt, so that callers with unique prompts
-	// can count the runs of each of their requests.
-	Runs map[string]int
 	// PositionSeconds is the time that batch positions were in use.
 	PositionSeconds float64
 }
@@ -73,6 +71,7 @@
 	positions chan struct{}
 	token     uint64
 	stats     Stats
+	starts    map[string][]time.Time
 }
 
 // New returns an engine without resident adapters.
@@ -83,7 +82,7 @@
 		residents: map[string]bool{},
 		running:   map[*run]bool{},
 		positions: make(chan struct{}, opts.Positions),
-		stats:     Stats{Runs: map[string]int{}},
+		starts:    map[string][]time.Time{},
 	}
 }
 
@@ -91,12 +90,16 @@
 func (s *Server) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := s.stats
-	out.Runs = make(map[string]int, len(s.stats.Runs))
-	for k, v := range s.stats.Runs {
-		out.Runs[k] = v
-	}
-	return out
+	return s.stats
+}
+
+// Starts returns the start times of all runs with the prompt or messages, given
+// as JSON text. Callers with unique prompts can count the runs of each of their
+// requests.
+func (s *Server) Starts(content string) []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.starts[content])
 }
 
 // Handler returns the HTTP surface.
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -62,7 +62,7 @@
 		return false
 	}
 	s.running[started] = true
-	s.stats.Runs[req.content()]++
+	s.starts[req.content()] = append(s.starts[req.content()], time.Now())
 	return true
 }
 
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -54,6 +54,7 @@
 
 	mu       sync.Mutex
 	rng      *rand.Rand
+	paused   bool
 	rules    map[Kind]Rule
 	injected map[Kind]int
 }
@@ -77,6 +78,13 @@
 	i.rules[k] = r
 }
 
+// Pause stops or resumes the injection of faults.
+func (i *Injector) Pause(paused bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.paused = paused
+}
+
 // Hit reports whether the fault occurs at this opportunity, with its rule.
 func (i *Injector) Hit(k Kind) (Rule, bool) {
 	if i == nil {
@@ -85,7 +93,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	r, ok := i.rules[k]
-	if !ok || !i.due(k, r) {
+	if !ok || i.paused || !i.due(k, r) {
 		return r, false
 	}
 	i.injected[k]++
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,25 +28,21 @@
 	delay  time.Duration
 	faults *fault.Injector
 
-	mu   sync.Mutex
-	runs map[string]int
+	mu     sync.Mutex
+	starts map[string][]time.Time
 }
 
 // New returns a service that takes delay for each call. The injector may be nil.
 func New(delay time.Duration, faults *fault.Injector) *Server {
-	return &Server{delay: delay, faults: faults, runs: map[string]int{}}
+	return &Server{delay: delay, faults: faults, starts: map[string][]time.Time{}}
 }
 
-// Runs returns the number of runs by request body. Callers that send unique
+// Starts returns the start times of all runs with the body. Callers with unique
 // bodies can count the runs of each of their requests.
-func (s *Server) Runs() map[string]int {
+func (s *Server) Starts(body string) []time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]int, len(s.runs))
-	for k, v := range s.runs {
-		out[k] = v
-	}
-	return out
+	return slices.Clone(s.starts[body])
 }
 
 // Handler returns the HTTP surface.
@@ -62,7 +59,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.runs[string(body)]++
+	s.starts[string(body)] = append(s.starts[string(body)], time.Now())
 	s.mu.Unlock()
 	time.Sleep(s.delay)
 	if rule, ok := s.faults.Hit(fault.ServiceSlow); ok {
