Start workloads warm and check graceful stops harder

A stop without drain went unnoticed in a fault run, because idempotent requests are resumed elsewhere and service calls took 1 ms. Change: workloads can start with the most popular adapters resident. Calm phases let two model and two service servers leave, with calls of 300 ms. Tests cover the fault plan, the check of graceful stops and the fake engine.

--- /dev/null
+++ b/pkg/demo/demo_test.go
@@ -0,0 +1,71 @@
+package demo
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fescuecourse/fescuecourse/pkg/workload"
+	fakeengine "github.com/fescuecourse/fescuecourse/standin/engine"
+)
+
+// Guards against fault plans that a seed does not reproduce, that disturb a calm
+// phase other than by a graceful leave, or that name servers that do not exist.
+func TestPlanFaultsIsDeterministic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		size := Size{ModelServers: 4, ServiceServers: 2, Entries: 2}
+		plan := PlanFaults(seed, 4*cycleLength, size)
+		assert.Assert(t, reflect.DeepEqual(plan, PlanFaults(seed, 4*cycleLength, size)))
+		calm := 0
+		for i, p := range plan {
+			assert.Assert(t, i == 0 || plan[i-1].At <= p.At)
+			assert.Assert(t, p.Server < 6 && p.Connection < 2)
+			if phaseAt(p.At) == phaseDisturbed {
+				continue
+			}
+			assert.Equal(t, phaseAt(p.At), phaseCalm)
+			assert.Equal(t, p.Kind, FaultLeave)
+			calm++
+		}
+		assert.Equal(t, calm, 4*4)
+	})
+}
+
+// Guards against a check of graceful stops that finds nothing, or that blames a
+// graceful stop for the effect of a disturbance.
+func TestCutOffInCalm(t *testing.T) {
+	f := &faultRun{start: time.Now()}
+	calm := disturbedPhase + settlePhase
+	sample := func(from, to time.Duration, outcome string) *workload.Sample {
+		return &workload.Sample{Answer: workload.Answer{Start: f.start.Add(from), End: f.start.Add(to), Outcome: outcome}}
+	}
+	assert.Assert(t, f.cutOffInCalm(sample(calm, calm+time.Second, "unknown")))
+	assert.Assert(t, f.cutOffInCalm(sample(calm, calm+time.Second, "")))
+	assert.Assert(t, !f.cutOffInCalm(sample(calm, calm+time.Second, "answered")))
+	assert.Assert(t, !f.cutOffInCalm(sample(calm, calm+time.Second, "not-run")))
+	assert.Assert(t, !f.cutOffInCalm(sample(calm-time.Second, calm+time.Second, "unknown")))
+	assert.Assert(t, !f.cutOffInCalm(sample(calm, calm+calmPhase, "unknown")))
+}
+
+// Guards against a cluster that starts without the adapters of a warm workload
+// or with more adapters than slots.
+func TestResidents(t *testing.T) {
+	spec, err := workload.Read("../../workloads/tokachi.ini")
+	assert.NilError(t, err)
+	c := &Cluster{Opts: optionsFor(spec)}
+	seen := map[string]bool{}
+	for i := range c.Opts.ModelServers {
+		residents := c.residentsOf(i)
+		assert.Equal(t, len(residents), c.Opts.Slots)
+		eng := fakeengine.New(fakeengine.Options{Slots: c.Opts.Slots, Residents: residents})
+		for _, a := range eng.Adapters() {
+			assert.Assert(t, !seen[a.String()], a.String())
+			seen[a.String()] = true
+		}
+	}
+	assert.Equal(t, len(seen), c.Opts.ModelServers*c.Opts.Slots)
+}
--- a/pkg/demo/faultplan.go
+++ b/pkg/demo/faultplan.go
@@ -30,10 +30,15 @@
 	cycleLength = disturbedPhase + settlePhase + calmPhase
 	// faultInterval is the mean time between disturbances.
 	faultInterval = 700 * time.Millisecond
-	// firstLeave and the length of a leave with its join fit into the calm phase.
-	firstLeave = 500 * time.Millisecond
+	// The leaves of a calm phase start at firstLeave and secondLeave. A leave with
+	// its join takes less than the time between them.
+	firstLeave  = 500 * time.Millisecond
+	secondLeave = 3250 * time.Millisecond
 )
 
+// Size is what a plan may disturb. Model servers come before service servers.
+type Size struct{ ModelServers, ServiceServers, Entries int }
+
 // PlannedFault is one disturbance of a plan.
 type PlannedFault struct {
 	At     time.Duration
@@ -65,29 +70,51 @@
 	}
 }
 
+// planner draws faults.
+type planner struct {
+	rng  *rand.Rand
+	size Size
+	out  []PlannedFault
+}
+
 // PlanFaults returns the disturbances of a run, ordered by time. Equal
 // arguments give equal plans.
-func PlanFaults(seed uint64, duration time.Duration, servers, connections int) []PlannedFault {
-	rng := rand.New(rand.NewPCG(seed, 2))
-	draw := func(at time.Duration, kind FaultKind) PlannedFault {
-		return PlannedFault{
-			At: at, Kind: kind, Server: rng.IntN(servers), Connection: rng.IntN(connections),
-			Down: 200*time.Millisecond + time.Duration(rng.Int64N(int64(800*time.Millisecond))),
-		}
-	}
-	var out []PlannedFault
+func PlanFaults(seed uint64, duration time.Duration, size Size) []PlannedFault {
+	p := &planner{rng: rand.New(rand.NewPCG(seed, 2)), size: size}
 	for start := time.Duration(0); start < duration; start += cycleLength {
-		at := start
-		for {
-			at += time.Duration(rng.ExpFloat64() * float64(faultInterval))
-			if at >= start+disturbedPhase || at >= duration {
-				break
-			}
-			out = append(out, draw(at, disruptive[rng.IntN(len(disruptive))]))
+		p.disturbed(start, min(start+disturbedPhase, duration))
+		if start+cycleLength <= duration {
+			p.calm(start + disturbedPhase + settlePhase)
 		}
-		if calm := start + disturbedPhase + settlePhase + firstLeave; calm+calmPhase <= duration+firstLeave {
-			out = append(out, draw(calm, FaultLeave))
+	}
+	return p.out
+}
+
+func (p *planner) add(at time.Duration, kind FaultKind, server int) {
+	p.out = append(p.out, PlannedFault{
+		At: at, Kind: kind, Server: server, Connection: p.rng.IntN(p.size.Entries),
+		Down: 200*time.Millisecond + time.Duration(p.rng.Int64N(int64(800*time.Millisecond))),
+	})
+}
+
+func (p *planner) disturbed(from, to time.Duration) {
+	at := from
+	for {
+		at += time.Duration(p.rng.ExpFloat64() * float64(faultInterval))
+		if at >= to {
+			return
 		}
+		kind := disruptive[p.rng.IntN(len(disruptive))]
+		p.add(at, kind, p.rng.IntN(p.size.ModelServers+p.size.ServiceServers))
+	}
+}
+
+// calm lets two model servers and two service servers leave. Only non-idempotent
+// calls show a cut-off to the caller, because others are resumed elsewhere.
+func (p *planner) calm(from time.Duration) {
+	model, service := p.rng.IntN(p.size.ModelServers), p.rng.IntN(p.size.ServiceServers)
+	for i, at := range []time.Duration{firstLeave, secondLeave} {
+		p.add(from+at, FaultLeave, (model+i)%p.size.ModelServers)
+		p.add(from+at, FaultLeave, p.size.ModelServers+(service+i)%p.size.ServiceServers)
 	}
-	return out
 }
--- a/pkg/demo/faultrun.go
+++ b/pkg/demo/faultrun.go
@@ -20,7 +20,10 @@
 const (
 	faultRequestsPerSecond = 80
 	faultDeadline          = 15 * time.Second
-	faultProgress          = 5 * time.Second
+	// faultServiceDelay keeps calls in progress at most times, so that a stop
+	// that cuts them off is seen.
+	faultServiceDelay = 300 * time.Millisecond
+	faultProgress     = 5 * time.Second
 )
 
 // FaultOptions returns the cluster of fault runs.
@@ -28,6 +31,7 @@
 	o := DefaultOptions()
 	o.ModelServers, o.ServiceServers = 4, 2
 	o.Decode = 5 * time.Millisecond
+	o.ServiceDelay = faultServiceDelay
 	o.Relays = true
 	o.VMListLag = time.Second
 	o.FaultSeed = seed
@@ -70,7 +74,7 @@
 	spec := specFor(&c.Opts, faultRequestsPerSecond)
 	spec.Load.Deadline = faultDeadline
 	arrivals := workload.Schedule(spec, seed, duration)
-	plan := PlanFaults(seed, duration, len(c.Servers), c.Opts.Entries)
+	plan := PlanFaults(seed, duration, Size{ModelServers: c.Opts.ModelServers, ServiceServers: c.Opts.ServiceServers, Entries: c.Opts.Entries})
 	f := &faultRun{c: c, load: newRun(), out: out, injected: map[FaultKind]int{}, busy: map[int]bool{}, start: time.Now()}
 	f.setRules()
 	f.run(ctx, plan, arrivals, duration)
--- a/pkg/demo/options.go
+++ b/pkg/demo/options.go
@@ -30,6 +30,7 @@
 	LoadsPerSecond float64
 	Prefill        time.Duration
 	Decode         time.Duration
+	ServiceDelay   time.Duration
 	Teams          []workload.Team
 	Log            logging.Logger
 	EntryListen    string
@@ -41,6 +42,8 @@
 	// connections can be disturbed. OneWayLatency applies between zones.
 	Relays        bool
 	OneWayLatency time.Duration
+	// Residents are spread over the engines at the start, up to their slots.
+	Residents []ident.Adapter
 	// VMListLag is how late changes appear on the VM list.
 	VMListLag time.Duration
 	// FaultSeed seeds the injectors of the fakes.
@@ -53,7 +56,7 @@
 		Name:    "demo",
 		Entries: 2, ModelServers: 2, ServiceServers: 1, Service: Service,
 		Slots: 8, Positions: 16, LoadsPerSecond: 40,
-		Prefill: 5 * time.Millisecond, Decode: time.Millisecond,
+		Prefill: 5 * time.Millisecond, Decode: time.Millisecond, ServiceDelay: time.Millisecond,
 		Teams: []workload.Team{
 			{Name: "tokachi", Key: "demo-key-tokachi", Weight: 10, Priority: ident.PriorityNormal, Adapters: 24, Share: 0.6, Dominant: true},
 			{Name: "adwenpa", Key: "demo-key-adwenpa", Weight: 1, Priority: ident.PriorityNormal, Adapters: 16, Share: 0.4},
@@ -76,6 +79,9 @@
 	opts.AvailabilityZone = d.Zones
 	opts.Relays = d.OneWayLatency > 0
 	opts.OneWayLatency = d.OneWayLatency
+	if d.Warm {
+		opts.Residents = workload.Popular(spec, d.ModelServers*d.Slots)
+	}
 	return opts
 }
 
--- a/pkg/demo/server.go
+++ b/pkg/demo/server.go
@@ -14,9 +14,6 @@
 	fakeservice "github.com/fescuecourse/fescuecourse/standin/service"
 )
 
-// serviceDelay is the time of one call to a fake service.
-const serviceDelay = time.Millisecond
-
 // Server is one VM of the cluster: a fake back end and the endpoint process
 // beside it, which can be stopped and started again.
 type Server struct {
@@ -58,7 +55,7 @@
 	s.Engine = fakeengine.New(fakeengine.Options{
 		BaseModel: BaseModel, Slots: c.Opts.Slots, Positions: c.Opts.Positions,
 		Timing:  fakeengine.Timing{Prefill: c.Opts.Prefill, Decode: c.Opts.Decode},
-		Weights: c.Weights, Faults: s.Faults,
+		Weights: c.Weights, Faults: s.Faults, Residents: c.residentsOf(i),
 	})
 	addr, err := c.serve(s.Engine.Handler())
 	if err != nil {
@@ -67,9 +64,19 @@
 	return c.addServer(s, addr)
 }
 
+// residentsOf returns the adapters that are resident at the start of the i-th
+// engine.
+func (c *Cluster) residentsOf(i int) []ident.Adapter {
+	var out []ident.Adapter
+	for j := i; j < len(c.Opts.Residents) && len(out) < c.Opts.Slots; j += c.Opts.ModelServers {
+		out = append(out, c.Opts.Residents[j])
+	}
+	return out
+}
+
 func (c *Cluster) startServiceServer(i int) error {
 	s := c.newServer(fmt.Sprintf("%s-%d", c.Opts.Service, i+1), endpoint.KindService, c.Opts.Service, i)
-	s.Service = fakeservice.New(serviceDelay, s.Faults)
+	s.Service = fakeservice.New(s.c.Opts.ServiceDelay, s.Faults)
 	addr, err := c.serve(s.Service.Handler())
 	if err != nil {
 		return err
--- a/pkg/workload/source.go
+++ b/pkg/workload/source.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
@@ -206,3 +207,29 @@
 func (s *Source) gap() time.Duration {
 	return time.Duration(s.rng.ExpFloat64() / s.spec.Load.RequestsPerSecond * float64(time.Second))
 }
+
+// popularityDraws is the number of requests drawn to rank adapters.
+const popularityDraws = 50_000
+
+// Popular returns the n adapters that interactive requests name most often
+// before a shift, most popular first.
+func Popular(spec *Spec, n int) []ident.Adapter {
+	s := NewSource(spec, 0)
+	counts := map[ident.Adapter]int{}
+	for range popularityDraws {
+		if r := s.Interactive(0); r.IsModel() {
+			counts[r.Adapter]++
+		}
+	}
+	out := make([]ident.Adapter, 0, len(counts))
+	for a := range counts {
+		out = append(out, a)
+	}
+	slices.SortFunc(out, func(a, b ident.Adapter) int {
+		if c := counts[b] - counts[a]; c != 0 {
+			return c
+		}
+		return strings.Compare(a.String(), b.String())
+	})
+	return out[:min(n, len(out))]
+}
--- a/pkg/workload/spec.go
+++ b/pkg/workload/spec.go
@@ -40,6 +40,8 @@
 	LoadsPerSecond float64
 	Prefill        time.Duration
 	Decode         time.Duration
+	// Warm fills the adapter slots with the most popular adapters at the start.
+	Warm bool
 }
 
 // Load is the shape of the requests.
@@ -122,6 +124,7 @@
 	set.Float64Var(&d.LoadsPerSecond, "deployment.loads_per_second", 0, "")
 	set.DurationVar(&d.Prefill, "deployment.prefill", 0, "")
 	set.DurationVar(&d.Decode, "deployment.decode", 0, "")
+	set.BoolVar(&d.Warm, "deployment.warm", false, "")
 }
 
 func registerLoad(set *config.Set, l *Load) {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -37,6 +37,8 @@
 	Weights   *weightstore.Store
 	// ChecksFencing makes the engine refuse commands with an old fencing token.
 	ChecksFencing bool
+	// Residents are resident at the start.
+	Residents []ident.Adapter
 	// Faults may be nil.
 	Faults *fault.Injector
 }
@@ -74,9 +76,9 @@
 	starts    map[string][]time.Time
 }
 
-// New returns an engine without resident adapters.
+// New returns an engine.
 func New(opts Options) *Server {
-	return &Server{
+	s := &Server{
 		opts:      opts,
 		bootID:    1,
 		residents: map[string]bool{},
@@ -84,6 +86,10 @@
 		positions: make(chan struct{}, opts.Positions),
 		starts:    map[string][]time.Time{},
 	}
+	for _, a := range opts.Residents {
+		s.residents[a.String()] = true
+	}
+	return s
 }
 
 // Stats returns a copy of the counters.
