Repeat keyed requests and disturb the weight store in fault runs

Cause: no caller repeated a request by its idempotency key, and the weight store and fencing checks were not part of fault runs. Half of the fake engines check fencing tokens, and reads from the weight store can fail or be slow.

--- a/pkg/demo/check.go
+++ b/pkg/demo/check.go
@@ -40,7 +40,7 @@
 	out := r.recorder.Violations()
 	for i := range r.samples {
 		s := &r.samples[i]
-		out = append(out, workload.CheckRuns(&s.Request, &s.Answer, c.runs(s.Request.Content()))...)
+		out = append(out, workload.CheckRuns(s, c.runs(s.Request.Content()))...)
 	}
 	return append(out, c.evictionViolations()...)
 }
--- a/pkg/demo/cluster.go
+++ b/pkg/demo/cluster.go
@@ -15,6 +15,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
 	"github.com/fescuecourse/fescuecourse/pkg/entry"
 	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+	"github.com/fescuecourse/fescuecourse/standin/fault"
 	fakevmlist "github.com/fescuecourse/fescuecourse/standin/vmlist"
 	"github.com/fescuecourse/fescuecourse/standin/weightstore"
 )
@@ -28,6 +29,8 @@
 	Entries []*entry.Entry
 	Servers []*Server
 	Weights *weightstore.Store
+	// WeightFaults are the faults of the weight store.
+	WeightFaults *fault.Injector
 	// VMs are the VM lists, one for each entry, because relays give each entry
 	// its own addresses.
 	VMs []*fakevmlist.Server
@@ -41,7 +44,8 @@
 
 // Start brings up all parts and waits until the entries know all endpoints.
 func Start(ctx context.Context, opts Options) (*Cluster, error) {
-	c := &Cluster{Opts: opts, Weights: weightstore.New(opts.LoadsPerSecond, nil)}
+	faults := fault.New(opts.FaultSeed, time.Now)
+	c := &Cluster{Opts: opts, WeightFaults: faults, Weights: weightstore.New(opts.LoadsPerSecond, faults)}
 	b, found := bundle.Parse("demo", BundleText(opts))
 	if found != nil {
 		return nil, found.Err()
--- a/pkg/demo/faultrun.go
+++ b/pkg/demo/faultrun.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/workload"
 	"github.com/fescuecourse/fescuecourse/standin/fault"
 )
@@ -40,16 +41,19 @@
 
 // faultRun drives a cluster through a fault plan under open-loop load.
 type faultRun struct {
-	c     *Cluster
-	load  *run
-	start time.Time
-	out   io.Writer
+	c    *Cluster
+	load *run
+	// repeatKeyed makes callers repeat keyed requests with an unknown outcome.
+	repeatKeyed bool
+	start       time.Time
+	out         io.Writer
 
 	mu       sync.Mutex
 	injected map[FaultKind]int
 	skipped  int
 	silenced int
 	cut      int
+	repeated int
 	leaves   []leave
 	errs     error
 	busy     map[int]bool
@@ -62,10 +66,20 @@
 	from, to time.Time
 }
 
+// FaultRunOptions configure a fault run.
+type FaultRunOptions struct {
+	Seed     uint64
+	Duration time.Duration
+	// RepeatKeyed makes callers repeat requests that have an idempotency key and
+	// ended unknown.
+	RepeatKeyed bool
+}
+
 // RunFaults starts a cluster, injects the faults of the seed's plan under load
 // and checks what callers and fakes saw. It returns ErrViolated if a
 // requirement was violated.
-func RunFaults(ctx context.Context, opts Options, seed uint64, duration time.Duration, out io.Writer) error {
+func RunFaults(ctx context.Context, opts Options, run FaultRunOptions, out io.Writer) error {
+	seed, duration := run.Seed, run.Duration
 	c, err := Start(ctx, opts)
 	if err != nil {
 		return err
@@ -75,7 +89,7 @@
 	spec.Load.Deadline = faultDeadline
 	arrivals := workload.Schedule(spec, seed, duration)
 	plan := PlanFaults(seed, duration, Size{ModelServers: c.Opts.ModelServers, ServiceServers: c.Opts.ServiceServers, Entries: c.Opts.Entries})
-	f := &faultRun{c: c, load: newRun(), out: out, injected: map[FaultKind]int{}, busy: map[int]bool{}, start: time.Now()}
+	f := &faultRun{c: c, repeatKeyed: run.RepeatKeyed, load: newRun(), out: out, injected: map[FaultKind]int{}, busy: map[int]bool{}, start: time.Now()}
 	f.setRules()
 	f.run(ctx, plan, arrivals, duration)
 	if err := c.Stop(); err != nil {
@@ -97,6 +111,8 @@
 
 // setRules sets the probabilities of faults inside the back ends.
 func (f *faultRun) setRules() {
+	f.c.WeightFaults.Set(fault.StoreReadFailed, fault.Rule{Probability: 0.02})
+	f.c.WeightFaults.Set(fault.StoreReadSlow, fault.Rule{Probability: 0.02, Delay: 200 * time.Millisecond})
 	for _, s := range f.c.Servers {
 		s.Faults.Set(fault.LoadFailed, fault.Rule{Probability: 0.03})
 		s.Faults.Set(fault.LoadSlow, fault.Rule{Probability: 0.03, Delay: 300 * time.Millisecond})
@@ -117,7 +133,12 @@
 	background.Go(func() { f.followPhases(ctx) })
 	client := workload.NewClient()
 	defer client.Close()
-	workload.Drive(ctx, client, f.c.Addrs(), arrivals, f.load.add)
+	workload.Drive(ctx, client, f.c.Addrs(), arrivals, func(s workload.Sample) {
+		f.load.add(s)
+		if f.repeatKeyed {
+			f.repeat(ctx, client, &s)
+		}
+	})
 	if wait := time.Until(f.start.Add(duration)); wait > 0 && ctx.Err() == nil {
 		time.Sleep(wait)
 	}
@@ -126,6 +147,33 @@
 	f.wg.Wait()
 }
 
+// repeatDelay is the time after which a caller repeats a request.
+const repeatDelay = time.Second
+
+// repeat sends a keyed request with an unknown outcome once more, by another
+// entry. Its record must keep it from running twice.
+func (f *faultRun) repeat(ctx context.Context, client *workload.Client, s *workload.Sample) {
+	if s.Request.Key == "" || s.Answer.Outcome != ident.Unknown.String() {
+		return
+	}
+	time.Sleep(repeatDelay)
+	addrs := f.c.Addrs()
+	now := time.Now()
+	r := s.Request
+	a := client.Send(context.WithoutCancel(ctx), addrs[(r.Seq+1)%len(addrs)], &r, now)
+	f.load.add(workload.Sample{Request: r, Answer: a, Intended: now, Repeat: true})
+	f.addTo(&f.repeated, 1)
+}
+
+// injectors returns the injectors of all fakes.
+func (f *faultRun) injectors() []*fault.Injector {
+	out := []*fault.Injector{f.c.WeightFaults}
+	for _, s := range f.c.Servers {
+		out = append(out, s.Faults)
+	}
+	return out
+}
+
 // followPhases pauses the faults of the back ends outside disturbed phases and
 // prints progress.
 func (f *faultRun) followPhases(ctx context.Context) {
@@ -138,8 +186,8 @@
 			return
 		case now := <-tick.C:
 			paused := phaseAt(now.Sub(f.start)) != phaseDisturbed
-			for _, s := range f.c.Servers {
-				s.Faults.Pause(paused)
+			for _, i := range f.injectors() {
+				i.Pause(paused)
 			}
 			if now.Sub(printed) >= faultProgress {
 				printed = now
@@ -208,14 +256,14 @@
 	case FaultRestart:
 		s.Engine.Restart()
 	case FaultCut:
-		f.countConnections(&f.cut, s.relays[p.Connection].Cut())
+		f.addTo(&f.cut, s.relays[p.Connection].Cut())
 	case FaultSilence:
-		f.countConnections(&f.silenced, s.relays[p.Connection].Silence())
+		f.addTo(&f.silenced, s.relays[p.Connection].Silence())
 	}
 	return nil
 }
 
-func (f *faultRun) countConnections(total *int, n int) {
+func (f *faultRun) addTo(total *int, n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	*total += n
@@ -288,6 +336,7 @@
 		fmt.Fprintf(w, "%s\t%d\n", n.Kind, n.Injected)
 	}
 	fmt.Fprintf(w, "requests, requests/s\t%d, %.1f\n", sum.Requests, float64(sum.Requests)/duration.Seconds())
+	fmt.Fprintf(w, "keyed requests repeated\t%d\n", f.repeated)
 	fmt.Fprintf(w, "answered, not-run, unknown\t%d, %d, %d\n", sum.Answered, sum.NotRun, sum.Unknown)
 	fmt.Fprintf(w, "first token p50/p95/p99 (ms)\t%s\n", sum.FirstToken)
 	fmt.Fprintf(w, "load stall p50/p95/p99 (ms)\t%s\n", sum.LoadStall)
@@ -299,8 +348,8 @@
 // backendFaults sums the injected faults of all back ends, ordered by kind.
 func (f *faultRun) backendFaults() []fault.Count {
 	sums := map[fault.Kind]int{}
-	for _, s := range f.c.Servers {
-		for _, n := range s.Faults.Counts() {
+	for _, i := range f.injectors() {
+		for _, n := range i.Counts() {
 			sums[n.Kind] += n.Injected
 		}
 	}
--- a/pkg/demo/server.go
+++ b/pkg/demo/server.go
@@ -42,7 +42,7 @@
 	zone := c.Opts.AvailabilityZone[i%len(c.Opts.AvailabilityZone)]
 	return &Server{
 		ID: ident.EndpointID(id), Zone: ident.AvailabilityZone(zone), c: c,
-		Faults: fault.New(c.Opts.FaultSeed+uint64(len(c.Servers)), time.Now),
+		Faults: fault.New(c.Opts.FaultSeed+1+uint64(len(c.Servers)), time.Now),
 		set: endpoint.Settings{
 			ID: id, Zone: zone, Listen: "127.0.0.1:0", Kind: kind, Backend: backend,
 			MaxQueued: 256, Positions: c.Opts.Positions, DrainTimeout: c.Opts.DrainTimeout, Fencing: endpoint.FencingIgnored,
@@ -52,10 +52,15 @@
 
 func (c *Cluster) startModelServer(i int) error {
 	s := c.newServer(fmt.Sprintf("model-%d", i+1), endpoint.KindModel, BaseModel, i)
+	// Half of the engines check fencing tokens.
+	checksFencing := i%2 == 0
+	if checksFencing {
+		s.set.Fencing = endpoint.FencingChecked
+	}
 	s.Engine = fakeengine.New(fakeengine.Options{
 		BaseModel: BaseModel, Slots: c.Opts.Slots, Positions: c.Opts.Positions,
 		Timing:  fakeengine.Timing{Prefill: c.Opts.Prefill, Decode: c.Opts.Decode},
-		Weights: c.Weights, Faults: s.Faults, Residents: c.residentsOf(i),
+		Weights: c.Weights, Faults: s.Faults, Residents: c.residentsOf(i), ChecksFencing: checksFencing,
 	})
 	addr, err := c.serve(s.Engine.Handler())
 	if err != nil {
--- a/pkg/workload/check.go
+++ b/pkg/workload/check.go
@@ -106,9 +106,11 @@
 }
 
 // CheckRuns checks an answer against the true number of runs at all back ends.
-func CheckRuns(r *Request, a *Answer, runs int) []Violation {
+// A repeated request may be refused as not run although the first one ran.
+func CheckRuns(s *Sample, runs int) []Violation {
+	r, a := &s.Request, &s.Answer
 	var out []Violation
-	if a.Outcome == ident.NotRun.String() && runs > 0 {
+	if a.Outcome == ident.NotRun.String() && runs > 0 && !s.Repeat {
 		out = append(out, Violation{NotRunRan, fmt.Sprintf("request %d: %d runs", r.Seq, runs)})
 	}
 	if a.Outcome == ident.Answered.String() && runs == 0 {
--- a/pkg/workload/driver.go
+++ b/pkg/workload/driver.go
@@ -12,6 +12,8 @@
 	Answer  Answer
 	// Intended is the scheduled start.
 	Intended time.Time
+	// Repeat marks a repeated request with the same idempotency key.
+	Repeat bool
 }
 
 // Drive sends the arrivals at their intended times, round robin over the
--- a/pkg/workload/workload_test.go
+++ b/pkg/workload/workload_test.go
@@ -80,9 +80,10 @@
 		assert.Equal(t, len(found), 1, string(want))
 		assert.Equal(t, found[0].Kind, want)
 	}
-	notRun, answered := Answer{Outcome: "not-run"}, Answer{Outcome: "answered"}
-	assert.Equal(t, CheckRuns(&once, &notRun, 1)[0].Kind, NotRunRan)
-	assert.Equal(t, CheckRuns(&once, &answered, 0)[0].Kind, AnsweredNotRan)
-	assert.Equal(t, CheckRuns(&once, &answered, 2)[0].Kind, RanTwice)
-	assert.Equal(t, len(CheckRuns(&once, &answered, 1)), 0)
+	notRun := Sample{Request: once, Answer: Answer{Outcome: "not-run"}}
+	answered := Sample{Request: once, Answer: Answer{Outcome: "answered"}}
+	assert.Equal(t, CheckRuns(&notRun, 1)[0].Kind, NotRunRan)
+	assert.Equal(t, CheckRuns(&answered, 0)[0].Kind, AnsweredNotRan)
+	assert.Equal(t, CheckRuns(&answered, 2)[0].Kind, RanTwice)
+	assert.Equal(t, len(CheckRuns(&answered, 1)), 0)
 }
