Keep connections to endpoints that the VM list lacks

Cause: an endpoint that left and joined again within the lag of the VM list was briefly off the list; the entry closed its connection and running non-idempotent calls ended unknown. Change: an entry drops an unlisted endpoint only once it reports no longer. A test removes a serving endpoint from the list during a call.

--- a/pkg/demo/demo_test.go
+++ b/pkg/demo/demo_test.go
@@ -69,3 +69,23 @@
 	}
 	assert.Equal(t, len(seen), c.Opts.ModelServers*c.Opts.Slots)
 }
+
+// Guards against an entry that closes the connection of a serving endpoint
+// because the lagging VM list does not name it. Such a request ended unknown.
+func TestUnlistedEndpointKeepsItsRequests(t *testing.T) {
+	opts := DefaultOptions()
+	opts.Entries, opts.ModelServers = 1, 1
+	opts.ServiceDelay = 2500 * time.Millisecond // the list is read every second
+	c, err := Start(t.Context(), opts)
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, c.Stop()) }()
+	for _, s := range c.Servers {
+		c.VMs[0].Remove(s.ID)
+	}
+	client := workload.NewClient()
+	defer client.Close()
+	r := workload.Request{Class: workload.ClassServiceOnce, Team: &opts.Teams[0], Service: Service, Path: "handoff", Prompt: "once", Deadline: 10 * time.Second}
+	a := client.Send(t.Context(), c.Addrs()[0], &r, time.Now())
+	assert.NilError(t, a.Err)
+	assert.Equal(t, a.Outcome, "answered")
+}
--- a/pkg/entry/connector.go
+++ b/pkg/entry/connector.go
@@ -65,7 +65,9 @@
 }
 
 // refresh opens links to new VMs and closes those of VMs that are gone from the
-// list. An unreadable list changes nothing.
+// list and report no longer. The list lags, so an endpoint that has left and
+// joined again can be off the list while it serves. An unreadable list changes
+// nothing.
 func (c *connector) refresh(ctx context.Context, wg *sync.WaitGroup) {
 	callCtx, cancel := context.WithTimeout(ctx, vmListTimeout)
 	defer cancel()
@@ -108,7 +110,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, l := range c.links {
-		if !listed[id] {
+		if !listed[id] && !l.connected.Load() {
 			l.stop()
 			delete(c.links, id)
 		}
@@ -124,6 +126,8 @@
 	stop    context.CancelFunc
 	conn    atomic.Pointer[grpc.ClientConn]
 	grants  chan *fescuev1.PermitGrant
+	// connected is true while the endpoint reports on the control stream.
+	connected atomic.Bool
 }
 
 func newConn(address string) (*grpc.ClientConn, error) {
@@ -184,6 +188,7 @@
 func (l *link) control(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer l.connected.Store(false)
 	watchdog := time.AfterFunc(reportSilence, cancel)
 	defer watchdog.Stop()
 	stream, err := l.client().Control(ctx)
@@ -201,6 +206,7 @@
 			return err
 		}
 		watchdog.Reset(reportSilence)
+		l.connected.Store(true)
 		l.c.e.events.received(l.id, m)
 	}
 }
