--- a/cmd/fescuectl/main.go
+++ b/cmd/fescuectl/main.go
@@ -10,7 +10,6 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
-	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/fescuecourse/fescuecourse/pkg/bundlecmd"
 	"github.com/fescuecourse/fescuecourse/pkg/config"
@@ -25,6 +24,8 @@
 	exitUsage   = 2
 )
 
+const usage = "usage: fescuectl bundle|demo|load [flags]"
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := run(ctx, os.Args[1:])
@@ -33,14 +34,37 @@
 }
 
 func run(ctx context.Context, args []string) int {
-	root := rootCommand()
-	if err := root.Parse(args); err != nil {
+	if len(args) == 0 {
+		fmt.Fprintln(os.Stderr, usage)
+		return exitUsage
+	}
+	switch args[0] {
+	case "bundle":
+		return runBundle(ctx, args[1:])
+	case "demo":
+		return demo.Command(ctx, args[1:], os.Stdout, os.Stderr)
+	case "load":
+		return demo.LoadCommand(ctx, args[1:], os.Stdout, os.Stderr)
+	case "help", "-h", "-help", "--help":
+		fmt.Fprintln(os.Stdout, usage)
+		return 0
+	default:
+		fmt.Fprintln(os.Stderr, usage)
+		return exitUsage
+	}
+}
+
+// runBundle runs the bundle commands and turns their errors into exit codes.
+func runBundle(ctx context.Context, args []string) int {
+	tool := &bundlecmd.Tool{Out: os.Stdout, Err: os.Stderr, Open: openStore}
+	cmd := tool.Command()
+	if err := cmd.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return 0
 		}
 		return exitUsage
 	}
-	err := root.Run(ctx)
+	err := cmd.Run(ctx)
 	switch {
 	case err == nil:
 		return 0
@@ -55,31 +79,9 @@
 	}
 }
 
-func rootCommand() *ffcli.Command {
-	fs := flag.NewFlagSet("fescuectl", flag.ContinueOnError)
-	bundles := &bundlecmd.Tool{Out: os.Stdout, Err: os.Stderr, Open: openStore}
-	return &ffcli.Command{
-		Name:        "fescuectl",
-		ShortUsage:  "fescuectl <bundle|demo> [flags]",
-		FlagSet:     fs,
-		Subcommands: []*ffcli.Command{bundles.Command(), demoCommand()},
-		Exec: func(context.Context, []string) error {
-			return errors.Mark(errors.New("usage: fescuectl <bundle|demo> [flags]"), config.ErrUsage)
-		},
-	}
-}
-
 func openStore(address string) (kv.Store, error) {
 	if address == "" {
 		return nil, errors.Mark(errors.New("the address of the key-value service is not set"), config.ErrUsage)
 	}
 	return etcd.New(address, etcd.Options{}), nil
 }
-
-func demoCommand() *ffcli.Command {
-	fs := flag.NewFlagSet("fescuectl demo", flag.ContinueOnError)
-	seed := fs.Uint64("seed", 1, "seed of the demo's requests")
-	return &ffcli.Command{Name: "demo", ShortUsage: "fescuectl demo [flags]", FlagSet: fs, Exec: func(ctx context.Context, _ []string) error {
-		return demo.Run(ctx, demo.DefaultOptions(), *seed, os.Stdout)
-	}}
-}
--- /dev/null
+++ b/pkg/demo/faultplan.go
@@ -0,0 +1,120 @@
+package demo
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// FaultKind is a disturbance of one server.
+type FaultKind string
+
+// Kinds of disturbances.
+const (
+	FaultKill    FaultKind = "endpoint killed and restarted"
+	FaultLeave   FaultKind = "graceful leave and join"
+	FaultRestart FaultKind = "engine cold restart"
+	FaultCut     FaultKind = "connections cut"
+	FaultSilence FaultKind = "connections silent"
+)
+
+var disruptive = []FaultKind{FaultKill, FaultLeave, FaultRestart, FaultCut, FaultSilence}
+
+// One cycle of a fault run: disturbances, then time to settle, then graceful
+// leaves only. In the calm phase every cut-off request is the fault of a
+// graceful stop.
+const (
+	disturbedPhase = 9 * time.Second
+	// settlePhase is longer than the time until silent connections are replaced.
+	settlePhase = 10 * time.Second
+	calmPhase   = 6 * time.Second
+	cycleLength = disturbedPhase + settlePhase + calmPhase
+	// faultInterval is the mean time between disturbances.
+	faultInterval = 700 * time.Millisecond
+	// The leaves of a calm phase start at firstLeave and secondLeave. A leave with
+	// its join takes less than the time between them.
+	firstLeave  = 500 * time.Millisecond
+	secondLeave = 3250 * time.Millisecond
+)
+
+// Size is what a plan may disturb. Model servers come before service servers.
+type Size struct{ ModelServers, ServiceServers, Entries int }
+
+// PlannedFault is one disturbance of a plan.
+type PlannedFault struct {
+	At     time.Duration
+	Kind   FaultKind
+	Server int
+	// Connection selects the entry whose connections are disturbed.
+	Connection int
+	// Down is the time between end and restart of a process.
+	Down time.Duration
+}
+
+// phase is a position in the cycle of a fault run.
+type phase uint8
+
+const (
+	phaseDisturbed phase = iota
+	phaseSettle
+	phaseCalm
+)
+
+func phaseAt(at time.Duration) phase {
+	switch in := at % cycleLength; {
+	case in < disturbedPhase:
+		return phaseDisturbed
+	case in < disturbedPhase+settlePhase:
+		return phaseSettle
+	default:
+		return phaseCalm
+	}
+}
+
+// planner draws faults.
+type planner struct {
+	rng  *rand.Rand
+	size Size
+	out  []PlannedFault
+}
+
+// PlanFaults returns the disturbances of a run, ordered by time. Equal
+// arguments give equal plans.
+func PlanFaults(seed uint64, duration time.Duration, size Size) []PlannedFault {
+	p := &planner{rng: rand.New(rand.NewPCG(seed, 2)), size: size}
+	for start := time.Duration(0); start < duration; start += cycleLength {
+		p.disturbed(start, min(start+disturbedPhase, duration))
+		if start+cycleLength <= duration {
+			p.calm(start + disturbedPhase + settlePhase)
+		}
+	}
+	return p.out
+}
+
+func (p *planner) add(at time.Duration, kind FaultKind, server int) {
+	p.out = append(p.out, PlannedFault{
+		At: at, Kind: kind, Server: server, Connection: p.rng.IntN(p.size.Entries),
+		Down: 200*time.Millisecond + time.Duration(p.rng.Int64N(int64(800*time.Millisecond))),
+	})
+}
+
+func (p *planner) disturbed(from, to time.Duration) {
+	at := from
+	for {
+		at += time.Duration(p.rng.ExpFloat64() * float64(faultInterval))
+		if at >= to {
+			return
+		}
+		kind := disruptive[p.rng.IntN(len(disruptive))]
+		p.add(at, kind, p.rng.IntN(p.size.ModelServers+p.size.ServiceServers))
+	}
+}
+
+// calm lets two model servers and two service servers leave. Only non-idempotent
+// calls show a cut-off to the caller, because others are resumed elsewhere.
+func (p *planner) calm(from time.Duration) {
+	model, service := p.rng.IntN(p.size.ModelServers), p.rng.IntN(p.size.ServiceServers)
+	for i, at := range []time.Duration{firstLeave, secondLeave} {
+		p.add(from+at, FaultLeave, (model+i)%p.size.ModelServers)
+		p.add(from+at, FaultLeave, p.size.ModelServers+(service+i)%p.size.ServiceServers)
+	}
+}
--- a/pkg/endpoint/endpoint_test.go
+++ b/pkg/endpoint/endpoint_test.go
@@ -82,7 +82,7 @@
 	t.Helper()
 	eng := fakeengine.New(fakeengine.Options{
 		BaseModel: "base", Slots: 1, Positions: 4,
-		Timing: fakeengine.Timing{Decode: 20 * time.Millisecond}, Weights: weightstore.New(1000),
+		Timing: fakeengine.Timing{Decode: 20 * time.Millisecond}, Weights: weightstore.New(1000, nil),
 	})
 	backend := httptest.NewServer(eng.Handler())
 	t.Cleanup(backend.Close)
@@ -130,7 +130,7 @@
 		BundleVersion: 1, Team: "a", Idempotent: idempotent, Priority: fescuev1.Priority(ident.PriorityNormal),
 		DeadlineMs: 60000, EndpointClockMs: s.e.clockMS(),
 		Work: &fescuev1.RunRequest_Model{Model: &fescuev1.ModelCall{
-			Path: "/v1/completions", BaseModel: "base", Body: []byte(`{"prompt":"x","max_tokens":30}`),
+			Path: "/v1/completions", BaseModel: "base", Body: []byte(`{"prompt":"` + id + `","max_tokens":30}`),
 		}},
 	})
 	assert.NilError(t, err)
@@ -174,7 +174,7 @@
 	assert.Equal(t, late.GetNotRun().GetReason(), fescuev1.NotRunReason_NOT_RUN_REASON_LEAVING)
 	assert.Equal(t, last(t, st).GetEnd().GetTotal(), uint64(30))
 	assert.NilError(t, <-s.ended)
-	assert.Equal(t, s.engine.Stats().Runs["r2"], 0)
+	assert.Equal(t, len(s.engine.Starts(`"r2"`)), 0)
 }
 
 // Guards against a non-idempotent run that is cancelled with its stream, whose
