Index the directory by backend and adapter for placement

Change: the directory keeps groups by backend and a sharded copy-on-write index of holders. The affinity policy looks at the holders and at the first endpoints of the rendezvous order, through filters, weighted scorers and a power-of-two picker. The number of preferred endpoints follows the request rate of the adapter. Deployment weights change the scorer weights. Random, least-loaded and plain-hash policies serve as baselines. Reports may leave out static fields and unchanged residents, and carry the queue capacity.

--- a/pkg/endpoint/report.go
+++ b/pkg/endpoint/report.go
@@ -29,6 +29,7 @@
 		Loading:          names(s.stats.Loading),
 		ConnectedEntries: uint32(e.hub.connected()),
 		CanLoad:          s.canLoad,
+		QueueCapacity:    uint32(e.set.MaxQueued),
 	}
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -58,7 +58,7 @@
 		log:     log.With("entry", set.ID),
 		bundles: bundles,
 		vms:     vmlist.New(set.VMList, &http.Client{Timeout: vmListTimeout}),
-		policy:  placement.Affinity{},
+		policy:  placement.NewAffinity(membership.EndpointHash(ident.EndpointID(set.ID))),
 		bus:     b,
 		stopped: make(chan struct{}),
 		ready:   make(chan struct{}),
--- /dev/null
+++ b/pkg/membership/index.go
@@ -0,0 +1,157 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// index keeps what a snapshot needs, so that publishing copies only what has
+// changed since the previous snapshot.
+type index struct {
+	slots   []*Endpoint
+	free    []int32
+	sorted  []int32
+	groups  map[BackendKey]*Group
+	holders [indexShards]map[ident.Adapter][]int32
+	// shared marks shards that the last snapshot refers to.
+	shared       [indexShards]bool
+	groupsShared bool
+}
+
+func newIndex() index { return index{groups: map[BackendKey]*Group{}} }
+
+// put replaces or adds an endpoint.
+func (x *index) put(old, e *Endpoint) {
+	if old != nil && (old.Kind != e.Kind || old.Backend != e.Backend) {
+		x.remove(old)
+		old = nil
+	}
+	if old == nil {
+		x.add(e)
+		return
+	}
+	e.slot = old.slot
+	x.slots[e.slot] = e
+	if !slices.Equal(old.Residents, e.Residents) || !slices.Equal(old.Loading, e.Loading) {
+		x.unlink(old)
+		x.link(e)
+	}
+}
+
+func (x *index) add(e *Endpoint) {
+	e.slot = x.takeSlot()
+	x.slots[e.slot] = e
+	i, _ := x.position(e.ID)
+	x.sorted = slices.Insert(x.sorted, i, e.slot)
+	x.regroup(e, func(g *Group) {
+		g.Slots = append(g.Slots, e.slot)
+		g.Hashes = append(g.Hashes, e.Hash)
+	})
+	x.link(e)
+}
+
+func (x *index) remove(e *Endpoint) {
+	x.unlink(e)
+	x.regroup(e, func(g *Group) {
+		i := slices.Index(g.Slots, e.slot)
+		g.Slots = slices.Delete(g.Slots, i, i+1)
+		g.Hashes = slices.Delete(g.Hashes, i, i+1)
+	})
+	if i, ok := x.position(e.ID); ok {
+		x.sorted = slices.Delete(x.sorted, i, i+1)
+	}
+	x.slots[e.slot] = nil
+	x.free = append(x.free, e.slot)
+}
+
+func (x *index) position(id ident.EndpointID) (int, bool) {
+	return slices.BinarySearchFunc(x.sorted, id, func(slot int32, id ident.EndpointID) int {
+		return strings.Compare(string(x.slots[slot].ID), string(id))
+	})
+}
+
+func (x *index) takeSlot() int32 {
+	if n := len(x.free); n > 0 {
+		slot := x.free[n-1]
+		x.free = x.free[:n-1]
+		return slot
+	}
+	x.slots = append(x.slots, nil)
+	return int32(len(x.slots) - 1)
+}
+
+// regroup changes the group of an endpoint on a copy.
+func (x *index) regroup(e *Endpoint, change func(*Group)) {
+	if x.groupsShared {
+		x.groups = maps.Clone(x.groups)
+		x.groupsShared = false
+	}
+	key := BackendKey{Kind: e.Kind, Backend: e.Backend}
+	next := &Group{Service: &ServiceTime{}}
+	if g := x.groups[key]; g != nil {
+		next.Service = g.Service
+		next.Slots = slices.Clone(g.Slots)
+		next.Hashes = slices.Clone(g.Hashes)
+	}
+	change(next)
+	if len(next.Slots) == 0 {
+		delete(x.groups, key)
+		return
+	}
+	x.groups[key] = next
+}
+
+func (x *index) link(e *Endpoint) {
+	for _, list := range [][]ident.Adapter{e.Residents, e.Loading} {
+		for _, a := range list {
+			shard := x.shard(a)
+			if !slices.Contains(shard[a], e.slot) {
+				shard[a] = append(slices.Clone(shard[a]), e.slot)
+			}
+		}
+	}
+}
+
+func (x *index) unlink(e *Endpoint) {
+	for _, list := range [][]ident.Adapter{e.Residents, e.Loading} {
+		for _, a := range list {
+			shard := x.shard(a)
+			rest := slices.DeleteFunc(slices.Clone(shard[a]), func(s int32) bool { return s == e.slot })
+			if len(rest) == 0 {
+				delete(shard, a)
+				continue
+			}
+			shard[a] = rest
+		}
+	}
+}
+
+// shard returns the writable shard of an adapter.
+func (x *index) shard(a ident.Adapter) map[ident.Adapter][]int32 {
+	i := AdapterHash(a) % indexShards
+	if x.holders[i] == nil {
+		x.holders[i] = map[ident.Adapter][]int32{}
+	}
+	if x.shared[i] {
+		x.holders[i] = maps.Clone(x.holders[i])
+		x.shared[i] = false
+	}
+	return x.holders[i]
+}
+
+// snapshot publishes the current state.
+func (x *index) snapshot() *Snapshot {
+	s := &Snapshot{slots: slices.Clone(x.slots), groups: x.groups, holders: x.holders}
+	s.Endpoints = make([]*Endpoint, len(x.sorted))
+	for i, slot := range x.sorted {
+		s.Endpoints[i] = x.slots[slot]
+	}
+	x.groupsShared = true
+	for i := range x.shared {
+		x.shared[i] = true
+	}
+	return s
+}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -5,7 +5,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -25,17 +24,19 @@
 
 // Endpoint is one endpoint as last reported. It is immutable.
 type Endpoint struct {
-	ID               ident.EndpointID
-	Incarnation      ident.Incarnation
-	Zone             ident.AvailabilityZone
-	Kind             fescuev1.EndpointKind
-	Backend          string
-	State            fescuev1.EndpointState
-	BundleVersion    ident.BundleVersion
-	ClockMS          uint64
-	PositionsTotal   int
-	PositionsUsed    int
-	Queued           int
+	ID             ident.EndpointID
+	Incarnation    ident.Incarnation
+	Zone           ident.AvailabilityZone
+	Kind           fescuev1.EndpointKind
+	Backend        string
+	State          fescuev1.EndpointState
+	BundleVersion  ident.BundleVersion
+	ClockMS        uint64
+	PositionsTotal int
+	PositionsUsed  int
+	Queued         int
+	// QueueCapacity is 0 if the endpoint does not report it.
+	QueueCapacity    int
 	SlotsTotal       int
 	Residents        []ident.Adapter
 	Loading          []ident.Adapter
@@ -43,6 +44,12 @@
 	ConnectedEntries int
 	ReportedAt       time.Time
 	Load             *Load
+	// OwnAtReport is the in-flight count of this entry when the report arrived.
+	OwnAtReport int64
+	// Hash is EndpointHash(ID).
+	Hash uint64
+
+	slot int32
 }
 
 // Holds reports whether the adapter is resident.
@@ -51,39 +58,41 @@
 // IsLoading reports whether the adapter is being loaded.
 func (e *Endpoint) IsLoading(a ident.Adapter) bool { return slices.Contains(e.Loading, a) }
 
-// Snapshot is the directory at one moment, ordered by endpoint id.
-type Snapshot struct{ Endpoints []*Endpoint }
-
-// Find returns an endpoint by id.
-func (s *Snapshot) Find(id ident.EndpointID) (*Endpoint, bool) {
-	i, ok := slices.BinarySearchFunc(s.Endpoints, id, func(e *Endpoint, id ident.EndpointID) int {
-		return strings.Compare(string(e.ID), string(id))
-	})
-	if !ok {
-		return nil, false
-	}
-	return s.Endpoints[i], true
-}
-
 // Directory is the mutable directory.
 type Directory struct {
 	endpoints map[ident.EndpointID]*Endpoint
 	loads     map[ident.EndpointID]*Load
+	index     index
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{endpoints: map[ident.EndpointID]*Endpoint{}, loads: map[ident.EndpointID]*Load{}}
+	return &Directory{endpoints: map[ident.EndpointID]*Endpoint{}, loads: map[ident.EndpointID]*Load{}, index: newIndex()}
 }
 
-// Apply records a report.
+// Apply records a report. The first report of an incarnation carries all
+// fields. Later ones may leave out static fields, and residents unless
+// residents_changed is set.
 func (d *Directory) Apply(now time.Time, r *fescuev1.Report) {
 	id := ident.EndpointID(r.GetEndpointId())
 	if d.loads[id] == nil {
 		d.loads[id] = &Load{}
 	}
-	d.endpoints[id] = &Endpoint{
-		ID:               id,
+	old := d.endpoints[id]
+	e := fromReport(now, r)
+	e.Load = d.loads[id]
+	e.Hash = EndpointHash(id)
+	e.OwnAtReport = e.Load.InFlight()
+	if old != nil && old.Incarnation == e.Incarnation {
+		e.inherit(old, r)
+	}
+	d.endpoints[id] = e
+	d.index.put(old, e)
+}
+
+func fromReport(now time.Time, r *fescuev1.Report) *Endpoint {
+	return &Endpoint{
+		ID:               ident.EndpointID(r.GetEndpointId()),
 		Incarnation:      ident.Incarnation(r.GetIncarnation()),
 		Zone:             ident.AvailabilityZone(r.GetZone()),
 		Kind:             r.GetKind(),
@@ -94,13 +103,38 @@
 		PositionsTotal:   int(r.GetPositionsTotal()),
 		PositionsUsed:    int(r.GetPositionsUsed()),
 		Queued:           int(r.GetQueued()),
+		QueueCapacity:    int(r.GetQueueCapacity()),
 		SlotsTotal:       int(r.GetSlotsTotal()),
 		Residents:        adapters(r.GetResidents()),
 		Loading:          adapters(r.GetLoading()),
 		CanLoad:          r.GetCanLoad(),
 		ConnectedEntries: int(r.GetConnectedEntries()),
 		ReportedAt:       now,
-		Load:             d.loads[id],
+	}
+}
+
+// inherit fills in what a report left out.
+func (e *Endpoint) inherit(old *Endpoint, r *fescuev1.Report) {
+	if e.Kind == fescuev1.EndpointKind_ENDPOINT_KIND_UNSPECIFIED {
+		e.Kind = old.Kind
+	}
+	if e.Backend == "" {
+		e.Backend = old.Backend
+	}
+	if e.Zone == "" {
+		e.Zone = old.Zone
+	}
+	if e.PositionsTotal == 0 {
+		e.PositionsTotal = old.PositionsTotal
+	}
+	if e.QueueCapacity == 0 {
+		e.QueueCapacity = old.QueueCapacity
+	}
+	if e.SlotsTotal == 0 {
+		e.SlotsTotal = old.SlotsTotal
+	}
+	if !r.GetResidentsChanged() {
+		e.Residents = old.Residents
 	}
 }
 
@@ -114,15 +148,19 @@
 	return out
 }
 
-// Remove drops an endpoint whose control stream has ended.
-func (d *Directory) Remove(id ident.EndpointID) { delete(d.endpoints, id) }
-
-// Snapshot returns the current directory.
-func (d *Directory) Snapshot() *Snapshot {
-	s := &Snapshot{Endpoints: make([]*Endpoint, 0, len(d.endpoints))}
-	for _, e := range d.endpoints {
-		s.Endpoints = append(s.Endpoints, e)
+// Remove drops an endpoint whose control stream has ended. Its load counter
+// stays while attempts are in flight.
+func (d *Directory) Remove(id ident.EndpointID) {
+	e := d.endpoints[id]
+	if e == nil {
+		return
+	}
+	d.index.remove(e)
+	delete(d.endpoints, id)
+	if e.Load.InFlight() == 0 {
+		delete(d.loads, id)
 	}
-	slices.SortFunc(s.Endpoints, func(a, b *Endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return s
 }
+
+// Snapshot publishes the current directory.
+func (d *Directory) Snapshot() *Snapshot { return d.index.snapshot() }
--- /dev/null
+++ b/pkg/membership/snapshot.go
@@ -0,0 +1,105 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// indexShards is the number of independently copied parts of the adapter
+// index. One changed adapter copies one shard of about 100 entries at 2,800
+// endpoints with 8 slots each.
+const indexShards = 256
+
+// BackendKey names a group of interchangeable endpoints.
+type BackendKey struct {
+	Kind    fescuev1.EndpointKind
+	Backend string
+}
+
+// Group lists the endpoints of one backend. Slots and Hashes have the same
+// length and change only when an endpoint joins or leaves.
+type Group struct {
+	// Slots are indexes for Snapshot.At.
+	Slots []int32
+	// Hashes are the hashes of the endpoint ids, for rendezvous hashing.
+	Hashes []uint64
+	// Service is shared by all snapshots.
+	Service *ServiceTime
+}
+
+// Snapshot is the directory at one moment. It is immutable.
+type Snapshot struct {
+	// Endpoints are ordered by endpoint id.
+	Endpoints []*Endpoint
+	slots     []*Endpoint
+	groups    map[BackendKey]*Group
+	holders   [indexShards]map[ident.Adapter][]int32
+}
+
+// At returns the endpoint in a slot, or nil.
+func (s *Snapshot) At(slot int32) *Endpoint { return s.slots[slot] }
+
+// Group returns the endpoints of a backend, or nil.
+func (s *Snapshot) Group(k BackendKey) *Group { return s.groups[k] }
+
+// Holders returns the slots of the endpoints that hold or load the adapter.
+// hash is AdapterHash(a).
+func (s *Snapshot) Holders(a ident.Adapter, hash uint64) []int32 {
+	return s.holders[hash%indexShards][a]
+}
+
+// Find returns an endpoint by id.
+func (s *Snapshot) Find(id ident.EndpointID) (*Endpoint, bool) {
+	i, ok := slices.BinarySearchFunc(s.Endpoints, id, func(e *Endpoint, id ident.EndpointID) int {
+		return strings.Compare(string(e.ID), string(id))
+	})
+	if !ok {
+		return nil, false
+	}
+	return s.Endpoints[i], true
+}
+
+// Mix combines two hashes into a well distributed one (the splitmix64 finaliser).
+func Mix(a, b uint64) uint64 {
+	x := a ^ (b * 0x9e3779b97f4a7c15)
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+// AdapterHash returns a hash of an adapter that is the same in all processes.
+func AdapterHash(a ident.Adapter) uint64 {
+	h := xxhash.Sum64String(string(a.Team))
+	h = Mix(h, xxhash.Sum64String(a.Name))
+	return Mix(h, xxhash.Sum64String(a.Version))
+}
+
+// EndpointHash returns a hash of an endpoint id that is the same in all processes.
+func EndpointHash(id ident.EndpointID) uint64 { return xxhash.Sum64String(string(id)) }
+
+// ServiceTime is a moving average of the time that requests run at a backend,
+// as seen by this entry. It is safe for concurrent use.
+type ServiceTime struct{ meanUS atomic.Int64 }
+
+// serviceTimeShift gives a new sample the weight 1/16.
+const serviceTimeShift = 4
+
+// Observe adds a sample.
+func (t *ServiceTime) Observe(d time.Duration) {
+	old := t.meanUS.Load()
+	next := old + (d.Microseconds()-old)>>serviceTimeShift
+	if old == 0 {
+		next = d.Microseconds()
+	}
+	t.meanUS.Store(next) // a lost concurrent sample does not matter
+}
+
+// Mean returns the average, or 0 before the first sample.
+func (t *ServiceTime) Mean() time.Duration { return time.Duration(t.meanUS.Load()) * time.Microsecond }
--- /dev/null
+++ b/pkg/placement/affinity.go
@@ -0,0 +1,217 @@
+package placement
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/membership"
+)
+
+// Limits of the candidate set.
+const (
+	maxPreferred = 16
+	// spillOver is the number of endpoints considered beyond the preferred ones.
+	spillOver = 3
+	// maxHolders bounds the holders considered in one decision.
+	maxHolders = 16
+	// maxSample bounds the endpoints considered for requests without an adapter.
+	maxSample = 32
+	// holderUtilisation is the share of a holder's positions that one adapter
+	// may take before it gets another preferred endpoint.
+	holderUtilisation = 0.5
+	// defaultServiceTime is assumed before the first sample of a backend.
+	defaultServiceTime = time.Second
+	// minConfidence is the weight of the oldest report that is still in use.
+	minConfidence = 0.25
+)
+
+// Affinity prefers endpoints that hold the adapter and otherwise a few endpoints
+// chosen by rendezvous hash, weighed against load, zone and prompt prefix.
+type Affinity struct {
+	demand  demand
+	scorers atomic.Pointer[[]weighted]
+	picker  Picker
+	sample  source
+	scratch sync.Pool
+}
+
+type scratch struct {
+	candidates []Candidate
+	scored     []Scored
+}
+
+// NewAffinity returns the default policy. The seed varies between entries, so
+// that they do not all choose the same endpoint.
+func NewAffinity(seed uint64) *Affinity {
+	p := &Affinity{picker: NewPowerOfTwo(seed), sample: source{seed: ^seed}}
+	p.scratch.New = func() any { return &scratch{} }
+	p.ApplyConfig(bundle.Deployment{})
+	return p
+}
+
+// Name implements Policy.
+func (*Affinity) Name() string { return "affinity" }
+
+// ApplyConfig takes the weights of a deployment.
+func (p *Affinity) ApplyConfig(d bundle.Deployment) {
+	s := scorers(d)
+	p.scorers.Store(&s)
+}
+
+// Place implements Policy.
+func (p *Affinity) Place(r *Request, s *membership.Snapshot) (Decision, error) {
+	g := s.Group(membership.BackendKey{Kind: r.Kind, Backend: r.Backend})
+	if g == nil {
+		return Decision{}, ErrNoEndpoint
+	}
+	sc := p.scratch.Get().(*scratch)
+	defer p.scratch.Put(sc)
+	sc.candidates = p.gather(sc.candidates[:0], r, s, g)
+	in, err := filter(r, sc.candidates)
+	if err != nil && len(sc.candidates) < len(g.Slots) {
+		sc.candidates = gatherAll(sc.candidates[:0], r, s, g)
+		in, err = filter(r, sc.candidates)
+	}
+	if err != nil {
+		return Decision{}, err
+	}
+	return p.choose(r, sc, in), nil
+}
+
+func (p *Affinity) choose(r *Request, sc *scratch, in []Candidate) Decision {
+	scorers := *p.scorers.Load()
+	sc.scored = sc.scored[:0]
+	for i := range in {
+		total := 0.0
+		for _, s := range scorers {
+			total += s.weight * s.Score(r, &in[i])
+		}
+		sc.scored = append(sc.scored, Scored{Candidate: &in[i], Score: total})
+	}
+	chosen := sc.scored[p.picker.Pick(r, sc.scored)]
+	return Decision{Endpoint: chosen.Endpoint, Reason: reason(r, chosen.Candidate), Score: chosen.Score, Candidates: len(in)}
+}
+
+// gather collects holders and preferred endpoints.
+func (p *Affinity) gather(out []Candidate, r *Request, s *membership.Snapshot, g *membership.Group) []Candidate {
+	if r.Adapter.IsZero() {
+		return p.gatherSample(out, r, s, g)
+	}
+	hash := membership.AdapterHash(r.Adapter)
+	preferred := preferredCount(p.demand.add(r.Now, hash), s, g)
+	var top topRanks
+	top.fill(hash, g, preferred+spillOver)
+	for rank := range top.n {
+		out = append(out, candidate(r, s.At(g.Slots[top.index[rank]]), g, rank, preferred))
+	}
+	holders := s.Holders(r.Adapter, hash)
+	start := 0
+	if len(holders) > maxHolders {
+		start = p.sample.below(len(holders))
+	}
+	for i := range min(len(holders), maxHolders) {
+		e := s.At(holders[(start+i)%len(holders)])
+		if e.Kind == r.Kind && e.Backend == r.Backend && !contains(out, e) {
+			out = append(out, candidate(r, e, g, maxPreferred, preferred))
+		}
+	}
+	return out
+}
+
+// gatherSample collects endpoints for a request without an adapter.
+func (p *Affinity) gatherSample(out []Candidate, r *Request, s *membership.Snapshot, g *membership.Group) []Candidate {
+	n := len(g.Slots)
+	if n <= maxSample {
+		return gatherAll(out, r, s, g)
+	}
+	start := p.sample.below(n)
+	stride := n / maxSample
+	for i := range maxSample {
+		out = append(out, candidate(r, s.At(g.Slots[(start+i*stride)%n]), g, maxPreferred, 1))
+	}
+	return out
+}
+
+func gatherAll(out []Candidate, r *Request, s *membership.Snapshot, g *membership.Group) []Candidate {
+	for _, slot := range g.Slots {
+		out = append(out, candidate(r, s.At(slot), g, maxPreferred, 1))
+	}
+	return out
+}
+
+func contains(list []Candidate, e *membership.Endpoint) bool {
+	for i := range list {
+		if list[i].Endpoint == e {
+			return true
+		}
+	}
+	return false
+}
+
+// candidate estimates the load of an endpoint. Own requests count fully, those
+// of others as last reported with a confidence that decays with age.
+func candidate(r *Request, e *membership.Endpoint, g *membership.Group, rank, preferred int) Candidate {
+	others := max(float64(int64(e.PositionsUsed+e.Queued)-e.OwnAtReport), 0)
+	age := max(float64(r.Now.Sub(e.ReportedAt))/float64(StaleAfter), 0)
+	confidence := max(1-age*(1-minConfidence), minConfidence)
+	positions := float64(max(e.PositionsTotal, 1))
+	c := Candidate{Endpoint: e, Rank: rank, Preferred: preferred}
+	c.Load = (float64(e.Load.InFlight()) + confidence*others) / positions
+	c.Wait = time.Duration(float64(e.Queued) / positions * float64(g.Service.Mean()))
+	if !r.Adapter.IsZero() {
+		c.Resident = e.Holds(r.Adapter)
+		c.Loading = e.IsLoading(r.Adapter)
+	}
+	return c
+}
+
+// preferredCount derives the number of preferred endpoints from the request
+// rate: concurrency by Little's law, divided by what one holder takes.
+func preferredCount(rate float64, s *membership.Snapshot, g *membership.Group) int {
+	e := s.At(g.Slots[0])
+	service := g.Service.Mean()
+	if service == 0 {
+		service = defaultServiceTime
+	}
+	concurrency := rate * float64(max(e.ConnectedEntries, 1)) * service.Seconds()
+	holders := math.Ceil(concurrency / (holderUtilisation * float64(max(e.PositionsTotal, 1))))
+	return int(min(max(holders, 1), maxPreferred-spillOver))
+}
+
+// topRanks holds the endpoints with the highest rendezvous hashes.
+type topRanks struct {
+	n     int
+	hash  [maxPreferred]uint64
+	index [maxPreferred]int32
+}
+
+// fill finds the k endpoints with the highest hashes. It reads only the array
+// of endpoint hashes, which is about 1 ns for each endpoint.
+func (t *topRanks) fill(key uint64, g *membership.Group, k int) {
+	lowest := uint64(0)
+	for i, h := range g.Hashes {
+		v := membership.Mix(key, h)
+		if v < lowest {
+			continue
+		}
+		t.insert(v, int32(i), k)
+		if t.n == k {
+			lowest = t.hash[k-1]
+		}
+	}
+}
+
+func (t *topRanks) insert(v uint64, index int32, k int) {
+	if t.n < k {
+		t.n++
+	}
+	j := t.n - 1
+	for j > 0 && t.hash[j-1] < v {
+		t.hash[j], t.index[j] = t.hash[j-1], t.index[j-1]
+		j--
+	}
+	t.hash[j], t.index[j] = v, index
+}
--- /dev/null
+++ b/pkg/placement/baseline.go
@@ -0,0 +1,78 @@
+package placement
+
+import "github.com/fescuecourse/fescuecourse/pkg/membership"
+
+// Random is a baseline that picks any eligible endpoint.
+type Random struct{ source source }
+
+// NewRandom returns the policy with a seeded source.
+func NewRandom(seed uint64) *Random { return &Random{source: source{seed: seed}} }
+
+// Name implements Policy.
+func (*Random) Name() string { return "random" }
+
+// Place implements Policy.
+func (p *Random) Place(r *Request, s *membership.Snapshot) (Decision, error) {
+	in, err := eligible(r, s)
+	if err != nil {
+		return Decision{}, err
+	}
+	return decide(in, p.source.below(len(in)), "random"), nil
+}
+
+// LeastLoaded is a baseline that picks the eligible endpoint with the lowest load.
+type LeastLoaded struct{}
+
+// Name implements Policy.
+func (LeastLoaded) Name() string { return "least-loaded" }
+
+// Place implements Policy.
+func (LeastLoaded) Place(r *Request, s *membership.Snapshot) (Decision, error) {
+	in, err := eligible(r, s)
+	if err != nil {
+		return Decision{}, err
+	}
+	best := 0
+	for i := range in {
+		if in[i].Load < in[best].Load {
+			best = i
+		}
+	}
+	return decide(in, best, "least loaded"), nil
+}
+
+// PlainHash is a baseline that picks the eligible endpoint with the highest
+// rendezvous hash, whatever its load.
+type PlainHash struct{}
+
+// Name implements Policy.
+func (PlainHash) Name() string { return "plain-hash" }
+
+// Place implements Policy.
+func (PlainHash) Place(r *Request, s *membership.Snapshot) (Decision, error) {
+	in, err := eligible(r, s)
+	if err != nil {
+		return Decision{}, err
+	}
+	key := membership.AdapterHash(r.Adapter)
+	best := 0
+	for i := range in {
+		if membership.Mix(key, in[i].Hash) > membership.Mix(key, in[best].Hash) {
+			best = i
+		}
+	}
+	return decide(in, best, "hash"), nil
+}
+
+// eligible returns all endpoints that pass the filters.
+func eligible(r *Request, s *membership.Snapshot) ([]Candidate, error) {
+	g := s.Group(membership.BackendKey{Kind: r.Kind, Backend: r.Backend})
+	if g == nil {
+		return nil, ErrNoEndpoint
+	}
+	return filter(r, gatherAll(nil, r, s, g))
+}
+
+func decide(in []Candidate, i int, reason string) Decision {
+	return Decision{Endpoint: in[i].Endpoint, Reason: reason, Candidates: len(in)}
+}
--- /dev/null
+++ b/pkg/placement/filters.go
@@ -0,0 +1,134 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+)
+
+// keep retains the candidates for which ok holds, in place.
+func keep(in []Candidate, ok func(*Candidate) bool) []Candidate {
+	out := in[:0]
+	for i := range in {
+		if ok(&in[i]) {
+			out = append(out, in[i])
+		}
+	}
+	return out
+}
+
+// BackendFilter drops endpoints of another kind or backend.
+type BackendFilter struct{}
+
+// Name implements Filter.
+func (BackendFilter) Name() string { return "backend" }
+
+// Filter implements Filter.
+func (BackendFilter) Filter(r *Request, in []Candidate) []Candidate {
+	return keep(in, func(c *Candidate) bool { return c.Kind == r.Kind && c.Backend == r.Backend })
+}
+
+// StateFilter drops endpoints that are starting or leaving.
+type StateFilter struct{}
+
+// Name implements Filter.
+func (StateFilter) Name() string { return "state" }
+
+// Filter implements Filter.
+func (StateFilter) Filter(_ *Request, in []Candidate) []Candidate {
+	return keep(in, func(c *Candidate) bool { return c.State == fescuev1.EndpointState_ENDPOINT_STATE_READY })
+}
+
+// StaleFilter drops endpoints without a recent report.
+type StaleFilter struct{}
+
+// Name implements Filter.
+func (StaleFilter) Name() string { return "stale" }
+
+// Filter implements Filter.
+func (StaleFilter) Filter(r *Request, in []Candidate) []Candidate {
+	return keep(in, func(c *Candidate) bool { return r.Now.Sub(c.ReportedAt) <= StaleAfter })
+}
+
+// ExcludedFilter drops endpoints of earlier attempts.
+type ExcludedFilter struct{}
+
+// Name implements Filter.
+func (ExcludedFilter) Name() string { return "excluded" }
+
+// Filter implements Filter.
+func (ExcludedFilter) Filter(r *Request, in []Candidate) []Candidate {
+	if len(r.Excluded) == 0 {
+		return in
+	}
+	return keep(in, func(c *Candidate) bool { return !slices.Contains(r.Excluded, c.ID) })
+}
+
+// AdapterFilter drops endpoints that neither hold the adapter nor may load it.
+type AdapterFilter struct{}
+
+// Name implements Filter.
+func (AdapterFilter) Name() string { return "adapter" }
+
+// Filter implements Filter.
+func (AdapterFilter) Filter(r *Request, in []Candidate) []Candidate {
+	if r.Adapter.IsZero() {
+		return in
+	}
+	return keep(in, func(c *Candidate) bool { return c.Resident || c.CanLoad })
+}
+
+// QueueFilter drops endpoints whose queue is full.
+type QueueFilter struct{}
+
+// Name implements Filter.
+func (QueueFilter) Name() string { return "queue" }
+
+// Filter implements Filter.
+func (QueueFilter) Filter(_ *Request, in []Candidate) []Candidate {
+	return keep(in, func(c *Candidate) bool { return c.QueueCapacity == 0 || c.Queued < c.QueueCapacity })
+}
+
+// DeadlineFilter drops endpoints whose queue outlasts the deadline.
+type DeadlineFilter struct{}
+
+// Name implements Filter.
+func (DeadlineFilter) Name() string { return "deadline" }
+
+// Filter implements Filter.
+func (DeadlineFilter) Filter(r *Request, in []Candidate) []Candidate {
+	if r.Remaining <= 0 {
+		return in
+	}
+	return keep(in, func(c *Candidate) bool { return c.Wait < r.Remaining })
+}
+
+// filterStep joins a filter with the error for dropping the last candidate.
+type filterStep struct {
+	Filter
+	err error
+}
+
+// defaultFilters are ordered so that the error names the last obstacle.
+var defaultFilters = []filterStep{
+	{BackendFilter{}, ErrNoEndpoint},
+	{StateFilter{}, ErrNoEndpoint},
+	{StaleFilter{}, ErrNoEndpoint},
+	{ExcludedFilter{}, ErrNoEndpoint},
+	{AdapterFilter{}, ErrNoEndpoint},
+	{QueueFilter{}, ErrQueueFull},
+	{DeadlineFilter{}, ErrDeadline},
+}
+
+// filter applies all default filters.
+func filter(r *Request, in []Candidate) ([]Candidate, error) {
+	if len(in) == 0 {
+		return nil, ErrNoEndpoint
+	}
+	for _, f := range defaultFilters {
+		if in = f.Filter.Filter(r, in); len(in) == 0 {
+			return nil, f.err
+		}
+	}
+	return in, nil
+}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -5,16 +5,23 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/membership"
 )
 
-// ErrNoEndpoint means that no endpoint can serve the request now.
-var ErrNoEndpoint = errors.New("no endpoint can serve the request")
+// Errors returned by Place.
+var (
+	// ErrNoEndpoint means that no endpoint can serve the request now.
+	ErrNoEndpoint = errors.New("no endpoint can serve the request")
+	// ErrQueueFull means that the queues of all eligible endpoints are full.
+	ErrQueueFull = errors.New("the queues of all endpoints are full")
+	// ErrDeadline means that no endpoint can start the request before its deadline.
+	ErrDeadline = errors.New("the deadline cannot be met")
+)
 
 // StaleAfter is the age of a report after which an endpoint is not used.
 const StaleAfter = 6 * time.Second
@@ -29,84 +36,81 @@
 	Zone    ident.AvailabilityZone
 	// Excluded are endpoints that have refused or lost an earlier attempt.
 	Excluded []ident.EndpointID
+	// Prefix is a hash of the first part of the prompt, or 0.
+	Prefix uint64
+	// Remaining is the time left until the deadline, or 0 if there is none.
+	Remaining time.Duration
 }
 
 // Candidate is an endpoint under consideration.
-type Candidate struct{ *membership.Endpoint }
+type Candidate struct {
+	*membership.Endpoint
+	// Rank is the position among the preferred endpoints of the adapter; values
+	// of at least Preferred are spill-over.
+	Rank int
+	// Preferred is the number of preferred endpoints of the adapter.
+	Preferred int
+	Resident  bool
+	Loading   bool
+	// Load is the estimated number of requests per batch position.
+	Load float64
+	// Wait is the estimated time in the queue.
+	Wait time.Duration
+}
 
-// Decision is the result with the reason for the log line.
-type Decision struct {
-	Endpoint *membership.Endpoint
-	Reason   string
+// Scored is a candidate with its weighted score.
+type Scored struct {
+	*Candidate
+	Score float64
 }
 
-// Policy places requests.
-type Policy interface {
+// Filter drops candidates. It may reuse the storage of in.
+type Filter interface {
 	Name() string
-	Place(r *Request, s *membership.Snapshot) (Decision, error)
+	Filter(r *Request, in []Candidate) []Candidate
 }
 
-// Affinity prefers endpoints that hold the adapter, then the endpoint with the
-// highest rendezvous hash, weighed against load.
-type Affinity struct{}
+// Scorer rates a candidate between 0 and 1.
+type Scorer interface {
+	Name() string
+	Score(r *Request, c *Candidate) float64
+}
 
-// Name implements Policy.
-func (Affinity) Name() string { return "affinity" }
+// Picker returns the index of the chosen candidate. scored is not empty.
+type Picker interface {
+	Name() string
+	Pick(r *Request, scored []Scored) int
+}
 
-// Place implements Policy.
-func (Affinity) Place(r *Request, s *membership.Snapshot) (Decision, error) {
-	var best Decision
-	var bestScore float64
-	for _, e := range s.Endpoints {
-		if !Eligible(r, e) {
-			continue
-		}
-		score, reason := score(r, e)
-		if best.Endpoint == nil || score > bestScore {
-			best, bestScore = Decision{Endpoint: e, Reason: reason}, score
-		}
-	}
-	if best.Endpoint == nil {
-		return best, ErrNoEndpoint
-	}
-	return best, nil
+// Decision is the result with the figures for the log line.
+type Decision struct {
+	Endpoint   *membership.Endpoint
+	Reason     string
+	Score      float64
+	Candidates int
 }
 
-// Eligible reports whether an endpoint can serve the request at all.
-func Eligible(r *Request, e *membership.Endpoint) bool {
-	if e.Kind != r.Kind || e.Backend != r.Backend || e.State != fescuev1.EndpointState_ENDPOINT_STATE_READY {
-		return false
-	}
-	if r.Now.Sub(e.ReportedAt) > StaleAfter {
-		return false
-	}
-	for _, id := range r.Excluded {
-		if id == e.ID {
-			return false
-		}
-	}
-	return true
+// Policy places requests. It is safe for concurrent use.
+type Policy interface {
+	Name() string
+	Place(r *Request, s *membership.Snapshot) (Decision, error)
 }
 
-func score(r *Request, e *membership.Endpoint) (float64, string) {
-	load := float64(max(e.Load.InFlight(), int64(e.PositionsUsed+e.Queued))) / float64(max(e.PositionsTotal, 1))
+// Configurable is a policy that depends on the bundle.
+type Configurable interface{ ApplyConfig(d bundle.Deployment) }
+
+// reason says why a candidate was chosen.
+func reason(r *Request, c *Candidate) string {
 	switch {
 	case r.Adapter.IsZero():
-		return -load, "least loaded"
-	case e.Holds(r.Adapter):
-		return 2 - load, "adapter resident"
-	case e.IsLoading(r.Adapter):
-		return 1.5 - load, "adapter loading"
+		return "least loaded"
+	case c.Resident:
+		return "adapter resident"
+	case c.Loading:
+		return "adapter loading"
+	case c.Rank < c.Preferred:
+		return "preferred endpoint"
 	default:
-		return Rendezvous(r.Adapter.String(), string(e.ID)) - load, "preferred endpoint"
+		return "spill-over"
 	}
 }
-
-// Rendezvous returns the rendezvous weight of a node for a key, in [0, 1).
-func Rendezvous(key, node string) float64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(key)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(node)
-	return float64(d.Sum64()>>11) / (1 << 53)
-}
--- /dev/null
+++ b/pkg/placement/scorers.go
@@ -0,0 +1,148 @@
+package placement
+
+import (
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/membership"
+)
+
+// loadBound is the load above which a holder or a preferred endpoint loses its
+// advantage, so that requests spill over to the next endpoint.
+const loadBound = 1.25
+
+// bounded lowers an advantage in proportion to the load above the bound.
+func bounded(c *Candidate) float64 {
+	if c.Load <= loadBound {
+		return 1
+	}
+	over := loadBound / c.Load
+	return over * over
+}
+
+// ResidentScorer prefers endpoints that hold the adapter.
+type ResidentScorer struct{}
+
+// Name implements Scorer.
+func (ResidentScorer) Name() string { return "resident" }
+
+// Score implements Scorer.
+func (ResidentScorer) Score(_ *Request, c *Candidate) float64 {
+	if !c.Resident {
+		return 0
+	}
+	return bounded(c)
+}
+
+// LoadingScorer prefers endpoints that are loading the adapter.
+type LoadingScorer struct{}
+
+// Name implements Scorer.
+func (LoadingScorer) Name() string { return "loading" }
+
+// Score implements Scorer.
+func (LoadingScorer) Score(_ *Request, c *Candidate) float64 {
+	if !c.Loading || c.Resident {
+		return 0
+	}
+	return bounded(c)
+}
+
+// RendezvousScorer prefers the adapter's endpoints in the order of their
+// rendezvous hashes, with bounded load.
+type RendezvousScorer struct{}
+
+// Name implements Scorer.
+func (RendezvousScorer) Name() string { return "rendezvous" }
+
+// Score implements Scorer.
+func (RendezvousScorer) Score(_ *Request, c *Candidate) float64 {
+	if c.Rank < c.Preferred {
+		return bounded(c)
+	}
+	return bounded(c) / float64(2+c.Rank-c.Preferred)
+}
+
+// LoadScorer prefers endpoints with little load.
+type LoadScorer struct{}
+
+// Name implements Scorer.
+func (LoadScorer) Name() string { return "load" }
+
+// Score implements Scorer.
+func (LoadScorer) Score(_ *Request, c *Candidate) float64 { return 1 / (1 + c.Load) }
+
+// PackScorer prefers endpoints whose batch is in use but not full.
+type PackScorer struct{}
+
+// Name implements Scorer.
+func (PackScorer) Name() string { return "pack" }
+
+// Score implements Scorer.
+func (PackScorer) Score(_ *Request, c *Candidate) float64 {
+	if c.Load >= 1 {
+		return 0
+	}
+	return c.Load
+}
+
+// ZoneScorer prefers endpoints in the entry's zone.
+type ZoneScorer struct{}
+
+// Name implements Scorer.
+func (ZoneScorer) Name() string { return "zone" }
+
+// Score implements Scorer.
+func (ZoneScorer) Score(r *Request, c *Candidate) float64 {
+	if c.Zone == r.Zone {
+		return 1
+	}
+	return 0
+}
+
+// PrefixScorer directs prompts with the same first part to the same endpoint,
+// whose prefix cache then holds it.
+type PrefixScorer struct{}
+
+// Name implements Scorer.
+func (PrefixScorer) Name() string { return "prefix" }
+
+// Score implements Scorer.
+func (PrefixScorer) Score(r *Request, c *Candidate) float64 {
+	if r.Prefix == 0 {
+		return 0
+	}
+	return unit(membership.Mix(r.Prefix, c.Hash)) * bounded(c)
+}
+
+// unit maps a hash to [0, 1).
+func unit(h uint64) float64 { return float64(h>>11) / (1 << 53) }
+
+// weighted is a scorer with its weight.
+type weighted struct {
+	Scorer
+	weight float64
+}
+
+// scorers returns the scorers with the weights of a deployment. A high stall
+// weight favours resident adapters and idle endpoints; a high batch weight
+// favours filling batches that already run.
+func scorers(d bundle.Deployment) []weighted {
+	stall, batch := shares(d)
+	return []weighted{
+		{ResidentScorer{}, 1 + 2*stall},
+		{LoadingScorer{}, 0.5 + stall},
+		{RendezvousScorer{}, 0.75},
+		{LoadScorer{}, 0.25 + stall},
+		{PackScorer{}, batch},
+		{ZoneScorer{}, 0.1},
+		{PrefixScorer{}, 0.2},
+	}
+}
+
+// shares returns the weights of a deployment with the sum 1.
+func shares(d bundle.Deployment) (stall, batch float64) {
+	sum := d.StallWeight + d.BatchWeight
+	if sum <= 0 {
+		return 0.5, 0.5
+	}
+	return d.StallWeight / sum, d.BatchWeight / sum
+}
