Settle lost attempts by proof and add admission, claims and metrics

Cause: the entry could resume past duplicate frames wrongly, accept data before the header that names the served adapter, take a retried service answer for a gap, give up on a non-idempotent run that was still running, and close a shared connection under other calls. Limits, idempotency keys, re-resolution after a bundle change and panics were not handled.

Change: dispatch is split into sending, relaying, proving and retrying. An attempt is marked as sent only when its message is handed to a stream; a failure to open the stream is a proven not-run. After silence or a broken stream the endpoint is asked on a new connection; a non-idempotent run that goes on is followed until its end, its stored answer is delivered after the part already held. A silent connection is replaced for new calls and closed by its last user. Filters admit and claim join the chain; OLD_BUNDLE resolves the request again and keeps the version of an answer that has begun.

--- /dev/null
+++ b/pkg/entry/claim.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/retry"
+)
+
+// dropTimeout bounds the removal of a claim whose request did not run.
+const dropTimeout = time.Second
+
+// ClaimRecord says which attempt may run a request with an idempotency key.
+type ClaimRecord struct {
+	Request     ident.RequestID
+	Attempt     uint32
+	Endpoint    ident.EndpointID
+	Incarnation ident.Incarnation
+	BodyHash    [sha256.Size]byte
+}
+
+// Claims keeps one record for each idempotency key of a team. An error of any
+// method means that the store did not answer; the change may have taken effect.
+type Claims interface {
+	// Claim stores rec if the key has no record. It returns the record that is
+	// stored afterwards and whether it is rec.
+	Claim(ctx context.Context, team ident.Team, key string, rec ClaimRecord) (ClaimRecord, bool, error)
+	// TakeOver replaces old by rec. It returns the record that is stored
+	// afterwards and whether it is rec.
+	TakeOver(ctx context.Context, team ident.Team, key string, old, rec ClaimRecord) (ClaimRecord, bool, error)
+	// Drop removes rec if it is stored.
+	Drop(ctx context.Context, team ident.Team, key string, rec ClaimRecord) error
+}
+
+// claim makes sure that only one request runs for an idempotency key.
+type claim struct{ e *Entry }
+
+func (claim) Name() string { return "claim" }
+
+func (f claim) Do(ctx context.Context, x *Exchange, next Next) *Failure {
+	if x.idempotent || x.key == "" {
+		return next(ctx, x)
+	}
+	if f.e.claims == nil {
+		return claimsUnavailable()
+	}
+	if fail := f.acquire(ctx, x); fail != nil || x.replayed {
+		return fail
+	}
+	return next(ctx, x)
+}
+
+func claimsUnavailable() *Failure {
+	return unavailable("claims_unavailable", "idempotency keys cannot be recorded now", retryAfterCapacity)
+}
+
+// acquire stores the record of the current attempt. If another request holds
+// the key, its result decides.
+func (f claim) acquire(ctx context.Context, x *Exchange) *Failure {
+	rec := x.claimRecord()
+	if x.claim != nil {
+		return f.takeOver(ctx, x, *x.claim, rec)
+	}
+	stored, claimed, err := f.e.claims.Claim(ctx, x.team.Team, x.key, rec)
+	if err != nil {
+		return claimsUnavailable()
+	}
+	if claimed {
+		x.claim = &rec
+		return nil
+	}
+	return f.repeated(ctx, x, stored, rec)
+}
+
+// takeOver replaces a record whose attempt is proved not to have run.
+func (f claim) takeOver(ctx context.Context, x *Exchange, old, rec ClaimRecord) *Failure {
+	_, ok, err := f.e.claims.TakeOver(ctx, x.team.Team, x.key, old, rec)
+	if err != nil {
+		return claimsUnavailable()
+	}
+	if !ok {
+		// Another repeated request was faster and may be running.
+		fail := rejected(http.StatusServiceUnavailable, typeOverloaded, "key_in_use", "another request with this idempotency key is being started")
+		fail.RetryAfter = retryAfterUnknown
+		return fail
+	}
+	x.claim = &rec
+	return nil
+}
+
+// repeated handles a request whose key has a record of another request.
+func (f claim) repeated(ctx context.Context, x *Exchange, stored, rec ClaimRecord) *Failure {
+	if stored.BodyHash != rec.BodyHash {
+		return rejected(http.StatusBadRequest, typeInvalidRequest, "idempotency_key_reused", "the idempotency key belongs to another request")
+	}
+	reply := f.ask(x, stored)
+	f.e.log.For(logging.PartRoute).Info().Str("request", string(x.ID)).Str("claimed_by", string(stored.Request)).Str("state", reply.GetState().String()).Msg("repeated request")
+	switch reply.GetState() {
+	case fescuev1.RevokeReply_STATE_NOT_RUN:
+		return f.takeOver(ctx, x, stored, rec)
+	case fescuev1.RevokeReply_STATE_DONE:
+		return f.replayStored(x, stored, reply.GetAnswer())
+	case fescuev1.RevokeReply_STATE_RUNNING:
+		return f.unknown(x, "request_running", "the request with this idempotency key is still running")
+	default:
+		return f.unknown(x, "result_unknown", "the result of the request with this idempotency key is not known")
+	}
+}
+
+func (f claim) ask(x *Exchange, stored ClaimRecord) *fescuev1.RevokeReply {
+	l := f.e.connector.link(stored.Endpoint)
+	if l == nil {
+		return nil
+	}
+	limit := min(f.e.timing.revoke, max(time.Until(x.deadline), 0))
+	return f.e.revoke(x, l, stored.ref(), stored.Incarnation, limit)
+}
+
+func (r ClaimRecord) ref() *fescuev1.AttemptRef {
+	return &fescuev1.AttemptRef{RequestId: string(r.Request), Attempt: r.Attempt}
+}
+
+// replayStored answers with the result of the recorded request.
+func (f claim) replayStored(x *Exchange, stored ClaimRecord, frames []*fescuev1.RunFrame) *Failure {
+	if e, ok := f.e.directory.Load().Find(stored.Endpoint); ok {
+		x.endpoint = e
+	}
+	res := replay(newRelay(f.e, x, stored.ref()), frames, attemptResult{end: retry.Unknown})
+	if res.end == retry.Answered || res.end == retry.CallerGone {
+		x.markSent()
+		x.result = res
+		x.replayed = true
+		return nil
+	}
+	return f.unknown(x, "result_unknown", "the request with this idempotency key has run and its answer is not kept")
+}
+
+// unknown ends a request whose key was claimed by a request that was sent.
+func (claim) unknown(x *Exchange, code, message string) *Failure {
+	x.markSent()
+	fail := unknownResult(http.StatusConflict, code, message)
+	fail.RetryAfter = retryAfterUnknown
+	return fail
+}
+
+// dropClaim removes the record of a request that is proved not to have run, so
+// that a repeated request starts afresh. A record that stays is harmless,
+// because its attempt has a tombstone.
+func (e *Entry) dropClaim(x *Exchange) {
+	if x.claim == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.r.Context()), dropTimeout)
+	defer cancel()
+	if err := e.claims.Drop(ctx, x.team.Team, x.key, *x.claim); err != nil {
+		e.log.For(logging.PartRoute).Warn().Err(err).Str("request", string(x.ID)).Msg("claim not dropped")
+	}
+}
--- a/pkg/entry/connector.go
+++ b/pkg/entry/connector.go
@@ -3,14 +3,8 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/keepalive"
-
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
@@ -94,8 +88,8 @@
 		old.stop()
 	}
 	linkCtx, stop := context.WithCancel(ctx)
-	l := &link{c: c, id: vm.Endpoint, entry: c.e.id, address: vm.Address, stop: stop, grants: make(chan *fescuev1.PermitGrant, grantBuffer)}
-	if err := l.dial(); err != nil {
+	l, err := c.newLink(vm, stop)
+	if err != nil {
 		stop()
 		c.log.Warn().Err(err).Str("endpoint", string(vm.Endpoint)).Msg("address is not valid")
 		return
@@ -104,6 +98,15 @@
 	wg.Go(func() { l.run(linkCtx) })
 }
 
+func (c *connector) newLink(vm vmlist.VM, stop context.CancelFunc) (*link, error) {
+	conn, err := newConn(vm.Address)
+	if err != nil {
+		return nil, err
+	}
+	grants := make(chan *fescuev1.PermitGrant, grantBuffer)
+	return &link{c: c, id: vm.Endpoint, entry: c.e.id, address: vm.Address, stop: stop, grants: grants, conn: &sharedConn{ClientConn: conn}}, nil
+}
+
 func (c *connector) prune(listed map[ident.EndpointID]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -114,116 +117,3 @@
 		}
 	}
 }
-
-// link is the connection to one endpoint.
-type link struct {
-	c       *connector
-	id      ident.EndpointID
-	entry   ident.EntryID
-	address string
-	stop    context.CancelFunc
-	conn    atomic.Pointer[grpc.ClientConn]
-	grants  chan *fescuev1.PermitGrant
-}
-
-func newConn(address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithDisableRetry(),
-		grpc.WithDisableServiceConfig(),
-		grpc.WithNoProxy(),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true}))
-}
-
-func (l *link) dial() error {
-	conn, err := newConn(l.address)
-	if err != nil {
-		return errors.Wrap(err, "create connection")
-	}
-	if old := l.conn.Swap(conn); old != nil {
-		old.Close()
-	}
-	return nil
-}
-
-// client returns a client on the shared connection.
-func (l *link) client() fescuev1.EndpointClient { return fescuev1.NewEndpointClient(l.conn.Load()) }
-
-// freshClient returns a client on a new connection, because the shared one may
-// have gone silent.
-func (l *link) freshClient() (fescuev1.EndpointClient, func(), error) {
-	conn, err := newConn(l.address)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "create connection")
-	}
-	return fescuev1.NewEndpointClient(conn), func() { conn.Close() }, nil
-}
-
-// run keeps the control stream open until ctx ends. A stream that ends or goes
-// silent is replaced on a new connection.
-func (l *link) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := l.control(ctx)
-		l.c.e.events.gone(l.id)
-		if ctx.Err() != nil {
-			break
-		}
-		l.c.log.Info().Err(err).Str("endpoint", string(l.id)).Msg("control stream ended")
-		select {
-		case <-ctx.Done():
-		case <-time.After(redialInterval):
-		}
-		if err := l.dial(); err != nil {
-			l.c.log.Warn().Err(err).Msg("address is not valid")
-		}
-	}
-	l.conn.Load().Close()
-}
-
-// control reads reports from one control stream.
-func (l *link) control(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watchdog := time.AfterFunc(reportSilence, cancel)
-	defer watchdog.Stop()
-	stream, err := l.client().Control(ctx)
-	if err != nil {
-		return err
-	}
-	hello := &fescuev1.Hello{EntryId: string(l.entry), BundleVersion: uint64(l.c.e.bundles.Version())}
-	if err := stream.Send(&fescuev1.ControlRequest{Body: &fescuev1.ControlRequest_Hello{Hello: hello}}); err != nil {
-		return err
-	}
-	go l.sendGrants(ctx, stream)
-	for {
-		m, err := stream.Recv()
-		if err != nil {
-			return err
-		}
-		watchdog.Reset(reportSilence)
-		l.c.e.events.received(l.id, m)
-	}
-}
-
-func (l *link) sendGrants(ctx context.Context, stream grpc.BidiStreamingClient[fescuev1.ControlRequest, fescuev1.ControlResponse]) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case g := <-l.grants:
-			if stream.Send(&fescuev1.ControlRequest{Body: &fescuev1.ControlRequest_PermitGrant{PermitGrant: g}}) != nil {
-				return
-			}
-		}
-	}
-}
-
-// grant queues a permit for the endpoint.
-func (l *link) grant(g *fescuev1.PermitGrant) bool {
-	select {
-	case l.grants <- g:
-		return true
-	default:
-		return false
-	}
-}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
 	"github.com/fescuecourse/fescuecourse/pkg/bus"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
@@ -18,6 +19,9 @@
 	permitTick     = 100 * time.Millisecond
 	permitTTL      = 10 * time.Second
 	permitParallel = 1
+	// publishInterval bounds how often a snapshot is built. Reports that arrive
+	// in between share one snapshot.
+	publishInterval = 20 * time.Millisecond
 )
 
 // reportEvent is one report from an endpoint.
@@ -74,6 +78,11 @@
 	directory   *membership.Directory
 	coordinator *permits.Coordinator
 	inbox       chan func(now time.Time)
+	// publish fires when a changed directory is due for publication. It is nil
+	// while nothing has changed.
+	publish   <-chan time.Time
+	published time.Time
+	bundle    *bundle.Bundle
 }
 
 func newControl(e *Entry) *control {
@@ -107,20 +116,49 @@
 			return
 		case fn := <-c.inbox:
 			fn(time.Now())
+		case now := <-c.publish:
+			c.publishNow(now)
 		case now := <-tick.C:
 			c.send(c.coordinator.Tick(now))
+			c.applyBundle()
 		}
 	}
 }
 
+// applyBundle passes a newly active bundle on.
+func (c *control) applyBundle() {
+	if b := c.e.bundles.Current(); b != nil && b != c.bundle {
+		c.bundle = b
+		c.e.ApplyConfig(b)
+	}
+}
+
 func (c *control) onReport(ev reportEvent) {
 	c.directory.Apply(ev.at, ev.report)
+	c.changed(time.Now())
+}
+
+// changed publishes the directory now, or later if it was published recently.
+func (c *control) changed(now time.Time) {
+	if c.publish != nil {
+		return
+	}
+	wait := publishInterval - now.Sub(c.published)
+	if wait <= 0 {
+		c.publishNow(now)
+		return
+	}
+	c.publish = time.After(wait)
+}
+
+func (c *control) publishNow(now time.Time) {
+	c.publish, c.published = nil, now
 	c.e.directory.Store(c.directory.Snapshot())
 }
 
 func (c *control) onGone(now time.Time, ev goneEvent) {
 	c.directory.Remove(ev.endpoint)
-	c.e.directory.Store(c.directory.Snapshot())
+	c.changed(now)
 	c.send(c.coordinator.Drop(now, ev.endpoint))
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -11,11 +11,14 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
 	"github.com/fescuecourse/fescuecourse/pkg/bus"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/limits"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/membership"
 	"github.com/fescuecourse/fescuecourse/pkg/placement"
+	"github.com/fescuecourse/fescuecourse/pkg/retry"
 	"github.com/fescuecourse/fescuecourse/pkg/rollout"
 	"github.com/fescuecourse/fescuecourse/pkg/settle"
 	"github.com/fescuecourse/fescuecourse/pkg/vmlist"
@@ -33,6 +36,11 @@
 	bundles   *rollout.Holder
 	vms       *vmlist.Client
 	policy    placement.Policy
+	limiter   *limits.Limiter
+	budget    retry.Budget
+	claims    Claims
+	metrics   *entryMetrics
+	timing    timing
 	directory atomic.Pointer[membership.Snapshot]
 	bus       *bus.Bus
 	events    events
@@ -59,6 +67,9 @@
 		bundles: bundles,
 		vms:     vmlist.New(set.VMList, &http.Client{Timeout: vmListTimeout}),
 		policy:  placement.NewAffinity(membership.EndpointHash(ident.EndpointID(set.ID))),
+		limiter: limits.New(),
+		metrics: newMetrics(),
+		timing:  defaultTiming,
 		bus:     b,
 		stopped: make(chan struct{}),
 		ready:   make(chan struct{}),
@@ -67,10 +78,23 @@
 	e.events = newEvents(b)
 	e.connector = newConnector(e)
 	e.control = newControl(e)
-	e.models = chain(authenticate{e}, resolve{e}, retryFilter{e}, place{e}, dispatch{e})
+	e.models = chain(authenticate{e}, resolve{e}, admit{e}, retryFilter{e}, place{e}, claim{e}, dispatch{e})
 	return e, nil
 }
 
+// SetClaims sets the store of idempotency keys. It must be called before Run.
+// Without one, non-idempotent requests with a key are refused as not run.
+func (e *Entry) SetClaims(c Claims) { e.claims = c }
+
+// ApplyConfig takes the weights and the teams of a newly active bundle. Counts
+// of limits and of the retry budget stay.
+func (e *Entry) ApplyConfig(b *bundle.Bundle) {
+	if p, ok := e.policy.(placement.Configurable); ok {
+		p.ApplyConfig(b.Deployment())
+	}
+	e.limiter.Retain(b)
+}
+
 // Ready is closed once the entry listens.
 func (e *Entry) Ready() <-chan struct{} { return e.ready }
 
@@ -112,6 +136,8 @@
 // drain stops the HTTP server without cutting off a request.
 func (e *Entry) drain(srv *http.Server) error {
 	e.stopping.Store(true)
+	// Responses from here on ask callers to connect to another entry.
+	srv.SetKeepAlivesEnabled(false)
 	e.log.For(logging.PartEntry).Info().Msg("stopping, unready")
 	time.Sleep(e.set.UnreadyDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), e.set.DrainTimeout)
@@ -124,7 +150,7 @@
 // newExchange starts the record of one request.
 func newExchange(w http.ResponseWriter, r *http.Request) *Exchange {
 	id := ident.NewRequestID()
-	return &Exchange{ID: id, w: w, r: r, settlement: settle.New(id)}
+	return &Exchange{ID: id, w: w, r: r, started: time.Now(), settlement: settle.New(id)}
 }
 
 // ReadyEndpoints returns the number of endpoints that accept work.
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -1,14 +1,19 @@
 package entry
 
 import (
+	"crypto/sha256"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/membership"
 	"github.com/fescuecourse/fescuecourse/pkg/placement"
+	"github.com/fescuecourse/fescuecourse/pkg/retry"
 	"github.com/fescuecourse/fescuecourse/pkg/settle"
 )
 
@@ -39,14 +44,65 @@
 	attempt  uint32
 	excluded []ident.EndpointID
 	endpoint *membership.Endpoint
+	group    *membership.Group
+	result   attemptResult
+	// claim is the stored record of the current attempt, or nil.
+	claim *ClaimRecord
+	// replayed is true if the answer of an earlier request was delivered.
+	replayed bool
 
-	result attemptResult
-
-	// uncertain is true once an attempt has ended with an unknown result.
-	uncertain  bool
+	prefix     uint64
+	history    retry.History
+	started    time.Time
+	firstSeen  bool
+	sent       bool
 	settlement *settle.Settlement
 }
 
+// prefixBytes is the length of the first part of a prompt that decides which
+// endpoint's prefix cache fits.
+const prefixBytes = 256
+
+func prefixHash(prompt []byte) uint64 {
+	if len(prompt) == 0 {
+		return 0
+	}
+	return xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
+}
+
+// setBundle resolves the exchange under a bundle from here on.
+func (x *Exchange) setBundle(b *bundle.Bundle) {
+	x.bundle = b
+	x.team, _ = b.Team(x.team.Team)
+	x.w.Header().Set(headerBundleVersion, strconv.FormatUint(uint64(b.Version()), 10))
+}
+
+// markSent records that a message has been handed to an endpoint.
+func (x *Exchange) markSent() {
+	x.sent = true
+	x.settlement.MarkSent()
+}
+
+// firstData records the time to the first data of the answer.
+func (x *Exchange) firstData(e *Entry) {
+	if x.firstSeen {
+		return
+	}
+	x.firstSeen = true
+	e.metrics.firstToken.Update(time.Since(x.started).Microseconds())
+}
+
+// claimRecord describes the current attempt.
+func (x *Exchange) claimRecord() ClaimRecord {
+	h := sha256.New()
+	h.Write([]byte(x.route))
+	h.Write([]byte{0})
+	h.Write(x.body)
+	rec := ClaimRecord{Request: x.ID, Attempt: x.attempt, Endpoint: x.endpoint.ID, Incarnation: x.endpoint.Incarnation}
+	h.Sum(rec.BodyHash[:0])
+	return rec
+}
+
 // placementRequest describes the exchange to the placement policy.
 func (x *Exchange) placementRequest(now time.Time, zone ident.AvailabilityZone) *placement.Request {
 	return &placement.Request{
@@ -56,6 +112,9 @@
 		Adapter:  x.adapter,
 		Zone:     zone,
 		Excluded: x.excluded,
+		Prefix:   x.prefix,
+		// A passed deadline still needs a positive value.
+		Remaining: max(x.deadline.Sub(now), 1),
 	}
 }
 
--- a/pkg/entry/failure.go
+++ b/pkg/entry/failure.go
@@ -57,6 +57,11 @@
 	return &Failure{Outcome: ident.NotRun, Status: http.StatusServiceUnavailable, Type: typeOverloaded, Code: code, Message: message, RetryAfter: retryAfter}
 }
 
+// overLimit returns a failure of a request above its team's limits.
+func overLimit(limit string, retryAfter time.Duration) *Failure {
+	return &Failure{Outcome: ident.NotRun, Status: http.StatusTooManyRequests, Type: typeRateLimit, Code: "limit_" + limit, Message: "the team is over its limit: " + limit, RetryAfter: retryAfter}
+}
+
 // unknownResult returns a failure of a request whose result is not known.
 func unknownResult(status int, code, message string) *Failure {
 	return &Failure{Outcome: ident.Unknown, Status: status, Type: typeServer, Code: code, Message: message}
--- a/pkg/entry/filter.go
+++ b/pkg/entry/filter.go
@@ -45,7 +45,6 @@
 	if x.bundle == nil {
 		return unavailable("no_bundle", "no configuration bundle is active yet", time.Second)
 	}
-	x.w.Header().Set(headerBundleVersion, strconv.FormatUint(uint64(x.bundle.Version()), 10))
 	key, ok := strings.CutPrefix(x.r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return rejected(http.StatusUnauthorized, typeAuthentication, "missing_key", "the request has no team key")
@@ -54,7 +53,8 @@
 	if !ok {
 		return rejected(http.StatusUnauthorized, typeAuthentication, "invalid_key", "the team key is not valid")
 	}
-	x.team, _ = x.bundle.Team(team)
+	x.team.Team = team
+	x.setBundle(x.bundle)
 	return next(ctx, x)
 }
 
@@ -87,6 +87,9 @@
 
 func (f resolve) headers(x *Exchange) *Failure {
 	x.key = x.r.Header.Get(headerKey)
+	if !validKey(x.key) {
+		return rejected(http.StatusBadRequest, typeInvalidRequest, "invalid_idempotency_key", headerKey+" must have at most "+strconv.Itoa(maxKeyBytes)+" printable ASCII characters")
+	}
 	deadline := f.e.set.DefaultDeadline
 	if v := x.r.Header.Get(headerDeadline); v != "" {
 		ms, err := strconv.ParseInt(v, 10, 64)
@@ -99,6 +102,18 @@
 	return nil
 }
 
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 255
+
+func validKey(key string) bool {
+	for _, c := range []byte(key) {
+		if c < ' ' || c > '~' {
+			return false
+		}
+	}
+	return len(key) <= maxKeyBytes
+}
+
 func (f resolve) readBody(x *Exchange) *Failure {
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, f.e.set.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
@@ -126,27 +141,40 @@
 		return rejected(http.StatusBadRequest, typeInvalidRequest, "malformed_json", "the body is not valid JSON: "+err.Error())
 	}
 	x.model, x.stream = req.Model, req.Stream
-	a, base, err := x.bundle.Resolve(req.Model)
+	x.prefix = prefixHash(req.Prompt)
+	if len(req.Messages) > 0 {
+		x.prefix = prefixHash(req.Messages)
+	}
+	x.answer = newModelResponder(x)
+	return f.findAdapter(x, req.Model)
+}
+
+// findAdapter resolves a model name under the bundle of the exchange.
+func (resolve) findAdapter(x *Exchange, model string) *Failure {
+	a, base, err := x.bundle.Resolve(model)
 	switch {
 	case errors.Is(err, bundle.ErrUnknownAdapter), errors.Is(err, bundle.ErrUnknownVersion):
-		return rejected(http.StatusNotFound, typeNotFound, "model_not_found", err.Error()+": "+req.Model)
+		return rejected(http.StatusNotFound, typeNotFound, "model_not_found", err.Error()+": "+model)
 	case err != nil:
 		return rejected(http.StatusBadRequest, typeInvalidRequest, "invalid_model", err.Error())
 	case a.Team != x.team.Team:
-		return rejected(http.StatusNotFound, typeNotFound, "model_not_found", "unknown adapter: "+req.Model)
+		return rejected(http.StatusNotFound, typeNotFound, "model_not_found", "unknown adapter: "+model)
 	}
 	x.adapter, x.backend = a, base
-	x.answer = newModelResponder(x)
 	return nil
 }
 
 func (f resolve) service(x *Exchange) *Failure {
+	x.answer = &serviceResponder{x: x}
+	return f.findService(x)
+}
+
+func (resolve) findService(x *Exchange) *Failure {
 	name, _, _ := strings.Cut(strings.TrimPrefix(x.r.URL.Path, servicePrefix), "/")
 	if !x.bundle.HasService(name) {
 		return rejected(http.StatusNotFound, typeNotFound, "service_not_found", "unknown service: "+name)
 	}
 	x.backend = name
-	x.answer = &serviceResponder{x: x}
 	return nil
 }
 
@@ -161,5 +189,6 @@
 	default:
 		return rejected(http.StatusBadRequest, typeInvalidRequest, "invalid_idempotent", headerIdempotent+" must be true or false")
 	}
+	x.history.Idempotent = x.idempotent
 	return nil
 }
--- a/pkg/entry/http.go
+++ b/pkg/entry/http.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strings"
 
 	"github.com/go-chi/chi/v5"
@@ -11,6 +13,7 @@
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/retry"
 )
 
 const servicePrefix = "/v1/services/"
@@ -38,12 +41,35 @@
 	return r
 }
 
+// readiness is the body of /readyz.
+type readiness struct {
+	Ready   bool     `json:"ready"`
+	Reasons []string `json:"reasons,omitempty"`
+}
+
+// unreadyReasons lists what keeps the entry from serving.
+func (e *Entry) unreadyReasons() []string {
+	var out []string
+	if e.stopping.Load() {
+		out = append(out, "stopping")
+	}
+	if e.bundles.Current() == nil {
+		out = append(out, "no active configuration bundle")
+	}
+	if e.ReadyEndpoints() == 0 {
+		out = append(out, "no endpoint is ready")
+	}
+	return out
+}
+
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.stopping.Load() || e.bundles.Current() == nil || len(e.directory.Load().Endpoints) == 0 {
+	reasons := e.unreadyReasons()
+	body, _ := json.Marshal(readiness{Ready: len(reasons) == 0, Reasons: reasons}) // plain struct, cannot fail
+	w.Header().Set("Content-Type", "application/json")
+	if len(reasons) > 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
-		return
 	}
-	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(body) // the caller may be gone
 }
 
 func (e *Entry) serveMetrics(w http.ResponseWriter, _ *http.Request) {
@@ -68,19 +94,57 @@
 // serve runs the filters and settles the request with exactly one outcome.
 func (e *Entry) serve(x *Exchange) {
 	x.w.Header().Set(headerRequestID, string(x.ID))
+	e.metrics.inFlight.Inc(1)
+	defer e.metrics.inFlight.Dec(1)
+	defer e.recoverPanic(x)
 	fail := e.models(x.r.Context(), x)
-	outcome := ident.Answered
-	switch {
-	case fail != nil:
-		outcome = fail.Outcome
-		e.fail(x, fail)
-	case x.result.end == endCallerGone:
-		outcome = ident.Unknown
+	if fail == nil {
+		e.settle(x, x.outcome())
+		return
+	}
+	e.metrics.failed(fail)
+	if fail.Outcome == ident.NotRun {
+		e.dropClaim(x)
 	}
+	e.settle(x, fail.Outcome)
+	e.fail(x, fail)
+}
+
+// outcome returns the outcome of a request without a failure.
+func (x *Exchange) outcome() ident.Outcome {
+	if x.replayed && x.result.end == retry.Answered {
+		return ident.Answered
+	}
+	if !x.sent {
+		return ident.NotRun
+	}
+	return x.history.Outcome()
+}
+
+func (e *Entry) settle(x *Exchange, outcome ident.Outcome) {
 	x.settlement.Settle(outcome)
 	e.log.For(logging.PartRoute).Info().Str("request", string(x.ID)).Str("team", string(x.team.Team)).Str("outcome", outcome.String()).Int("attempts", int(x.attempt)).Msg("request settled")
 }
 
+// recoverPanic ends a request whose handling panicked. Its result is not known
+// if it was sent.
+func (e *Entry) recoverPanic(x *Exchange) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	e.log.For(logging.PartRoute).Error().Str("request", string(x.ID)).Str("panic", fmt.Sprint(p)).Str("stack", string(debug.Stack())).Msg("panic in request")
+	if x.settlement.Outcome() != ident.Pending {
+		panic(http.ErrAbortHandler)
+	}
+	fail := unknownResult(http.StatusBadGateway, "internal_error", "the entry failed while it handled the request")
+	if !x.sent {
+		fail = rejected(http.StatusServiceUnavailable, typeServer, "internal_error", "the entry failed before it sent the request")
+	}
+	e.settle(x, fail.Outcome)
+	e.fail(x, fail)
+}
+
 func (e *Entry) fail(x *Exchange, f *Failure) {
 	if x.answer == nil {
 		f.write(x.w)
--- /dev/null
+++ b/pkg/entry/place.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/membership"
+	"github.com/fescuecourse/fescuecourse/pkg/placement"
+)
+
+// admit applies the limits of the team.
+type admit struct{ e *Entry }
+
+func (admit) Name() string { return "admit" }
+
+func (f admit) Do(ctx context.Context, x *Exchange, next Next) *Failure {
+	refusal, ok := f.e.limiter.Acquire(time.Now(), x.team, f.e.directory.Load().Entries)
+	if !ok {
+		return overLimit(string(refusal.Reason), refusal.RetryAfter)
+	}
+	defer f.e.limiter.Release(x.team.Team)
+	return next(ctx, x)
+}
+
+// place chooses the endpoint of the attempt.
+type place struct{ e *Entry }
+
+func (place) Name() string { return "place" }
+
+func (f place) Do(ctx context.Context, x *Exchange, next Next) *Failure {
+	snapshot := f.e.directory.Load()
+	d, err := f.e.policy.Place(x.placementRequest(time.Now(), f.e.zone), snapshot)
+	line := f.e.log.For(logging.PartRoute).Info().Str("request", string(x.ID)).Int("attempt", int(x.attempt)).Str("adapter", x.adapter.String())
+	if err != nil {
+		line.Str("reason", err.Error()).Msg("no endpoint chosen")
+		return refusedPlacement(err)
+	}
+	line.Str("endpoint", string(d.Endpoint.ID)).Str("reason", d.Reason).Int("candidates", d.Candidates).Float("score", d.Score).Msg("endpoint chosen")
+	x.endpoint = d.Endpoint
+	x.group = snapshot.Group(membership.BackendKey{Kind: x.kind, Backend: x.backend})
+	return next(ctx, x)
+}
+
+func refusedPlacement(err error) *Failure {
+	code := "no_endpoint"
+	switch {
+	case errors.Is(err, placement.ErrQueueFull):
+		code = "queue_full"
+	case errors.Is(err, placement.ErrDeadline):
+		code = "deadline"
+	}
+	return unavailable(code, err.Error(), retryAfterCapacity)
+}
--- a/pkg/entry/respond.go
+++ b/pkg/entry/respond.go
@@ -17,6 +17,8 @@
 
 // responder turns frames into the caller's answer.
 type responder interface {
+	// begin prepares for the frames of another attempt.
+	begin()
 	// received returns the number of events held, for a resume.
 	received() uint64
 	// committed reports whether bytes have been sent to the caller.
@@ -55,6 +57,7 @@
 	started bool
 }
 
+func (s *streamResponder) begin()           {}
 func (s *streamResponder) received() uint64 { return s.events }
 func (s *streamResponder) committed() bool  { return s.started }
 
@@ -161,6 +164,7 @@
 	TotalTokens      uint64 `json:"total_tokens"`
 }
 
+func (c *completionResponder) begin()                  {}
 func (c *completionResponder) received() uint64        { return c.events }
 func (c *completionResponder) committed() bool         { return false }
 func (c *completionResponder) header(*fescuev1.Header) {}
@@ -224,13 +228,14 @@
 	body        []byte
 }
 
+// begin drops a partial body, because calls of services are not resumed.
+func (s *serviceResponder) begin()           { s.body = nil }
 func (s *serviceResponder) received() uint64 { return uint64(len(s.body)) }
 func (s *serviceResponder) committed() bool  { return false }
 
 func (s *serviceResponder) header(h *fescuev1.Header) {
 	s.status = int(h.GetStatus())
 	s.contentType = h.GetContentType()
-	s.body = nil
 }
 
 func (s *serviceResponder) data(payload []byte) error {
--- /dev/null
+++ b/pkg/entry/timing.go
@@ -0,0 +1,39 @@
+package entry
+
+import "time"
+
+// timing holds the time limits of attempts. Tests shorten them.
+type timing struct {
+	// progress is the longest silence of a run. Endpoints send a frame every
+	// second.
+	progress time.Duration
+	// revoke bounds one question whether an attempt ran.
+	revoke time.Duration
+	// poll is the interval of questions about a run that goes on.
+	poll time.Duration
+	// grace is the time after the deadline in which the endpoint's own verdict
+	// still counts.
+	grace time.Duration
+	// bundleWait bounds the wait for the bundle that an endpoint already has.
+	bundleWait time.Duration
+	// bundlePoll is the interval at which the wait looks at the active bundle.
+	bundlePoll time.Duration
+}
+
+var defaultTiming = timing{
+	progress:   3 * time.Second,
+	revoke:     3 * time.Second,
+	poll:       250 * time.Millisecond,
+	grace:      250 * time.Millisecond,
+	bundleWait: 2 * time.Second,
+	bundlePoll: 10 * time.Millisecond,
+}
+
+const (
+	// retryAfterCapacity is the advice to callers refused for lack of capacity.
+	retryAfterCapacity = time.Second
+	// retryAfterUnknown is the advice to callers that may repeat a request with
+	// an unknown result.
+	retryAfterUnknown = time.Second
+	maxAttempts       = 4
+)
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -72,6 +72,9 @@
 // Int adds an integer field.
 func (e Event) Int(key string, value int) Event { e.e.Int(key, value); return e }
 
+// Float adds a floating-point field.
+func (e Event) Float(key string, value float64) Event { e.e.Float64(key, value); return e }
+
 // Err adds an error field.
 func (e Event) Err(err error) Event { e.e.Err(err); return e }
 
--- a/pkg/membership/index.go
+++ b/pkg/membership/index.go
@@ -144,10 +144,11 @@
 
 // snapshot publishes the current state.
 func (x *index) snapshot() *Snapshot {
-	s := &Snapshot{slots: slices.Clone(x.slots), groups: x.groups, holders: x.holders}
+	s := &Snapshot{slots: slices.Clone(x.slots), groups: x.groups, holders: x.holders, Entries: 1}
 	s.Endpoints = make([]*Endpoint, len(x.sorted))
 	for i, slot := range x.sorted {
 		s.Endpoints[i] = x.slots[slot]
+		s.Entries = max(s.Entries, s.Endpoints[i].ConnectedEntries)
 	}
 	x.groupsShared = true
 	for i := range x.shared {
--- a/pkg/membership/snapshot.go
+++ b/pkg/membership/snapshot.go
@@ -38,9 +38,12 @@
 type Snapshot struct {
 	// Endpoints are ordered by endpoint id.
 	Endpoints []*Endpoint
-	slots     []*Endpoint
-	groups    map[BackendKey]*Group
-	holders   [indexShards]map[ident.Adapter][]int32
+	// Entries is the highest number of connected entries that an endpoint
+	// reports, at least 1.
+	Entries int
+	slots   []*Endpoint
+	groups  map[BackendKey]*Group
+	holders [indexShards]map[ident.Adapter][]int32
 }
 
 // At returns the endpoint in a slot, or nil.
