Test the request chain against an oracle

Cause: the repeat rule was tested alone, not with the filters around it.

Change: a property test runs the chain with random ends of attempts and checks that a non-idempotent request is not sent again after an attempt that may have run, and that the outcome follows from the ends. Table tests cover refusals, team limits, panics, readiness and a silent call beside a working one.

--- /dev/null
+++ b/pkg/entry/chain_test.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+	"pgregory.net/rapid"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/limits"
+	"github.com/fescuecourse/fescuecourse/pkg/retry"
+)
+
+// drawnEnds is a filter in place of dispatch that ends attempts as drawn.
+type drawnEnds struct {
+	t    *rapid.T
+	ends []retry.End
+	sent []bool
+}
+
+func (*drawnEnds) Name() string { return "drawn" }
+
+func (d *drawnEnds) Do(_ context.Context, x *Exchange, _ Next) *Failure {
+	end := rapid.SampledFrom([]retry.End{retry.NotRun, retry.NotRun, retry.Unknown, retry.Answered, retry.CallerGone}).Draw(d.t, "end")
+	sent := end != retry.NotRun || rapid.Bool().Draw(d.t, "sent")
+	if sent {
+		x.markSent()
+	}
+	reason := rapid.SampledFrom([]fescuev1.NotRunReason{
+		fescuev1.NotRunReason_NOT_RUN_REASON_LEAVING, fescuev1.NotRunReason_NOT_RUN_REASON_QUEUE_FULL, fescuev1.NotRunReason_NOT_RUN_REASON_OLD_BUNDLE,
+	}).Draw(d.t, "reason")
+	x.result = attemptResult{end: end, reason: reason, timeout: rapid.IntRange(0, 9).Draw(d.t, "timeout") == 0}
+	if end == retry.Answered {
+		x.answer.header(&fescuev1.Header{Status: 200})
+		x.answer.end()
+	}
+	d.ends, d.sent = append(d.ends, end), append(d.sent, sent)
+	return nil
+}
+
+// Guards against a non-idempotent request that is sent again after an attempt
+// that may have run, and against an outcome other than the attempts support,
+// through the whole chain with random ends of attempts and missing endpoints.
+func TestChainOutcomesAgainstOracle(t *testing.T) {
+	b := newBed(t, serviceKind, []script{silent}, []script{silent}, []script{silent})
+	b.e.timing.bundleWait = time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		b.e.limiter = limits.New() // the rate is not under test
+		d := &drawnEnds{t: t}
+		b.e.models = chain(authenticate{b.e}, resolve{b.e}, admit{b.e}, retryFilter{b.e}, place{b.e}, claim{b.e}, d)
+		idempotent := rapid.SampledFrom([]string{"true", "false"}).Draw(t, "idempotent")
+		req := httptest.NewRequest(http.MethodPost, handoff, strings.NewReader("x"))
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		req.Header.Set(headerIdempotent, idempotent)
+		rec := httptest.NewRecorder()
+		b.e.routes().ServeHTTP(rec, req)
+
+		mayHaveRun, answered := 0, false
+		for _, end := range d.ends {
+			assert.Assert(t, idempotent == "true" || mayHaveRun == 0, "sent again: %v", d.ends)
+			assert.Assert(t, !answered, "sent again after the answer: %v", d.ends)
+			if end != retry.NotRun {
+				mayHaveRun++
+			}
+			answered = end == retry.Answered
+		}
+		want := ident.NotRun
+		if mayHaveRun > 0 {
+			want = ident.Unknown
+		}
+		if answered {
+			want = ident.Answered
+		}
+		if d.ends[len(d.ends)-1] != retry.CallerGone { // nobody reads that answer
+			assert.Equal(t, rec.Header().Get(headerOutcome), want.String(), "%v", d.ends)
+		}
+		assert.Equal(t, b.e.limiter.InFlight("tokachi"), 0)
+	})
+}
+
+// Guards against a wrong status, code or outcome of refused requests.
+func TestRefusals(t *testing.T) {
+	b := newBed(t, modelKind, []script{answer(3, true, nil)})
+	rows := []struct {
+		name, path, body string
+		headers          []string
+		status           int
+		code             string
+	}{
+		{"no key", completions, plainBody, []string{"Authorization", "x"}, 401, "missing_key"},
+		{"wrong key", completions, plainBody, []string{"Authorization", "Bearer x"}, 401, "invalid_key"},
+		{"not JSON", completions, "{", nil, 400, "malformed_json"},
+		{"malformed model", completions, `{"model":"x"}`, nil, 400, "invalid_model"},
+		{"unknown adapter", completions, `{"model":"tokachi/x"}`, nil, 404, "model_not_found"},
+		{"unknown version", completions, `{"model":"tokachi/summary@9"}`, nil, 404, "model_not_found"},
+		{"unknown service", "/v1/services/x/y", "", nil, 404, "service_not_found"},
+		{"too large", completions, strings.Repeat("x", 1<<16+1), nil, 413, "body_too_large"},
+		{"deadline", completions, plainBody, []string{headerDeadline, "0"}, 400, "invalid_deadline"},
+		{"idempotent", completions, plainBody, []string{headerIdempotent, "yes"}, 400, "invalid_idempotent"},
+		{"key", completions, plainBody, []string{headerKey, strings.Repeat("k", 256)}, 400, "invalid_idempotency_key"},
+		{"no endpoint", handoff, "x", nil, 503, "no_endpoint"},
+	}
+	for _, r := range rows {
+		got := b.post(t, r.path, r.body, r.headers...)
+		assert.Equal(t, got.status, r.status, r.name)
+		assert.Equal(t, got.outcome, ident.NotRun.String(), r.name)
+		assert.Assert(t, strings.Contains(got.body, `"code":"`+r.code+`"`), "%s: %s", r.name, got.body)
+	}
+	assert.Equal(t, b.fake[0].attempts(), 0)
+}
+
+// Guards against limits that do not refuse, against a refusal without advice,
+// and against a new bundle that resets the counts.
+func TestTeamLimit(t *testing.T) {
+	b := newBed(t, modelKind, []script{answer(3, true, nil)})
+	b.b.Adopt(testBundle(t, 2, "rate = 0.01"))
+	assert.Equal(t, b.post(t, completions, plainBody).status, 200)
+	next := testBundle(t, 3, "rate = 0.01")
+	b.b.Adopt(next)
+	b.e.ApplyConfig(next)
+	got := b.post(t, completions, plainBody)
+	assert.Equal(t, got.status, 429)
+	assert.Equal(t, got.outcome, ident.NotRun.String())
+	seconds, err := strconv.Atoi(got.retryAfter)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds > 1 && seconds <= 100, "Retry-After is %d s", seconds)
+}
+
+// panics is a filter that panics after it has sent the request or before.
+type panics struct{ sent bool }
+
+func (panics) Name() string { return "panics" }
+
+func (p panics) Do(_ context.Context, x *Exchange, _ Next) *Failure {
+	if p.sent {
+		x.markSent()
+	}
+	panic("fault in a filter")
+}
+
+// Guards against a panic that leaves a request without an outcome, and against
+// a not-run for a request that was sent.
+func TestPanic(t *testing.T) {
+	b := newBed(t, modelKind, []script{silent})
+	for _, sent := range []bool{false, true} {
+		b.e.models = chain(authenticate{b.e}, resolve{b.e}, admit{b.e}, panics{sent})
+		got := b.post(t, completions, plainBody)
+		want := ident.NotRun
+		if sent {
+			want = ident.Unknown
+		}
+		assert.Equal(t, got.outcome, want.String())
+		assert.Equal(t, b.e.limiter.InFlight("tokachi"), 0)
+	}
+}
+
+// Guards against readiness without an endpoint or while stopping.
+func TestReadiness(t *testing.T) {
+	b := newBed(t, modelKind, []script{silent})
+	assert.Equal(t, len(b.e.unreadyReasons()), 0)
+	b.e.stopping.Store(true)
+	assert.DeepEqual(t, b.e.unreadyReasons(), []string{"stopping"})
+	b.e.stopping.Store(false)
+	assert.DeepEqual(t, newBed(t, modelKind).e.unreadyReasons(), []string{"no endpoint is ready"})
+}
+
+// Guards against a call that is cut off because another call on the same
+// connection went silent.
+func TestSilentCallDoesNotBreakOthers(t *testing.T) {
+	finish := make(chan struct{})
+	slow := func(f *fakeEndpoint, req *fescuev1.RunRequest, stream grpc.ServerStreamingServer[fescuev1.RunFrame]) error {
+		heartbeat := time.NewTicker(10 * time.Millisecond)
+		defer heartbeat.Stop()
+		for {
+			select {
+			case <-finish:
+				return answer(3, true, nil)(f, req, stream)
+			case <-heartbeat.C:
+				if err := stream.Send(&fescuev1.RunFrame{Ref: req.GetRef(), Body: &fescuev1.RunFrame_Accepted{Accepted: &fescuev1.Accepted{}}}); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	b := newBed(t, modelKind, []script{slow, silent}, []script{answer(3, true, nil)})
+	b.e.policy = firstEndpoint{}
+	first := make(chan reply, 1)
+	go func() { first <- b.post(t, completions, streamBody) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.fake[0].attempts() == 0 {
+			return poll.Continue("first attempt has not arrived")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	l := b.e.connector.link("endpoint-0")
+	before := l.acquire()
+	l.release(before)
+	assert.Equal(t, b.post(t, completions, streamBody).body, streamText(3)+"data: [DONE]\n\n")
+	after := l.acquire()
+	l.release(after)
+	assert.Assert(t, after != before, "silent connection is still in use")
+	close(finish)
+	assert.Equal(t, (<-first).body, streamText(3)+"data: [DONE]\n\n")
+	assert.Equal(t, b.fake[1].attempts(), 1)
+}
+
+func BenchmarkChain(b *testing.B) {
+	pass := func(context.Context, *Exchange) *Failure { return nil }
+	filters := make([]Filter, 7)
+	for i := range filters {
+		filters[i] = passOn{}
+	}
+	b.Run("direct", func(b *testing.B) {
+		for b.Loop() {
+			pass(context.Background(), nil)
+		}
+	})
+	run := chain(filters...)
+	b.Run("filters=7", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			run(context.Background(), nil)
+		}
+	})
+}
+
+type passOn struct{}
+
+func (passOn) Name() string { return "pass" }
+
+func (passOn) Do(ctx context.Context, x *Exchange, next Next) *Failure { return next(ctx, x) }
--- a/pkg/entry/dispatch_test.go
+++ b/pkg/entry/dispatch_test.go
@@ -148,7 +148,8 @@
 	old := refuse(fescuev1.NotRunReason_NOT_RUN_REASON_OLD_BUNDLE, 2)
 	b := newBed(t, modelKind, []script{answer(2, false, broken), old, answer(4, true, nil)})
 	b.e.policy = keepEndpoint{}
-	time.AfterFunc(20*time.Millisecond, func() { b.b.Adopt(testBundle(t, 2, "")) })
+	next := testBundle(t, 2, "")
+	time.AfterFunc(20*time.Millisecond, func() { b.b.Adopt(next) })
 	got := b.post(t, completions, strings.Replace(streamBody, "@1", "", 1))
 	assert.Equal(t, got.body, streamText(4)+"data: [DONE]\n\n")
 	last := b.fake[0].got[2]
@@ -160,14 +161,16 @@
 // Guards against a deadline that is passed over, a status other than 504 for an
 // unknown result, and a normal end of a stream that broke off.
 func TestDeadlineAndBrokenStream(t *testing.T) {
-	b := newBed(t, serviceKind, []script{silent})
-	b.fake[0].revokes = []*fescuev1.RevokeReply{state(fescuev1.RevokeReply_STATE_RUNNING)}
-	got := b.post(t, handoff, "x", headerDeadline, "300")
-	assert.Equal(t, got.status, 504)
-	assert.Equal(t, got.outcome, ident.Unknown.String())
+	for _, s := range []script{silent, broken} {
+		b := newBed(t, serviceKind, []script{s})
+		b.fake[0].revokes = []*fescuev1.RevokeReply{state(fescuev1.RevokeReply_STATE_RUNNING)}
+		got := b.post(t, handoff, "x", headerDeadline, "300")
+		assert.Equal(t, got.status, 504)
+		assert.Equal(t, got.outcome, ident.Unknown.String())
+	}
 
-	b = newBed(t, modelKind, []script{answer(2, false, broken)})
-	got = b.post(t, completions, streamBody)
+	b := newBed(t, modelKind, []script{answer(2, false, broken)})
+	got := b.post(t, completions, streamBody)
 	assert.Equal(t, got.outcome, ident.Unknown.String())
 	assert.Assert(t, strings.HasPrefix(got.body, streamText(2)+"data: {\"error\":"), got.body)
 	assert.Assert(t, !strings.Contains(got.body, "[DONE]"))
