--- a/pkg/endpoint/report.go
+++ b/pkg/endpoint/report.go
@@ -29,6 +29,7 @@
 		Loading:          names(s.stats.Loading),
 		ConnectedEntries: uint32(e.hub.connected()),
 		CanLoad:          s.canLoad,
+		QueueCapacity:    uint32(e.set.MaxQueued),
 	}
 }
 
@@ -83,6 +84,7 @@
 		PositionsTotal:   next.PositionsTotal,
 		PositionsUsed:    next.PositionsUsed,
 		Queued:           next.Queued,
+		QueueCapacity:    next.QueueCapacity,
 		SlotsTotal:       next.SlotsTotal,
 		ConnectedEntries: next.ConnectedEntries,
 		CanLoad:          next.CanLoad,
