Keep the order of control streams of one endpoint

Cause: the end of an old control stream could be handled after the first report of the new one and remove a live endpoint, and a late report of an ended stream could bring a dead one back. Partial reports of an unknown process left an endpoint without kind. TestCallerGone could hang: it waited for a fake that had already failed to send. Change: control streams have sequence numbers; partial reports of an unknown process are ignored; the test closes its channel however the fake ends. Conclusion: order holds per endpoint.

--- a/pkg/entry/chain_test.go
+++ b/pkg/entry/chain_test.go
@@ -213,6 +213,59 @@
 	assert.Equal(t, b.fake[1].attempts(), 1)
 }
 
+// Guards against a run that goes on for a caller that is gone, and against a
+// request without an outcome or with a limit that is not released.
+func TestCallerGone(t *testing.T) {
+	ended := make(chan struct{})
+	run := answer(2, false, func(_ *fakeEndpoint, _ *fescuev1.RunRequest, stream grpc.ServerStreamingServer[fescuev1.RunFrame]) error {
+		<-stream.Context().Done()
+		return stream.Context().Err()
+	})
+	b := newBed(t, modelKind, []script{func(f *fakeEndpoint, req *fescuev1.RunRequest, stream grpc.ServerStreamingServer[fescuev1.RunFrame]) error {
+		defer close(ended)
+		return run(f, req, stream)
+	}})
+	b.e.timing.progress = time.Minute
+	ctx, cancel := context.WithCancel(t.Context())
+	req := httptest.NewRequestWithContext(ctx, http.MethodPost, completions, strings.NewReader(streamBody))
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	x := newExchange(httptest.NewRecorder(), req)
+	x.kind, x.route = modelKind, "completions"
+	settled := make(chan struct{})
+	go func() {
+		b.e.serve(x)
+		close(settled)
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.fake[0].attempts() == 0 {
+			return poll.Continue("attempt has not arrived")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	cancel()
+	<-ended
+	<-settled
+	assert.Equal(t, x.settlement.Outcome(), ident.Unknown)
+	assert.Equal(t, b.e.limiter.InFlight("tokachi"), 0)
+	assert.Equal(t, b.fake[0].attempts(), 1)
+}
+
+// Guards against an endpoint that disappears because the end of its old control
+// stream is handled after the first report of the new one, and against one that
+// comes back by a late report of a stream that has ended.
+func TestControlStreamOrder(t *testing.T) {
+	table := streamTable{}
+	first, second := streamID{"e", 1}, streamID{"e", 2}
+	assert.Assert(t, table.current(first))
+	assert.Assert(t, table.current(second))
+	assert.Assert(t, !table.end(first), "end of an old stream removes the endpoint")
+	assert.Assert(t, !table.current(first), "late report of an old stream")
+	assert.Assert(t, table.current(second))
+	assert.Assert(t, table.end(second))
+	assert.Assert(t, !table.current(second), "late report of an ended stream")
+	assert.Assert(t, table.current(streamID{"e", 3}))
+}
+
 func BenchmarkChain(b *testing.B) {
 	pass := func(context.Context, *Exchange) *Failure { return nil }
 	filters := make([]Filter, 7)
--- a/pkg/entry/connector.go
+++ b/pkg/entry/connector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
@@ -29,6 +30,9 @@
 	e   *Entry
 	log logging.Logger
 
+	// sequence numbers control streams.
+	sequence atomic.Uint64
+
 	mu    sync.RWMutex
 	links map[ident.EndpointID]*link
 }
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -27,11 +27,19 @@
 // reportEvent is one report from an endpoint.
 type reportEvent struct {
 	at     time.Time
+	stream streamID
 	report *fescuev1.Report
 }
 
 // goneEvent is the end of a control stream.
-type goneEvent struct{ endpoint ident.EndpointID }
+type goneEvent struct{ stream streamID }
+
+// streamID names one control stream. Sequence numbers rise with each stream of
+// an endpoint, also across its connections.
+type streamID struct {
+	endpoint ident.EndpointID
+	sequence uint64
+}
 
 // permitEvent is a request or release of a load permit.
 type permitEvent struct {
@@ -57,18 +65,19 @@
 
 // received publishes a message from a control stream. A full or closed bus only
 // delays the directory, so errors are dropped.
-func (ev events) received(id ident.EndpointID, m *fescuev1.ControlResponse) {
+func (ev events) received(id streamID, m *fescuev1.ControlResponse) {
 	switch b := m.GetBody().(type) {
 	case *fescuev1.ControlResponse_Report:
-		_ = ev.reports.Publish(reportEvent{at: time.Now(), report: b.Report})
+		b.Report.EndpointId = string(id.endpoint)
+		_ = ev.reports.Publish(reportEvent{at: time.Now(), stream: id, report: b.Report})
 	case *fescuev1.ControlResponse_PermitRequest:
-		_ = ev.permits.Publish(permitEvent{endpoint: id, request: b.PermitRequest})
+		_ = ev.permits.Publish(permitEvent{endpoint: id.endpoint, request: b.PermitRequest})
 	case *fescuev1.ControlResponse_PermitRelease:
-		_ = ev.permits.Publish(permitEvent{endpoint: id, release: b.PermitRelease})
+		_ = ev.permits.Publish(permitEvent{endpoint: id.endpoint, release: b.PermitRelease})
 	}
 }
 
-func (ev events) gone(id ident.EndpointID) { _ = ev.leavers.Publish(goneEvent{endpoint: id}) }
+func (ev events) gone(id streamID) { _ = ev.leavers.Publish(goneEvent{stream: id}) }
 
 // control owns the directory and the permit coordinator. All changes go through
 // its goroutine.
@@ -83,6 +92,39 @@
 	publish   <-chan time.Time
 	published time.Time
 	bundle    *bundle.Bundle
+	streams   streamTable
+}
+
+// streamTable orders the events of successive control streams. Reports and ends
+// of streams arrive on different topics, so an end may be handled after the
+// first report of the next stream, or before the last report of its own.
+type streamTable map[ident.EndpointID]*streamState
+
+type streamState struct{ latest, ended uint64 }
+
+func (t streamTable) state(id ident.EndpointID) *streamState {
+	if t[id] == nil {
+		t[id] = &streamState{}
+	}
+	return t[id]
+}
+
+// current reports whether a report belongs to the latest stream that has not
+// ended.
+func (t streamTable) current(id streamID) bool {
+	s := t.state(id.endpoint)
+	if id.sequence < s.latest || id.sequence <= s.ended {
+		return false
+	}
+	s.latest = id.sequence
+	return true
+}
+
+// end records the end of a stream. It reports whether no later one has started.
+func (t streamTable) end(id streamID) bool {
+	s := t.state(id.endpoint)
+	s.ended = max(s.ended, id.sequence)
+	return id.sequence >= s.latest
 }
 
 func newControl(e *Entry) *control {
@@ -92,6 +134,7 @@
 		directory:   membership.New(),
 		coordinator: permits.New(permits.Config{MaxConcurrent: permitParallel, GrantTTL: permitTTL}),
 		inbox:       make(chan func(now time.Time), controlBuffer),
+		streams:     streamTable{},
 	}
 	e.events.reports.Handle("directory-reports", func(ev reportEvent) { c.post(func(time.Time) { c.onReport(ev) }) })
 	e.events.leavers.Handle("directory-gone", func(ev goneEvent) { c.post(func(now time.Time) { c.onGone(now, ev) }) })
@@ -108,6 +151,7 @@
 
 // run applies events until ctx ends.
 func (c *control) run(ctx context.Context) {
+	c.applyBundle()
 	tick := time.NewTicker(permitTick)
 	defer tick.Stop()
 	for {
@@ -134,6 +178,9 @@
 }
 
 func (c *control) onReport(ev reportEvent) {
+	if !c.streams.current(ev.stream) {
+		return
+	}
 	c.directory.Apply(ev.at, ev.report)
 	c.changed(time.Now())
 }
@@ -157,9 +204,12 @@
 }
 
 func (c *control) onGone(now time.Time, ev goneEvent) {
-	c.directory.Remove(ev.endpoint)
+	if !c.streams.end(ev.stream) {
+		return
+	}
+	c.directory.Remove(ev.stream.endpoint)
 	c.changed(now)
-	c.send(c.coordinator.Drop(now, ev.endpoint))
+	c.send(c.coordinator.Drop(now, ev.stream.endpoint))
 }
 
 func (c *control) onPermit(now time.Time, ev permitEvent) {
--- a/pkg/entry/link.go
+++ b/pkg/entry/link.go
@@ -118,8 +118,9 @@
 	defer l.close()
 	for ctx.Err() == nil {
 		conn := l.acquire()
-		err := l.control(ctx, conn)
-		l.c.e.events.gone(l.id)
+		id := streamID{endpoint: l.id, sequence: l.c.sequence.Add(1)}
+		err := l.control(ctx, id, conn)
+		l.c.e.events.gone(id)
 		l.release(conn)
 		if ctx.Err() != nil {
 			return
@@ -136,7 +137,7 @@
 }
 
 // control reads reports from one control stream.
-func (l *link) control(ctx context.Context, conn *sharedConn) error {
+func (l *link) control(ctx context.Context, id streamID, conn *sharedConn) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer l.connected.Store(false)
@@ -158,7 +159,7 @@
 		}
 		watchdog.Reset(reportSilence)
 		l.connected.Store(true)
-		l.c.e.events.received(l.id, m)
+		l.c.e.events.received(id, m)
 		l.c.e.exchanger.reported(l.id, m, conn.ClientConn)
 	}
 }
--- a/pkg/entry/respond.go
+++ b/pkg/entry/respond.go
@@ -21,8 +21,6 @@
 	begin()
 	// received returns the number of events held, for a resume.
 	received() uint64
-	// committed reports whether bytes have been sent to the caller.
-	committed() bool
 	header(h *fescuev1.Header)
 	data(payload []byte) error
 	// end completes the answer.
@@ -66,7 +64,6 @@
 
 func (s *streamResponder) begin()           {}
 func (s *streamResponder) received() uint64 { return s.events }
-func (s *streamResponder) committed() bool  { return s.started }
 
 func (s *streamResponder) header(f *fescuev1.Header) {
 	if s.started {
@@ -174,7 +171,6 @@
 
 func (c *completionResponder) begin()                    {}
 func (c *completionResponder) received() uint64          { return c.events }
-func (c *completionResponder) committed() bool           { return false }
 func (c *completionResponder) header(f *fescuev1.Header) { describeWait(c.x, f) }
 
 func (c *completionResponder) data(payload []byte) error {
@@ -239,7 +235,6 @@
 // begin drops a partial body, because calls of services are not resumed.
 func (s *serviceResponder) begin()           { s.body = nil }
 func (s *serviceResponder) received() uint64 { return uint64(len(s.body)) }
-func (s *serviceResponder) committed() bool  { return false }
 
 func (s *serviceResponder) header(h *fescuev1.Header) {
 	s.status = int(h.GetStatus())
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -75,15 +75,22 @@
 // residents_changed is set.
 func (d *Directory) Apply(now time.Time, r *fescuev1.Report) {
 	id := ident.EndpointID(r.GetEndpointId())
+	old := d.endpoints[id]
+	e := fromReport(now, r)
+	if e.Incarnation == 0 && old != nil {
+		e.Incarnation = old.Incarnation
+	}
+	sameProcess := old != nil && old.Incarnation == e.Incarnation
+	if !sameProcess && e.Kind == fescuev1.EndpointKind_ENDPOINT_KIND_UNSPECIFIED {
+		return // the static fields of this process are not known
+	}
 	if d.loads[id] == nil {
 		d.loads[id] = &Load{}
 	}
-	old := d.endpoints[id]
-	e := fromReport(now, r)
 	e.Load = d.loads[id]
 	e.Hash = EndpointHash(id)
 	e.OwnAtReport = e.Load.InFlight()
-	if old != nil && old.Incarnation == e.Incarnation {
+	if sameProcess {
 		e.inherit(old, r)
 	}
 	d.endpoints[id] = e
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -67,6 +67,9 @@
 				delete(m, id)
 			case action < 5 && m[id] != nil:
 				d.Apply(time.Unix(0, 0), &fescuev1.Report{EndpointId: id, Incarnation: m[id].Incarnation})
+			case action == 5:
+				// A partial report of a process that is not known changes nothing.
+				d.Apply(time.Unix(0, 0), &fescuev1.Report{EndpointId: id, Incarnation: 1 << 40})
 			default:
 				incarnation++
 				r := &fescuev1.Report{EndpointId: id, Incarnation: incarnation, Kind: fescuev1.EndpointKind_ENDPOINT_KIND_MODEL, ResidentsChanged: true}
--- a/pkg/placement/bench_test.go
+++ b/pkg/placement/bench_test.go
@@ -75,3 +75,37 @@
 		})
 	}
 }
+
+// BenchmarkPlaceRefused measures a refusal, which looks at every endpoint.
+func BenchmarkPlaceRefused(b *testing.B) {
+	now := time.Now()
+	s := directory(2800, 10000, now).Snapshot()
+	a, _ := ident.ParseAdapter(adapterName(1))
+	p := newPolicy()
+	r := placement.Request{Now: now.Add(time.Hour), Kind: fescuev1.EndpointKind_ENDPOINT_KIND_MODEL, Backend: "kuma-7b", Adapter: a}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := p.Place(&r, s); err == nil {
+			b.Fatal("stale endpoint chosen")
+		}
+	}
+}
+
+// BenchmarkPublishChangedResidents measures reports that change the index.
+func BenchmarkPublishChangedResidents(b *testing.B) {
+	for _, endpoints := range []int{215, 2800} {
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
+			now := time.Now()
+			d := directory(endpoints, 10000, now)
+			reports := []*fescuev1.Report{report(7, 10000), report(7, 10000)}
+			reports[1].Residents[0] = adapterName(9999)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				d.Apply(now, reports[i%2])
+				d.Snapshot()
+			}
+		})
+	}
+}
