Join bundles, leases and claims with the roles

Change: pkg/node joins a role with its syncer, engine lease, claims and administration API; the daemon and the demo use it. The demo starts the fake key-value service and rolls its bundle out through it; endpoints get it from entries. The development setting bundle-file is gone. Conclusion: one path from rollout to answer.

--- a/pkg/bundle/parse.go
+++ b/pkg/bundle/parse.go
@@ -15,10 +15,12 @@
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
 
+// DefaultKeyRetention applies to bundles that do not set key_retention.
+const DefaultKeyRetention = 15 * time.Minute
+
 // Defaults of optional keys.
 const (
 	defaultRetryBudget   = 0.1
-	defaultKeyRetention  = 15 * time.Minute
 	defaultWeight        = 1
 	defaultMaxInFlight   = 100
 	defaultRatePerSecond = 100
@@ -346,7 +348,7 @@
 		StallWeight:  r.float("stall_weight", 0.5),
 		BatchWeight:  r.float("batch_weight", 0.5),
 		RetryBudget:  r.float("retry_budget", defaultRetryBudget),
-		KeyRetention: r.duration("key_retention", defaultKeyRetention),
+		KeyRetention: r.duration("key_retention", DefaultKeyRetention),
 	}
 	r.check(d.Name != "", "name", "must be set")
 	r.check(d.StallWeight >= 0 && d.BatchWeight >= 0 && d.StallWeight+d.BatchWeight > 0, "stall_weight", "weights must not be negative or both zero")
--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -45,7 +45,9 @@
 	Endpoint    ident.EndpointID  `json:"endpoint"`
 	Incarnation ident.Incarnation `json:"incarnation,string"`
 	Attempt     uint32            `json:"attempt"`
-	BodyHash    string            `json:"body_hash"`
+	// EndpointClockMS is the endpoint's clock that the attempt echoes.
+	EndpointClockMS uint64 `json:"endpoint_clock_ms"`
+	BodyHash        string `json:"body_hash"`
 }
 
 // Status is the kind of a result.
--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 )
 
-const bundleText = "[bundle]\nversion = 1\n[deployment]\nname = test\n"
+const reviewersText = "[reviewer \"alice\"]\npublic_key = AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=\n"
 
 // Guards against wrong settings that start the daemon, that are reported one at
 // a time, or that end with the wrong exit status.
@@ -19,9 +19,9 @@
 	assert.NilError(t, err)
 	defer busy.Close()
 	dir := t.TempDir()
-	bundle := write(t, dir, "bundle.ini", bundleText)
-	badBundle := write(t, dir, "bad-bundle.ini", "[bundle]\nversion = 0\n")
-	full := "id = entry-1\nzone = a\nvm-list = 127.0.0.1:1\n"
+	reviewers := write(t, dir, "reviewers.ini", reviewersText)
+	badReviewers := write(t, dir, "bad-reviewers.ini", "[reviewer \"alice\"]\npublic_key = short\n")
+	full := "id = entry-1\nzone = a\nvm-list = 127.0.0.1:1\nkv = 127.0.0.1:1\n"
 	for _, c := range []struct {
 		name string
 		args []string
@@ -34,13 +34,13 @@
 		{"wrong flag", []string{"entry", "--nonsense"}, "", exitUsage, []string{"nonsense"}},
 		{"extra argument", []string{"entry", "extra"}, "", exitUsage, []string{`unexpected argument "extra"`}},
 		{"missing file", []string{"entry", "--config", "absent.ini"}, "", exitFailure, []string{"absent.ini"}},
-		{"unknown key", []string{"entry"}, full + "colour = red\n", exitFailure, []string{`:4: unknown setting "colour"`}},
+		{"unknown key", []string{"entry"}, full + "colour = red\n", exitFailure, []string{`:5: unknown setting "colour"`}},
 		{"all findings", []string{"entry"}, "zone = a\ncolour = red\ndrain-timeout = 0s\ndefault-deadline = soon\n", exitFailure, []string{
-			`:2: unknown setting "colour"`, `:3: setting "drain-timeout"`, `:4: setting "default-deadline"`, `setting "id"`, `setting "vm-list"`,
+			`:2: unknown setting "colour"`, `:3: setting "drain-timeout"`, `:4: setting "default-deadline"`, `setting "id"`, `setting "vm-list"`, `setting "kv"`, `setting "reviewers"`,
 		}},
 		{"log level", []string{"entry", "--log-level", "loud"}, full, exitFailure, []string{`setting "log-level"`}},
-		{"bad bundle", []string{"entry", "--bundle-file", badBundle}, full, exitFailure, []string{"bad-bundle.ini:2:"}},
-		{"port in use", []string{"entry", "--bundle-file", bundle, "--listen", busy.Addr().String()}, full, exitFailure, []string{"address already in use"}},
+		{"bad reviewers", []string{"entry", "--reviewers", badReviewers}, full, exitFailure, []string{"bad-reviewers.ini:2:"}},
+		{"port in use", []string{"entry", "--reviewers", reviewers, "--listen", busy.Addr().String()}, full, exitFailure, []string{"address already in use"}},
 		{"endpoint kind", []string{"endpoint", "--kind", "printer"}, "", exitFailure, []string{`setting "kind"`, `setting "backend"`}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -67,10 +67,10 @@
 
 // Guards against a daemon that does not end with status 0 after a drain.
 func TestDrainEndsWithZero(t *testing.T) {
-	bundle := write(t, t.TempDir(), "bundle.ini", bundleText)
+	reviewers := write(t, t.TempDir(), "reviewers.ini", reviewersText)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	args := []string{"entry", "--id", "e", "--zone", "a", "--vm-list", "127.0.0.1:1", "--listen", "127.0.0.1:0", "--unready-delay", "0s", "--bundle-file", bundle}
+	args := []string{"entry", "--id", "e", "--zone", "a", "--vm-list", "127.0.0.1:1", "--kv", "127.0.0.1:1", "--listen", "127.0.0.1:0", "--unready-delay", "0s", "--reviewers", reviewers}
 	var stderr syncBuffer
 	assert.Equal(t, Run(ctx, args, &stderr), exitOK)
 }
--- a/pkg/daemon/roles.go
+++ b/pkg/daemon/roles.go
@@ -9,87 +9,84 @@
 	"github.com/fescuecourse/fescuecourse/pkg/config"
 	"github.com/fescuecourse/fescuecourse/pkg/endpoint"
 	"github.com/fescuecourse/fescuecourse/pkg/entry"
+	"github.com/fescuecourse/fescuecourse/pkg/kv/etcd"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
-	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+	"github.com/fescuecourse/fescuecourse/pkg/node"
 )
 
-// bundleFile is the setting that replaces the key-value service in development.
-type bundleFile string
+// reviewersFile is the setting that names the first reviewers.
+type reviewersFile string
 
-func (b *bundleFile) register(set *config.Set) {
-	set.StringVar((*string)(b), "bundle-file", "", "INI `file` with the configuration bundle, for development")
+func (f *reviewersFile) register(set *config.Set) {
+	set.StringVar((*string)(f), "reviewers", "", "INI `file` with the reviewers that are trusted until a bundle is active")
 }
 
-// load reads the bundle. Problems in the file are returned as findings.
-func (b *bundleFile) load() (*rollout.Holder, error) {
-	text, err := os.ReadFile(string(*b))
+func (f *reviewersFile) load() (bundle.Reviewers, error) {
+	text, err := os.ReadFile(string(*f))
 	if err != nil {
-		return nil, errors.Wrap(err, "read bundle")
+		return nil, errors.Wrap(err, "read reviewers")
 	}
-	parsed, found := bundle.Parse(string(*b), string(text))
-	if found != nil {
-		return nil, found
+	reviewers, found := bundle.ParseReviewers(string(*f), string(text))
+	return reviewers, found.Err()
+}
+
+// platform opens the key-value service and reads the first reviewers.
+func platform(kv string, reviewers reviewersFile, log logging.Logger) (node.Platform, error) {
+	first, err := reviewers.load()
+	if err != nil {
+		return node.Platform{}, err
 	}
-	h := &rollout.Holder{}
-	h.Adopt(parsed)
-	return h, nil
+	return node.Platform{Store: etcd.New(kv, etcd.Options{}), Reviewers: first, Log: log}, nil
 }
 
 // entryRole is fescued entry.
 type entryRole struct {
-	settings entry.Settings
-	bundle   bundleFile
+	settings  entry.Settings
+	reviewers reviewersFile
 }
 
 func (r *entryRole) register(set *config.Set) {
 	r.settings.Register(set)
-	r.bundle.register(set)
+	r.reviewers.register(set)
 }
 
 func (r *entryRole) check(set *config.Set) {
 	r.settings.Check(set)
-	set.Requiref(r.bundle != "", "bundle-file", "must be set")
+	set.Requiref(r.reviewers != "", "reviewers", "must be set")
 }
 
 func (r *entryRole) logLevel() string { return r.settings.LogLevel }
 
 func (r *entryRole) assemble(log logging.Logger) (runner, error) {
-	bundles, err := r.bundle.load()
+	p, err := platform(r.settings.KV, r.reviewers, log)
 	if err != nil {
 		return nil, err
 	}
-	return entry.New(r.settings, bundles, log)
+	return node.NewEntry(r.settings, p)
 }
 
 // endpointRole is fescued endpoint.
 type endpointRole struct {
-	settings endpoint.Settings
-	bundle   bundleFile
+	settings  endpoint.Settings
+	reviewers reviewersFile
 }
 
 func (r *endpointRole) register(set *config.Set) {
 	r.settings.Register(set)
-	r.bundle.register(set)
+	r.reviewers.register(set)
 }
 
 func (r *endpointRole) check(set *config.Set) {
 	r.settings.Check(set)
-	set.Requiref(r.bundle != "", "bundle-file", "must be set")
+	set.Requiref(r.reviewers != "", "reviewers", "must be set")
 }
 
 func (r *endpointRole) logLevel() string { return r.settings.LogLevel }
 
 func (r *endpointRole) assemble(log logging.Logger) (runner, error) {
-	bundles, err := r.bundle.load()
+	p, err := platform(r.settings.KV, r.reviewers, log)
 	if err != nil {
 		return nil, err
 	}
-	return endpoint.New(r.settings, bundles, soleHolder{}, log), nil
+	return node.NewEndpoint(r.settings, p), nil
 }
-
-// soleHolder authorizes commands without an engine lease. It is only correct if
-// no other process commands the engine.
-type soleHolder struct{}
-
-// Token implements endpoint.Authority.
-func (soleHolder) Token() (uint64, bool) { return 1, true }
--- a/pkg/demo/cluster.go
+++ b/pkg/demo/cluster.go
@@ -14,8 +14,9 @@
 
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
 	"github.com/fescuecourse/fescuecourse/pkg/entry"
-	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+	"github.com/fescuecourse/fescuecourse/pkg/node"
 	"github.com/fescuecourse/fescuecourse/standin/fault"
+	"github.com/fescuecourse/fescuecourse/standin/kvstore"
 	fakevmlist "github.com/fescuecourse/fescuecourse/standin/vmlist"
 	"github.com/fescuecourse/fescuecourse/standin/weightstore"
 )
@@ -35,22 +36,20 @@
 	// its own addresses.
 	VMs []*fakevmlist.Server
 
-	bundle  *bundle.Bundle
-	vmAddrs []string
-	entries []*process
-	servers []*http.Server
-	wg      sync.WaitGroup
+	KV *kvstore.Server
+
+	reviewers bundle.Reviewers
+	platform  *process
+	vmAddrs   []string
+	entries   []*process
+	servers   []*http.Server
+	wg        sync.WaitGroup
 }
 
 // Start brings up all parts and waits until the entries know all endpoints.
 func Start(ctx context.Context, opts Options) (*Cluster, error) {
 	faults := fault.New(opts.FaultSeed, time.Now)
 	c := &Cluster{Opts: opts, WeightFaults: faults, Weights: weightstore.New(opts.LoadsPerSecond, faults)}
-	b, found := bundle.Parse("demo", BundleText(opts))
-	if found != nil {
-		return nil, found.Err()
-	}
-	c.bundle = b
 	if err := c.startAll(ctx); err != nil {
 		return nil, errors.CombineErrors(err, c.Stop())
 	}
@@ -58,6 +57,9 @@
 }
 
 func (c *Cluster) startAll(ctx context.Context) error {
+	if err := c.startKV(ctx); err != nil {
+		return err
+	}
 	if err := c.startVMLists(); err != nil {
 		return err
 	}
@@ -124,19 +126,17 @@
 		DefaultDeadline: 30 * time.Second, MaxDeadline: 10 * time.Minute, MaxBodyBytes: 4 << 20,
 		UnreadyDelay: c.Opts.UnreadyDelay, DrainTimeout: c.Opts.DrainTimeout,
 	}
-	h := &rollout.Holder{}
-	h.Adopt(c.bundle)
-	e, err := entry.New(set, h, c.Opts.Log)
+	n, err := node.NewEntry(set, c.nodePlatform(c.store()))
 	if err != nil {
 		return err
 	}
-	p := startProcess(e.Run)
+	p := startProcess(n.Run)
 	select {
-	case <-e.Ready():
+	case <-n.Ready():
 	case <-p.done:
 		return p.err
 	}
-	c.Entries = append(c.Entries, e)
+	c.Entries = append(c.Entries, n.Entry)
 	c.entries = append(c.entries, p)
 	return nil
 }
@@ -184,6 +184,9 @@
 	for _, s := range c.servers {
 		err = errors.CombineErrors(err, s.Close())
 	}
+	if c.platform != nil {
+		err = errors.CombineErrors(err, c.platform.stop())
+	}
 	c.wg.Wait()
 	return err
 }
--- a/pkg/demo/options.go
+++ b/pkg/demo/options.go
@@ -46,6 +46,8 @@
 	Residents []ident.Adapter
 	// VMListLag is how late changes appear on the VM list.
 	VMListLag time.Duration
+	// LeaseTTL is the time to live of engine leases.
+	LeaseTTL time.Duration
 	// FaultSeed seeds the injectors of the fakes.
 	FaultSeed uint64
 }
@@ -61,7 +63,7 @@
 			{Name: "tokachi", Key: "demo-key-tokachi", Weight: 10, Priority: ident.PriorityNormal, Adapters: 24, Share: 0.6, Dominant: true},
 			{Name: "adwenpa", Key: "demo-key-adwenpa", Weight: 1, Priority: ident.PriorityNormal, Adapters: 16, Share: 0.4},
 		},
-		Log: logging.Nop(), EntryListen: "127.0.0.1:0", DrainTimeout: time.Minute,
+		Log: logging.Nop(), EntryListen: "127.0.0.1:0", DrainTimeout: time.Minute, LeaseTTL: 5 * time.Second,
 		AvailabilityZone: []string{"obihiro-a", "kushiro-b", "kitami-c"},
 	}
 }
@@ -102,6 +104,7 @@
 // BundleText returns the configuration bundle of a cluster.
 func BundleText(opts Options) string {
 	var b strings.Builder
+	b.WriteString(reviewersText())
 	fmt.Fprintf(&b, "[bundle]\nversion = 1\n\n[deployment]\nname = %s\nstall_weight = 0.8\nbatch_weight = 0.2\n\n", opts.Name)
 	for _, t := range opts.Teams {
 		sum := sha256.Sum256([]byte(t.Key))
--- /dev/null
+++ b/pkg/demo/platform.go
@@ -0,0 +1,115 @@
+package demo
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/kv"
+	"github.com/fescuecourse/fescuecourse/pkg/kv/etcd"
+	"github.com/fescuecourse/fescuecourse/pkg/node"
+	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+	"github.com/fescuecourse/fescuecourse/standin/kvstore"
+)
+
+// rolloutTimeout bounds the rollout of the demo's bundle.
+const rolloutTimeout = 10 * time.Second
+
+// reviewerNames are the reviewers of the demo's bundles.
+var reviewerNames = []string{"alice", "bob"}
+
+// reviewerKey returns the key of a demo reviewer. It is derived from the name,
+// so it protects nothing.
+func reviewerKey(name string) ed25519.PrivateKey {
+	seed := sha256.Sum256([]byte("demo reviewer " + name))
+	return ed25519.NewKeyFromSeed(seed[:])
+}
+
+// reviewersText returns the reviewer sections of the demo's bundles.
+func reviewersText() string {
+	var b strings.Builder
+	for _, name := range reviewerNames {
+		public, _ := reviewerKey(name).Public().(ed25519.PublicKey) // always this type
+		fmt.Fprintf(&b, "[reviewer %q]\npublic_key = %s\n\n", name, base64.StdEncoding.EncodeToString(public))
+	}
+	return b.String()
+}
+
+// startKV starts the key-value service and rolls out the first bundle.
+func (c *Cluster) startKV(ctx context.Context) error {
+	first, found := bundle.ParseReviewers("demo", reviewersText())
+	if found != nil {
+		return found
+	}
+	c.reviewers = first
+	server, err := kvstore.New("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	c.KV = server
+	c.platform = startProcess(server.Run)
+	return c.Rollout(ctx, BundleText(c.Opts), nil)
+}
+
+// Rollout proposes, approves and rolls out a bundle after base.
+func (c *Cluster) Rollout(ctx context.Context, text string, base *bundle.Root) error {
+	ctx, cancel := context.WithTimeout(ctx, rolloutTimeout)
+	defer cancel()
+	p, err := bundle.Propose("demo", text, "demo", base)
+	if err != nil {
+		return errors.Wrap(err, "propose bundle")
+	}
+	for _, name := range reviewerNames {
+		if err := p.Approve(name, reviewerKey(name)); err != nil {
+			return errors.Wrap(err, "approve bundle")
+		}
+	}
+	_, err = rollout.Rollout(ctx, c.store(), p, c.reviewers)
+	return errors.Wrap(err, "roll out bundle")
+}
+
+// store returns a client of the key-value service.
+func (c *Cluster) store() kv.Store { return etcd.New(c.KV.Addr(), etcd.Options{}) }
+
+func (c *Cluster) nodePlatform(s kv.Store) node.Platform {
+	return node.Platform{Store: s, Reviewers: c.reviewers, Log: c.Opts.Log}
+}
+
+// processStore is the key-value client of one process. It does nothing once the
+// process is killed, so that a crash does not release the engine lease.
+type processStore struct {
+	kv.Store
+	dead atomic.Bool
+}
+
+// Txn implements kv.Store.
+func (s *processStore) Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
+	if s.dead.Load() {
+		return kv.TxnResult{}, kv.ErrUnavailable
+	}
+	return s.Store.Txn(ctx, t)
+}
+
+// KeepAlive implements kv.Store.
+func (s *processStore) KeepAlive(ctx context.Context, id kv.LeaseID) (time.Duration, error) {
+	if s.dead.Load() {
+		return 0, kv.ErrUnavailable
+	}
+	return s.Store.KeepAlive(ctx, id)
+}
+
+// Revoke implements kv.Store.
+func (s *processStore) Revoke(ctx context.Context, id kv.LeaseID) error {
+	if s.dead.Load() {
+		return kv.ErrUnavailable
+	}
+	return s.Store.Revoke(ctx, id)
+}
--- a/pkg/demo/server.go
+++ b/pkg/demo/server.go
@@ -7,7 +7,7 @@
 
 	"github.com/fescuecourse/fescuecourse/pkg/endpoint"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
-	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+	"github.com/fescuecourse/fescuecourse/pkg/node"
 	"github.com/fescuecourse/fescuecourse/pkg/vmlist"
 	fakeengine "github.com/fescuecourse/fescuecourse/standin/engine"
 	"github.com/fescuecourse/fescuecourse/standin/fault"
@@ -29,15 +29,10 @@
 	relays  []*fault.Relay
 	mu      sync.Mutex
 	process *process
-	ep      *endpoint.Endpoint
+	ep      *node.Endpoint
+	store   *processStore
 }
 
-// alwaysAuthorized stands for an endpoint that is the only one to command its
-// engine.
-type alwaysAuthorized struct{}
-
-func (alwaysAuthorized) Token() (uint64, bool) { return 1, true }
-
 func (c *Cluster) newServer(id, kind, backend string, i int) *Server {
 	zone := c.Opts.AvailabilityZone[i%len(c.Opts.AvailabilityZone)]
 	return &Server{
@@ -46,6 +41,7 @@
 		set: endpoint.Settings{
 			ID: id, Zone: zone, Listen: "127.0.0.1:0", Kind: kind, Backend: backend,
 			MaxQueued: 256, Positions: c.Opts.Positions, DrainTimeout: c.Opts.DrainTimeout, Fencing: endpoint.FencingIgnored,
+			LeaseTTL: c.Opts.LeaseTTL,
 		},
 	}
 }
@@ -97,9 +93,8 @@
 
 // Start starts a new endpoint process and lists it.
 func (s *Server) Start() error {
-	h := &rollout.Holder{}
-	h.Adopt(s.c.bundle)
-	ep := endpoint.New(s.set, h, alwaysAuthorized{}, s.c.Opts.Log)
+	store := &processStore{Store: s.c.store()}
+	ep := node.NewEndpoint(s.set, s.c.nodePlatform(store))
 	p := startProcess(ep.Run)
 	select {
 	case <-ep.Ready():
@@ -107,7 +102,7 @@
 		return p.err
 	}
 	s.mu.Lock()
-	s.process, s.ep = p, ep
+	s.process, s.ep, s.store = p, ep, store
 	s.mu.Unlock()
 	return s.announce(ep.Addr())
 }
@@ -164,8 +159,9 @@
 // Kill ends the endpoint process without a drain. The VM list does not change.
 func (s *Server) Kill() error {
 	s.mu.Lock()
-	p, ep := s.process, s.ep
+	p, ep, store := s.process, s.ep, s.store
 	s.mu.Unlock()
+	store.dead.Store(true)
 	ep.Kill()
 	return p.wait()
 }
--- a/pkg/endpoint/settings.go
+++ b/pkg/endpoint/settings.go
@@ -23,12 +23,17 @@
 	MaxQueued    int
 	Positions    int
 	DrainTimeout time.Duration
+	LeaseTTL     time.Duration
 	// WeightStore names the store that adapters are loaded from.
 	WeightStore string
 	// ShareInterval is the time between two loads while no entry grants permits.
 	ShareInterval time.Duration
 }
 
+// minLeaseTTL leaves room for slow answers of the key-value service between two
+// renewals.
+const minLeaseTTL = 5 * time.Second
+
 // Kinds of back ends.
 const (
 	KindModel   = "model"
@@ -56,6 +61,7 @@
 	set.IntVar(&s.Positions, "positions", 16, "concurrent calls to a plain service")
 	set.StringVar(&s.WeightStore, "weight-store", "", "`name` of the weight store, for load permits")
 	set.DurationVar(&s.ShareInterval, "share-interval", 5*time.Second, "time between two loads while no entry grants permits")
+	set.DurationVar(&s.LeaseTTL, "lease-ttl", 60*time.Second, "time to live of the engine lease; it is renewed three times as often")
 	set.DurationVar(&s.DrainTimeout, "drain-timeout", 2*time.Minute, "longest time that a stop waits for running requests")
 }
 
@@ -71,4 +77,6 @@
 	set.Requiref(s.Positions > 0, "positions", "must be above zero")
 	set.RequirePositive("share-interval", s.ShareInterval)
 	set.RequirePositive("drain-timeout", s.DrainTimeout)
+	set.Requiref(s.LeaseTTL >= minLeaseTTL, "lease-ttl", "must be at least %s", minLeaseTTL)
+	set.Requiref(s.KV != "", "kv", "must be set")
 }
--- a/pkg/entry/claim.go
+++ b/pkg/entry/claim.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
@@ -25,6 +27,8 @@
 	// the endpoint whether its ledger still covers the attempt.
 	EndpointClockMS uint64
 	BodyHash        [sha256.Size]byte
+	// Revision identifies the stored record. The store sets it.
+	Revision int64
 }
 
 // Claims keeps one record for each idempotency key of a team. An error of any
@@ -58,6 +62,10 @@
 	return next(ctx, x)
 }
 
+// ErrKeyTooOld reports a key from before the retention: whether it was used
+// cannot be known any more.
+var ErrKeyTooOld = errors.New("idempotency key is older than the retention")
+
 func claimsUnavailable() *Failure {
 	return unavailable("claims_unavailable", "idempotency keys cannot be recorded now", retryAfterCapacity)
 }
@@ -70,11 +78,14 @@
 		return f.takeOver(ctx, x, *x.claim, rec)
 	}
 	stored, claimed, err := f.e.claims.Claim(ctx, x.team.Team, x.key, rec)
+	if errors.Is(err, ErrKeyTooOld) {
+		return f.unknown(x, "idempotency_key_too_old", ErrKeyTooOld.Error())
+	}
 	if err != nil {
 		return claimsUnavailable()
 	}
 	if claimed {
-		x.claim = &rec
+		x.claim = &stored
 		return nil
 	}
 	return f.repeated(ctx, x, stored, rec)
@@ -82,7 +93,7 @@
 
 // takeOver replaces a record whose attempt is proved not to have run.
 func (f claim) takeOver(ctx context.Context, x *Exchange, old, rec ClaimRecord) *Failure {
-	_, ok, err := f.e.claims.TakeOver(ctx, x.team.Team, x.key, old, rec)
+	stored, ok, err := f.e.claims.TakeOver(ctx, x.team.Team, x.key, old, rec)
 	if err != nil {
 		return claimsUnavailable()
 	}
@@ -92,7 +103,7 @@
 		fail.RetryAfter = retryAfterUnknown
 		return fail
 	}
-	x.claim = &rec
+	x.claim = &stored
 	return nil
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -40,6 +40,7 @@
 	limiter   *limits.Limiter
 	budget    retry.Budget
 	claims    Claims
+	admin     http.Handler
 	metrics   *entryMetrics
 	timing    timing
 	directory atomic.Pointer[membership.Snapshot]
@@ -87,6 +88,9 @@
 // Without one, non-idempotent requests with a key are refused as not run.
 func (e *Entry) SetClaims(c Claims) { e.claims = c }
 
+// SetAdmin sets the handler of all paths under /admin/v1/. Call it before Run.
+func (e *Entry) SetAdmin(h http.Handler) { e.admin = h }
+
 // ApplyConfig takes the weights and the teams of a newly active bundle. Counts
 // of limits and of the retry budget stay.
 func (e *Entry) ApplyConfig(b *bundle.Bundle) {
--- a/pkg/entry/http.go
+++ b/pkg/entry/http.go
@@ -32,6 +32,9 @@
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/readyz", e.serveReady)
 	r.Get("/metrics", e.serveMetrics)
+	if e.admin != nil {
+		r.Handle("/admin/v1/*", e.admin)
+	}
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		rejected(http.StatusNotFound, typeNotFound, "unknown_path", "unknown path: "+r.URL.Path).write(w)
 	})
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -44,6 +44,7 @@
 	set.Requiref(s.ID != "", "id", "must be set")
 	set.Requiref(s.Zone != "", "zone", "must be set")
 	set.Requiref(s.VMList != "", "vm-list", "must be set")
+	set.Requiref(s.KV != "", "kv", "must be set")
 	set.Requiref(s.MaxBodyBytes > 0, "max-body-bytes", "must be above zero")
 	set.Requiref(s.UnreadyDelay >= 0, "unready-delay", "must not be negative")
 	set.RequirePositive("default-deadline", s.DefaultDeadline)
--- /dev/null
+++ b/pkg/node/claims.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/claims"
+	"github.com/fescuecourse/fescuecourse/pkg/entry"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// claimStore implements entry.Claims on the key-value service.
+type claimStore struct{ claims *claims.Claims }
+
+// Claim implements entry.Claims.
+func (s *claimStore) Claim(ctx context.Context, team ident.Team, key string, rec entry.ClaimRecord) (entry.ClaimRecord, bool, error) {
+	return s.result(s.claims.Claim(ctx, team, key, encode(rec)))
+}
+
+// TakeOver implements entry.Claims.
+func (s *claimStore) TakeOver(ctx context.Context, team ident.Team, key string, old, rec entry.ClaimRecord) (entry.ClaimRecord, bool, error) {
+	return s.result(s.claims.TakeOver(ctx, team, key, old.Revision, encode(rec)))
+}
+
+// Drop implements entry.Claims.
+func (s *claimStore) Drop(ctx context.Context, team ident.Team, key string, rec entry.ClaimRecord) error {
+	return s.claims.Drop(ctx, team, key, rec.Revision)
+}
+
+func (s *claimStore) result(r claims.Result) (entry.ClaimRecord, bool, error) {
+	switch r.Status {
+	case claims.Claimed, claims.Existing:
+	case claims.TooOld:
+		return entry.ClaimRecord{}, false, entry.ErrKeyTooOld
+	default:
+		return entry.ClaimRecord{}, false, errors.Wrap(r.Err, "claim")
+	}
+	rec, err := decode(r.Record)
+	if err != nil {
+		return entry.ClaimRecord{}, false, err
+	}
+	rec.Revision = r.Revision
+	return rec, r.Status == claims.Claimed, nil
+}
+
+func encode(r entry.ClaimRecord) claims.Record {
+	return claims.Record{
+		Request:         r.Request,
+		Endpoint:        r.Endpoint,
+		Incarnation:     r.Incarnation,
+		Attempt:         r.Attempt,
+		EndpointClockMS: r.EndpointClockMS,
+		BodyHash:        hex.EncodeToString(r.BodyHash[:]),
+	}
+}
+
+func decode(r claims.Record) (entry.ClaimRecord, error) {
+	hash, err := hex.DecodeString(r.BodyHash)
+	if err != nil || len(hash) != sha256.Size {
+		return entry.ClaimRecord{}, errors.New("claim record has a malformed body hash")
+	}
+	return entry.ClaimRecord{
+		Request:         r.Request,
+		Endpoint:        r.Endpoint,
+		Incarnation:     r.Incarnation,
+		Attempt:         r.Attempt,
+		EndpointClockMS: r.EndpointClockMS,
+		BodyHash:        [sha256.Size]byte(hash),
+	}, nil
+}
--- /dev/null
+++ b/pkg/node/endpoint.go
@@ -0,0 +1,74 @@
+// Package node joins a role with the parts that depend on the key-value service:
+// bundles, the engine lease and claims of idempotency keys.
+package node
+
+import (
+	"context"
+
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/endpoint"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/kv"
+	"github.com/fescuecourse/fescuecourse/pkg/lease"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+)
+
+// Platform is what a process gets from the platform and its settings.
+type Platform struct {
+	Store kv.Store
+	// Reviewers are trusted until a bundle is active.
+	Reviewers bundle.Reviewers
+	Log       logging.Logger
+}
+
+// Endpoint is an endpoint process with its bundle and engine lease.
+type Endpoint struct {
+	*endpoint.Endpoint
+	holder *lease.Holder
+}
+
+// NewEndpoint returns an endpoint process. It has no bundle until an entry
+// offers one. A service endpoint has no engine and takes no lease.
+func NewEndpoint(set endpoint.Settings, p Platform) *Endpoint {
+	bundles := &rollout.Holder{}
+	n := &Endpoint{}
+	var authority endpoint.Authority = endpoint.SoleHolder{}
+	if set.Kind == endpoint.KindModel {
+		n.holder = lease.New(leaseSettings(&set), p.Store, p.Log)
+		authority = n.holder
+	}
+	n.Endpoint = endpoint.New(set, bundles, authority, p.Log)
+	n.UseSyncer(rollout.NewSyncer(bundles, p.Reviewers, p.Log))
+	return n
+}
+
+func leaseSettings(set *endpoint.Settings) lease.Settings {
+	return lease.Settings{
+		Endpoint:      ident.EndpointID(set.ID),
+		TokensChecked: set.Fencing == endpoint.FencingChecked,
+		TTL:           set.LeaseTTL,
+		RenewInterval: set.LeaseTTL / renewsPerTTL,
+	}
+}
+
+// renewsPerTTL is the number of renewals within the time to live of a lease.
+const renewsPerTTL = 3
+
+// Run serves until ctx ends. The lease is released only after the drain, when
+// every command has been answered or has passed its deadline.
+func (n *Endpoint) Run(ctx context.Context) error {
+	if n.holder == nil {
+		return n.Endpoint.Run(ctx)
+	}
+	leaseCtx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.holder.Run(leaseCtx)
+	}()
+	err := n.Endpoint.Run(ctx)
+	stop()
+	<-done
+	return err
+}
--- /dev/null
+++ b/pkg/node/entry.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/admin"
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/claims"
+	"github.com/fescuecourse/fescuecourse/pkg/entry"
+	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+)
+
+// Entry is an entry process with its bundle, claims and administration API.
+type Entry struct {
+	*entry.Entry
+	platform Platform
+	syncer   *rollout.Syncer
+}
+
+// NewEntry returns an entry process. It is unready until it holds a bundle,
+// from the key-value service or from an endpoint.
+func NewEntry(set entry.Settings, p Platform) (*Entry, error) {
+	bundles := &rollout.Holder{}
+	e, err := entry.New(set, bundles, p.Log)
+	if err != nil {
+		return nil, err
+	}
+	n := &Entry{Entry: e, platform: p, syncer: rollout.NewSyncer(bundles, p.Reviewers, p.Log)}
+	n.UseSyncer(n.syncer)
+	n.SetClaims(&claimStore{claims: claims.New(claims.Settings{Retention: retention(bundles)}, p.Store)})
+	n.SetAdmin(admin.New(n.syncer, p.Store, p.Reviewers, time.Now).Routes())
+	return n, nil
+}
+
+// retention reads the retention of idempotency keys from the active bundle.
+func retention(bundles *rollout.Holder) func() time.Duration {
+	return func() time.Duration {
+		if b := bundles.Current(); b != nil {
+			return b.Deployment().KeyRetention
+		}
+		return bundle.DefaultKeyRetention
+	}
+}
+
+// Run serves until ctx ends. The bundle is kept up to date until the drain ends.
+func (n *Entry) Run(ctx context.Context) error {
+	syncCtx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	wg.Go(func() { n.syncer.Run(syncCtx, n.platform.Store) })
+	return n.Entry.Run(ctx)
+}
