Keep refusals true for the idempotency key, test separate processes

Cause: TestKeyedRequestOverCrash (real processes, endpoint killed after the run): the repeat of an answered request ended not-run with status 503, because placement found no endpoint before the claim was read. A caller could take that for a proof and send the sale again under a new key. The same holds for limits and deadlines, for a takeover lost to another repeat, and with the key-value service down. Ruled out: reading the claim before admission; it would cost one read for every keyed request instead of one for every refused one. Change: a refusal looks the key up first and is not-run only with proof; without an answer of the store it ends unknown (502) with Retry-After. Drop tells when another request has taken the claim over. Conclusion: not-run is true for the key, at the price of unknown during outages of the key-value service.

--- /dev/null
+++ b/e2e/deployment_test.go
@@ -0,0 +1,269 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/vmlist"
+	fakeengine "github.com/fescuecourse/fescuecourse/standin/engine"
+	"github.com/fescuecourse/fescuecourse/standin/kvstore"
+	fakeservice "github.com/fescuecourse/fescuecourse/standin/service"
+	fakevmlist "github.com/fescuecourse/fescuecourse/standin/vmlist"
+	"github.com/fescuecourse/fescuecourse/standin/weightstore"
+)
+
+const (
+	teamKey   = "e2e-key"
+	baseModel = "kuma-7b"
+	// startLimit bounds waits for other processes on a slow machine. Nothing is
+	// asserted about how long they take.
+	startLimit = 60 * time.Second
+)
+
+// binaries are built once for all tests.
+var binaries = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "fescue-e2e")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir, "github.com/fescuecourse/fescuecourse/cmd/...").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return dir, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if dir, err := binaries(); err == nil {
+		_ = os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+// deployment is a set of real processes around fake outside systems.
+type deployment struct {
+	t         *testing.T
+	dir       string
+	kv        *kvstore.Server
+	vms       *fakevmlist.Server
+	vmAddress string
+	engines   []*fakeengine.Server
+	service   *fakeservice.Server
+	entries   []*daemon
+	endpoints []*daemon
+}
+
+// daemon is one fescued process.
+type daemon struct {
+	cmd     *exec.Cmd
+	address string
+	log     *lockedBuffer
+	exited  chan struct{}
+}
+
+// lockedBuffer collects the log of a process.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+// newDeployment starts the fakes, rolls out a bundle with fescuectl and starts
+// two model endpoints, one service endpoint and two entries.
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, dir: t.TempDir(), vms: fakevmlist.New()}
+	kv, err := kvstore.New("127.0.0.1:0")
+	assert.NilError(t, err)
+	d.kv = kv
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- kv.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-stopped })
+	d.vmAddress = d.serve(d.vms.Handler())
+	d.rollout("")
+	weights := weightstore.New(100, nil)
+	for i := range 2 {
+		e := fakeengine.New(fakeengine.Options{
+			BaseModel: baseModel, Slots: 2, Positions: 8, Weights: weights,
+			Timing: fakeengine.Timing{Prefill: time.Millisecond, Decode: 5 * time.Millisecond},
+		})
+		d.engines = append(d.engines, e)
+		d.startEndpoint(fmt.Sprintf("model-%d", i+1), "model", baseModel, d.serve(e.Handler()))
+	}
+	d.service = fakeservice.New(time.Millisecond, nil)
+	d.startEndpoint("desk-1", "service", "desk", d.serve(d.service.Handler()))
+	for i := range 2 {
+		d.startEntry(fmt.Sprintf("entry-%d", i+1))
+	}
+	return d
+}
+
+func (d *deployment) serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	d.t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// start runs fescued with settings from a file.
+func (d *deployment) start(role, id, listen string, settings ...string) *daemon {
+	d.t.Helper()
+	path := filepath.Join(d.dir, id+".ini")
+	lines := append([]string{
+		"id = " + id, "zone = a", "listen = " + listen,
+		"kv = " + d.kv.Addr(), "reviewers = " + d.file("reviewers.ini"), "drain-timeout = 15m",
+	}, settings...)
+	assert.NilError(d.t, os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o600))
+	p := &daemon{cmd: exec.Command(filepath.Join(d.bin(), "fescued"), role, "-config", path), address: listen, log: &lockedBuffer{}, exited: make(chan struct{})}
+	p.cmd.Stderr = p.log
+	assert.NilError(d.t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait() // the exit code is read from ProcessState
+		close(p.exited)
+	}()
+	d.t.Cleanup(func() {
+		_ = p.cmd.Process.Kill() // may have ended already
+		<-p.exited
+		if d.t.Failed() {
+			d.t.Logf("%s:\n%s", id, p.log.String())
+		}
+	})
+	return p
+}
+
+func (d *deployment) startEndpoint(id, kind, backend, address string) {
+	d.t.Helper()
+	p := d.start("endpoint", id, freeAddress(d.t), "kind = "+kind, "backend = "+backend, "backend-address = "+address, "lease-ttl = 5s")
+	d.endpoints = append(d.endpoints, p)
+	d.vms.Put(vmlist.VM{Endpoint: ident.EndpointID(id), Zone: "a", Address: p.address, State: vmlist.StateLive})
+}
+
+func (d *deployment) startEntry(id string) {
+	d.t.Helper()
+	p := d.start("entry", id, freeAddress(d.t), "vm-list = "+d.vmAddress, "unready-delay = 200ms")
+	d.entries = append(d.entries, p)
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		resp, err := http.Get("http://" + p.address + "/readyz")
+		if err != nil {
+			return poll.Continue("entry does not listen")
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return poll.Continue("entry is not ready")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(startLimit))
+}
+
+// stop sends SIGTERM and returns the exit code.
+func (p *daemon) stop(t *testing.T) int {
+	t.Helper()
+	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	select {
+	case <-p.exited:
+	case <-time.After(startLimit):
+		t.Fatal("process does not end after SIGTERM")
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func (d *deployment) bin() string {
+	d.t.Helper()
+	dir, err := binaries()
+	assert.NilError(d.t, err)
+	return dir
+}
+
+func (d *deployment) file(name string) string { return filepath.Join(d.dir, name) }
+
+// ctl runs fescuectl and returns its standard output.
+func (d *deployment) ctl(args ...string) string {
+	d.t.Helper()
+	cmd := exec.Command(filepath.Join(d.bin(), "fescuectl"), args...)
+	var stderr bytes.Buffer
+	cmd.Stderr = &stderr
+	out, err := cmd.Output()
+	assert.NilError(d.t, err, "fescuectl %v: %s%s", args, out, stderr.String())
+	return string(out)
+}
+
+// rollout takes the next bundle through validate, propose, two approvals and
+// rollout. The text of extra is added to it.
+func (d *deployment) rollout(extra string) {
+	d.t.Helper()
+	reviewers := d.file("reviewers.ini")
+	if _, err := os.Stat(reviewers); err != nil {
+		text := d.ctl("bundle", "keygen", "alice", d.file("alice.key")) + "\n" + d.ctl("bundle", "keygen", "bob", d.file("bob.key"))
+		assert.NilError(d.t, os.WriteFile(reviewers, []byte(text), 0o600))
+	}
+	first, err := os.ReadFile(reviewers)
+	assert.NilError(d.t, err)
+	version := 1
+	if extra != "" {
+		version = 2
+	}
+	bundle, proposal := d.file("bundle.ini"), d.file(fmt.Sprintf("proposal-%d.json", version))
+	assert.NilError(d.t, os.WriteFile(bundle, []byte(bundleText(version)+string(first)+extra), 0o600))
+	d.ctl("bundle", "validate", bundle)
+	d.ctl("bundle", "propose", "-kv", d.kv.Addr(), "-operator", "carol", bundle, proposal)
+	d.ctl("bundle", "approve", "-reviewer", "alice", "-key", d.file("alice.key"), proposal)
+	d.ctl("bundle", "approve", "-reviewer", "bob", "-key", d.file("bob.key"), proposal)
+	d.ctl("bundle", "rollout", "-kv", d.kv.Addr(), "-reviewers", reviewers, proposal)
+}
+
+func bundleText(version int) string {
+	sum := sha256.Sum256([]byte(teamKey))
+	var b strings.Builder
+	fmt.Fprintf(&b, "[bundle]\nversion = %d\n\n[deployment]\nname = e2e\n\n[team \"tokachi\"]\nkey_sha256 = %s\n\n", version, hex.EncodeToString(sum[:]))
+	for i := range 6 {
+		fmt.Fprintf(&b, "[adapter \"tokachi/a%d\"]\nbase_model = %s\nversions = 1\ncurrent = 1\n\n", i, baseModel)
+	}
+	b.WriteString("[service \"desk\"]\n\n")
+	return b.String()
+}
+
+// client returns an OpenAI client for an entry.
+func (d *deployment) client(entry int) *openai.Client {
+	c := openai.NewClient(option.WithBaseURL("http://"+d.entries[entry].address+"/v1"), option.WithAPIKey(teamKey), option.WithMaxRetries(0))
+	return &c
+}
--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -35,6 +35,8 @@
 var (
 	// ErrVanished reports a record that ended while it was claimed or taken over.
 	ErrVanished = errors.New("claim record vanished")
+	// ErrReplaced reports a record that another request has taken over.
+	ErrReplaced = errors.New("claim record replaced")
 	// ErrLateReply reports a claim whose reply came too late to rely on its lease.
 	ErrLateReply = errors.New("reply to the claim came too late")
 )
@@ -65,6 +67,8 @@
 	// TooOld means that the key is a UUIDv7 from before the retention, so that an
 	// earlier record may have ended.
 	TooOld
+	// Absent means that the key has no record.
+	Absent
 )
 
 // Result is the result of a claim or a takeover.
@@ -195,14 +199,37 @@
 	return r
 }
 
+// Lookup returns the record of a key with its revision. The status is Existing,
+// or Absent if there is no record.
+func (c *Claims) Lookup(ctx context.Context, team ident.Team, key string) Result {
+	ctx, cancel := context.WithTimeout(ctx, c.set.CallTimeout)
+	defer cancel()
+	pair, err := c.store.Get(ctx, Key(team, key))
+	if errors.Is(err, kv.ErrNotFound) {
+		return Result{Status: Absent}
+	}
+	if err != nil {
+		return Result{Err: err}
+	}
+	var rec Record
+	if err := json.Unmarshal(pair.Value, &rec); err != nil {
+		return Result{Err: errors.Wrap(err, "decode claim")}
+	}
+	return Result{Status: Existing, Record: rec, Revision: pair.ModRevision}
+}
+
 // Drop deletes the record with the given revision. The caller has proof that the
-// recorded attempt did not run and never will. A record that was replaced or has
-// ended is no error.
+// recorded attempt did not run and never will. It returns ErrReplaced if another
+// record is stored; a record that has ended is no error.
 func (c *Claims) Drop(ctx context.Context, team ident.Team, key string, revision int64) error {
 	k := Key(team, key)
-	_, err := c.settled(ctx, kv.Txn{
-		Compares: []kv.Compare{{Key: k, ModRevision: revision}},
-		Ops:      []kv.Op{{Type: kv.OpDelete, Key: k}},
+	r, err := c.settled(ctx, kv.Txn{
+		Compares:  []kv.Compare{{Key: k, ModRevision: revision}},
+		Ops:       []kv.Op{{Type: kv.OpDelete, Key: k}},
+		OnFailure: []string{k},
 	})
+	if err == nil && !r.Succeeded && len(r.Read) > 0 {
+		return ErrReplaced
+	}
 	return err
 }
--- a/pkg/entry/claim.go
+++ b/pkg/entry/claim.go
@@ -14,8 +14,16 @@
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
 )
 
-// dropTimeout bounds the removal of a claim whose request did not run.
-const dropTimeout = time.Second
+// Limits of the calls that confirm a refusal.
+const (
+	claimTimeout = time.Second
+	maxLookups   = 16
+)
+
+var (
+	errNoClaims       = errors.New("no store of claims")
+	errTooManyLookups = errors.New("too many lookups of claims")
+)
 
 // ClaimRecord says which attempt may run a request with an idempotency key.
 type ClaimRecord struct {
@@ -40,7 +48,9 @@
 	// TakeOver replaces old by rec. It returns the record that is stored
 	// afterwards and whether it is rec.
 	TakeOver(ctx context.Context, team ident.Team, key string, old, rec ClaimRecord) (ClaimRecord, bool, error)
-	// Drop removes rec if it is stored.
+	// Lookup returns the record of the key and whether there is one.
+	Lookup(ctx context.Context, team ident.Team, key string) (ClaimRecord, bool, error)
+	// Drop removes rec. It returns ErrClaimReplaced if another record is stored.
 	Drop(ctx context.Context, team ident.Team, key string, rec ClaimRecord) error
 }
 
@@ -50,11 +60,11 @@
 func (claim) Name() string { return "claim" }
 
 func (f claim) Do(ctx context.Context, x *Exchange, next Next) *Failure {
-	if x.idempotent || x.key == "" {
+	if !x.keyed() {
 		return next(ctx, x)
 	}
 	if f.e.claims == nil {
-		return claimsUnavailable()
+		return f.unavailable(x)
 	}
 	if fail := f.acquire(ctx, x); fail != nil || x.replayed {
 		return fail
@@ -66,8 +76,18 @@
 // cannot be known any more.
 var ErrKeyTooOld = errors.New("idempotency key is older than the retention")
 
-func claimsUnavailable() *Failure {
-	return unavailable("claims_unavailable", "idempotency keys cannot be recorded now", retryAfterCapacity)
+// ErrClaimReplaced reports that another request has taken a claim over.
+var ErrClaimReplaced = errors.New("claim belongs to another request")
+
+// keyed reports whether the request needs a claim.
+func (x *Exchange) keyed() bool { return x.answer != nil && !x.idempotent && x.key != "" }
+
+// unavailable ends a request whose key could not be looked up. An earlier
+// request with the key may have run, so the result is unknown.
+func (f claim) unavailable(x *Exchange) *Failure {
+	fail := f.unknown(x, "claims_unavailable", "idempotency keys cannot be looked up now")
+	fail.Status = http.StatusBadGateway
+	return fail
 }
 
 // acquire stores the record of the current attempt. If another request holds
@@ -82,7 +102,7 @@
 		return f.unknown(x, "idempotency_key_too_old", ErrKeyTooOld.Error())
 	}
 	if err != nil {
-		return claimsUnavailable()
+		return f.unavailable(x)
 	}
 	if claimed {
 		x.claim = &stored
@@ -95,13 +115,10 @@
 func (f claim) takeOver(ctx context.Context, x *Exchange, old, rec ClaimRecord) *Failure {
 	stored, ok, err := f.e.claims.TakeOver(ctx, x.team.Team, x.key, old, rec)
 	if err != nil {
-		return claimsUnavailable()
+		return f.unavailable(x)
 	}
 	if !ok {
-		// Another repeated request was faster and may be running.
-		fail := rejected(http.StatusServiceUnavailable, typeOverloaded, "key_in_use", "another request with this idempotency key is being started")
-		fail.RetryAfter = retryAfterUnknown
-		return fail
+		return f.unknown(x, "key_in_use", "another request with this idempotency key is being started")
 	}
 	x.claim = &stored
 	return nil
@@ -112,11 +129,17 @@
 	if stored.BodyHash != rec.BodyHash {
 		return rejected(http.StatusBadRequest, typeInvalidRequest, "idempotency_key_reused", "the idempotency key belongs to another request")
 	}
+	return f.resultOf(x, stored, func() *Failure { return f.takeOver(ctx, x, stored, rec) })
+}
+
+// resultOf ends a request with the result of the recorded one. If that is
+// proved not to have run, notRun decides.
+func (f claim) resultOf(x *Exchange, stored ClaimRecord, notRun func() *Failure) *Failure {
 	reply := f.ask(x, stored)
 	f.e.log.For(logging.PartRoute).Info().Str("request", string(x.ID)).Str("claimed_by", string(stored.Request)).Str("state", reply.GetState().String()).Msg("repeated request")
 	switch reply.GetState() {
 	case fescuev1.RevokeReply_STATE_NOT_RUN:
-		return f.takeOver(ctx, x, stored, rec)
+		return notRun()
 	case fescuev1.RevokeReply_STATE_DONE:
 		return f.replayStored(x, stored, reply.GetAnswer())
 	case fescuev1.RevokeReply_STATE_RUNNING:
@@ -126,6 +149,58 @@
 	}
 }
 
+// confirm keeps a refusal true for the idempotency key: a repeated request that
+// is refused before its claim is not run only if the earlier one is not, else a
+// caller could take the refusal for a proof and send the request with a new key.
+func (f claim) confirm(x *Exchange, fail *Failure) *Failure {
+	if fail.Outcome != ident.NotRun || !x.keyed() {
+		return fail
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.r.Context()), claimTimeout)
+	defer cancel()
+	if x.claim != nil {
+		return f.drop(ctx, x, fail)
+	}
+	stored, found, err := f.lookup(ctx, x)
+	switch {
+	case err != nil:
+		return f.unavailable(x)
+	case !found || stored.BodyHash != x.bodyHash():
+		return fail
+	default:
+		return f.resultOf(x, stored, func() *Failure { return fail })
+	}
+}
+
+// lookup reads the record of the key. The number of concurrent reads is bounded,
+// so that refused requests cannot overload the key-value service.
+func (f claim) lookup(ctx context.Context, x *Exchange) (ClaimRecord, bool, error) {
+	if f.e.claims == nil {
+		return ClaimRecord{}, false, errNoClaims
+	}
+	select {
+	case f.e.lookups <- struct{}{}:
+		defer func() { <-f.e.lookups }()
+	default:
+		return ClaimRecord{}, false, errTooManyLookups
+	}
+	return f.e.claims.Lookup(ctx, x.team.Team, x.key)
+}
+
+// drop removes the claim of a request that is proved not to have run, so that a
+// repeated request starts afresh. A record that stays is harmless, because its
+// attempt has a tombstone.
+func (f claim) drop(ctx context.Context, x *Exchange, fail *Failure) *Failure {
+	err := f.e.claims.Drop(ctx, x.team.Team, x.key, *x.claim)
+	if errors.Is(err, ErrClaimReplaced) {
+		return f.unknown(x, "key_in_use", "another request with this idempotency key is being started")
+	}
+	if err != nil {
+		f.e.log.For(logging.PartRoute).Warn().Err(err).Str("request", string(x.ID)).Msg("claim not dropped")
+	}
+	return fail
+}
+
 func (f claim) ask(x *Exchange, stored ClaimRecord) *fescuev1.RevokeReply {
 	l := f.e.connector.link(stored.Endpoint)
 	if l == nil {
@@ -162,17 +237,3 @@
 	fail.RetryAfter = retryAfterUnknown
 	return fail
 }
-
-// dropClaim removes the record of a request that is proved not to have run, so
-// that a repeated request starts afresh. A record that stays is harmless,
-// because its attempt has a tombstone.
-func (e *Entry) dropClaim(x *Exchange) {
-	if x.claim == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.r.Context()), dropTimeout)
-	defer cancel()
-	if err := e.claims.Drop(ctx, x.team.Team, x.key, *x.claim); err != nil {
-		e.log.For(logging.PartRoute).Warn().Err(err).Str("request", string(x.ID)).Msg("claim not dropped")
-	}
-}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -40,6 +40,7 @@
 	limiter   *limits.Limiter
 	budget    retry.Budget
 	claims    Claims
+	lookups   chan struct{}
 	admin     http.Handler
 	metrics   *entryMetrics
 	timing    timing
@@ -73,6 +74,7 @@
 		metrics: newMetrics(),
 		timing:  defaultTiming,
 		bus:     b,
+		lookups: make(chan struct{}, maxLookups),
 		stopped: make(chan struct{}),
 		ready:   make(chan struct{}),
 	}
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -94,13 +94,24 @@
 
 // claimRecord describes the current attempt.
 func (x *Exchange) claimRecord() ClaimRecord {
+	return ClaimRecord{
+		Request:         x.ID,
+		Attempt:         x.attempt,
+		Endpoint:        x.endpoint.ID,
+		Incarnation:     x.endpoint.Incarnation,
+		EndpointClockMS: x.endpoint.ClockMS,
+		BodyHash:        x.bodyHash(),
+	}
+}
+
+// bodyHash identifies the content of the request.
+func (x *Exchange) bodyHash() (sum [sha256.Size]byte) {
 	h := sha256.New()
 	h.Write([]byte(x.route))
 	h.Write([]byte{0})
 	h.Write(x.body)
-	rec := ClaimRecord{Request: x.ID, Attempt: x.attempt, Endpoint: x.endpoint.ID, Incarnation: x.endpoint.Incarnation, EndpointClockMS: x.endpoint.ClockMS}
-	h.Sum(rec.BodyHash[:0])
-	return rec
+	h.Sum(sum[:0])
+	return sum
 }
 
 // placementRequest describes the exchange to the placement policy.
--- a/pkg/entry/http.go
+++ b/pkg/entry/http.go
@@ -101,14 +101,14 @@
 	defer e.metrics.inFlight.Dec(1)
 	defer e.recoverPanic(x)
 	fail := e.models(x.r.Context(), x)
+	if fail != nil {
+		fail = claim{e}.confirm(x, fail)
+	}
 	if fail == nil {
 		e.settle(x, x.outcome())
 		return
 	}
 	e.metrics.failed(fail)
-	if fail.Outcome == ident.NotRun {
-		e.dropClaim(x)
-	}
 	e.settle(x, fail.Outcome)
 	e.fail(x, fail)
 }
--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -25,9 +25,23 @@
 	return s.result(s.claims.TakeOver(ctx, team, key, old.Revision, encode(rec)))
 }
 
+// Lookup implements entry.Claims.
+func (s *claimStore) Lookup(ctx context.Context, team ident.Team, key string) (entry.ClaimRecord, bool, error) {
+	r := s.claims.Lookup(ctx, team, key)
+	if r.Status == claims.Absent {
+		return entry.ClaimRecord{}, false, nil
+	}
+	rec, _, err := s.result(r)
+	return rec, err == nil, err
+}
+
 // Drop implements entry.Claims.
 func (s *claimStore) Drop(ctx context.Context, team ident.Team, key string, rec entry.ClaimRecord) error {
-	return s.claims.Drop(ctx, team, key, rec.Revision)
+	err := s.claims.Drop(ctx, team, key, rec.Revision)
+	if errors.Is(err, claims.ErrReplaced) {
+		return errors.Mark(err, entry.ErrClaimReplaced)
+	}
+	return err
 }
 
 func (s *claimStore) result(r claims.Result) (entry.ClaimRecord, bool, error) {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -51,6 +51,8 @@
 	EvictedUnderRun int
 	// Restarts counts cold restarts.
 	Restarts int
+	// Running is the number of requests in progress.
+	Running int
 	// PositionSeconds is the time that batch positions were in use.
 	PositionSeconds float64
 }
@@ -96,7 +98,9 @@
 func (s *Server) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stats
+	st := s.stats
+	st.Running = len(s.running)
+	return st
 }
 
 // Starts returns the start times of all runs with the prompt or messages, given
