Add fescuectl status and report every two seconds

Cause: operators could not see what entries know. The first look showed reports of idle endpoints aged up to 3.9 s; with a 5 s heartbeat one late report made an endpoint stale (6 s) and closed its control stream. Conclusion: idle endpoints now cost what loaded ones did.

--- a/cmd/fescuectl/main.go
+++ b/cmd/fescuectl/main.go
@@ -16,6 +16,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/demo"
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
 	"github.com/fescuecourse/fescuecourse/pkg/kv/etcd"
+	"github.com/fescuecourse/fescuecourse/pkg/statuscmd"
 )
 
 // Exit codes.
@@ -24,7 +25,7 @@
 	exitUsage   = 2
 )
 
-const usage = "usage: fescuectl bundle|demo|load [flags]"
+const usage = "usage: fescuectl bundle|status|demo|load [flags]"
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -41,6 +42,8 @@
 	switch args[0] {
 	case "bundle":
 		return runBundle(ctx, args[1:])
+	case "status":
+		return statuscmd.Run(ctx, args[1:], os.Stdout, os.Stderr)
 	case "demo":
 		return demo.Command(ctx, args[1:], os.Stdout, os.Stderr)
 	case "load":
--- a/pkg/endpoint/hub.go
+++ b/pkg/endpoint/hub.go
@@ -15,10 +15,10 @@
 
 // Intervals of reports.
 const (
-	// loadReportInterval limits reports that only carry new load figures.
-	loadReportInterval = 2 * time.Second
-	// heartbeatInterval is the longest time between two reports.
-	heartbeatInterval = 5 * time.Second
+	// reportInterval is the time between two reports without a change of the state,
+	// the resident set or the bundle version. Entries use an endpoint for three
+	// intervals without a report.
+	reportInterval = 2 * time.Second
 	// reportCheckInterval is how often a held back report is looked at again.
 	reportCheckInterval = 250 * time.Millisecond
 	streamBuffer        = 256
--- a/pkg/endpoint/report.go
+++ b/pkg/endpoint/report.go
@@ -53,19 +53,13 @@
 	return out
 }
 
-// reportDue decides whether a new report is worth sending.
+// reportDue decides whether a new report is worth sending. New load figures wait
+// for the interval.
 func reportDue(last, next *fescuev1.Report, age time.Duration) bool {
-	if age >= heartbeatInterval {
-		return true
-	}
 	if last.State != next.State || last.BundleVersion != next.BundleVersion || last.CanLoad != next.CanLoad {
 		return true
 	}
-	if residentsChanged(last, next) {
-		return true
-	}
-	loadChanged := last.PositionsUsed != next.PositionsUsed || last.Queued != next.Queued || last.ConnectedEntries != next.ConnectedEntries
-	return loadChanged && age >= loadReportInterval
+	return residentsChanged(last, next) || age >= reportInterval
 }
 
 func residentsChanged(last, next *fescuev1.Report) bool {
--- a/pkg/entry/http.go
+++ b/pkg/entry/http.go
@@ -32,6 +32,7 @@
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/readyz", e.serveReady)
 	r.Get("/metrics", e.serveMetrics)
+	r.Get(StatusPath, e.serveStatus)
 	if e.admin != nil {
 		r.Handle("/admin/v1/*", e.admin)
 	}
--- /dev/null
+++ b/pkg/statuscmd/statuscmd.go
@@ -0,0 +1,173 @@
+// Package statuscmd implements fescuectl status: the state of a deployment as
+// its entries see it.
+package statuscmd
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/entry"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+const callTimeout = 3 * time.Second
+
+// Report is the answer of one entry, or the reason why there is none.
+type Report struct {
+	Address string        `json:"address"`
+	Error   string        `json:"error,omitempty"`
+	Status  *entry.Status `json:"status,omitempty"`
+}
+
+// Run runs the command and returns the exit status: 0 if every entry is ready
+// and all nodes have the same bundle version, else 1.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	fs := flag.NewFlagSet("fescuectl status", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	entries := fs.String("entry", "127.0.0.1:8080", "`addresses` of entries, separated by commas")
+	asJSON := fs.Bool("json", false, "print JSON")
+	if err := fs.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return exitOK
+		}
+		return exitUsage
+	}
+	reports := collect(ctx, strings.Split(*entries, ","))
+	problems := check(reports)
+	if *asJSON {
+		writeJSON(stdout, reports)
+	} else {
+		writeTable(stdout, reports)
+	}
+	for _, p := range problems {
+		fmt.Fprintln(stderr, "fescuectl:", p)
+	}
+	if len(problems) > 0 {
+		return exitFailure
+	}
+	return exitOK
+}
+
+// collect asks all entries at the same time.
+func collect(ctx context.Context, addresses []string) []Report {
+	out := make([]Report, len(addresses))
+	var wg sync.WaitGroup
+	for i, a := range addresses {
+		wg.Go(func() { out[i] = ask(ctx, strings.TrimSpace(a)) })
+	}
+	wg.Wait()
+	return out
+}
+
+func ask(ctx context.Context, address string) Report {
+	s, err := get(ctx, address)
+	if err != nil {
+		return Report{Address: address, Error: err.Error()}
+	}
+	return Report{Address: address, Status: s}
+}
+
+func get(ctx context.Context, address string) (*entry.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+entry.StatusPath, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("status %d", resp.StatusCode)
+	}
+	var s entry.Status
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		return nil, errors.Wrap(err, "decode status")
+	}
+	return &s, nil
+}
+
+// check returns everything that an operator should look at.
+func check(reports []Report) []string {
+	var out []string
+	newest := newestVersion(reports)
+	for _, r := range reports {
+		if r.Status == nil {
+			out = append(out, r.Address+" does not answer: "+r.Error)
+			continue
+		}
+		out = append(out, checkEntry(r.Status, newest)...)
+	}
+	return out
+}
+
+func newestVersion(reports []Report) uint64 {
+	var newest uint64
+	for _, r := range reports {
+		if r.Status != nil {
+			newest = max(newest, uint64(r.Status.BundleVersion))
+		}
+	}
+	return newest
+}
+
+func checkEntry(s *entry.Status, newest uint64) []string {
+	var out []string
+	if !s.Ready {
+		out = append(out, fmt.Sprintf("%s is not ready: %s", s.Entry, strings.Join(s.Reasons, ", ")))
+	}
+	if uint64(s.BundleVersion) != newest {
+		out = append(out, fmt.Sprintf("%s has bundle version %d, the newest is %d", s.Entry, s.BundleVersion, newest))
+	}
+	for _, e := range s.Endpoints {
+		if uint64(e.BundleVersion) != newest {
+			out = append(out, fmt.Sprintf("%s has bundle version %d, the newest is %d", e.ID, e.BundleVersion, newest))
+		}
+	}
+	return out
+}
+
+func writeJSON(w io.Writer, reports []Report) {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(reports) // standard output
+}
+
+func writeTable(w io.Writer, reports []Report) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, r := range reports {
+		if r.Status == nil {
+			fmt.Fprintf(t, "%s\tunreachable\n", r.Address)
+			continue
+		}
+		writeEntry(t, r.Status)
+	}
+	_ = t.Flush() // standard output
+}
+
+func writeEntry(t io.Writer, s *entry.Status) {
+	fmt.Fprintf(t, "%s\tzone %s\tready %v\tbundle %d\n", s.Entry, s.Zone, s.Ready, s.BundleVersion)
+	fmt.Fprintln(t, "  endpoint\tzone\tbackend\tstate\tbundle\tage ms\trunning\tqueued\tresident\tloading\tcan load")
+	for _, e := range s.Endpoints {
+		fmt.Fprintf(t, "  %s\t%s\t%s\t%s\t%d\t%d\t%d/%d\t%d\t%d/%d\t%d\t%v\n", e.ID, e.Zone, e.Backend, e.State, e.BundleVersion,
+			e.ReportAgeMS, e.Running, e.Positions, e.Queued, len(e.Residents), e.Slots, len(e.Loading), e.CanLoad)
+	}
+}
