Connect entries to a subset of the endpoints of other zones

Cause: every entry connects to every endpoint; at 330 entries and 2,800 endpoints a node would hold 2,800 control streams. Change: setting remote-endpoints: all endpoints of the own zone and a rendezvous choice of each other zone. The default 0 keeps the full mesh of today's sizes.

--- a/pkg/entry/connector.go
+++ b/pkg/entry/connector.go
@@ -77,7 +77,7 @@
 		return
 	}
 	listed := map[ident.EndpointID]bool{}
-	for _, vm := range list.VMs {
+	for _, vm := range subset(c.e.id, c.e.zone, c.e.set.RemoteEndpoints, list.VMs) {
 		listed[vm.Endpoint] = true
 		c.ensure(ctx, wg, vm)
 	}
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -20,6 +20,9 @@
 	DefaultDeadline time.Duration
 	MaxDeadline     time.Duration
 	MaxBodyBytes    int64
+	// RemoteEndpoints is the number of endpoints of each other zone that the entry
+	// connects to. Zero means all.
+	RemoteEndpoints int
 	UnreadyDelay    time.Duration
 	DrainTimeout    time.Duration
 }
@@ -35,6 +38,7 @@
 	set.DurationVar(&s.DefaultDeadline, "default-deadline", 30*time.Second, "deadline of requests that set none")
 	set.DurationVar(&s.MaxDeadline, "max-deadline", 10*time.Minute, "longest deadline that a request may set")
 	set.Int64Var(&s.MaxBodyBytes, "max-body-bytes", 4<<20, "largest request body")
+	set.IntVar(&s.RemoteEndpoints, "remote-endpoints", 0, "endpoints of each other zone to connect to, 0 for all")
 	set.DurationVar(&s.UnreadyDelay, "unready-delay", 5*time.Second, "time between unready and the end of acceptance at a stop")
 	set.DurationVar(&s.DrainTimeout, "drain-timeout", 2*time.Minute, "longest time that a stop waits for requests")
 }
@@ -46,6 +50,7 @@
 	set.Requiref(s.VMList != "", "vm-list", "must be set")
 	set.Requiref(s.KV != "", "kv", "must be set")
 	set.Requiref(s.MaxBodyBytes > 0, "max-body-bytes", "must be above zero")
+	set.Requiref(s.RemoteEndpoints >= 0, "remote-endpoints", "must not be negative")
 	set.Requiref(s.UnreadyDelay >= 0, "unready-delay", "must not be negative")
 	set.RequirePositive("default-deadline", s.DefaultDeadline)
 	set.RequirePositive("max-deadline", s.MaxDeadline)
