Serve the metrics of endpoint processes

Cause: endpoint processes counted stalls, loads and refusals but had no surface to read them from. Change: setting metrics-listen (HTTP /metrics and /healthz), off by default. Measured: TestProcesses reads the metrics of a real process.

--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -72,6 +72,8 @@
 	service   *fakeservice.Server
 	entries   []*daemon
 	endpoints []*daemon
+	// metrics is the address of the metrics of the last endpoint.
+	metrics string
 }
 
 // daemon is one fescued process.
@@ -173,7 +175,8 @@
 
 func (d *deployment) startEndpoint(id, kind, backend, address string) {
 	d.t.Helper()
-	p := d.start("endpoint", id, freeAddress(d.t), "kind = "+kind, "backend = "+backend, "backend-address = "+address, "lease-ttl = 5s")
+	d.metrics = freeAddress(d.t)
+	p := d.start("endpoint", id, freeAddress(d.t), "kind = "+kind, "backend = "+backend, "backend-address = "+address, "lease-ttl = 5s", "metrics-listen = "+d.metrics)
 	d.endpoints = append(d.endpoints, p)
 	d.vms.Put(vmlist.VM{Endpoint: ident.EndpointID(id), Zone: "a", Address: p.address, State: vmlist.StateLive})
 }
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -29,6 +29,12 @@
 		assert.NilError(t, err)
 		assert.Equal(t, got.Model, model)
 	}
+	resp, err := http.Get("http://" + d.metrics + "/metrics")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(text), "endpoint.positions_offered_ms"), "metrics of the endpoint: %s", text)
 	d.rollout("[adapter \"tokachi/new\"]\nbase_model = " + baseModel + "\nversions = 7\ncurrent = 7\n")
 	for i := range d.entries {
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/pkg/endpoint/settings.go
+++ b/pkg/endpoint/settings.go
@@ -10,15 +10,17 @@
 
 // Settings configure an endpoint process.
 type Settings struct {
-	ID       string
-	Zone     string
-	Listen   string
-	Kind     string
-	Backend  string
-	Address  string
-	KV       string
-	Fencing  string
-	LogLevel string
+	ID     string
+	Zone   string
+	Listen string
+	// MetricsListen is the address of /metrics and /healthz, empty for none.
+	MetricsListen string
+	Kind          string
+	Backend       string
+	Address       string
+	KV            string
+	Fencing       string
+	LogLevel      string
 
 	MaxQueued    int
 	Positions    int
@@ -51,6 +53,7 @@
 	set.StringVar(&s.ID, "id", "", "unique `name` of the endpoint")
 	set.StringVar(&s.Zone, "zone", "", "availability `zone` of the VM")
 	set.StringVar(&s.Listen, "listen", "127.0.0.1:0", "`address` for entries (gRPC)")
+	set.StringVar(&s.MetricsListen, "metrics-listen", "", "`address` of /metrics and /healthz (HTTP), empty for none")
 	set.StringVar(&s.Kind, "kind", KindModel, "kind of the back end: model or service")
 	set.StringVar(&s.Backend, "backend", "", "base model or service `name`")
 	set.StringVar(&s.Address, "backend-address", "", "`address` of the engine or service")
--- a/pkg/node/endpoint.go
+++ b/pkg/node/endpoint.go
@@ -25,14 +25,15 @@
 // Endpoint is an endpoint process with its bundle and engine lease.
 type Endpoint struct {
 	*endpoint.Endpoint
-	holder *lease.Holder
+	holder  *lease.Holder
+	metrics string
 }
 
 // NewEndpoint returns an endpoint process. It has no bundle until an entry
 // offers one. A service endpoint has no engine and takes no lease.
 func NewEndpoint(set endpoint.Settings, p Platform) *Endpoint {
 	bundles := &rollout.Holder{}
-	n := &Endpoint{}
+	n := &Endpoint{metrics: set.MetricsListen}
 	var authority endpoint.Authority = endpoint.SoleHolder{}
 	if set.Kind == endpoint.KindModel {
 		n.holder = lease.New(leaseSettings(&set), p.Store, p.Log)
@@ -58,6 +59,11 @@
 // Run serves until ctx ends. The lease is released only after the drain, when
 // every command has been answered or has passed its deadline.
 func (n *Endpoint) Run(ctx context.Context) error {
+	metricsCtx, stopMetrics := context.WithCancel(context.Background())
+	defer stopMetrics()
+	if err := serveMetrics(metricsCtx, n.metrics); err != nil {
+		return err
+	}
 	if n.holder == nil {
 		return n.Endpoint.Run(ctx)
 	}
