Let one entry upload a bundle to an endpoint

Cause: entries that are connected to one endpoint offered and sent the same parts while an upload was running; the endpoint refused them only after the parts were on the wire, and the entry then waited for the next report. An upload that stopped delivering blocked all others.

--- a/pkg/entry/bundles_test.go
+++ b/pkg/entry/bundles_test.go
@@ -114,7 +114,7 @@
 	conn := dialBundlePeer(t, peer)
 	start := func(s *rollout.Syncer) (*exchanger, chan struct{}) {
 		x := newExchanger(s, logging.Nop())
-		x.spread = 0
+		x.core.Spread = 0
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
--- a/pkg/rollout/peer.go
+++ b/pkg/rollout/peer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
@@ -23,33 +22,53 @@
 // PeerServer serves the bundle methods of the endpoint service from a Syncer.
 type PeerServer struct {
 	syncer *Syncer
-	// upload bounds memory: one upload is collected at a time.
-	upload sync.Mutex
+	upload uploadSlot
 }
 
 // NewPeerServer returns the server side of bundle propagation.
 func NewPeerServer(s *Syncer) *PeerServer { return &PeerServer{syncer: s} }
 
+// errUploading answers an offer or upload while another upload runs.
+var errUploading = status.Error(codes.Aborted, "another upload is running")
+
 // OfferBundle verifies an offered root and returns the parts that are missing.
+// An offer without the record only asks whether the version is wanted. While
+// another upload runs, an offer of a higher version gets the status Aborted and
+// may be repeated later.
 func (p *PeerServer) OfferBundle(_ context.Context, req *fescuev1.OfferBundleRequest) (*fescuev1.OfferBundleReply, error) {
-	reply := &fescuev1.OfferBundleReply{}
-	_, names, err := p.syncer.Check(req.GetRoot().GetRecord())
-	if err != nil && !errors.Is(err, ErrNotHigher) {
+	reply := &fescuev1.OfferBundleReply{CurrentVersion: uint64(p.syncer.Version())}
+	record := req.GetRoot().GetRecord()
+	if len(record) == 0 && reply.CurrentVersion < req.GetRoot().GetVersion() && p.upload.busy() {
+		return nil, errUploading
+	}
+	if len(record) == 0 {
+		return reply, nil
+	}
+	_, names, err := p.syncer.Check(record)
+	if errors.Is(err, ErrNotHigher) {
+		reply.CurrentVersion = uint64(p.syncer.Version())
+		return reply, nil
+	}
+	if err != nil {
 		return nil, statusOf(err)
 	}
-	reply.CurrentVersion = uint64(p.syncer.Version())
+	if !p.upload.reserve() {
+		return nil, errUploading
+	}
 	reply.MissingParts = names
 	return reply, nil
 }
 
 // PutParts collects the missing parts of a verified root and adopts the bundle.
 // The first message carries the root. Only one upload runs at a time; another
-// one gets the status Aborted and may try again later.
+// one gets the status Aborted and may try again later. An upload without
+// progress for uploadStall is replaced by the next one.
 func (p *PeerServer) PutParts(stream grpc.ClientStreamingServer[fescuev1.BundlePart, fescuev1.PutPartsReply]) error {
-	if !p.upload.TryLock() {
-		return status.Error(codes.Aborted, "another upload is running")
+	ticket := p.upload.begin()
+	if ticket == 0 {
+		return errUploading
 	}
-	defer p.upload.Unlock()
+	defer p.upload.end(ticket)
 	c := &collector{syncer: p.syncer}
 	for {
 		m, err := stream.Recv()
@@ -59,6 +78,9 @@
 		if err != nil {
 			return err
 		}
+		if !p.upload.progress(ticket) {
+			return errUploading
+		}
 		if err := c.add(m.GetRoot(), m); err != nil {
 			return statusOf(err)
 		}
@@ -103,7 +125,12 @@
 	if active == nil {
 		return 0, nil
 	}
-	reply, err := client.OfferBundle(ctx, &fescuev1.OfferBundleRequest{Root: rootMessage(active)})
+	// At 98,000 adapters a root record has tens of kilobytes, so ask first.
+	version := &fescuev1.BundleRoot{Version: uint64(active.Root.Version)}
+	reply, err := client.OfferBundle(ctx, &fescuev1.OfferBundleRequest{Root: version})
+	if err == nil && reply.GetCurrentVersion() < version.Version {
+		reply, err = client.OfferBundle(ctx, &fescuev1.OfferBundleRequest{Root: rootMessage(active)})
+	}
 	if err != nil {
 		return 0, errors.Wrap(err, "offer bundle")
 	}
