Bound the delay behind a stalled upload more tightly

Cause: the test passed when entries waited for the next report instead of asking again. Change: the limit is the stall time and two pauses, instead of 8 s. Measured: with the repetition removed the test fails after 5.2 s; go test ./pkg/rollout -run 'Everywhere|OneTransfer|Stalled' -count=40 passed. Conclusion: the test guards the repetition.

--- a/pkg/rollout/fleet_test.go
+++ b/pkg/rollout/fleet_test.go
@@ -345,7 +345,8 @@
 			took := time.Since(accepted)
 			t.Logf("version %d active everywhere after %v", v, took)
 			assert.Assert(t, took > uploadStall, "the slot was not held")
-			assert.Assert(t, took <= propagationLimit, "active everywhere only after %v", took)
+			// Later means that the entries waited for the next report.
+			assert.Assert(t, took <= uploadStall+2*exchangeSpread, "active everywhere only after %v", took)
 			time.Sleep(10 * time.Second)
 		}
 	})
