--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/pkg/demo"
+	"github.com/fescuecourse/fescuecourse/standin/fault"
 )
 
 // startClient runs a demo cluster and returns a client for its first entry.
@@ -70,3 +71,24 @@
 		})
 	}
 }
+
+// Guards against a broken stream that the client takes for a whole answer: it
+// must end with an error, not with a normal end.
+func TestBrokenStreamIsAnError(t *testing.T) {
+	opts := demo.DefaultOptions()
+	c, err := demo.Start(t.Context(), opts)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, c.Stop()) })
+	for _, s := range c.Servers {
+		s.Faults.Set(fault.StreamCut, fault.Rule{Probability: 1, AfterEvents: 3})
+	}
+	client := openai.NewClient(option.WithBaseURL("http://"+c.Entries[0].Addr()+"/v1"), option.WithAPIKey("demo-key-tokachi"), option.WithMaxRetries(0), option.WithHeader("Fescue-Idempotent", "false"))
+	stream := client.Chat.Completions.NewStreaming(t.Context(), chatParams("tokachi/adapter-001"))
+	events := 0
+	for stream.Next() {
+		events++
+		assert.Equal(t, stream.Current().Choices[0].FinishReason, "")
+	}
+	assert.Equal(t, events, 3)
+	assert.ErrorContains(t, stream.Err(), "result_unknown")
+}
