--- a/pkg/demo/cluster.go
+++ b/pkg/demo/cluster.go
@@ -164,12 +164,6 @@
 	return c.startEndpoint(fmt.Sprintf("%s-%d", Service, i+1), endpoint.KindService, Service, addr, i)
 }
 
-// alwaysAuthorized stands for an endpoint that is the only one to command its
-// engine.
-type alwaysAuthorized struct{}
-
-func (alwaysAuthorized) Token() (uint64, bool) { return 1, true }
-
 func (c *Cluster) startEndpoint(id, kind, backend, addr string, i int) error {
 	zone := c.Opts.AvailabilityZone[i%len(c.Opts.AvailabilityZone)]
 	set := endpoint.Settings{
@@ -178,7 +172,7 @@
 	}
 	h := &rollout.Holder{}
 	h.Adopt(c.bundle)
-	ep := endpoint.New(set, h, alwaysAuthorized{}, c.Opts.Log)
+	ep := endpoint.New(set, h, endpoint.StaticAuthority{}, c.Opts.Log)
 	c.run(ep.Run)
 	<-ep.Ready()
 	c.VMs.Put(vmlist.VM{Endpoint: ident.EndpointID(id), Zone: ident.AvailabilityZone(zone), Address: ep.Addr(), State: vmlist.StateLive})
--- a/pkg/endpoint/control.go
+++ b/pkg/endpoint/control.go
@@ -16,16 +16,35 @@
 
 // Intervals and limits of the control loop.
 const (
-	tickInterval      = 100 * time.Millisecond
-	enginePoll        = time.Second
+	tickInterval = 100 * time.Millisecond
+	enginePoll   = time.Second
+	// fastPoll applies while the engine runs requests of a predecessor or the effect
+	// of a command is not known.
+	fastPoll          = 200 * time.Millisecond
+	fenceRetry        = 200 * time.Millisecond
 	engineCallTimeout = 2 * time.Second
-	// commandDeadline is how long a command may take to reach the engine.
-	commandDeadline = 5 * time.Second
 	// loadTimeout is the longest time that one adapter load may take.
 	loadTimeout = time.Minute
 	eventBuffer = 1024
 )
 
+// timing are the intervals that tests shorten.
+type timing struct {
+	tick       time.Duration
+	enginePoll time.Duration
+	fastPoll   time.Duration
+	fenceRetry time.Duration
+	// commandDeadline is how long a command may take to reach the engine.
+	commandDeadline time.Duration
+}
+
+func defaultTiming() timing {
+	return timing{
+		tick: tickInterval, enginePoll: enginePoll, fastPoll: fastPoll, fenceRetry: fenceRetry,
+		commandDeadline: scheduler.DefaultCommandDeadline,
+	}
+}
+
 // event is a change of control state. It is applied by the control goroutine.
 type event interface {
 	apply(c *control, now time.Time)
@@ -36,6 +55,8 @@
 	started bool
 	reason  fescuev1.NotRunReason
 	stall   time.Duration
+	// boot is the number of engine restarts noticed before the start.
+	boot uint64
 }
 
 // control owns the scheduler. Only its goroutine touches the unexported state.
@@ -48,8 +69,14 @@
 	waiters map[ident.AttemptID]chan verdict
 	bootID  string
 	synced  bool
-	canLoad bool
-	limits  scheduler.Config
+	gate    gate
+	use     scheduler.AdapterUse
+	mayLoad bool
+	// pollSoon asks for a reading of the engine's state once the current control
+	// state is published.
+	pollSoon bool
+	poll     chan struct{}
+	limits   scheduler.Config
 	// applied is the bundle version whose weights the scheduler uses.
 	applied ident.BundleVersion
 	ticked  time.Time
@@ -67,9 +94,11 @@
 	canLoad bool
 	leaving bool
 	bundle  ident.BundleVersion
-	// commands is the number of engine commands so far, quiet states that none runs.
-	commands scheduler.CommandID
-	quiet    bool
+	// mark and epoch frame a reading of the engine's state.
+	mark  scheduler.Mark
+	epoch uint64
+	// unsettled asks for readings at short intervals.
+	unsettled bool
 }
 
 // urgent reports whether a change is to be reported at once. Load figures wait for
@@ -87,6 +116,7 @@
 		log:     e.log.For(logging.PartSched),
 		events:  make(chan event, eventBuffer),
 		done:    make(chan struct{}),
+		poll:    make(chan struct{}, 1),
 		waiters: map[ident.AttemptID]chan verdict{},
 	}
 	if e.set.Kind == KindService {
@@ -109,7 +139,7 @@
 // run applies events until ctx ends.
 func (c *control) run(ctx context.Context) {
 	defer close(c.done)
-	tick := time.NewTicker(tickInterval)
+	tick := time.NewTicker(c.e.timing.tick)
 	defer tick.Stop()
 	if c.e.set.Kind == KindModel {
 		go c.watchEngine(ctx)
@@ -128,15 +158,26 @@
 }
 
 func (c *control) publish() {
-	s := &snapshot{limits: c.limits, ready: c.synced, canLoad: c.canLoad, leaving: c.e.leaving.Load(), bundle: c.e.bundles.Version()}
+	s := &snapshot{limits: c.limits, ready: c.ready(), canLoad: c.mayLoad && c.use == scheduler.AdaptersUsable, leaving: c.e.leaving.Load(), bundle: c.e.bundles.Version(), epoch: c.gate.epoch}
+	pending := false
 	if c.sched != nil {
 		s.stats = c.sched.Stats()
-		s.commands, s.quiet = c.sched.Quiet()
+		s.mark = c.sched.Mark()
+		s.unsettled = c.sched.Foreign() > 0 || c.sched.Unsettled() > 0 || c.use == scheduler.AdaptersHeld
+		pending = c.sched.CommandsPending(time.Now())
 	}
-	if prev := c.snapshot.Swap(s); prev == nil || prev.urgent(s) {
+	prev := c.snapshot.Swap(s)
+	if prev == nil || prev.urgent(s) {
 		c.e.hub.notify()
 	}
-	if len(c.waiters) == 0 && s.stats.Running == 0 && s.stats.Queued == 0 {
+	if prev != nil && s.unsettled && !prev.unsettled {
+		c.pollSoon = true
+	}
+	if c.pollSoon {
+		c.pollSoon = false
+		c.pollNow()
+	}
+	if !pending && len(c.waiters) == 0 && s.stats.Running == 0 && s.stats.Queued == 0 {
 		for _, ch := range c.idleWait {
 			close(ch)
 		}
@@ -144,37 +185,19 @@
 	}
 }
 
-// idle returns a channel that is closed once nothing is queued or running.
+// ready reports whether the endpoint serves all kinds of work for its back end.
+func (c *control) ready() bool {
+	return c.synced && (c.e.set.Kind == KindService || c.use == scheduler.AdaptersUsable)
+}
+
+// idle returns a channel that is closed once nothing is queued or running and no
+// command can take effect any more, so that the lease may be released.
 func (c *control) idle() <-chan struct{} {
 	ch := make(chan struct{})
 	c.send(idleEvent{ch: ch})
 	return ch
 }
 
-// watchEngine reads the engine's state, at first and after every restart.
-func (c *control) watchEngine(ctx context.Context) {
-	for {
-		c.pollEngine(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(enginePoll):
-		}
-	}
-}
-
-func (c *control) pollEngine(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
-	defer cancel()
-	before := c.snapshot.Load()
-	st, err := c.e.engine.Status(ctx)
-	if err != nil {
-		c.log.Warn().Err(err).Msg("engine does not answer")
-		return
-	}
-	c.send(engineStatusEvent{status: st, before: before})
-}
-
 // perform carries out the decisions of the scheduler.
 func (c *control) perform(actions []scheduler.Action) {
 	for _, a := range actions {
@@ -212,7 +235,7 @@
 	}
 	c.log.Info().Str("request", string(a.ID.Request)).Str("adapter", a.Adapter.String()).Uint("stall_ms", uint64(a.Stall.Milliseconds())).Msg("attempt started")
 	c.e.metrics.stallUS.Update(a.Stall.Microseconds())
-	c.reply(a.ID, verdict{started: true, stall: a.Stall})
+	c.reply(a.ID, verdict{started: true, stall: a.Stall, boot: c.e.runs.current()})
 }
 
 func (c *control) reply(id ident.AttemptID, v verdict) {
@@ -229,16 +252,15 @@
 		c.send(commandDoneEvent{adapter: a.Adapter, id: a.Command, load: load, err: errNoAuthority})
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
-	defer cancel()
-	cmd := engine.Command{Adapter: a.Adapter, Token: token, Deadline: time.Now().Add(commandDeadline)}
-	call := c.e.engine.Unload
+	timeout, call := c.e.timing.commandDeadline, c.e.engine.Unload
 	if load {
-		call = c.e.engine.Load
+		timeout, call = loadTimeout, c.e.engine.Load
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
 	began := time.Now()
-	err := call(ctx, cmd)
-	c.send(commandDoneEvent{adapter: a.Adapter, id: a.Command, load: load, err: err, took: time.Since(began)})
+	err := call(ctx, engine.Command{Adapter: a.Adapter, Token: token, Deadline: a.Deadline})
+	c.send(commandDoneEvent{adapter: a.Adapter, id: a.Command, load: load, token: token, err: err, took: time.Since(began)})
 }
 
 // revoke makes sure that an attempt which has not started never will.
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -17,6 +17,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+	"github.com/fescuecourse/fescuecourse/pkg/scheduler"
 	"github.com/fescuecourse/fescuecourse/pkg/service"
 )
 
@@ -36,12 +37,6 @@
 	idleConnTimeout = 30 * time.Second
 )
 
-// Authority tells whether the process may give commands to its engine.
-type Authority interface {
-	// Token returns the fencing token and whether commands are allowed now.
-	Token() (token uint64, ok bool)
-}
-
 // Endpoint is one endpoint process.
 type Endpoint struct {
 	set         Settings
@@ -58,6 +53,8 @@
 	control     *control
 	hub         *hub
 	metrics     *meters
+	runs        *runRegistry
+	timing      timing
 	leaving     atomic.Bool
 	addr        atomic.Pointer[net.TCPAddr]
 	ready       chan struct{}
@@ -65,6 +62,9 @@
 
 // New returns an endpoint process.
 func New(set Settings, bundles *rollout.Holder, authority Authority, log logging.Logger) *Endpoint {
+	if set.MaxDeadline <= 0 {
+		set.MaxDeadline = defaultMaxDeadline
+	}
 	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: idleConnTimeout}
 	hc := &http.Client{Transport: transport}
 	e := &Endpoint{
@@ -80,6 +80,8 @@
 		ledger:      attempts.New(),
 		ready:       make(chan struct{}),
 		metrics:     newMeters(),
+		runs:        &runRegistry{cancels: map[ident.AttemptID]context.CancelCauseFunc{}},
+		timing:      defaultTiming(),
 	}
 	e.hub = newHub(e)
 	e.control = newControl(e)
@@ -96,7 +98,7 @@
 func (e *Endpoint) Incarnation() ident.Incarnation { return e.incarnation }
 
 // Run serves until ctx ends, then drains: new work is refused at once, queued
-// and running attempts complete.
+// and running attempts complete. It returns ErrDrainTimeout if some did not.
 func (e *Endpoint) Run(ctx context.Context) error {
 	lis, err := net.Listen("tcp", e.set.Listen)
 	if err != nil {
@@ -126,15 +128,18 @@
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
-	e.drain(background)
+	err = e.drain(background)
 	e.stopServer(srv)
 	stop()
 	<-controlDone
-	return nil
+	return err
 }
 
+// ErrDrainTimeout reports a stop that cut off attempts or left commands unanswered.
+var ErrDrainTimeout = errors.New("drain timed out")
+
 // drain refuses new work and waits for queued and running attempts.
-func (e *Endpoint) drain(ctx context.Context) {
+func (e *Endpoint) drain(ctx context.Context) error {
 	e.leaving.Store(true)
 	e.control.send(leaveEvent{})
 	e.log.For(logging.PartEndpoint).Info().Msg("leaving, new work is refused")
@@ -149,9 +154,29 @@
 	select {
 	case <-e.control.idle():
 		e.log.For(logging.PartEndpoint).Info().Msg("drained")
+		return nil
 	case <-ctx.Done():
-		e.log.For(logging.PartEndpoint).Warn().Msg("drain timed out")
+		return e.drainFailed()
+	}
+}
+
+// drainFailed logs the attempts that are cut off.
+func (e *Endpoint) drainFailed() error {
+	out := make(chan []scheduler.Unfinished, 1)
+	e.control.send(unfinishedEvent{out: out})
+	left := <-out
+	for _, u := range left {
+		e.log.For(logging.PartEndpoint).Error().Str("request", string(u.ID.Request)).Uint("attempt", uint64(u.ID.Attempt)).
+			Str("adapter", u.Adapter.String()).Msg(cutOff(u))
+	}
+	return errors.Wrapf(ErrDrainTimeout, "%d attempts left", len(left))
+}
+
+func cutOff(u scheduler.Unfinished) string {
+	if u.Running {
+		return "running attempt cut off by the stop"
 	}
+	return "queued attempt cut off by the stop"
 }
 
 // stopServer ends the control streams and lets the last frames of the runs go out.
--- a/pkg/endpoint/endpoint_test.go
+++ b/pkg/endpoint/endpoint_test.go
@@ -64,10 +64,6 @@
 	})
 }
 
-type authority struct{}
-
-func (authority) Token() (uint64, bool) { return 1, true }
-
 // started is an endpoint with a fake engine and one connected entry.
 type started struct {
 	e       *Endpoint
@@ -94,7 +90,7 @@
 		ID: "e", Zone: "z", Listen: "127.0.0.1:0", Kind: KindModel, Backend: "base", Address: backend.Listener.Addr().String(),
 		MaxQueued: 16, Positions: 4, DrainTimeout: time.Minute, ShareInterval: time.Second,
 	}
-	s := &started{e: New(set, h, authority{}, logging.Nop()), engine: eng, ended: make(chan error, 1)}
+	s := &started{e: New(set, h, StaticAuthority{}, logging.Nop()), engine: eng, ended: make(chan error, 1)}
 	ctx, stop := context.WithCancel(t.Context())
 	s.stop = stop
 	go func() { s.ended <- s.e.Run(ctx) }()
--- a/pkg/endpoint/events.go
+++ b/pkg/endpoint/events.go
@@ -8,7 +8,6 @@
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/engine"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
-	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/scheduler"
 )
 
@@ -52,6 +51,7 @@
 	adapter ident.Adapter
 	id      scheduler.CommandID
 	load    bool
+	token   uint64
 	err     error
 	took    time.Duration
 }
@@ -60,17 +60,47 @@
 	if ev.err != nil {
 		c.log.Warn().Err(ev.err).Str("adapter", ev.adapter.String()).Msg("engine command failed")
 	}
+	if errors.Is(ev.err, engine.ErrFenced) {
+		c.reject(ev.token)
+		c.updateGate(now)
+	}
+	if ev.load {
+		c.perform(ev.loadEnded(c, now))
+	} else {
+		c.perform(ev.unloadEnded(c, now))
+	}
+	c.pollSoon = c.pollSoon || ev.err != nil
+}
+
+// notDone reports whether the command certainly had no effect.
+func (ev commandDoneEvent) notDone() bool {
+	return errors.IsAny(ev.err, errNoAuthority, engine.ErrFenced)
+}
+
+func (ev commandDoneEvent) loadEnded(c *control, now time.Time) []scheduler.Action {
 	switch {
-	case !ev.load:
-		c.e.metrics.evicted(ev.err)
-		c.perform(c.sched.UnloadDone(now, ev.adapter, ev.id, ev.err == nil))
-	case ev.err != nil:
-		c.e.metrics.loadFailures.Inc(1)
-		c.perform(c.sched.LoadFailed(now, ev.adapter, ev.id))
-	default:
+	case ev.err == nil:
 		c.e.metrics.loaded(ev.took)
 		c.log.Info().Str("adapter", ev.adapter.String()).Uint("load_ms", uint64(ev.took.Milliseconds())).Msg("adapter loaded")
-		c.perform(c.sched.LoadDone(now, ev.adapter, ev.id))
+		return c.sched.LoadDone(now, ev.adapter, ev.id)
+	case ev.notDone() || errors.Is(ev.err, engine.ErrRefused):
+		c.e.metrics.loadFailures.Inc(1)
+		return c.sched.LoadFailed(now, ev.adapter, ev.id)
+	default:
+		c.e.metrics.loadFailures.Inc(1)
+		return c.sched.CommandLost(now, ev.adapter, ev.id)
+	}
+}
+
+func (ev commandDoneEvent) unloadEnded(c *control, now time.Time) []scheduler.Action {
+	c.e.metrics.evicted(ev.err)
+	switch {
+	case ev.err == nil || ev.notDone():
+		return c.sched.UnloadDone(now, ev.adapter, ev.id, ev.err == nil)
+	case errors.Is(ev.err, engine.ErrNotResident):
+		return c.sched.UnloadRefused(now, ev.adapter, ev.id)
+	default:
+		return c.sched.CommandLost(now, ev.adapter, ev.id)
 	}
 }
 
@@ -92,51 +122,6 @@
 	}
 }
 
-// engineStatusEvent carries the state that the engine reports, and the control
-// state from before the request.
-type engineStatusEvent struct {
-	status engine.Status
-	before *snapshot
-}
-
-func (ev engineStatusEvent) apply(c *control, now time.Time) {
-	if ev.status.BootID == c.bootID {
-		ev.reconcile(c, now)
-		return
-	}
-	c.e.log.For(logging.PartEndpoint).Info().Str("boot", ev.status.BootID).Int("residents", len(ev.status.Residents)).Msg("engine started")
-	c.bootID = ev.status.BootID
-	if c.sched == nil {
-		c.limits = scheduler.Config{Slots: ev.status.SlotsTotal, Positions: ev.status.PositionsTotal, MaxQueued: c.e.set.MaxQueued, ShareInterval: c.e.set.ShareInterval}
-		c.sched = scheduler.New(c.limits)
-		if c.e.leaving.Load() {
-			c.sched.Leave()
-		}
-	}
-	c.synced = true
-	c.limits.Slots, c.limits.Positions = ev.status.SlotsTotal, ev.status.PositionsTotal
-	c.sched.SetCapacity(c.limits.Slots, c.limits.Positions)
-	c.perform(c.sched.EngineRestarted(now, parseAdapters(ev.status.Residents)))
-	tickEvent{}.apply(c, now)
-}
-
-// reconcile adopts the engine's resident adapters if no command ran meanwhile.
-func (ev engineStatusEvent) reconcile(c *control, now time.Time) {
-	if ev.before.quiet {
-		c.perform(c.sched.Reconcile(now, ev.before.commands, parseAdapters(ev.status.Residents)))
-	}
-}
-
-func parseAdapters(names []string) []ident.Adapter {
-	var out []ident.Adapter
-	for _, n := range names {
-		if a, err := ident.ParseAdapter(n); err == nil {
-			out = append(out, a)
-		}
-	}
-	return out
-}
-
 // leaveEvent stops the acceptance of new work.
 type leaveEvent struct{}
 
@@ -151,6 +136,17 @@
 
 func (ev idleEvent) apply(c *control, _ time.Time) { c.idleWait = append(c.idleWait, ev.ch) }
 
+// unfinishedEvent asks for the attempts that have not ended.
+type unfinishedEvent struct{ out chan<- []scheduler.Unfinished }
+
+func (ev unfinishedEvent) apply(c *control, _ time.Time) {
+	if c.sched == nil {
+		ev.out <- nil
+		return
+	}
+	ev.out <- c.sched.Unfinished()
+}
+
 // tickEvent drives deadlines and the check of the authority.
 type tickEvent struct{}
 
@@ -161,10 +157,7 @@
 	}
 	c.measure(now)
 	c.applyBundle()
-	if _, ok := c.e.authority.Token(); ok != c.canLoad {
-		c.canLoad = ok
-		c.perform(c.sched.SetAuthority(now, ok))
-	}
+	c.updateGate(now)
 	c.perform(c.sched.Tick(now))
 }
 
--- a/pkg/endpoint/run.go
+++ b/pkg/endpoint/run.go
@@ -139,6 +139,9 @@
 // discarded and ends the run.
 func (r *run) model(ctx context.Context, m *fescuev1.ModelCall) bool {
 	want := r.servedName(m)
+	if m.GetAdapter() != "" && !r.e.authority.Settled() {
+		return r.notRun(fescuev1.NotRunReason_NOT_RUN_REASON_NOT_READY, "another process commands the engine")
+	}
 	body, err := setModel(m.GetBody(), want)
 	if err != nil {
 		return r.fail(fescuev1.FailedReason_FAILED_REASON_BACKEND_LOST, err.Error())
@@ -146,7 +149,9 @@
 	call := engine.Call{Path: m.GetPath(), Body: body, RequestID: r.id.Request, Priority: ident.Priority(r.req.GetPriority()), ResumeEvents: m.GetResumeEvents()}
 	st, err := r.e.engine.Generate(ctx, call)
 	if errors.Is(err, engine.ErrRefused) {
-		return r.refusedByEngine(err)
+		// The engine may have restarted or evicted the adapter.
+		r.e.control.pollNow()
+		return r.notRun(fescuev1.NotRunReason_NOT_RUN_REASON_ENGINE_REFUSED, err.Error())
 	}
 	if err != nil {
 		return r.lost(ctx, err)
@@ -166,6 +171,10 @@
 	first := true
 	for {
 		ev, err := st.Next()
+		if errors.Is(context.Cause(ctx), errEngineRestarted) {
+			// What arrives after the restart may be incomplete or from another run.
+			return r.lost(ctx, errEngineRestarted)
+		}
 		if errors.Is(err, io.EOF) {
 			return r.end(offset)
 		}
@@ -184,18 +193,17 @@
 	}
 }
 
-// refusedByEngine ends a run that the engine did not start.
-func (r *run) refusedByEngine(err error) bool {
+// notRun ends a run that the engine did not start.
+func (r *run) notRun(reason fescuev1.NotRunReason, detail string) bool {
 	r.notStarted = true
-	r.out.send(&fescuev1.RunFrame{Body: &fescuev1.RunFrame_NotRun{NotRun: &fescuev1.NotRun{
-		Reason: fescuev1.NotRunReason_NOT_RUN_REASON_ENGINE_REFUSED,
-		Detail: err.Error(),
-	}}})
+	r.out.send(&fescuev1.RunFrame{Body: &fescuev1.RunFrame_NotRun{NotRun: &fescuev1.NotRun{Reason: reason, Detail: detail}}})
 	return false
 }
 
 func (r *run) lost(ctx context.Context, err error) bool {
 	switch {
+	case errors.Is(context.Cause(ctx), errEngineRestarted):
+		return r.fail(fescuev1.FailedReason_FAILED_REASON_BACKEND_LOST, errEngineRestarted.Error())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return r.fail(fescuev1.FailedReason_FAILED_REASON_DEADLINE, "deadline passed during the run")
 	case ctx.Err() != nil:
--- a/pkg/endpoint/server.go
+++ b/pkg/endpoint/server.go
@@ -57,8 +57,12 @@
 		return out.notRun(&fescuev1.NotRun{Reason: v.reason})
 	}
 	defer s.e.control.send(runDoneEvent{id: id})
-	ctx, cancel := s.runContext(out.stream.Context(), req.GetIdempotent(), deadline)
-	defer cancel()
+	limited, stop := s.runContext(out.stream.Context(), req.GetIdempotent(), deadline)
+	defer stop()
+	ctx, cancel := context.WithCancelCause(limited)
+	defer cancel(nil)
+	s.e.runs.add(id, v.boot, cancel)
+	defer s.e.runs.remove(id)
 	s.e.metrics.queueWaitUS.Update(time.Since(queued).Microseconds())
 	r := &run{e: s.e, req: req, id: id, out: out, stall: v.stall, queued: time.Since(queued)}
 	ok := r.do(ctx)
@@ -115,7 +119,7 @@
 		return &fescuev1.NotRun{Reason: fescuev1.NotRunReason_NOT_RUN_REASON_OLD_BUNDLE, BundleVersion: version}
 	case !e.serves(req):
 		return refuse(fescuev1.NotRunReason_NOT_RUN_REASON_WRONG_BACKEND)
-	case req.GetDeadlineMs() == 0:
+	case req.GetDeadlineMs() == 0 || req.GetDeadlineMs() > uint64(e.set.MaxDeadline.Milliseconds()):
 		return refuse(fescuev1.NotRunReason_NOT_RUN_REASON_DEADLINE)
 	}
 	return nil
--- a/pkg/endpoint/settings.go
+++ b/pkg/endpoint/settings.go
@@ -23,9 +23,14 @@
 	MaxQueued    int
 	Positions    int
 	DrainTimeout time.Duration
+	// MaxDeadline is the longest deadline of an attempt, 10 minutes if zero.
+	MaxDeadline time.Duration
 	// WeightStore names the store that adapters are loaded from.
 	WeightStore string
-	// ShareInterval is the time between two loads while no entry grants permits.
+	// ShareInterval is the time between two loads while no entry grants permits. It
+	// is the number of endpoints that load from the weight store divided by the loads
+	// that the store serves per second: 18 endpoints at 4 loads/s give 4.5 s. Then all
+	// endpoints together stay within the rate of the store.
 	ShareInterval time.Duration
 }
 
@@ -35,6 +40,14 @@
 	KindService = "service"
 )
 
+// Defaults of the drain settings.
+const (
+	defaultMaxDeadline  = 10 * time.Minute
+	defaultDrainTimeout = 11 * time.Minute
+	// drainMargin is the time for the last frames and commands after the last deadline.
+	drainMargin = 30 * time.Second
+)
+
 // Values of the fencing setting.
 const (
 	FencingChecked = "checked"
@@ -56,7 +69,8 @@
 	set.IntVar(&s.Positions, "positions", 16, "concurrent calls to a plain service")
 	set.StringVar(&s.WeightStore, "weight-store", "", "`name` of the weight store, for load permits")
 	set.DurationVar(&s.ShareInterval, "share-interval", 5*time.Second, "time between two loads while no entry grants permits")
-	set.DurationVar(&s.DrainTimeout, "drain-timeout", 2*time.Minute, "longest time that a stop waits for running requests")
+	set.DurationVar(&s.MaxDeadline, "max-deadline", defaultMaxDeadline, "longest deadline of an attempt")
+	set.DurationVar(&s.DrainTimeout, "drain-timeout", defaultDrainTimeout, "longest time that a stop waits for running requests")
 }
 
 // Check records findings for wrong settings.
@@ -70,5 +84,6 @@
 	set.Requiref(s.MaxQueued > 0, "max-queued", "must be above zero")
 	set.Requiref(s.Positions > 0, "positions", "must be above zero")
 	set.RequirePositive("share-interval", s.ShareInterval)
-	set.RequirePositive("drain-timeout", s.DrainTimeout)
+	set.RequirePositive("max-deadline", s.MaxDeadline)
+	set.Requiref(s.DrainTimeout >= s.MaxDeadline+drainMargin, "drain-timeout", "must exceed max-deadline by %s or more", drainMargin)
 }
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -34,6 +34,9 @@
 var (
 	// ErrRefused reports a call that the engine refused before it started to run.
 	ErrRefused = errors.New("engine refused the call")
+	// ErrNotResident reports a call or command for an adapter that is not resident. It
+	// is always marked as ErrRefused too.
+	ErrNotResident = errors.New("adapter is not resident")
 	// ErrFenced reports a command with an old fencing token.
 	ErrFenced = errors.New("engine refused the fencing token")
 	// ErrLost reports a call whose result is not known.
@@ -102,10 +105,16 @@
 		return Status{}, errors.Mark(errors.Wrap(err, "read engine status"), ErrLost)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Status{}, errors.Mark(errors.Newf("read engine status: status %d", resp.StatusCode), ErrLost)
+	}
 	var s Status
 	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
 		return Status{}, errors.Mark(errors.Wrap(err, "decode engine status"), ErrLost)
 	}
+	if s.BootID == "" {
+		return Status{}, errors.Mark(errors.New("engine status without boot id"), ErrLost)
+	}
 	return s, nil
 }
 
@@ -119,6 +128,20 @@
 	return c.command(ctx, "/v1/unload_lora_adapter", cmd)
 }
 
+// fenceAdapter is the name in fence commands. Its empty team is not valid, so no
+// adapter has it.
+var fenceAdapter = ident.Adapter{Name: "fence"}
+
+// Fence gives the engine a fencing token without changing its adapters. After nil
+// an engine that checks tokens refuses all commands with an older one.
+func (c *Client) Fence(ctx context.Context, token uint64, deadline time.Time) error {
+	err := c.Unload(ctx, Command{Adapter: fenceAdapter, Token: token, Deadline: deadline})
+	if errors.Is(err, ErrNotResident) {
+		return nil
+	}
+	return err
+}
+
 type commandBody struct {
 	LoraName string `json:"lora_name"`
 	LoraPath string `json:"lora_path,omitempty"`
@@ -148,8 +171,17 @@
 	case http.StatusPreconditionFailed:
 		return errors.Mark(errors.Newf("%s", bytes.TrimSpace(detail)), ErrFenced)
 	default:
-		return errors.Mark(errors.Newf("status %d: %s", resp.StatusCode, bytes.TrimSpace(detail)), ErrRefused)
+		return refused(resp.StatusCode, detail)
+	}
+}
+
+// refused returns the error for a call that the engine answered with a status.
+func refused(status int, detail []byte) error {
+	err := errors.Mark(errors.Newf("status %d: %s", status, bytes.TrimSpace(detail)), ErrRefused)
+	if status == http.StatusNotFound {
+		return errors.Mark(err, ErrNotResident)
 	}
+	return err
 }
 
 // Generate starts a generation. ErrRefused means that it did not run.
@@ -169,7 +201,7 @@
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
 		detail, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
-		return nil, errors.Mark(errors.Newf("status %d: %s", resp.StatusCode, bytes.TrimSpace(detail)), ErrRefused)
+		return nil, refused(resp.StatusCode, detail)
 	}
 	sc := bufio.NewScanner(resp.Body)
 	sc.Buffer(make([]byte, 0, 4096), maxEventBytes)
--- a/pkg/scheduler/config.go
+++ b/pkg/scheduler/config.go
@@ -24,6 +24,8 @@
 	// adapter whose load has failed.
 	BackoffMin time.Duration
 	BackoffMax time.Duration
+	// CommandDeadline is the time after which the engine acts on no command.
+	CommandDeadline time.Duration
 	// StallWeight and BatchWeight weigh load stalls against batch efficiency. Only
 	// their ratio matters; if both are zero they count as equal.
 	StallWeight float64
@@ -39,6 +41,11 @@
 	defaultShareInterval = 5 * time.Second
 	defaultBackoffMin    = 500 * time.Millisecond
 	defaultBackoffMax    = time.Minute
+	// DefaultCommandDeadline equals the command deadline of the engine lease.
+	DefaultCommandDeadline = 5 * time.Second
+	// commandMargin is the time that the engine may take between the check of a
+	// command's deadline and its effect.
+	commandMargin = time.Second
 )
 
 // Times that the weights scale, see batchShare.
@@ -57,6 +64,7 @@
 	c.ShareInterval = orDefault(c.ShareInterval, defaultShareInterval)
 	c.BackoffMin = orDefault(c.BackoffMin, defaultBackoffMin)
 	c.BackoffMax = orDefault(c.BackoffMax, defaultBackoffMax)
+	c.CommandDeadline = orDefault(c.CommandDeadline, DefaultCommandDeadline)
 	if c.Evictor == nil {
 		c.Evictor = LowestReloadCost{}
 	}
--- a/pkg/scheduler/eviction.go
+++ b/pkg/scheduler/eviction.go
@@ -108,7 +108,7 @@
 		}
 		t := s.tier(st, c)
 		lowest = min(lowest, t)
-		if taken[st] || (st.pins > 0) != pinned || t > bestTier {
+		if taken[st] || st.inUse() != pinned || t > bestTier {
 			continue
 		}
 		if st.fresh && t > tierIdle || min(c.waited, now.Sub(st.loaded)) < s.hold(t) {
--- a/pkg/scheduler/loads.go
+++ b/pkg/scheduler/loads.go
@@ -84,7 +84,7 @@
 			delete(s.wanted, a)
 			continue
 		}
-		if now.Before(st.retryAt) || s.heldBack(now, c) {
+		if now.Before(st.retryAt) || now.Before(st.unloadBy) || s.heldBack(now, c) {
 			continue
 		}
 		out = append(out, c)
@@ -108,10 +108,10 @@
 	}
 	openings := s.cfg.Slots - s.occupied()
 	for _, st := range s.slots {
-		if st.draining && st.pins == 0 {
+		if st.draining && !st.inUse() {
 			return true
 		}
-		if st.state == stateResident && st.pins == 0 {
+		if st.state == stateResident && !st.inUse() {
 			openings++
 		}
 	}
@@ -147,7 +147,7 @@
 			drained[v] = c.st.ask.drain
 			s.setDraining(v, c.st.ask.drain)
 		}
-		if v == nil || v.pins == 0 || !c.st.ask.drain {
+		if v == nil || !v.inUse() || !c.st.ask.drain {
 			out = append(out, s.askFor(now, c)...)
 		}
 	}
@@ -208,7 +208,7 @@
 // returns nil if there is no slot for it.
 func (s *Scheduler) beginLoad(now time.Time, st *adapter) []Action {
 	c, ok := s.candidate(now, st)
-	if !ok || !s.canLoad || !s.known || st.state != stateAbsent {
+	if !ok || !s.mayCommand() || !s.known || st.state != stateAbsent || now.Before(st.unloadBy) {
 		return nil
 	}
 	if s.occupied() < s.cfg.Slots {
@@ -226,14 +226,14 @@
 	s.setState(st, stateLoading)
 	st.victim = v.name
 	st.ask.sent = now
-	return []Action{s.command(v, Unload)}
+	return []Action{s.command(now, v, Unload)}
 }
 
 func (s *Scheduler) orderLoad(now time.Time, st *adapter) Action {
 	s.teamLoaded[st.name.Team] = now
 	st.began = now
 	st.ask.sent = now
-	return s.command(st, Load)
+	return s.command(now, st, Load)
 }
 
 // LoadDone marks an adapter as resident. Results of earlier commands are ignored.
@@ -260,13 +260,18 @@
 		return nil
 	}
 	s.setState(st, stateAbsent)
-	st.retryAt = now.Add(s.backoff(st.failures))
-	st.failures++
+	s.backOff(now, st)
 	out := []Action{{Kind: ReleasePermit, Adapter: a}}
 	out = append(out, s.refuseAll(a, fescuev1.NotRunReason_NOT_RUN_REASON_LOAD_FAILED)...)
 	return append(out, s.schedule(now)...)
 }
 
+// backOff delays the next load after a failed one.
+func (s *Scheduler) backOff(now time.Time, st *adapter) {
+	st.retryAt = now.Add(s.backoff(st.failures))
+	st.failures++
+}
+
 func (s *Scheduler) backoff(failures int) time.Duration {
 	d := s.cfg.BackoffMin
 	for range failures {
@@ -286,25 +291,29 @@
 	if v == nil {
 		return nil
 	}
-	next := s.waitsFor(a)
-	if ok {
+	return append(s.endUnload(now, v, ok), s.schedule(now)...)
+}
+
+// endUnload frees the slot of an adapter, or keeps it resident.
+func (s *Scheduler) endUnload(now time.Time, v *adapter, freed bool) []Action {
+	next := s.waitsFor(v.name)
+	if freed {
 		s.setState(v, stateAbsent)
 	} else {
 		s.setState(v, stateResident)
 		v.retryAt = now.Add(s.cfg.BackoffMin)
 	}
-	var out []Action
-	if next != nil {
-		out = s.continueLoad(now, next, ok)
+	if next == nil {
+		return nil
 	}
-	return append(out, s.schedule(now)...)
+	return s.continueLoad(now, next, freed)
 }
 
 // continueLoad orders the load whose slot has been freed.
 func (s *Scheduler) continueLoad(now time.Time, st *adapter, freed bool) []Action {
 	st.victim = ident.Adapter{}
 	_, n, _ := s.queue.Waiting(st.name)
-	if freed && s.canLoad && n > 0 {
+	if freed && s.mayCommand() && n > 0 {
 		return []Action{s.orderLoad(now, st)}
 	}
 	s.setState(st, stateAbsent)
@@ -328,35 +337,3 @@
 	}
 	return st
 }
-
-// Quiet returns the number of commands so far and whether none is running. It
-// frames a reading of the engine's state for Reconcile.
-func (s *Scheduler) Quiet() (CommandID, bool) {
-	for _, st := range s.slots {
-		if st.state != stateResident {
-			return s.commands, false
-		}
-	}
-	return s.commands, true
-}
-
-// Reconcile adopts the resident adapters that the engine reports, if no command
-// has been given since before the reading. A command whose reply was lost may
-// have taken effect.
-func (s *Scheduler) Reconcile(now time.Time, before CommandID, residents []ident.Adapter) []Action {
-	if n, quiet := s.Quiet(); !quiet || n != before || !s.known {
-		return nil
-	}
-	for _, st := range s.slots {
-		if st.pins == 0 && !slices.Contains(residents, st.name) {
-			s.setState(st, stateAbsent)
-		}
-	}
-	for _, a := range residents {
-		if st := s.adapter(now, a); st.state == stateAbsent && len(s.slots) < s.cfg.Slots {
-			s.setState(st, stateResident)
-			st.lastUsed = now
-		}
-	}
-	return s.schedule(now)
-}
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -35,16 +35,28 @@
 	if !now.Before(w.Deadline) {
 		return fescuev1.NotRunReason_NOT_RUN_REASON_DEADLINE
 	}
-	if w.Adapter.IsZero() || !s.known {
+	if w.Adapter.IsZero() {
+		return 0
+	}
+	if s.use == AdaptersRefused {
+		return fescuev1.NotRunReason_NOT_RUN_REASON_NOT_READY
+	}
+	if !s.known {
 		return 0
 	}
 	st := s.adapters[w.Adapter]
 	if st != nil && (st.state == stateResident || st.state == stateLoading) {
 		return 0
 	}
+	if s.use == AdaptersHeld {
+		return 0
+	}
 	if !s.canLoad {
 		return fescuev1.NotRunReason_NOT_RUN_REASON_NO_AUTHORITY
 	}
+	if st != nil && st.state == stateLoadLost {
+		return fescuev1.NotRunReason_NOT_RUN_REASON_LOAD_FAILED
+	}
 	if st != nil && st.failures > 0 && now.Before(st.retryAt) {
 		return fescuev1.NotRunReason_NOT_RUN_REASON_LOAD_FAILED
 	}
@@ -126,10 +138,15 @@
 			s.deadline = d
 		}
 	}
-	slices.SortFunc(late, func(a, b *item) int { return compareIDs(a.Value.work.ID, b.Value.work.ID) })
-	out := make([]Action, 0, len(late))
-	for _, it := range late {
-		out = append(out, s.refuse(it, fescuev1.NotRunReason_NOT_RUN_REASON_DEADLINE))
+	return s.refuseItems(late, fescuev1.NotRunReason_NOT_RUN_REASON_DEADLINE)
+}
+
+// refuseItems refuses attempts in the order of their ids.
+func (s *Scheduler) refuseItems(items []*item, reason fescuev1.NotRunReason) []Action {
+	slices.SortFunc(items, func(a, b *item) int { return compareIDs(a.Value.work.ID, b.Value.work.ID) })
+	out := make([]Action, 0, len(items))
+	for _, it := range items {
+		out = append(out, s.refuse(it, reason))
 	}
 	return out
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -56,7 +56,9 @@
 	Adapter ident.Adapter
 	// Command is set with Load and Unload.
 	Command CommandID
-	Reason  fescuev1.NotRunReason
+	// Deadline is the time after which the engine must not act on the command.
+	Deadline time.Time
+	Reason   fescuev1.NotRunReason
 	// Stall is the time the attempt waited for its adapter, set with Start.
 	Stall time.Duration
 	// Waiting is the number of queued attempts for the adapter and Waited the
@@ -84,13 +86,19 @@
 	cfg     Config
 	evictor Evictor
 	// known is false until the state of the engine has been read.
-	known    bool
-	canLoad  bool
-	leaving  bool
-	queue    *fairqueue.Queue[ident.Adapter, *queued]
-	items    map[ident.AttemptID]*item
-	running  map[ident.AttemptID]ident.Adapter
-	adapters map[ident.Adapter]*adapter
+	known   bool
+	canLoad bool
+	use     AdapterUse
+	leaving bool
+	queue   *fairqueue.Queue[ident.Adapter, *queued]
+	items   map[ident.AttemptID]*item
+	running map[ident.AttemptID]ident.Adapter
+	// foreign are the runs at the engine that this process did not start.
+	foreign map[EngineRun]bool
+	// ended are the runs that have ended since the last reading began.
+	ended      []endedRun
+	endedCount uint64
+	adapters   map[ident.Adapter]*adapter
 	// teamLoaded is the time of the last load for each team with demand.
 	teamLoaded map[ident.Team]time.Time
 	// slots are the adapters that hold a slot, in the order of their names. The slice
@@ -101,6 +109,8 @@
 	// asks are the adapters for which a permit is requested, at most one per slot.
 	asks     []*adapter
 	commands CommandID
+	// changes counts the changes of adapter states.
+	changes uint64
 	// deadline is the earliest deadline in the queue, or zero if unknown.
 	deadline time.Time
 	loads    loadTimes
@@ -109,9 +119,9 @@
 	view     residentView
 }
 
-// New returns a scheduler that does not know the engine's state and has no
-// authority to load. Work is queued until SetResidents is called; a scheduler
-// without slots serves work without adapters at once.
+// New returns a scheduler that does not know the engine's state, has no authority
+// to load and refuses work that needs an adapter. Other work is queued until
+// EngineRestarted is called; a scheduler without slots serves it at once.
 func New(cfg Config) *Scheduler {
 	cfg = cfg.withDefaults()
 	s := &Scheduler{
@@ -140,29 +150,26 @@
 	s.cfg.Slots, s.cfg.Positions = slots, positions
 }
 
-// SetResidents sets the resident adapters after the engine's state has been
-// read for the first time.
-func (s *Scheduler) SetResidents(now time.Time, residents []ident.Adapter) []Action {
-	return s.EngineRestarted(now, residents)
-}
-
-// EngineRestarted replaces the set of resident adapters. The results of earlier
-// commands are ignored. Attempts that were started stay pinned until RunDone:
+// EngineRestarted replaces the set of resident adapters, also when the engine's
+// state is read for the first time. The results of earlier commands are ignored, but
+// an unload without an answer may reach the new engine until its deadline. Attempts that were started stay pinned until RunDone:
 // they may have reached the new engine before its restart was noticed.
-func (s *Scheduler) EngineRestarted(now time.Time, residents []ident.Adapter) []Action {
+func (s *Scheduler) EngineRestarted(now time.Time, r Reading) []Action {
 	var out []Action
 	for _, st := range s.slots {
 		if st.state == stateLoading {
 			out = append(out, Action{Kind: ReleasePermit, Adapter: st.name})
 		}
+		if st.state == stateUnloading || st.state == stateUnloadLost {
+			st.unloadBy = st.settleAt
+		}
 		s.setState(st, stateAbsent)
 	}
 	s.known = true
-	for _, a := range residents {
-		st := s.adapter(now, a)
-		s.setState(st, stateResident)
-		st.lastUsed = now
+	for _, a := range r.Residents {
+		s.setFound(now, s.adapter(now, a), r.Began)
 	}
+	s.setForeign(now, r)
 	return append(out, s.schedule(now)...)
 }
 
@@ -182,6 +189,8 @@
 		return nil
 	}
 	delete(s.running, id)
+	s.endedCount++
+	s.ended = append(s.ended, endedRun{run: EngineRun{Request: id.Request, Adapter: a}, count: s.endedCount})
 	if st := s.adapters[a]; st != nil {
 		st.pins--
 		st.lastUsed = now
@@ -198,7 +207,7 @@
 		return out
 	}
 	out = append(out, s.startReady(now)...)
-	if s.canLoad {
+	if s.mayCommand() {
 		out = append(out, s.planLoads(now)...)
 		out = append(out, s.repeatRequests(now)...)
 		out = append(out, s.loadWithoutPermit(now)...)
@@ -212,12 +221,17 @@
 	if !s.known {
 		return nil
 	}
+	if s.use == AdaptersRefused {
+		out := s.refuseAdapterWork()
+		out = append(out, s.stopLoads()...)
+		return append(out, s.startReady(now)...)
+	}
 	if !s.canLoad {
 		out := s.stopLoads()
 		return append(out, s.startReady(now)...)
 	}
 	out := s.startReady(now)
-	if s.planDue() {
+	if s.mayCommand() && s.planDue() {
 		out = append(out, s.planLoads(now)...)
 	}
 	return out
@@ -225,7 +239,7 @@
 
 func (s *Scheduler) startReady(now time.Time) []Action {
 	var out []Action
-	for len(s.running) < s.cfg.Positions {
+	for len(s.running)+len(s.foreign) < s.cfg.Positions {
 		it := s.queue.Next()
 		if it == nil {
 			break
@@ -246,7 +260,7 @@
 		return act
 	}
 	st := s.adapter(now, w.Adapter)
-	invariant.Check(st.state == stateResident, invariant.RightAdapter, "start on %s in state %d", w.Adapter, st.state)
+	invariant.Check(st.state == stateResident && s.use == AdaptersUsable, invariant.RightAdapter, "start on %s in state %d", w.Adapter, st.state)
 	st.pins++
 	st.fresh = false
 	st.lastUsed = now
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"os"
@@ -20,224 +21,21 @@
 	os.Exit(m.Run())
 }
 
-// order is a load or unload command that the engine has not answered.
-type order struct {
-	act Action
-	// stale orders were given before an engine restart.
-	stale bool
-}
-
-// world is a simple engine with its clients. It is the oracle of the tests.
-type world struct {
-	t         *rapid.T
-	s         *Scheduler
-	cfg       Config
-	now       time.Time
-	authority bool
-	left      bool
-	next      int
-	queued    map[ident.AttemptID]Work
-	running   map[ident.AttemptID]Work
-	ended     map[ident.AttemptID]bool
-	resident  map[ident.Adapter]bool
-	orders    []order
-	asked     map[ident.Adapter]bool
-	// coordinator answers the requests in order if it is set.
-	coordinator *permits.Coordinator
-	grants      []permits.Key
-}
-
-func newWorld(t *rapid.T) *world {
-	cfg := Config{
-		Slots:       rapid.IntRange(1, 4).Draw(t, "slots"),
-		Positions:   rapid.IntRange(1, 6).Draw(t, "positions"),
-		MaxQueued:   rapid.IntRange(1, 40).Draw(t, "maxQueued"),
-		Floor:       rapid.IntRange(1, 16).Draw(t, "floor"),
-		StallWeight: rapid.Float64Range(0, 1).Draw(t, "stallWeight"),
-		BatchWeight: rapid.Float64Range(0, 1).Draw(t, "batchWeight"),
-	}
-	if rapid.Bool().Draw(t, "lru") {
-		cfg.Evictor = LRU{}
-	}
-	return &world{
-		t: t, s: New(cfg), cfg: cfg, now: time.Unix(1000, 0),
-		queued: map[ident.AttemptID]Work{}, running: map[ident.AttemptID]Work{}, ended: map[ident.AttemptID]bool{},
-		resident: map[ident.Adapter]bool{}, asked: map[ident.Adapter]bool{},
-	}
-}
-
-// do applies decisions and checks each against the state of the oracle.
-func (w *world) do(actions []Action) {
-	for _, a := range actions {
-		switch a.Kind {
-		case Start:
-			w.start(a)
-		case Refuse:
-			w.end(a.ID)
-		case Load, Unload:
-			w.order(a)
-		case RequestPermit:
-			w.asked[a.Adapter] = true
-			w.request(a)
-		case ReleasePermit:
-			delete(w.asked, a.Adapter)
-			w.release(a)
-		}
-	}
-	if st := w.s.Stats(); st.Running != len(w.running) || st.Queued != len(w.queued) {
-		w.t.Fatalf("scheduler has %d running and %d queued, oracle %d and %d", st.Running, st.Queued, len(w.running), len(w.queued))
-	}
-}
-
-func (w *world) request(a Action) {
-	if w.coordinator != nil {
-		r := permits.Request{Key: permits.Key{Endpoint: "e", Adapter: a.Adapter}, Waiting: a.Waiting, Waited: a.Waited, Weight: 1, Priority: a.Priority, Loading: a.Loading}
-		w.grants = append(w.grants, w.coordinator.Request(w.now, r)...)
-	}
-}
-
-func (w *world) release(a Action) {
-	if w.coordinator != nil {
-		w.grants = append(w.grants, w.coordinator.Release(w.now, permits.Key{Endpoint: "e", Adapter: a.Adapter})...)
-	}
-}
-
-func (w *world) end(id ident.AttemptID) {
-	if _, ok := w.queued[id]; !ok || w.ended[id] {
-		w.t.Fatalf("attempt %v ends twice or was never queued", id)
-	}
-	delete(w.queued, id)
-	w.ended[id] = true
-}
-
-func (w *world) start(a Action) {
-	work := w.queued[a.ID]
-	w.end(a.ID)
-	if work.Adapter != a.Adapter || (!a.Adapter.IsZero() && !w.resident[a.Adapter]) {
-		w.t.Fatalf("start of %v with %v, resident %v", work, a.Adapter, w.resident[a.Adapter])
-	}
-	w.running[a.ID] = work
-	if len(w.running) > w.cfg.Positions {
-		w.t.Fatalf("%d runs in %d positions", len(w.running), w.cfg.Positions)
-	}
-}
-
-func (w *world) order(a Action) {
-	if !w.authority {
-		w.t.Fatalf("command without authority: %v", a)
-	}
-	used := len(w.resident)
-	for _, o := range w.orders {
-		if !o.stale && o.act.Kind == Load {
-			used++
-		}
-	}
-	if a.Kind == Load && used >= w.cfg.Slots {
-		w.t.Fatalf("load of %v with %d of %d slots used", a.Adapter, used, w.cfg.Slots)
-	}
-	for id, r := range w.running {
-		if a.Kind == Unload && r.Adapter == a.Adapter {
-			w.t.Fatalf("unload of %v while %v runs", a.Adapter, id)
-		}
-	}
-	w.orders = append(w.orders, order{act: a})
-}
-
-func (w *world) submit(work Work) {
-	w.next++
-	work.ID = ident.AttemptID{Request: ident.RequestID(fmt.Sprintf("%06d", w.next)), Attempt: 1}
-	w.queued[work.ID] = work
-	w.do(w.s.Submit(w.now, work))
-	if w.left && !w.ended[work.ID] {
-		w.t.Fatalf("attempt %v accepted after leaving", work.ID)
-	}
-}
-
-// answer ends one command. The results of stale commands must change nothing.
-func (w *world) answer(i int, ok bool) {
-	o := w.orders[i]
-	w.orders = slices.Delete(w.orders, i, i+1)
-	if ok && !o.stale {
-		if o.act.Kind == Load {
-			w.resident[o.act.Adapter] = true
-		} else {
-			delete(w.resident, o.act.Adapter)
-		}
-	}
-	var out []Action
-	switch {
-	case o.act.Kind == Unload:
-		out = w.s.UnloadDone(w.now, o.act.Adapter, o.act.Command, ok)
-	case ok:
-		out = w.s.LoadDone(w.now, o.act.Adapter, o.act.Command)
-	default:
-		out = w.s.LoadFailed(w.now, o.act.Adapter, o.act.Command)
-	}
-	if o.stale && len(out) > 0 {
-		w.t.Fatalf("result of a command from before a restart caused %v", out)
-	}
-	w.do(out)
-}
-
-func (w *world) runDone(id ident.AttemptID) {
-	delete(w.running, id)
-	w.do(w.s.RunDone(w.now, id))
-}
-
-func (w *world) tick(d time.Duration) {
-	w.now = w.now.Add(d)
-	w.do(w.s.Tick(w.now))
-}
-
-func (w *world) setAuthority(ok bool) {
-	w.authority = ok
-	w.do(w.s.SetAuthority(w.now, ok))
-}
-
-func (w *world) restart(residents []ident.Adapter) {
-	for i := range w.orders {
-		w.orders[i].stale = true
-	}
-	w.resident = map[ident.Adapter]bool{}
-	for _, a := range residents {
-		w.resident[a] = true
-	}
-	w.do(w.s.EngineRestarted(w.now, residents))
-}
-
-// serve lets a faultless world go on for one step: all commands succeed, one
-// permit is granted and the runs end.
-func (w *world) serve(step time.Duration) {
-	for len(w.orders) > 0 {
-		w.answer(0, true)
-	}
-	if w.coordinator == nil {
-		for _, a := range sortedKeys(w.asked, compareAdapters) {
-			w.do(w.s.PermitGranted(w.now, a))
-			break
-		}
-	}
-	grants := w.grants
-	w.grants = nil
-	for _, k := range grants {
-		w.do(w.s.PermitGranted(w.now, k.Adapter))
-	}
-	for _, id := range sortedKeys(w.running, compareIDs) {
-		w.runDone(id)
-	}
-	w.tick(step)
-}
-
 func sortedKeys[K comparable, V any](m map[K]V, compare func(a, b K) int) []K {
 	return slices.SortedFunc(maps.Keys(m), compare)
 }
 
+func compareRuns(a, b EngineRun) int { return cmp.Compare(a.Request, b.Request) }
+
 var teams = []ident.Team{"a", "b", "c"}
 
 func drawAdapter(t *rapid.T) ident.Adapter {
 	if rapid.IntRange(0, 9).Draw(t, "plain") == 0 {
 		return ident.Adapter{}
 	}
+	if rapid.IntRange(0, 3).Draw(t, "few") > 0 {
+		return ident.Adapter{Team: "a", Name: fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "adapter")), Version: "1"}
+	}
 	team := rapid.SampledFrom(teams).Draw(t, "adapterTeam")
 	return ident.Adapter{Team: team, Name: fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "adapter")), Version: "1"}
 }
@@ -266,6 +64,11 @@
 				w.runDone(rapid.SampledFrom(sortedKeys(w.running, compareIDs)).Draw(t, "run"))
 			}
 		},
+		"grantAll": func(t *rapid.T) {
+			for _, a := range sortedKeys(w.asked, compareAdapters) {
+				w.do(w.s.PermitGranted(w.now, a))
+			}
+		},
 		"answer": func(t *rapid.T) {
 			if len(w.orders) > 0 {
 				ok := rapid.IntRange(0, 3).Draw(t, "ok") > 0
@@ -308,15 +111,45 @@
 			}
 			w.restart(sortedKeys(found, compareAdapters))
 		},
-		"reconcile": func(*rapid.T) {
-			before, _ := w.s.Quiet()
-			w.do(w.s.Reconcile(w.now, before, sortedKeys(w.resident, compareAdapters)))
+		"lose": func(t *rapid.T) {
+			if len(w.orders) > 0 {
+				w.lose(rapid.IntRange(0, len(w.orders)-1).Draw(t, "order"), rapid.Bool().Draw(t, "first"))
+			}
+		},
+		"read": func(*rapid.T) {
+			if w.reading == nil {
+				r := w.read()
+				w.reading = &r
+			}
 		},
+		"readNow": func(*rapid.T) {
+			if w.known {
+				w.deliver(w.read())
+			}
+		},
+		"late": func(*rapid.T) {
+			if i := slices.IndexFunc(w.orders, func(o order) bool { return o.lost }); i >= 0 {
+				w.answer(i, true)
+			}
+		},
+		"readDone": func(*rapid.T) {
+			if r := w.reading; r != nil && w.known {
+				w.deliver(*r)
+			}
+		},
+		"foreignDone": func(t *rapid.T) {
+			if len(w.foreign) > 0 {
+				delete(w.foreign, rapid.SampledFrom(sortedKeys(w.foreign, compareRuns)).Draw(t, "foreign"))
+			}
+		},
+		"supersede": w.supersede,
+		"settle":    func(*rapid.T) { w.settle() },
 	}
 }
 
-// Guards against evictions under a running request, loads beyond the slots,
-// commands without authority or before the engine's state is known, effects of
+// Guards against evictions under a running request of this or another process,
+// also by a command whose reply was lost, against starts on adapters that another
+// process may evict, loads beyond the slots, commands without authority or before the engine's state is known, effects of
 // results from before a restart, second starts, work after leaving, and attempts
 // that never end.
 func TestSchedulerAgainstOracle(t *testing.T) {
@@ -325,8 +158,11 @@
 		if rapid.IntRange(0, 3).Draw(t, "known") > 0 {
 			w.restart(nil)
 			w.setAuthority(true)
+			w.settle()
+		}
+		for range 8 {
+			t.Repeat(w.actions())
 		}
-		t.Repeat(w.actions())
 		if rapid.Bool().Draw(t, "leave") {
 			w.left = true
 			w.s.Leave()
@@ -334,6 +170,7 @@
 		}
 		w.restart(nil)
 		w.setAuthority(true)
+		w.settle()
 		for step := 0; len(w.queued)+len(w.running) > 0; step++ {
 			if step == 2000 {
 				t.Fatalf("%d attempts queued and %d running long after the last fault", len(w.queued), len(w.running))
@@ -358,6 +195,7 @@
 		silent := rapid.Bool().Draw(t, "silentCoordinator")
 		w.restart(nil)
 		w.setAuthority(true)
+		w.settle()
 		hot := rapid.OneOf(rapid.IntRange(1, 8), rapid.Just(150)).Draw(t, "hotAdapters")
 		small := Work{Team: "b", Adapter: ident.Adapter{Team: "b", Name: "x", Version: "1"}, Priority: ident.PriorityBatch, Weight: 1, Deadline: w.now.Add(time.Hour)}
 		var id ident.AttemptID
--- a/pkg/scheduler/slots.go
+++ b/pkg/scheduler/slots.go
@@ -32,16 +32,29 @@
 	stateLoading
 	stateResident
 	stateUnloading
+	// stateLoadLost and stateUnloadLost hold a slot until a reading of the engine's
+	// state tells whether the command has taken effect.
+	stateLoadLost
+	stateUnloadLost
 )
 
 // adapter is what the scheduler knows about one adapter.
 type adapter struct {
-	name     ident.Adapter
-	state    state
-	pins     int
+	name  ident.Adapter
+	state state
+	pins  int
+	// foreign counts the runs of other processes.
+	foreign  int
 	lastUsed time.Time
 	// command is the running command for this adapter.
 	command CommandID
+	// settleAt is when the last command can no longer take effect.
+	settleAt time.Time
+	// unloadBy is when an unload from before an engine restart can no longer take
+	// effect. The adapter serves no work before.
+	unloadBy time.Time
+	// changed is the number of the last change of the state.
+	changed uint64
 	// victim is the adapter whose unload precedes the load of this one.
 	victim ident.Adapter
 	// draining adapters start no more work, so that their pins end.
@@ -61,6 +74,11 @@
 	ask     ask
 }
 
+// inUse reports whether a run uses the adapter.
+func (st *adapter) inUse() bool { return st.pins > 0 || st.foreign > 0 }
+
+func (st *adapter) lost() bool { return st.state == stateLoadLost || st.state == stateUnloadLost }
+
 func (s *Scheduler) adapter(now time.Time, a ident.Adapter) *adapter {
 	st := s.adapters[a]
 	if st == nil {
@@ -74,6 +92,8 @@
 // lanes and the report view in step.
 func (s *Scheduler) setState(st *adapter, to state) {
 	s.dropAsk(st)
+	s.changes++
+	st.changed = s.changes
 	st.state = to
 	st.command = 0
 	st.victim = ident.Adapter{}
@@ -86,7 +106,7 @@
 		s.slots = withSlot(s.slots, st)
 		delete(s.wanted, st.name)
 	}
-	s.queue.SetReady(st.name, to == stateResident)
+	s.updateReady(st)
 	s.view.stale = true
 }
 
@@ -103,7 +123,7 @@
 		return
 	}
 	st.draining = draining
-	s.queue.SetReady(st.name, !draining)
+	s.updateReady(st)
 }
 
 // occupied counts the slots in use. An adapter that waits for the unload of
@@ -140,7 +160,7 @@
 	s.cleaned = now
 	maps.DeleteFunc(s.teamLoaded, func(_ ident.Team, at time.Time) bool { return now.Sub(at) > rateHalfLife })
 	for a, st := range s.adapters {
-		if st.state != stateAbsent || st.pins > 0 || st.ask.asked || now.Before(st.retryAt) {
+		if st.state != stateAbsent || st.inUse() || st.ask.asked || now.Before(st.retryAt) || now.Before(st.unloadBy) {
 			continue
 		}
 		if _, n, _ := s.queue.Waiting(a); n == 0 && st.decayed(now) < forgottenRate {
@@ -151,15 +171,17 @@
 }
 
 // command checks the invariants of a command and numbers it.
-func (s *Scheduler) command(st *adapter, kind ActionKind) Action {
-	invariant.Check(s.canLoad && s.known, invariant.OrderNeedsAuthority, "command for %s", st.name)
+func (s *Scheduler) command(now time.Time, st *adapter, kind ActionKind) Action {
+	invariant.Check(s.mayCommand() && s.known, invariant.OrderNeedsAuthority, "command for %s", st.name)
 	if kind == Unload {
-		invariant.Check(st.pins == 0, invariant.ZeroPinsAtEviction, "evict %s with %d pins", st.name, st.pins)
+		invariant.Check(!st.inUse(), invariant.ZeroPinsAtEviction, "evict %s with %d pins and %d foreign runs", st.name, st.pins, st.foreign)
 	}
 	invariant.Check(s.occupied() <= s.cfg.Slots, invariant.SlotsWithinCapacity, "%d of %d slots used", s.occupied(), s.cfg.Slots)
 	s.commands++
 	st.command = s.commands
-	return Action{Kind: kind, Adapter: st.name, Command: st.command}
+	deadline := now.Add(s.cfg.CommandDeadline)
+	st.settleAt = deadline.Add(commandMargin)
+	return Action{Kind: kind, Adapter: st.name, Command: st.command, Deadline: deadline}
 }
 
 // loadTimes estimates the shortest time that a load takes at present.
