--- a/pkg/endpoint/control.go
+++ b/pkg/endpoint/control.go
@@ -34,6 +34,8 @@
 	enginePoll time.Duration
 	fastPoll   time.Duration
 	fenceRetry time.Duration
+	leaveGrace time.Duration
+	stopGrace  time.Duration
 	// commandDeadline is how long a command may take to reach the engine.
 	commandDeadline time.Duration
 }
@@ -41,7 +43,7 @@
 func defaultTiming() timing {
 	return timing{
 		tick: tickInterval, enginePoll: enginePoll, fastPoll: fastPoll, fenceRetry: fenceRetry,
-		commandDeadline: scheduler.DefaultCommandDeadline,
+		leaveGrace: leaveGrace, stopGrace: stopGrace, commandDeadline: scheduler.DefaultCommandDeadline,
 	}
 }
 
@@ -163,7 +165,7 @@
 	if c.sched != nil {
 		s.stats = c.sched.Stats()
 		s.mark = c.sched.Mark()
-		s.unsettled = c.sched.Foreign() > 0 || c.sched.Unsettled() > 0 || c.use == scheduler.AdaptersHeld
+		s.unsettled = s.stats.Foreign > 0 || c.sched.Unsettled() > 0 || c.use == scheduler.AdaptersHeld
 		pending = c.sched.CommandsPending(time.Now())
 	}
 	prev := c.snapshot.Swap(s)
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -145,7 +145,7 @@
 	e.log.For(logging.PartEndpoint).Info().Msg("leaving, new work is refused")
 	ctx, cancel := context.WithTimeout(ctx, e.set.DrainTimeout)
 	defer cancel()
-	grace := time.NewTimer(leaveGrace)
+	grace := time.NewTimer(e.timing.leaveGrace)
 	defer grace.Stop()
 	select {
 	case <-grace.C:
@@ -189,9 +189,10 @@
 	}()
 	select {
 	case <-stopped:
-	case <-time.After(stopGrace):
+	case <-time.After(e.timing.stopGrace):
+		// A cut-off run goes on until its deadline and GracefulStop waits for it, so
+		// its return is not awaited.
 		srv.Stop()
-		<-stopped
 	}
 }
 
--- a/pkg/endpoint/events.go
+++ b/pkg/endpoint/events.go
@@ -95,10 +95,8 @@
 func (ev commandDoneEvent) unloadEnded(c *control, now time.Time) []scheduler.Action {
 	c.e.metrics.evicted(ev.err)
 	switch {
-	case ev.err == nil || ev.notDone():
+	case ev.err == nil || ev.notDone() || errors.Is(ev.err, engine.ErrNotResident):
 		return c.sched.UnloadDone(now, ev.adapter, ev.id, ev.err == nil)
-	case errors.Is(ev.err, engine.ErrNotResident):
-		return c.sched.UnloadRefused(now, ev.adapter, ev.id)
 	default:
 		return c.sched.CommandLost(now, ev.adapter, ev.id)
 	}
@@ -175,7 +173,9 @@
 // measure adds the time since the last tick to the used and offered positions.
 func (c *control) measure(now time.Time) {
 	if !c.ticked.IsZero() {
-		c.e.metrics.positions(now.Sub(c.ticked), c.sched.Stats().Running, c.limits.Positions)
+		st := c.sched.Stats()
+		used := min(st.Running+st.Foreign, c.limits.Positions)
+		c.e.metrics.positions(now.Sub(c.ticked), used, c.limits.Positions)
 	}
 	c.ticked = now
 }
--- a/pkg/endpoint/report.go
+++ b/pkg/endpoint/report.go
@@ -21,7 +21,7 @@
 		BundleVersion:    uint64(e.bundles.Version()),
 		ClockMs:          e.clockMS(),
 		PositionsTotal:   uint32(s.limits.Positions),
-		PositionsUsed:    uint32(s.stats.Running),
+		PositionsUsed:    uint32(s.stats.Running + s.stats.Foreign),
 		Queued:           uint32(s.stats.Queued),
 		SlotsTotal:       uint32(s.limits.Slots),
 		ResidentsChanged: true,
--- a/pkg/scheduler/engine.go
+++ b/pkg/scheduler/engine.go
@@ -115,17 +115,6 @@
 	return append(out, s.schedule(now)...)
 }
 
-// UnloadRefused ends an unload command that the engine has answered with an error.
-// A later reading tells whether the adapter is still resident.
-func (s *Scheduler) UnloadRefused(now time.Time, a ident.Adapter, id CommandID) []Action {
-	st := s.commanded(a, id)
-	if st == nil {
-		return nil
-	}
-	st.settleAt = now
-	return s.CommandLost(now, a, id)
-}
-
 // Unsettled counts the commands whose effect is not known.
 func (s *Scheduler) Unsettled() int {
 	n := 0
@@ -148,9 +137,6 @@
 	return false
 }
 
-// Foreign counts the runs at the engine that this process did not start.
-func (s *Scheduler) Foreign() int { return len(s.foreign) }
-
 // Read applies a reading of the engine's state: runs of a predecessor keep their
 // adapters pinned, lost commands are settled, and the resident adapters that the
 // scheduler does not know are adopted. Adapters that changed after the reading
@@ -160,12 +146,15 @@
 		return nil
 	}
 	s.setForeign(now, r)
+	found := s.unexpected(now, r)
 	var out []Action
 	for _, st := range slices.Clone(s.slots) {
 		out = append(out, s.settleSlot(now, st, r)...)
 	}
-	for _, a := range r.Residents {
-		s.adopt(now, a, r)
+	for _, st := range found {
+		if st.state == stateAbsent && s.occupied() < s.cfg.Slots {
+			s.setFound(now, st, r.Began)
+		}
 	}
 	return append(out, s.schedule(now)...)
 }
@@ -203,13 +192,18 @@
 	return nil
 }
 
-// adopt takes over a resident adapter that the scheduler believes absent.
-func (s *Scheduler) adopt(now time.Time, a ident.Adapter, r Reading) {
-	st := s.adapter(now, a)
-	if st.state != stateAbsent || st.changed > r.Mark.changes || s.occupied() >= s.cfg.Slots {
-		return
+// unexpected returns the adapters that the engine lists although no load was
+// ordered for them.
+func (s *Scheduler) unexpected(now time.Time, r Reading) []*adapter {
+	var out []*adapter
+	for _, a := range r.Residents {
+		st := s.adapter(now, a)
+		planned := st.state == stateLoading && !st.victim.IsZero()
+		if (st.state == stateAbsent || planned) && st.changed <= r.Mark.changes {
+			out = append(out, st)
+		}
 	}
-	s.setFound(now, st, r.Began)
+	return out
 }
 
 // setFound gives a slot to an adapter that the engine lists as resident.
--- a/pkg/scheduler/loads.go
+++ b/pkg/scheduler/loads.go
@@ -283,15 +283,19 @@
 	return min(d, s.cfg.BackoffMax)
 }
 
-// UnloadDone ends an unload command. On failure the adapter stays resident and
-// the load that needed its slot is planned anew. Results of earlier commands are
-// ignored.
+// UnloadDone ends an unload command. After a failure a later reading tells whether
+// the adapter is still resident, and the load that needed its slot is planned anew
+// if so. Results of earlier commands are ignored.
 func (s *Scheduler) UnloadDone(now time.Time, a ident.Adapter, id CommandID, ok bool) []Action {
 	v := s.commanded(a, id)
 	if v == nil {
 		return nil
 	}
-	return append(s.endUnload(now, v, ok), s.schedule(now)...)
+	if !ok {
+		v.settleAt = now
+		return s.CommandLost(now, a, id)
+	}
+	return append(s.endUnload(now, v, true), s.schedule(now)...)
 }
 
 // endUnload frees the slot of an adapter, or keeps it resident.
--- a/pkg/scheduler/slots.go
+++ b/pkg/scheduler/slots.go
@@ -210,8 +210,11 @@
 
 // Stats is a summary for reports. The slices must not be changed.
 type Stats struct {
-	Running   int
-	Queued    int
+	Running int
+	Queued  int
+	// Foreign counts the runs at the engine that this process did not start. They
+	// use positions too.
+	Foreign   int
 	Residents []ident.Adapter
 	// Loading are the adapters that are loading or waiting for a permit.
 	Loading []ident.Adapter
@@ -229,7 +232,7 @@
 	if s.view.stale {
 		s.view = s.buildView()
 	}
-	return Stats{Running: len(s.running), Queued: s.queue.Len(), Residents: s.view.residents, Loading: s.view.loading}
+	return Stats{Running: len(s.running), Queued: s.queue.Len(), Foreign: len(s.foreign), Residents: s.view.residents, Loading: s.view.loading}
 }
 
 func (s *Scheduler) buildView() residentView {
--- a/pkg/scheduler/world_test.go
+++ b/pkg/scheduler/world_test.go
@@ -258,7 +258,7 @@
 		}
 	}
 	w.do(w.s.Read(w.now, r))
-	if n := w.s.Foreign(); n != len(w.pinned) {
+	if n := w.s.Stats().Foreign; n != len(w.pinned) {
 		w.t.Fatalf("scheduler has %d foreign runs, oracle %d", n, len(w.pinned))
 	}
 }
