Settle failed loads from the engine's state too

Cause: an engine refuses a load of an adapter that another process has loaded during a takeover. The scheduler then took the slot for free and ordered a load into a full engine, which the engine refused.

Change: a failed load keeps its slot until the next reading, like a lost one. The oracle of the scheduler test answers an unload of an absent adapter with an error, as engines do; it had counted as a success.

Conclusion: no load goes into a slot whose state is not known.

--- a/pkg/scheduler/loads.go
+++ b/pkg/scheduler/loads.go
@@ -252,18 +252,16 @@
 	return append([]Action{{Kind: ReleasePermit, Adapter: a, Loaded: true}}, s.schedule(now)...)
 }
 
-// LoadFailed refuses all attempts that wait for the adapter and delays its next
-// load. Results of earlier commands are ignored.
+// LoadFailed refuses all attempts that wait for the adapter. The slot is free again,
+// and the next load is delayed, after a later reading does not list the adapter:
+// another process may have loaded it. Results of earlier commands are ignored.
 func (s *Scheduler) LoadFailed(now time.Time, a ident.Adapter, id CommandID) []Action {
 	st := s.commanded(a, id)
 	if st == nil {
 		return nil
 	}
-	s.setState(st, stateAbsent)
-	s.backOff(now, st)
-	out := []Action{{Kind: ReleasePermit, Adapter: a}}
-	out = append(out, s.refuseAll(a, fescuev1.NotRunReason_NOT_RUN_REASON_LOAD_FAILED)...)
-	return append(out, s.schedule(now)...)
+	st.settleAt = now
+	return s.CommandLost(now, a, id)
 }
 
 // backOff delays the next load after a failed one.
--- a/pkg/scheduler/world_test.go
+++ b/pkg/scheduler/world_test.go
@@ -207,7 +207,11 @@
 			return false
 		}
 		w.resident[a] = true
-	case o.act.Kind == Unload && w.resident[a]:
+	case o.act.Kind == Unload:
+		if !w.resident[a] {
+			// The engine answers that the adapter is not resident.
+			return false
+		}
 		for id, r := range w.running {
 			if r.Adapter == a {
 				w.t.Fatalf("late unload of %v evicts it under %v", a, id)
