--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -8,6 +8,12 @@
 	"github.com/fescuecourse/fescuecourse/pkg/config"
 )
 
+const (
+	defaultMaxDeadline = 10 * time.Minute
+	// drainMargin is the time that a stop needs beyond the longest request.
+	drainMargin = 30 * time.Second
+)
+
 // Settings configure an entry process.
 type Settings struct {
 	ID       string
@@ -36,11 +42,11 @@
 	set.StringVar(&s.VMList, "vm-list", "", "`address` of the platform's VM list")
 	set.StringVar(&s.LogLevel, "log-level", "info", "lowest `level` that is logged")
 	set.DurationVar(&s.DefaultDeadline, "default-deadline", 30*time.Second, "deadline of requests that set none")
-	set.DurationVar(&s.MaxDeadline, "max-deadline", 10*time.Minute, "longest deadline that a request may set")
+	set.DurationVar(&s.MaxDeadline, "max-deadline", defaultMaxDeadline, "longest deadline that a request may set")
 	set.Int64Var(&s.MaxBodyBytes, "max-body-bytes", 4<<20, "largest request body")
 	set.IntVar(&s.RemoteEndpoints, "remote-endpoints", 0, "endpoints of each other zone to connect to, 0 for all")
 	set.DurationVar(&s.UnreadyDelay, "unready-delay", 5*time.Second, "time between unready and the end of acceptance at a stop")
-	set.DurationVar(&s.DrainTimeout, "drain-timeout", 2*time.Minute, "longest time that a stop waits for requests")
+	set.DurationVar(&s.DrainTimeout, "drain-timeout", defaultMaxDeadline+2*drainMargin, "longest time that a stop waits for requests")
 }
 
 // Check records findings for wrong settings.
@@ -54,5 +60,5 @@
 	set.Requiref(s.UnreadyDelay >= 0, "unready-delay", "must not be negative")
 	set.RequirePositive("default-deadline", s.DefaultDeadline)
 	set.RequirePositive("max-deadline", s.MaxDeadline)
-	set.RequirePositive("drain-timeout", s.DrainTimeout)
+	set.Requiref(s.DrainTimeout >= s.MaxDeadline+drainMargin, "drain-timeout", "must exceed max-deadline by %s or more", drainMargin)
 }
--- a/pkg/node/endpoint.go
+++ b/pkg/node/endpoint.go
@@ -34,7 +34,7 @@
 func NewEndpoint(set endpoint.Settings, p Platform) *Endpoint {
 	bundles := &rollout.Holder{}
 	n := &Endpoint{metrics: set.MetricsListen}
-	var authority endpoint.Authority = endpoint.SoleHolder{}
+	var authority endpoint.Authority = endpoint.StaticAuthority{}
 	if set.Kind == endpoint.KindModel {
 		n.holder = lease.New(leaseSettings(&set), p.Store, p.Log)
 		authority = n.holder
