--- a/pkg/demo/server.go
+++ b/pkg/demo/server.go
@@ -179,3 +179,6 @@
 	}
 	return s.Service.Starts(content)
 }
+
+// BackendAddr returns the address of the fake back end.
+func (s *Server) BackendAddr() string { return s.set.Address }
