Read the model of an engine event without decoding it

Cause: every generated token was decoded with encoding/json to compare one field, 9 allocations per event. Change: validate the text and scan for the top-level model field; anything unusual still goes through the decoder.

--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -188,6 +188,8 @@
 type Stream struct {
 	body    io.ReadCloser
 	scanner *bufio.Scanner
+	// model is the model of the previous event.
+	model string
 }
 
 // doneEvent ends a complete stream.
@@ -204,7 +206,9 @@
 		if string(data) == doneEvent {
 			return Event{}, io.EOF
 		}
-		return parseEvent(data)
+		ev, err := parseEvent(data, s.model)
+		s.model = ev.Model
+		return ev, err
 	}
 	if err := s.scanner.Err(); err != nil {
 		return Event{}, errors.Mark(errors.Wrap(err, "read engine stream"), ErrLost)
@@ -212,15 +216,5 @@
 	return Event{}, errors.Mark(errors.New("engine stream ended early"), ErrLost)
 }
 
-func parseEvent(data []byte) (Event, error) {
-	var head struct {
-		Model string `json:"model"`
-	}
-	if err := json.Unmarshal(data, &head); err != nil {
-		return Event{}, errors.Mark(errors.Wrap(err, "decode engine event"), ErrLost)
-	}
-	return Event{Payload: bytes.Clone(data), Model: head.Model}, nil
-}
-
 // Close cancels the generation if it is still running.
 func (s *Stream) Close() error { return s.body.Close() }
