Refuse placements without building all candidates

Cause: a refusal built a candidate for every endpoint of a base model and then ran seven filters over them. Change: a refusal finds the first obstacle of each endpoint directly and builds candidates only for those that pass.

--- a/pkg/placement/affinity.go
+++ b/pkg/placement/affinity.go
@@ -72,8 +72,8 @@
 	sc.candidates = p.gather(sc.candidates[:0], r, s, g)
 	in, err := filter(r, sc.candidates)
 	if err != nil && len(sc.candidates) < len(g.Slots) {
-		sc.candidates = gatherAll(sc.candidates[:0], r, s, g)
-		in, err = filter(r, sc.candidates)
+		in, err = scan(sc.candidates[:0], r, s, g)
+		sc.candidates = in[:0]
 	}
 	if err != nil {
 		return Decision{}, err
@@ -160,7 +160,7 @@
 	positions := float64(max(e.PositionsTotal, 1))
 	c := Candidate{Endpoint: e, Rank: rank, Preferred: preferred}
 	c.Load = (float64(e.Load.InFlight()) + confidence*others) / positions
-	c.Wait = time.Duration(float64(e.Queued) / positions * float64(g.Service.Mean()))
+	c.Wait = queueWait(e, g.Service.Mean())
 	if !r.Adapter.IsZero() {
 		c.Resident = e.Holds(r.Adapter)
 		c.Loading = e.IsLoading(r.Adapter)
--- a/pkg/placement/bench_test.go
+++ b/pkg/placement/bench_test.go
@@ -76,18 +76,23 @@
 	}
 }
 
-// BenchmarkPlaceRefused measures a refusal, which looks at every endpoint.
+// BenchmarkPlaceRefused measures a refusal, which looks at every endpoint of the
+// base model. 467 are 2,800 endpoints divided among 6 base models.
 func BenchmarkPlaceRefused(b *testing.B) {
-	now := time.Now()
-	s := directory(2800, 10000, now).Snapshot()
-	a, _ := ident.ParseAdapter(adapterName(1))
-	p := newPolicy()
-	r := placement.Request{Now: now.Add(time.Hour), Kind: fescuev1.EndpointKind_ENDPOINT_KIND_MODEL, Backend: "kuma-7b", Adapter: a}
-	b.ReportAllocs()
-	for b.Loop() {
-		if _, err := p.Place(&r, s); err == nil {
-			b.Fatal("stale endpoint chosen")
-		}
+	for _, endpoints := range []int{10, 100, 467, 1000, 2800} {
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
+			now := time.Now()
+			s := directory(endpoints, 10000, now).Snapshot()
+			a, _ := ident.ParseAdapter(adapterName(1))
+			p := newPolicy()
+			r := placement.Request{Now: now.Add(time.Hour), Kind: fescuev1.EndpointKind_ENDPOINT_KIND_MODEL, Backend: "kuma-7b", Adapter: a}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := p.Place(&r, s); err == nil {
+					b.Fatal("stale endpoint chosen")
+				}
+			}
+		})
 	}
 }
 
--- /dev/null
+++ b/pkg/placement/scan.go
@@ -0,0 +1,67 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/membership"
+)
+
+// Positions in defaultFilters of the obstacles that depend on an endpoint. All
+// endpoints of a group pass the first filter.
+const (
+	obstacleState = iota + 1
+	obstacleStale
+	obstacleExcluded
+	obstacleAdapter
+	obstacleQueue
+	obstacleDeadline
+	noObstacle
+)
+
+// scan collects the endpoints of a group that pass the default filters. It gives
+// the same result as the filters over all candidates of the group, but builds
+// candidates only for the endpoints that pass: a refusal looks at every endpoint.
+func scan(out []Candidate, r *Request, s *membership.Snapshot, g *membership.Group) ([]Candidate, error) {
+	mean := g.Service.Mean()
+	furthest := 0
+	for _, slot := range g.Slots {
+		e := s.At(slot)
+		o := obstacle(r, e, mean)
+		furthest = max(furthest, o)
+		if o == noObstacle {
+			out = append(out, candidate(r, e, g, maxPreferred, 1))
+		}
+	}
+	if furthest < noObstacle {
+		return out, defaultFilters[furthest].err
+	}
+	return out, nil
+}
+
+// obstacle returns the position of the first default filter that drops an
+// endpoint of the right backend.
+func obstacle(r *Request, e *membership.Endpoint, mean time.Duration) int {
+	switch {
+	case e.State != fescuev1.EndpointState_ENDPOINT_STATE_READY:
+		return obstacleState
+	case r.Now.Sub(e.ReportedAt) > StaleAfter:
+		return obstacleStale
+	case len(r.Excluded) > 0 && slices.Contains(r.Excluded, e.ID):
+		return obstacleExcluded
+	case !e.CanLoad && !r.Adapter.IsZero() && !e.Holds(r.Adapter):
+		return obstacleAdapter
+	case e.QueueCapacity > 0 && e.Queued >= e.QueueCapacity:
+		return obstacleQueue
+	case r.Remaining > 0 && queueWait(e, mean) >= r.Remaining:
+		return obstacleDeadline
+	}
+	return noObstacle
+}
+
+// queueWait estimates the time that a new request spends in the queue.
+func queueWait(e *membership.Endpoint, mean time.Duration) time.Duration {
+	positions := float64(max(e.PositionsTotal, 1))
+	return time.Duration(float64(e.Queued) / positions * float64(mean))
+}
