--- a/bench/endpoint_test.go
+++ b/bench/endpoint_test.go
@@ -21,6 +21,10 @@
 	fakeengine "github.com/fescuecourse/fescuecourse/standin/engine"
 )
 
+// leaseTTL is shorter than the default, so that a run sees some renewals. There
+// are three within the time to live.
+const leaseTTL = 6 * time.Second
+
 // fakeEntry is the control stream of one entry.
 type fakeEntry struct {
 	conn    *grpc.ClientConn
@@ -82,7 +86,8 @@
 	backend := serveHTTP(b, engine.Handler(), &engineTraffic)
 	addr := freeAddr(b)
 	d := startDaemon(b, "endpoint", "--id", "model-1", "--zone", "zone-0", "--listen", addr, "--kind", "model", "--backend", "model-0",
-		"--backend-address", backend, "--fencing", "checked", "--kv", p.kv.Addr(), "--reviewers", p.reviewers, "--log-level", "warn")
+		"--backend-address", backend, "--fencing", "checked", "--kv", p.kv.Addr(), "--reviewers", p.reviewers, "--log-level", "warn",
+		"--lease-ttl", leaseTTL.String())
 	var list []*fakeEntry
 	for i := range entries {
 		list = append(list, dialEntry(b, addr, i, &control, &reports))
@@ -90,6 +95,7 @@
 	s := p.syncer(b)
 	push(b, s, list, p.root.Version)
 	time.Sleep(settleTime)
+	b.ReportMetric(float64(p.kv.Counts().Grant+p.kv.Counts().Txn), "kv_writes_until_ready")
 	for b.Loop() {
 		cpu, began := d.cpu(b), time.Now()
 		bytes, n, calls := control.bytes.Load(), reports.Load(), p.kv.Counts()
@@ -100,7 +106,7 @@
 		b.ReportMetric(float64(control.bytes.Load()-bytes)/sec, "control_bytes/s")
 		b.ReportMetric(float64(reports.Load()-n)/sec, "reports/s")
 		b.ReportMetric(float64(control.bytes.Load()-bytes)/float64(max(reports.Load()-n, 1)), "wire_bytes/report")
-		b.ReportMetric(float64(p.kv.Counts().Total()-calls.Total())/sec, "kv_calls/s")
+		b.ReportMetric(float64(p.kv.Counts().Total()-calls.Total())/(sec/(leaseTTL/3).Seconds()), "kv_calls/renewal")
 	}
 	p.rollout(b)
 	s = p.syncer(b)
--- a/bench/entry_test.go
+++ b/bench/entry_test.go
@@ -140,12 +140,12 @@
 			b.ReportMetric(float64(used.Microseconds())/float64(n), "cpu_us/report")
 		}
 	}
-	before, calls := d.cpu(b), p.kv.Counts().Total()
+	before, ranges := d.cpu(b), p.kv.Counts().Range
 	p.rollout(b)
 	f.version.Store(uint64(p.root.Version))
 	time.Sleep(settleTime)
 	b.ReportMetric(float64((d.cpu(b) - before).Milliseconds()), "cpu_ms_in_rollout")
-	b.ReportMetric(float64(p.kv.Counts().Total()-calls), "kv_calls_in_rollout")
+	b.ReportMetric(float64(p.kv.Counts().Range-ranges), "kv_reads_in_rollout")
 	b.ReportMetric(d.rss(b), "rss_after_rollout_bytes")
 	b.ReportMetric(0, "ns/op")
 }
--- a/pkg/permits/bench_test.go
+++ b/pkg/permits/bench_test.go
@@ -11,7 +11,7 @@
 // BenchmarkPermits measures one release with its next grant and the new request
 // of the released endpoint, with every endpoint waiting.
 func BenchmarkPermits(b *testing.B) {
-	for _, endpoints := range []int{1, 100, 2800} {
+	for _, endpoints := range []int{1, 10, 100, 1000, 2800} {
 		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
 			now := time.Unix(0, 0)
 			c := New(Config{MaxConcurrent: 1, GrantTTL: time.Minute})
--- a/pkg/scheduler/bench_test.go
+++ b/pkg/scheduler/bench_test.go
@@ -42,3 +42,33 @@
 		})
 	}
 }
+
+// BenchmarkSubmitAdapters measures one Submit, with its withdrawal, over a queue
+// of 100 attempts after requests for the given number of adapters.
+func BenchmarkSubmitAdapters(b *testing.B) {
+	for _, adapters := range []int{100, 1000, 10000, 98000} {
+		b.Run(fmt.Sprint(adapters), func(b *testing.B) {
+			now := time.Unix(0, 0)
+			s := New(Config{Slots: 8, Positions: 32, MaxQueued: 1 << 20})
+			s.SetAuthority(now, true)
+			for i := range 132 {
+				s.Submit(now, benchWork(i, now))
+			}
+			work := make([]Work, adapters)
+			for i := range work {
+				work[i] = benchWork(1<<20+i, now)
+				work[i].Adapter.Name = fmt.Sprintf("adapter-%d", i)
+				s.Submit(now, work[i])
+				s.Revoke(now, work[i].ID)
+			}
+			i := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				w := work[i%adapters]
+				s.Submit(now, w)
+				s.Revoke(now, w.ID)
+				i += 7919
+			}
+		})
+	}
+}
