--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -33,9 +33,6 @@
 	leaveGrace = time.Second
 	// stopGrace is how long the server waits for the last frames to be written.
 	stopGrace = 5 * time.Second
-	// readBufferBytes is the read buffer of each connection. The default of 32 KiB
-	// takes 11 MB at 330 entries, whose messages are small.
-	readBufferBytes = 4 << 10
 	// idleConnTimeout closes idle connections to the back end.
 	idleConnTimeout = 30 * time.Second
 )
@@ -116,8 +113,6 @@
 		e.addr.Store(a)
 	}
 	srv := grpc.NewServer(
-		grpc.ReadBufferSize(readBufferBytes),
-		grpc.SharedWriteBuffer(true),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveMinTime, PermitWithoutStream: true}),
 	)
--- a/pkg/entry/link.go
+++ b/pkg/entry/link.go
@@ -39,18 +39,12 @@
 	retired bool
 }
 
-// readBufferBytes is the read buffer of each connection. An entry holds hundreds
-// of connections whose messages are small; the default is 32 KiB.
-const readBufferBytes = 4 << 10
-
 func newConn(address string) (*grpc.ClientConn, error) {
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
-		grpc.WithReadBufferSize(readBufferBytes),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true}))
 	return conn, errors.Wrap(err, "create connection")
 }
