Derive the capacity page from measured slopes

Cause: design 2.4 sets limits for the target, and nothing computed what the system needs there. Measured: go test ./bench -run CapacityTotals passes; the benchmarks are named on the page.

--- /dev/null
+++ b/bench/capacity_test.go
@@ -0,0 +1,107 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// model is docs/capacity.json: measured slopes, sizes of the target and totals.
+type model struct {
+	// Slopes and Sizes are named values.
+	Slopes map[string]slope   `json:"slopes"`
+	Sizes  map[string]float64 `json:"sizes"`
+	Totals []totalRow         `json:"totals"`
+}
+
+type slope struct {
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit"`
+	// Bench is the benchmark that measures the value, or its origin.
+	Bench string `json:"bench"`
+}
+
+// totalRow is a sum of products. A factor "/x" divides by x.
+type totalRow struct {
+	Name  string     `json:"name"`
+	Sum   [][]string `json:"sum"`
+	Unit  string     `json:"unit"`
+	Value float64    `json:"value"`
+	// Limit is 0 if the target sets none.
+	Limit float64 `json:"limit"`
+}
+
+func (m *model) factor(name string) (float64, error) {
+	base, divides := strings.CutPrefix(name, "/")
+	v, ok := m.Sizes[base]
+	if s, isSlope := m.Slopes[base]; isSlope {
+		v, ok = s.Value, true
+	}
+	if !ok || v == 0 {
+		return 0, fmt.Errorf("no value %q", base)
+	}
+	if divides {
+		return 1 / v, nil
+	}
+	return v, nil
+}
+
+func (m *model) total(r *totalRow) (float64, error) {
+	sum := 0.0
+	for _, product := range r.Sum {
+		p := 1.0
+		for _, name := range product {
+			f, err := m.factor(name)
+			if err != nil {
+				return 0, fmt.Errorf("%s: %w", r.Name, err)
+			}
+			p *= f
+		}
+		sum += p
+	}
+	return sum, nil
+}
+
+// number formats a value without an exponent.
+func number(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
+
+// verdict compares a total with its limit.
+func (r *totalRow) verdict() string {
+	switch {
+	case r.Limit == 0:
+		return ""
+	case r.Value > r.Limit:
+		return fmt.Sprintf("**%.1f x the limit of %g**", r.Value/r.Limit, r.Limit)
+	default:
+		return fmt.Sprintf("within %g", r.Limit)
+	}
+}
+
+// Guards against totals on the capacity page that do not follow from its slopes
+// and sizes, and against rows of the page that differ from the totals.
+func TestCapacityTotals(t *testing.T) {
+	text, err := os.ReadFile("../docs/capacity.json")
+	assert.NilError(t, err)
+	var m model
+	assert.NilError(t, json.Unmarshal(text, &m))
+	page, err := os.ReadFile("../docs/CAPACITY.md")
+	assert.NilError(t, err)
+	for i := range m.Totals {
+		r := &m.Totals[i]
+		got, err := m.total(r)
+		assert.NilError(t, err)
+		assert.Assert(t, math.Abs(got-r.Value) <= 0.005*math.Abs(got), "%s: computed %.4g, file says %.4g", r.Name, got, r.Value)
+		row := fmt.Sprintf("| %s | %s %s | %s |", r.Name, number(r.Value), r.Unit, r.verdict())
+		assert.Assert(t, strings.Contains(string(page), row), "the page lacks the row %s", row)
+	}
+	for name, s := range m.Slopes {
+		row := fmt.Sprintf("| `%s` | %s %s | %s |", name, number(s.Value), s.Unit, s.Bench)
+		assert.Assert(t, strings.Contains(string(page), row), "the page lacks the row %s", row)
+	}
+}
