Remove the program that the benchmarks build

Cause: each run of the process benchmarks left a built fescued behind. Change: the directory is removed after the run. Measured: go test ./bench -run - -bench EndpointProcess/entries=1/adapters=100$ -benchtime 1x leaves no directory. Conclusion: the benchmarks can be repeated without cleaning up.

--- a/bench/process_test.go
+++ b/bench/process_test.go
@@ -33,11 +33,23 @@
 	log bytes.Buffer
 }
 
+// buildDir holds the built program. It is empty if no benchmark needed it.
+var buildDir string
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if buildDir != "" {
+		_ = os.RemoveAll(buildDir) // left behind at worst
+	}
+	os.Exit(code)
+}
+
 var buildOnce = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "fescue-bench")
 	if err != nil {
 		return "", err
 	}
+	buildDir = dir
 	path := filepath.Join(dir, "fescued")
 	out, err := exec.Command("go", "build", "-o", path, "../cmd/fescued").CombinedOutput()
 	if err != nil {
