--- a/pkg/endpoint/hub.go
+++ b/pkg/endpoint/hub.go
@@ -19,9 +19,7 @@
 	// the resident set or the bundle version. Entries use an endpoint for three
 	// intervals without a report.
 	reportInterval = 2 * time.Second
-	// reportCheckInterval is how often a held back report is looked at again.
-	reportCheckInterval = 250 * time.Millisecond
-	streamBuffer        = 256
+	streamBuffer   = 256
 )
 
 // hub holds the control streams of the connected entries.
@@ -43,6 +41,13 @@
 	changed chan struct{}
 }
 
+func (s *controlStream) wake() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
 func newHub(e *Endpoint) *hub {
 	return &hub{e: e, log: e.log.For(logging.PartPermit), streams: map[ident.EntryID]*controlStream{}, closed: make(chan struct{})}
 }
@@ -52,10 +57,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, s := range h.streams {
-		select {
-		case s.changed <- struct{}{}:
-		default:
-		}
+		s.wake()
 	}
 }
 
@@ -179,15 +181,15 @@
 	}
 }
 
-// sendReports sends a report when the state has changed and as a heartbeat.
+// sendReports sends a report when the state has changed and at the interval.
 func (e *Endpoint) sendReports(stream grpc.BidiStreamingServer[fescuev1.ControlRequest, fescuev1.ControlResponse], s *controlStream) error {
 	last := e.report()
 	if err := sendReport(stream, last); err != nil {
 		return err
 	}
 	sent := time.Now()
-	heartbeat := time.NewTicker(reportCheckInterval)
-	defer heartbeat.Stop()
+	next := time.NewTimer(reportInterval)
+	defer next.Stop()
 	for {
 		select {
 		case <-e.hub.closed:
@@ -200,16 +202,17 @@
 			}
 			continue
 		case <-s.changed:
-		case <-heartbeat.C:
+		case <-next.C:
 		}
-		next := e.report()
-		if !reportDue(last, next, time.Since(sent)) {
+		r := e.report()
+		if !reportDue(last, r, time.Since(sent)) {
 			continue
 		}
-		if err := sendReport(stream, delta(last, next)); err != nil {
+		if err := sendReport(stream, delta(last, r)); err != nil {
 			return err
 		}
-		last, sent = next, time.Now()
+		last, sent = r, time.Now()
+		next.Reset(reportInterval)
 	}
 }
 
