--- /dev/null
+++ b/pkg/demo/callers.go
@@ -0,0 +1,156 @@
+package demo
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/workload"
+)
+
+// Behaviour of the callers and of the load balancer in front of the entries.
+const (
+	// balancerLag is how late the balancer notices that an entry stops.
+	balancerLag = 200 * time.Millisecond
+	// faultUnready leaves the balancer time before an entry stops accepting.
+	faultUnready = 800 * time.Millisecond
+	// repeatDelay is the time after which a caller repeats a request.
+	repeatDelay = time.Second
+	maxRepeats  = 3
+)
+
+// balancer chooses an entry for each request.
+type balancer struct {
+	entries []*EntryServer
+
+	mu   sync.Mutex
+	down []bool
+	// kills are the times in which an entry was killed and not reachable again.
+	kills []outage
+}
+
+// outage is a time without the process of an entry.
+type outage struct {
+	addr     string
+	from, to time.Time
+}
+
+func newBalancer(entries []*EntryServer) *balancer {
+	return &balancer{entries: entries, down: make([]bool, len(entries))}
+}
+
+// pick returns the address of the i-th entry in turn, or of the next one that
+// is not known to be down.
+func (b *balancer) pick(i int) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for k := range b.entries {
+		if n := (i + k) % len(b.entries); !b.down[n] {
+			return b.entries[n].Addr()
+		}
+	}
+	return b.entries[i%len(b.entries)].Addr()
+}
+
+func (b *balancer) setDown(i int, down bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.down[i] = down
+}
+
+func (b *balancer) killed(addr string, from time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.kills = append(b.kills, outage{addr: addr, from: from})
+}
+
+// restarted ends the open outage of an entry.
+func (b *balancer) restarted(addr string, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range b.kills {
+		if b.kills[i].addr == addr && b.kills[i].to.IsZero() {
+			b.kills[i].to = at
+		}
+	}
+}
+
+// brokenByKill reports whether a request was in progress at an entry while it
+// was killed.
+func (b *balancer) brokenByKill(addr string, a *workload.Answer) bool {
+	if a.Err == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, k := range b.kills {
+		if k.addr == addr && a.End.After(k.from) && (k.to.IsZero() || a.Start.Before(k.to)) {
+			return true
+		}
+	}
+	return false
+}
+
+// endEntry ends and restarts an entry, and takes it out of the balancer
+// meanwhile.
+func (f *faultRun) endEntry(ctx context.Context, i int, kind FaultKind, down time.Duration) error {
+	e := f.c.Entries[i]
+	undo := time.AfterFunc(balancerLag, func() { f.balancer.setDown(i, true) })
+	defer undo.Stop()
+	var err error
+	if kind == FaultEntryKill {
+		f.balancer.killed(e.Addr(), time.Now())
+		err = e.Kill()
+	} else {
+		err = e.Leave()
+	}
+	time.Sleep(max(down, balancerLag+down))
+	if err != nil {
+		return err
+	}
+	if err := e.Start(); err != nil {
+		return err
+	}
+	f.balancer.restarted(e.Addr(), time.Now())
+	if err := e.waitReady(context.WithoutCancel(ctx)); err != nil {
+		return err
+	}
+	f.balancer.setDown(i, false)
+	return nil
+}
+
+// send sends one request and its repeats and records all answers.
+func (f *faultRun) send(ctx context.Context, client *workload.Client, turn int, r *workload.Request, intended time.Time) {
+	for n := 0; ; n++ {
+		addr := f.balancer.pick(turn + n)
+		a := client.Send(context.WithoutCancel(ctx), addr, r, intended)
+		broken := f.balancer.brokenByKill(addr, &a)
+		f.record(workload.Sample{Request: *r, Answer: a, Intended: intended, Repeat: n > 0}, broken)
+		if n == maxRepeats || !f.mayRepeat(r, &a, broken) {
+			return
+		}
+		f.addTo(&f.repeated, 1)
+		time.Sleep(repeatDelay)
+		intended = time.Now()
+	}
+}
+
+// mayRepeat reports whether the caller repeats a request: with an idempotency
+// key after any end that leaves its result open.
+func (f *faultRun) mayRepeat(r *workload.Request, a *workload.Answer, broken bool) bool {
+	return f.repeatKeyed && r.Key != "" && (broken || a.Outcome == ident.Unknown.String())
+}
+
+// record adds a sample. Requests without a version get the version of their
+// answer if it was current at the time. A connection broken by the end of its
+// entry is no violation, but the request's runs are checked.
+func (f *faultRun) record(s workload.Sample, broken bool) {
+	if broken {
+		f.addTo(&f.broken, 1)
+		f.load.addRuns(s)
+		return
+	}
+	f.history.resolve(&s)
+	f.load.add(s)
+}
--- a/pkg/demo/check.go
+++ b/pkg/demo/check.go
@@ -28,6 +28,15 @@
 	r.samples = append(r.samples, s)
 }
 
+// addRuns records a sample whose answer was lost with its entry, so that only
+// its runs are checked.
+func (r *run) addRuns(s workload.Sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.Answer = workload.Answer{Start: s.Answer.Start, End: s.Answer.End}
+	r.samples = append(r.samples, s)
+}
+
 func (r *run) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/demo/cluster.go
+++ b/pkg/demo/cluster.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -13,8 +12,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
-	"github.com/fescuecourse/fescuecourse/pkg/entry"
-	"github.com/fescuecourse/fescuecourse/pkg/node"
 	"github.com/fescuecourse/fescuecourse/standin/fault"
 	"github.com/fescuecourse/fescuecourse/standin/kvstore"
 	fakevmlist "github.com/fescuecourse/fescuecourse/standin/vmlist"
@@ -27,7 +24,7 @@
 // Cluster is a running deployment.
 type Cluster struct {
 	Opts    Options
-	Entries []*entry.Entry
+	Entries []*EntryServer
 	Servers []*Server
 	Weights *weightstore.Store
 	// WeightFaults are the faults of the weight store.
@@ -39,11 +36,12 @@
 	KV *kvstore.Server
 
 	reviewers bundle.Reviewers
-	platform  *process
-	vmAddrs   []string
-	entries   []*process
-	servers   []*http.Server
-	wg        sync.WaitGroup
+	// root is the record of the first bundle.
+	root     *bundle.Root
+	platform *process
+	vmAddrs  []string
+	servers  []*http.Server
+	wg       sync.WaitGroup
 }
 
 // Start brings up all parts and waits until the entries know all endpoints.
@@ -116,37 +114,12 @@
 	return c.Opts.AvailabilityZone[i%len(c.Opts.AvailabilityZone)]
 }
 
-func (c *Cluster) startEntry(i int) error {
-	listen := "127.0.0.1:0"
-	if i == 0 {
-		listen = c.Opts.EntryListen
-	}
-	set := entry.Settings{
-		ID: fmt.Sprintf("entry-%d", i+1), Zone: c.entryZone(i), Listen: listen, VMList: c.vmAddrs[i],
-		DefaultDeadline: 30 * time.Second, MaxDeadline: 10 * time.Minute, MaxBodyBytes: 4 << 20,
-		UnreadyDelay: c.Opts.UnreadyDelay, DrainTimeout: c.Opts.DrainTimeout,
-	}
-	n, err := node.NewEntry(set, c.nodePlatform(c.store()))
-	if err != nil {
-		return err
-	}
-	p := startProcess(n.Run)
-	select {
-	case <-n.Ready():
-	case <-p.done:
-		return p.err
-	}
-	c.Entries = append(c.Entries, n.Entry)
-	c.entries = append(c.entries, p)
-	return nil
-}
-
 // waitReady waits until every entry knows all endpoints.
 func (c *Cluster) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for _, e := range c.Entries {
-		for e.ReadyEndpoints() < len(c.Servers) {
+		for e.current().ReadyEndpoints() < len(c.Servers) {
 			select {
 			case <-ctx.Done():
 				return errors.New("endpoints are not ready in time")
@@ -168,7 +141,13 @@
 
 // Stop stops the entries gracefully, then the endpoints, then the fakes.
 func (c *Cluster) Stop() error {
-	err := stopAll(c.entries)
+	var entries []*process
+	for _, e := range c.Entries {
+		if p := e.running(); p != nil {
+			entries = append(entries, p)
+		}
+	}
+	err := stopAll(entries)
 	var endpoints []*process
 	for _, s := range c.Servers {
 		if p := s.current(); p != nil {
--- a/pkg/demo/command.go
+++ b/pkg/demo/command.go
@@ -30,7 +30,7 @@
 	listen := fs.String("listen", "127.0.0.1:0", "`address` of the first entry, with --serve")
 	faults := fs.Bool("faults", false, "inject faults under load")
 	duration := fs.Duration("duration", time.Minute, "length of the load, with --faults")
-	repeatKeyed := fs.Bool("repeat-keyed", false, "repeat requests with an idempotency key whose outcome is unknown, with --faults")
+	repeatKeyed := fs.Bool("repeat-keyed", true, "repeat requests with an idempotency key whose outcome is unknown, with --faults")
 	level := fs.String("log-level", "disabled", "lowest `level` that is logged on stderr")
 	if code, ok := parseFlags(fs, args); !ok {
 		return code
--- /dev/null
+++ b/pkg/demo/content.go
@@ -0,0 +1,96 @@
+package demo
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/workload"
+)
+
+// Limits of the demo's teams. A rollout changes them within a range that the
+// load never reaches.
+const (
+	teamInFlight      = 1000
+	teamInFlightRange = 200
+)
+
+// adapterName is an adapter without its version.
+type adapterName struct {
+	Team ident.Team
+	Name string
+}
+
+// content is what the bundles of a run change.
+type content struct {
+	Version ident.BundleVersion
+	// Versions is the number of versions of each adapter, from 1.
+	Versions    map[adapterName]int
+	Current     map[adapterName]string
+	MaxInFlight map[ident.Team]int
+}
+
+// firstVersions is the number of versions of each adapter at the start.
+const firstVersions = 2
+
+func newContent(opts *Options) content {
+	c := content{Version: 1, Versions: map[adapterName]int{}, Current: map[adapterName]string{}, MaxInFlight: map[ident.Team]int{}}
+	for _, t := range opts.Teams {
+		c.MaxInFlight[t.Name] = teamInFlight
+		for i := range t.Adapters {
+			n := adapterName{Team: t.Name, Name: workload.AdapterName(i)}
+			c.Versions[n], c.Current[n] = firstVersions, workload.CurrentVersion
+		}
+	}
+	return c
+}
+
+// next returns the content of the following bundle: an adapter with a new
+// version, which becomes current, another adapter with another current version,
+// and a new limit of a team. It also returns the new adapter version.
+func (c content) next(opts *Options, rng *rand.Rand) (content, ident.Adapter) {
+	out := content{Version: c.Version + 1, Versions: maps.Clone(c.Versions), Current: maps.Clone(c.Current), MaxInFlight: maps.Clone(c.MaxInFlight)}
+	t := &opts.Teams[rng.IntN(len(opts.Teams))]
+	out.MaxInFlight[t.Name] = teamInFlight + rng.IntN(teamInFlightRange)
+	// Popular adapters come first.
+	changed := adapterName{Team: t.Name, Name: workload.AdapterName(rng.IntN(min(changedAdapters, t.Adapters)))}
+	out.Current[changed] = strconv.Itoa(1 + rng.IntN(out.Versions[changed]))
+	extended := adapterName{Team: t.Name, Name: workload.AdapterName(rng.IntN(min(changedAdapters, t.Adapters)))}
+	out.Versions[extended]++
+	out.Current[extended] = strconv.Itoa(out.Versions[extended])
+	return out, ident.Adapter{Team: extended.Team, Name: extended.Name, Version: out.Current[extended]}
+}
+
+// changedAdapters is the number of adapters of a team that rollouts change.
+const changedAdapters = 8
+
+// text returns the bundle.
+func (c content) text(opts *Options) string {
+	var b strings.Builder
+	b.WriteString(reviewersText())
+	fmt.Fprintf(&b, "[bundle]\nversion = %d\n\n[deployment]\nname = %s\nstall_weight = 0.8\nbatch_weight = 0.2\n\n", c.Version, opts.Name)
+	for _, t := range opts.Teams {
+		sum := sha256.Sum256([]byte(t.Key))
+		fmt.Fprintf(&b, "[team %q]\nkey_sha256 = %s\nweight = %d\npriority = %s\nmax_in_flight = %d\nrate = 10000\n\n", t.Name, hex.EncodeToString(sum[:]), t.Weight, t.Priority, c.MaxInFlight[t.Name])
+		for i := range t.Adapters {
+			n := adapterName{Team: t.Name, Name: workload.AdapterName(i)}
+			fmt.Fprintf(&b, "[adapter \"%s/%s\"]\nbase_model = %s\nversions = %s\ncurrent = %s\n\n", t.Name, n.Name, BaseModel, versionList(c.Versions[n]), c.Current[n])
+		}
+	}
+	fmt.Fprintf(&b, "[service %q]\n\n[route \"%s/status\"]\nidempotent = true\n", opts.Service, opts.Service)
+	return b.String()
+}
+
+func versionList(n int) string {
+	list := make([]string, 0, n)
+	for v := range n {
+		list = append(list, strconv.Itoa(v+1))
+	}
+	return strings.Join(slices.Clip(list), ", ")
+}
--- a/pkg/demo/demo_test.go
+++ b/pkg/demo/demo_test.go
@@ -28,10 +28,10 @@
 				continue
 			}
 			assert.Equal(t, phaseAt(p.At), phaseCalm)
-			assert.Equal(t, p.Kind, FaultLeave)
+			assert.Assert(t, p.Kind == FaultLeave || p.Kind == FaultEntryLeave)
 			calm++
 		}
-		assert.Equal(t, calm, 4*4)
+		assert.Equal(t, calm, 4*5)
 	})
 }
 
--- /dev/null
+++ b/pkg/demo/entryserver.go
@@ -0,0 +1,154 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/entry"
+	"github.com/fescuecourse/fescuecourse/pkg/node"
+)
+
+// Limits of the restart of an entry.
+const (
+	entryReadyTimeout = 30 * time.Second
+	entryPoll         = 20 * time.Millisecond
+)
+
+// EntryServer is one entry VM of the cluster. Its process can be stopped and
+// started again under the same address.
+type EntryServer struct {
+	c   *Cluster
+	set entry.Settings
+
+	mu      sync.Mutex
+	process *process
+	node    *node.Entry
+	store   *processStore
+	// generation counts starts and stops.
+	generation int
+}
+
+func (c *Cluster) startEntry(i int) error {
+	listen := "127.0.0.1:0"
+	if i == 0 {
+		listen = c.Opts.EntryListen
+	}
+	e := &EntryServer{c: c, set: entry.Settings{
+		ID: fmt.Sprintf("entry-%d", i+1), Zone: c.entryZone(i), Listen: listen, VMList: c.vmAddrs[i],
+		DefaultDeadline: 30 * time.Second, MaxDeadline: 10 * time.Minute, MaxBodyBytes: 4 << 20,
+		UnreadyDelay: c.Opts.UnreadyDelay, DrainTimeout: c.Opts.DrainTimeout,
+	}}
+	if err := e.Start(); err != nil {
+		return err
+	}
+	e.set.Listen = e.node.Addr()
+	c.Entries = append(c.Entries, e)
+	return nil
+}
+
+// Addr returns the address, which is the same after a restart.
+func (e *EntryServer) Addr() string { return e.set.Listen }
+
+// Start starts a new process. It waits while the address is still in use.
+func (e *EntryServer) Start() error {
+	deadline := time.Now().Add(entryReadyTimeout)
+	for {
+		err := e.start()
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(entryPoll)
+	}
+}
+
+func (e *EntryServer) start() error {
+	store := &processStore{Store: e.c.store()}
+	n, err := node.NewEntry(e.set, e.c.nodePlatform(store))
+	if err != nil {
+		return err
+	}
+	p := startProcess(n.Run)
+	select {
+	case <-n.Ready():
+	case <-p.done:
+		return p.err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.process, e.node, e.store = p, n, store
+	e.generation++
+	return nil
+}
+
+// Leave stops the process gracefully.
+func (e *EntryServer) Leave() error { return e.end().stop() }
+
+// Kill ends the process without a drain.
+func (e *EntryServer) Kill() error {
+	e.mu.Lock()
+	n, store := e.node, e.store
+	e.mu.Unlock()
+	p := e.end()
+	store.dead.Store(true)
+	n.Kill()
+	return p.wait()
+}
+
+// end marks the process as ended and returns it.
+func (e *EntryServer) end() *process {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.process
+	e.process = nil
+	e.generation++
+	return p
+}
+
+func (e *EntryServer) current() *node.Entry {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.node
+}
+
+func (e *EntryServer) running() *process {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.process
+}
+
+// live returns the generation of the process and whether it runs.
+func (e *EntryServer) live() (int, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.generation, e.process != nil
+}
+
+// waitReady waits until the entry reports ready.
+func (e *EntryServer) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, entryReadyTimeout)
+	defer cancel()
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Addr()+"/readyz", http.NoBody)
+		if err != nil {
+			return errors.Wrap(err, "build request")
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Newf("entry %s is not ready in time", e.set.ID)
+		case <-time.After(entryPoll):
+		}
+	}
+}
--- a/pkg/demo/faultplan.go
+++ b/pkg/demo/faultplan.go
@@ -15,9 +15,18 @@
 	FaultRestart FaultKind = "engine cold restart"
 	FaultCut     FaultKind = "connections cut"
 	FaultSilence FaultKind = "connections silent"
+	FaultFreeze  FaultKind = "endpoint frozen and back"
+
+	FaultEntryKill  FaultKind = "entry killed and restarted"
+	FaultEntryLeave FaultKind = "entry stopped gracefully and restarted"
 )
 
-var disruptive = []FaultKind{FaultKill, FaultLeave, FaultRestart, FaultCut, FaultSilence}
+var disruptive = []FaultKind{
+	FaultKill, FaultLeave, FaultRestart, FaultCut, FaultSilence, FaultFreeze, FaultEntryKill, FaultEntryLeave,
+}
+
+// ofEntry reports whether the fault ends an entry.
+func (k FaultKind) ofEntry() bool { return k == FaultEntryKill || k == FaultEntryLeave }
 
 // One cycle of a fault run: disturbances, then time to settle, then graceful
 // leaves only. In the calm phase every cut-off request is the fault of a
@@ -30,10 +39,16 @@
 	cycleLength = disturbedPhase + settlePhase + calmPhase
 	// faultInterval is the mean time between disturbances.
 	faultInterval = 700 * time.Millisecond
-	// The leaves of a calm phase start at firstLeave and secondLeave. A leave with
-	// its join takes less than the time between them.
+	// The leaves of a calm phase start at firstLeave and secondLeave, that of an
+	// entry at entryLeave. A leave with its join takes less than the time between
+	// the first two.
 	firstLeave  = 500 * time.Millisecond
+	entryLeave  = 1500 * time.Millisecond
 	secondLeave = 3250 * time.Millisecond
+	// A freeze lasts from freezeMin to freezeMin+freezeSpread, that is, below and
+	// above the time to live of an engine lease.
+	freezeMin    = 1500 * time.Millisecond
+	freezeSpread = 5 * time.Second
 )
 
 // Size is what a plan may disturb. Model servers come before service servers.
@@ -44,9 +59,11 @@
 	At     time.Duration
 	Kind   FaultKind
 	Server int
-	// Connection selects the entry whose connections are disturbed.
+	// Connection selects the entry that is ended or whose connections are
+	// disturbed.
 	Connection int
-	// Down is the time between end and restart of a process.
+	// Down is the time between end and restart of a process, or the length of a
+	// freeze.
 	Down time.Duration
 }
 
@@ -91,10 +108,14 @@
 }
 
 func (p *planner) add(at time.Duration, kind FaultKind, server int) {
-	p.out = append(p.out, PlannedFault{
+	f := PlannedFault{
 		At: at, Kind: kind, Server: server, Connection: p.rng.IntN(p.size.Entries),
 		Down: 200*time.Millisecond + time.Duration(p.rng.Int64N(int64(800*time.Millisecond))),
-	})
+	}
+	if kind == FaultFreeze {
+		f.Down = freezeMin + time.Duration(p.rng.Int64N(int64(freezeSpread)))
+	}
+	p.out = append(p.out, f)
 }
 
 func (p *planner) disturbed(from, to time.Duration) {
@@ -109,12 +130,16 @@
 	}
 }
 
-// calm lets two model servers and two service servers leave. Only non-idempotent
-// calls show a cut-off to the caller, because others are resumed elsewhere.
+// calm lets two model servers, two service servers and an entry leave. Only
+// non-idempotent calls show a cut-off by an endpoint to the caller, because
+// others are resumed elsewhere.
 func (p *planner) calm(from time.Duration) {
 	model, service := p.rng.IntN(p.size.ModelServers), p.rng.IntN(p.size.ServiceServers)
 	for i, at := range []time.Duration{firstLeave, secondLeave} {
 		p.add(from+at, FaultLeave, (model+i)%p.size.ModelServers)
 		p.add(from+at, FaultLeave, p.size.ModelServers+(service+i)%p.size.ServiceServers)
+		if i == 0 {
+			p.add(from+entryLeave, FaultEntryLeave, 0)
+		}
 	}
 }
--- /dev/null
+++ b/pkg/demo/faultreport.go
@@ -0,0 +1,111 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/workload"
+	"github.com/fescuecourse/fescuecourse/standin/fault"
+)
+
+func (f *faultRun) print(duration time.Duration) error {
+	sum, totals := f.load.recorder.Sum(), f.c.engineTotals()
+	w := tabwriter.NewWriter(f.out, 0, 0, 2, ' ', 0)
+	for _, k := range slices.Concat(disruptive, platformKinds) {
+		fmt.Fprintf(w, "%s\t%d\n", k, f.injected[k])
+	}
+	fmt.Fprintf(w, "disturbances skipped, server busy\t%d\n", f.skipped)
+	fmt.Fprintf(w, "connections cut, silenced\t%d, %d\n", f.cut, f.silenced)
+	for _, n := range f.backendFaults() {
+		fmt.Fprintf(w, "%s\t%d\n", n.Kind, n.Injected)
+	}
+	fmt.Fprintf(w, "requests, requests/s\t%d, %.1f\n", sum.Requests, float64(sum.Requests)/duration.Seconds())
+	fmt.Fprintf(w, "keyed requests repeated\t%d\n", f.repeated)
+	fmt.Fprintf(w, "requests broken off with a killed entry\t%d\n", f.broken)
+	fmt.Fprintf(w, "bundles accepted, active everywhere p50/p95/max (ms)\t%d, %s\n", len(f.history.all())-1, quantiles(f.operator.active))
+	fmt.Fprintf(w, "answered, not-run, unknown\t%d, %d, %d\n", sum.Answered, sum.NotRun, sum.Unknown)
+	f.load.printEnds(w)
+	fmt.Fprintf(w, "first token p50/p95/p99 (ms)\t%s\n", sum.FirstToken)
+	fmt.Fprintf(w, "load stall p50/p95/p99 (ms)\t%s\n", sum.LoadStall)
+	fmt.Fprintf(w, "whole answer p50/p95/p99 (ms)\t%s\n", sum.Total)
+	fmt.Fprintf(w, "loads, evictions\t%d, %d\n", totals.loads, totals.evictions)
+	return errors.Wrap(w.Flush(), "write result")
+}
+
+// quantiles returns p50, p95 and the maximum in ms.
+func quantiles(list []time.Duration) string {
+	if len(list) == 0 {
+		return "-"
+	}
+	sorted := slices.Sorted(slices.Values(list))
+	at := func(q float64) int64 { return sorted[int(q*float64(len(sorted)-1)+0.5)].Milliseconds() }
+	return fmt.Sprintf("%d/%d/%d", at(0.5), at(0.95), at(1))
+}
+
+// backendFaults sums the injected faults of all back ends, ordered by kind.
+func (f *faultRun) backendFaults() []fault.Count {
+	sums := map[fault.Kind]int{}
+	for _, i := range f.injectors() {
+		for _, n := range i.Counts() {
+			sums[n.Kind] += n.Injected
+		}
+	}
+	var out []fault.Count
+	for k, n := range sums {
+		out = append(out, fault.Count{Kind: k, Injected: n})
+	}
+	slices.SortFunc(out, func(a, b fault.Count) int { return strings.Compare(string(a.Kind), string(b.Kind)) })
+	return out
+}
+
+// end is how requests of one class ended without an answer.
+type end struct {
+	class         workload.Class
+	keyed, repeat bool
+	outcome, code string
+	// message is without the parts that differ between requests.
+	message string
+}
+
+func (e end) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "  %s", e.class)
+	if e.keyed {
+		b.WriteString(" with key")
+	}
+	if e.repeat {
+		b.WriteString(", repeated")
+	}
+	fmt.Fprintf(&b, ": %s, %s, %s", e.outcome, e.code, e.message)
+	return b.String()
+}
+
+// messageLength bounds the part of an error message that is printed.
+const messageLength = 120
+
+// printEnds prints how often each class of requests ended without an answer.
+func (r *run) printEnds(w io.Writer) {
+	counts := map[end]int{}
+	for i := range r.samples {
+		s := &r.samples[i]
+		if s.Answer.ErrorCode == "" {
+			continue
+		}
+		message := s.Answer.ErrorMessage[:min(len(s.Answer.ErrorMessage), messageLength)]
+		counts[end{s.Request.Class, s.Request.Key != "", s.Repeat, s.Answer.Outcome, s.Answer.ErrorCode, message}]++
+	}
+	lines := make([]string, 0, len(counts))
+	for e, n := range counts {
+		lines = append(lines, fmt.Sprintf("%s\t%d\n", e, n))
+	}
+	slices.Sort(lines)
+	for _, l := range lines {
+		_, _ = io.WriteString(w, l) // a tabwriter reports errors in Flush
+	}
+}
--- a/pkg/demo/faultrun.go
+++ b/pkg/demo/faultrun.go
@@ -4,15 +4,11 @@
 	"context"
 	"fmt"
 	"io"
-	"slices"
-	"strings"
 	"sync"
-	"text/tabwriter"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/workload"
 	"github.com/fescuecourse/fescuecourse/standin/fault"
 )
@@ -35,6 +31,7 @@
 	o.ServiceDelay = faultServiceDelay
 	o.Relays = true
 	o.VMListLag = time.Second
+	o.UnreadyDelay = faultUnready
 	o.FaultSeed = seed
 	return o
 }
@@ -45,6 +42,11 @@
 	load *run
 	// repeatKeyed makes callers repeat keyed requests with an unknown outcome.
 	repeatKeyed bool
+	balancer    *balancer
+	history     *history
+	monitor     *monitor
+	operator    *operator
+	steps       []PlannedStep
 	start       time.Time
 	out         io.Writer
 
@@ -54,10 +56,14 @@
 	silenced int
 	cut      int
 	repeated int
-	leaves   []leave
-	errs     error
-	busy     map[int]bool
-	wg       sync.WaitGroup
+	// broken counts requests that were lost with their entry.
+	broken     int
+	leaves     []leave
+	errs       error
+	busy       map[int]bool
+	entryBusy  bool
+	violations []workload.Violation
+	wg         sync.WaitGroup
 }
 
 // leave is one graceful stop of an endpoint.
@@ -73,6 +79,9 @@
 	// RepeatKeyed makes callers repeat requests that have an idempotency key and
 	// ended unknown.
 	RepeatKeyed bool
+	// ActiveLimit is the longest time until an accepted bundle is active
+	// everywhere. Zero is the limit of the design.
+	ActiveLimit time.Duration
 }
 
 // RunFaults starts a cluster, injects the faults of the seed's plan under load
@@ -89,7 +98,7 @@
 	spec.Load.Deadline = faultDeadline
 	arrivals := workload.Schedule(spec, seed, duration)
 	plan := PlanFaults(seed, duration, Size{ModelServers: c.Opts.ModelServers, ServiceServers: c.Opts.ServiceServers, Entries: c.Opts.Entries})
-	f := &faultRun{c: c, repeatKeyed: run.RepeatKeyed, load: newRun(), out: out, injected: map[FaultKind]int{}, busy: map[int]bool{}, start: time.Now()}
+	f := newFaultRun(c, run, out)
 	f.setRules()
 	f.run(ctx, plan, arrivals, duration)
 	if err := c.Stop(); err != nil {
@@ -99,6 +108,8 @@
 		return f.errs
 	}
 	found := append(f.load.violations(c), f.leaveViolations()...)
+	found = append(found, f.monitor.found()...)
+	found = append(found, f.violations...)
 	if err := f.print(duration); err != nil {
 		return err
 	}
@@ -109,6 +120,23 @@
 	return nil
 }
 
+func newFaultRun(c *Cluster, run FaultRunOptions, out io.Writer) *faultRun {
+	h := &history{limit: run.ActiveLimit}
+	if h.limit == 0 {
+		h.limit = activeLimit
+	}
+	now := time.Now()
+	h.add(acceptedBundle{content: newContent(&c.Opts), at: now})
+	f := &faultRun{
+		c: c, repeatKeyed: run.RepeatKeyed, load: newRun(), out: out, start: now,
+		injected: map[FaultKind]int{}, busy: map[int]bool{},
+		balancer: newBalancer(c.Entries), history: h, monitor: newMonitor(h),
+	}
+	f.operator = newOperator(f, run.Seed)
+	f.steps = PlanPlatform(run.Seed, 1+int(run.Duration/time.Second))
+	return f
+}
+
 // setRules sets the probabilities of faults inside the back ends.
 func (f *faultRun) setRules() {
 	f.c.WeightFaults.Set(fault.StoreReadFailed, fault.Rule{Probability: 0.02})
@@ -131,38 +159,38 @@
 	var background sync.WaitGroup
 	background.Go(func() { f.inject(ctx, plan) })
 	background.Go(func() { f.followPhases(ctx) })
+	background.Go(func() { f.operator.run(ctx, f.steps) })
+	probeCtx, stopProbe := context.WithCancel(context.WithoutCancel(ctx))
+	var probes sync.WaitGroup
+	probes.Go(func() { f.probe(probeCtx) })
 	client := workload.NewClient()
 	defer client.Close()
-	workload.Drive(ctx, client, f.c.Addrs(), arrivals, func(s workload.Sample) {
-		f.load.add(s)
-		if f.repeatKeyed {
-			f.repeat(ctx, client, &s)
-		}
-	})
+	f.drive(ctx, client, arrivals)
 	if wait := time.Until(f.start.Add(duration)); wait > 0 && ctx.Err() == nil {
 		time.Sleep(wait)
 	}
 	cancel()
 	background.Wait()
 	f.wg.Wait()
+	stopProbe()
+	probes.Wait()
 }
 
-// repeatDelay is the time after which a caller repeats a request.
-const repeatDelay = time.Second
-
-// repeat sends a keyed request with an unknown outcome once more, by another
-// entry. Its record must keep it from running twice.
-func (f *faultRun) repeat(ctx context.Context, client *workload.Client, s *workload.Sample) {
-	if s.Request.Key == "" || s.Answer.Outcome != ident.Unknown.String() {
-		return
+// drive sends the arrivals at their times, whatever the latency of earlier
+// answers, and waits for all answers.
+func (f *faultRun) drive(ctx context.Context, client *workload.Client, arrivals []workload.Arrival) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i := range arrivals {
+		intended := f.start.Add(arrivals[i].At)
+		if !sleepCtx(ctx, time.Until(intended)) {
+			return
+		}
+		wg.Go(func() {
+			r := arrivals[i].Request
+			f.send(ctx, client, i, &r, intended)
+		})
 	}
-	time.Sleep(repeatDelay)
-	addrs := f.c.Addrs()
-	now := time.Now()
-	r := s.Request
-	a := client.Send(context.WithoutCancel(ctx), addrs[(r.Seq+1)%len(addrs)], &r, now)
-	f.load.add(workload.Sample{Request: r, Answer: a, Intended: now, Repeat: true})
-	f.addTo(&f.repeated, 1)
 }
 
 // injectors returns the injectors of all fakes.
@@ -220,29 +248,55 @@
 			continue
 		}
 		f.wg.Go(func() {
-			err := f.apply(p)
+			err := f.apply(ctx, p)
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			f.busy[p.Server] = false
+			f.release(p)
 			f.errs = errors.CombineErrors(f.errs, err)
 		})
 	}
 }
 
+// take reserves what a disturbance needs. Only one entry is down at a time.
 func (f *faultRun) take(p PlannedFault) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	noEngine := p.Kind == FaultRestart && f.c.Servers[p.Server].Engine == nil
-	if f.busy[p.Server] || noEngine {
+	if noEngine || (p.Kind.ofEntry() && f.entryBusy) || (!p.Kind.ofEntry() && f.busy[p.Server]) {
 		f.skipped++
 		return false
 	}
-	f.busy[p.Server] = true
+	if p.Kind.ofEntry() {
+		f.entryBusy = true
+	} else {
+		f.busy[p.Server] = true
+	}
 	f.injected[p.Kind]++
 	return true
 }
 
-func (f *faultRun) apply(p PlannedFault) error {
+// release undoes take. The caller holds the mutex.
+func (f *faultRun) release(p PlannedFault) {
+	if p.Kind.ofEntry() {
+		f.entryBusy = false
+	} else {
+		f.busy[p.Server] = false
+	}
+}
+
+func (f *faultRun) count(k FaultKind) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.injected[k]++
+}
+
+func (f *faultRun) violate(v workload.Violation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.violations = append(f.violations, v)
+}
+
+func (f *faultRun) apply(ctx context.Context, p PlannedFault) error {
 	s := f.c.Servers[p.Server]
 	switch p.Kind {
 	case FaultKill:
@@ -255,6 +309,12 @@
 		return f.leave(s, p.Down)
 	case FaultRestart:
 		s.Engine.Restart()
+	case FaultFreeze:
+		s.Freeze()
+		time.Sleep(p.Down)
+		s.Thaw()
+	case FaultEntryKill, FaultEntryLeave:
+		return f.endEntry(ctx, p.Connection, p.Kind, p.Down)
 	case FaultCut:
 		f.addTo(&f.cut, s.relays[p.Connection].Cut())
 	case FaultSilence:
@@ -323,40 +383,3 @@
 	}
 	return s.Answer.Outcome != "answered" && s.Answer.Outcome != "not-run"
 }
-
-func (f *faultRun) print(duration time.Duration) error {
-	sum, totals := f.load.recorder.Sum(), f.c.engineTotals()
-	w := tabwriter.NewWriter(f.out, 0, 0, 2, ' ', 0)
-	for _, k := range disruptive {
-		fmt.Fprintf(w, "%s\t%d\n", k, f.injected[k])
-	}
-	fmt.Fprintf(w, "disturbances skipped, server busy\t%d\n", f.skipped)
-	fmt.Fprintf(w, "connections cut, silenced\t%d, %d\n", f.cut, f.silenced)
-	for _, n := range f.backendFaults() {
-		fmt.Fprintf(w, "%s\t%d\n", n.Kind, n.Injected)
-	}
-	fmt.Fprintf(w, "requests, requests/s\t%d, %.1f\n", sum.Requests, float64(sum.Requests)/duration.Seconds())
-	fmt.Fprintf(w, "keyed requests repeated\t%d\n", f.repeated)
-	fmt.Fprintf(w, "answered, not-run, unknown\t%d, %d, %d\n", sum.Answered, sum.NotRun, sum.Unknown)
-	fmt.Fprintf(w, "first token p50/p95/p99 (ms)\t%s\n", sum.FirstToken)
-	fmt.Fprintf(w, "load stall p50/p95/p99 (ms)\t%s\n", sum.LoadStall)
-	fmt.Fprintf(w, "whole answer p50/p95/p99 (ms)\t%s\n", sum.Total)
-	fmt.Fprintf(w, "loads, evictions\t%d, %d\n", totals.loads, totals.evictions)
-	return errors.Wrap(w.Flush(), "write result")
-}
-
-// backendFaults sums the injected faults of all back ends, ordered by kind.
-func (f *faultRun) backendFaults() []fault.Count {
-	sums := map[fault.Kind]int{}
-	for _, i := range f.injectors() {
-		for _, n := range i.Counts() {
-			sums[n.Kind] += n.Injected
-		}
-	}
-	var out []fault.Count
-	for k, n := range sums {
-		out = append(out, fault.Count{Kind: k, Injected: n})
-	}
-	slices.SortFunc(out, func(a, b fault.Count) int { return strings.Compare(string(a.Kind), string(b.Kind)) })
-	return out
-}
--- a/pkg/demo/options.go
+++ b/pkg/demo/options.go
@@ -1,10 +1,6 @@
 package demo
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"fmt"
-	"strings"
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
@@ -101,18 +97,5 @@
 	}
 }
 
-// BundleText returns the configuration bundle of a cluster.
-func BundleText(opts Options) string {
-	var b strings.Builder
-	b.WriteString(reviewersText())
-	fmt.Fprintf(&b, "[bundle]\nversion = 1\n\n[deployment]\nname = %s\nstall_weight = 0.8\nbatch_weight = 0.2\n\n", opts.Name)
-	for _, t := range opts.Teams {
-		sum := sha256.Sum256([]byte(t.Key))
-		fmt.Fprintf(&b, "[team %q]\nkey_sha256 = %s\nweight = %d\npriority = %s\nmax_in_flight = 1000\nrate = 10000\n\n", t.Name, hex.EncodeToString(sum[:]), t.Weight, t.Priority)
-		for i := range t.Adapters {
-			fmt.Fprintf(&b, "[adapter \"%s/%s\"]\nbase_model = %s\nversions = 1, 2\ncurrent = %s\n\n", t.Name, workload.AdapterName(i), BaseModel, workload.CurrentVersion)
-		}
-	}
-	fmt.Fprintf(&b, "[service %q]\n\n[route \"%s/status\"]\nidempotent = true\n", opts.Service, opts.Service)
-	return b.String()
-}
+// BundleText returns the first configuration bundle of a cluster.
+func BundleText(opts Options) string { return newContent(&opts).text(&opts) }
--- a/pkg/demo/platform.go
+++ b/pkg/demo/platform.go
@@ -7,6 +7,7 @@
 	"encoding/base64"
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,24 +57,26 @@
 	}
 	c.KV = server
 	c.platform = startProcess(server.Run)
-	return c.Rollout(ctx, BundleText(c.Opts), nil)
+	c.root, err = c.Rollout(ctx, c.store(), BundleText(c.Opts), "demo", nil)
+	return err
 }
 
-// Rollout proposes, approves and rolls out a bundle after base.
-func (c *Cluster) Rollout(ctx context.Context, text string, base *bundle.Root) error {
+// Rollout proposes, approves and rolls out a bundle after base. It returns the
+// accepted root record.
+func (c *Cluster) Rollout(ctx context.Context, store kv.Store, text, operator string, base *bundle.Root) (*bundle.Root, error) {
 	ctx, cancel := context.WithTimeout(ctx, rolloutTimeout)
 	defer cancel()
-	p, err := bundle.Propose("demo", text, "demo", base)
+	p, err := bundle.Propose("demo", text, operator, base)
 	if err != nil {
-		return errors.Wrap(err, "propose bundle")
+		return nil, errors.Wrap(err, "propose bundle")
 	}
 	for _, name := range reviewerNames {
 		if err := p.Approve(name, reviewerKey(name)); err != nil {
-			return errors.Wrap(err, "approve bundle")
+			return nil, errors.Wrap(err, "approve bundle")
 		}
 	}
-	_, err = rollout.Rollout(ctx, c.store(), p, c.reviewers)
-	return errors.Wrap(err, "roll out bundle")
+	root, err := rollout.Rollout(ctx, store, p, c.reviewers)
+	return root, errors.Wrap(err, "roll out bundle")
 }
 
 // store returns a client of the key-value service.
@@ -84,32 +87,76 @@
 }
 
 // processStore is the key-value client of one process. It does nothing once the
-// process is killed, so that a crash does not release the engine lease.
+// process is killed, so that a crash does not release the engine lease, and its
+// calls wait while the process is paused.
 type processStore struct {
 	kv.Store
 	dead atomic.Bool
+
+	mu     sync.Mutex
+	paused chan struct{}
+}
+
+// pause holds back all calls until resume.
+func (s *processStore) pause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.paused == nil {
+		s.paused = make(chan struct{})
+	}
+}
+
+func (s *processStore) resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.paused != nil {
+		close(s.paused)
+		s.paused = nil
+	}
+}
+
+// begin waits while the process is paused and fails once it is killed.
+func (s *processStore) begin() error {
+	s.mu.Lock()
+	paused := s.paused
+	s.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+	if s.dead.Load() {
+		return kv.ErrUnavailable
+	}
+	return nil
 }
 
 // Txn implements kv.Store.
 func (s *processStore) Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
-	if s.dead.Load() {
-		return kv.TxnResult{}, kv.ErrUnavailable
+	if err := s.begin(); err != nil {
+		return kv.TxnResult{}, err
 	}
 	return s.Store.Txn(ctx, t)
 }
 
+// Grant implements kv.Store.
+func (s *processStore) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	if err := s.begin(); err != nil {
+		return 0, err
+	}
+	return s.Store.Grant(ctx, ttl)
+}
+
 // KeepAlive implements kv.Store.
 func (s *processStore) KeepAlive(ctx context.Context, id kv.LeaseID) (time.Duration, error) {
-	if s.dead.Load() {
-		return 0, kv.ErrUnavailable
+	if err := s.begin(); err != nil {
+		return 0, err
 	}
 	return s.Store.KeepAlive(ctx, id)
 }
 
 // Revoke implements kv.Store.
 func (s *processStore) Revoke(ctx context.Context, id kv.LeaseID) error {
-	if s.dead.Load() {
-		return kv.ErrUnavailable
+	if err := s.begin(); err != nil {
+		return err
 	}
 	return s.Store.Revoke(ctx, id)
 }
--- /dev/null
+++ b/pkg/demo/platformfaults.go
@@ -0,0 +1,312 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/kv"
+	"github.com/fescuecourse/fescuecourse/pkg/rollout"
+	"github.com/fescuecourse/fescuecourse/pkg/workload"
+	"github.com/fescuecourse/fescuecourse/standin/kvstore"
+)
+
+// Kinds of disturbances of the key-value service and of rollouts.
+const (
+	FaultKVDown      FaultKind = "key-value service down"
+	FaultKVPastLease FaultKind = "key-value service down past the lease"
+	FaultKVSlow      FaultKind = "key-value service slow"
+	FaultKVLost      FaultKind = "key-value service loses replies"
+	FaultKVMute      FaultKind = "key-value service mutes watches"
+	FaultRollout     FaultKind = "rollout"
+	FaultRace        FaultKind = "rollout race of two operators"
+	FaultRolloutDown FaultKind = "rollout, then key-value service down"
+	FaultRolloutLost FaultKind = "rollout with lost replies"
+	FaultRolloutMute FaultKind = "rollout with muted watches"
+	FaultRolloutSlow FaultKind = "rollout with slow key-value service"
+)
+
+var platformKinds = []FaultKind{
+	FaultRollout, FaultRace, FaultRolloutDown, FaultKVDown, FaultRolloutLost, FaultKVPastLease,
+	FaultRolloutMute, FaultKVSlow, FaultKVLost, FaultKVMute, FaultRolloutSlow,
+}
+
+// Strength of the faults of the key-value service.
+const (
+	kvDelay       = 300 * time.Millisecond
+	kvLostReplies = 6
+	// kvHoldMin and kvHoldSpread give the length of a short fault.
+	kvHoldMin    = time.Second
+	kvHoldSpread = 3 * time.Second
+	// pastLease is how much longer than a lease a long outage takes.
+	pastLease = 3 * time.Second
+	// platformPause is the mean pause between two steps.
+	platformPause = 500 * time.Millisecond
+	// activePoll is the interval at which a step looks for an active bundle.
+	activePoll = 20 * time.Millisecond
+)
+
+// PlannedStep is one disturbance of the platform. Steps follow each other, so
+// that their effects can be told apart.
+type PlannedStep struct {
+	Kind  FaultKind
+	Pause time.Duration
+	Hold  time.Duration
+}
+
+// PlanPlatform returns n steps. Every kind occurs once before any occurs again.
+// Equal arguments give equal plans.
+func PlanPlatform(seed uint64, n int) []PlannedStep {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	var out []PlannedStep
+	for len(out) < n {
+		for _, k := range rng.Perm(len(platformKinds)) {
+			out = append(out, PlannedStep{
+				Kind:  platformKinds[k],
+				Pause: time.Duration(rng.ExpFloat64() * float64(platformPause)),
+				Hold:  kvHoldMin + time.Duration(rng.Int64N(int64(kvHoldSpread))),
+			})
+		}
+	}
+	return out[:n]
+}
+
+// operator rolls out bundles and disturbs the key-value service. One goroutine
+// uses it.
+type operator struct {
+	f       *faultRun
+	rng     *rand.Rand
+	content content
+	root    *bundle.Root
+	client  *workload.Client
+	probes  int
+	// active are the times from acceptance until a bundle was active everywhere.
+	active []time.Duration
+}
+
+func newOperator(f *faultRun, seed uint64) *operator {
+	return &operator{f: f, rng: rand.New(rand.NewPCG(seed, 4)), content: newContent(&f.c.Opts), root: f.c.root, client: workload.NewClient()}
+}
+
+// run carries out steps until ctx ends. The service works when it returns.
+func (o *operator) run(ctx context.Context, steps []PlannedStep) {
+	defer o.client.Close()
+	defer o.f.c.KV.SetFaults(kvstore.Faults{})
+	for _, s := range steps {
+		if !sleepCtx(ctx, s.Pause) {
+			return
+		}
+		o.f.count(s.Kind)
+		o.step(ctx, s)
+	}
+}
+
+func (o *operator) step(ctx context.Context, s PlannedStep) {
+	kvFaults := o.f.c.KV
+	defer kvFaults.SetFaults(kvstore.Faults{})
+	switch s.Kind {
+	case FaultKVDown, FaultKVPastLease, FaultKVSlow, FaultKVLost, FaultKVMute:
+		o.disturb(ctx, s)
+	case FaultRace:
+		o.race(ctx)
+	case FaultRolloutDown:
+		o.rolloutThenDown(ctx)
+	case FaultRolloutLost:
+		kvFaults.SetFaults(kvstore.Faults{LoseReplies: kvLostReplies})
+		o.rollout(ctx)
+	case FaultRolloutMute:
+		kvFaults.SetFaults(kvstore.Faults{MuteWatches: true})
+		o.rollout(ctx)
+	case FaultRolloutSlow:
+		kvFaults.SetFaults(kvstore.Faults{Delay: kvDelay})
+		o.rollout(ctx)
+	default:
+		o.rollout(ctx)
+	}
+}
+
+// disturb holds one fault of the key-value service.
+func (o *operator) disturb(ctx context.Context, s PlannedStep) {
+	fault, hold := kvstore.Faults{}, s.Hold
+	switch s.Kind {
+	case FaultKVDown:
+		fault.Down = true
+	case FaultKVPastLease:
+		fault.Down = true
+		hold = o.f.c.Opts.LeaseTTL + pastLease
+	case FaultKVSlow:
+		fault.Delay = kvDelay
+	case FaultKVLost:
+		fault.LoseReplies = kvLostReplies
+	case FaultKVMute:
+		fault.MuteWatches = true
+	}
+	o.f.c.KV.SetFaults(fault)
+	sleepCtx(ctx, hold)
+}
+
+// rootTimer notes when the root was last sent to the key-value service.
+type rootTimer struct {
+	kv.Store
+	mu   sync.Mutex
+	sent time.Time
+}
+
+// Txn implements kv.Store.
+func (s *rootTimer) Txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
+	for _, op := range t.Ops {
+		if op.Key == rollout.RootKey {
+			s.mu.Lock()
+			s.sent = time.Now()
+			s.mu.Unlock()
+		}
+	}
+	return s.Store.Txn(ctx, t)
+}
+
+// tried is one rollout of one operator.
+type tried struct {
+	content content
+	adapter ident.Adapter
+	root    *bundle.Root
+	at      time.Time
+	err     error
+}
+
+func (o *operator) try(ctx context.Context, name string, next content, added ident.Adapter) tried {
+	store := &rootTimer{Store: o.f.c.store()}
+	root, err := o.f.c.Rollout(context.WithoutCancel(ctx), store, next.text(&o.f.c.Opts), name, o.root)
+	return tried{content: next, adapter: added, root: root, at: store.sent, err: err}
+}
+
+// rollout rolls out one bundle and waits until it is active everywhere.
+func (o *operator) rollout(ctx context.Context) {
+	next, added := o.content.next(&o.f.c.Opts, o.rng)
+	t := o.try(ctx, "operator-a", next, added)
+	if t.err != nil {
+		o.violate("rollout of version %d: %v", next.Version, t.err)
+		return
+	}
+	o.accepted(t)
+	o.awaitActive(ctx, &t)
+}
+
+// race lets two operators roll out the same version. One wins, and the other
+// one is told which.
+func (o *operator) race(ctx context.Context) {
+	var got [2]tried
+	var wg sync.WaitGroup
+	for i, name := range []string{"operator-a", "operator-b"} {
+		next, added := o.content.next(&o.f.c.Opts, o.rng)
+		wg.Go(func() { got[i] = o.try(ctx, name, next, added) })
+	}
+	wg.Wait()
+	winner, loser := &got[0], &got[1]
+	if winner.err != nil {
+		winner, loser = loser, winner
+	}
+	if winner.err != nil || loser.err == nil {
+		o.violate("race for version %d: %v and %v", winner.content.Version, got[0].err, got[1].err)
+		return
+	}
+	o.accepted(*winner)
+	var conflict *rollout.ConflictError
+	if !errors.As(loser.err, &conflict) || conflict.Winner.RolloutID != winner.root.RolloutID {
+		o.violate("loser of version %d, won by %s, was told: %v", winner.content.Version, winner.root.RolloutID, loser.err)
+	}
+	o.awaitActive(ctx, winner)
+}
+
+// rolloutThenDown stops the key-value service once one entry has the bundle.
+func (o *operator) rolloutThenDown(ctx context.Context) {
+	next, added := o.content.next(&o.f.c.Opts, o.rng)
+	t := o.try(ctx, "operator-a", next, added)
+	if t.err != nil {
+		o.violate("rollout of version %d: %v", next.Version, t.err)
+		return
+	}
+	o.accepted(t)
+	for !o.f.monitor.seenBy(o.f.c.Entries, next.Version) && time.Since(t.at) < o.f.history.limit {
+		if !sleepCtx(ctx, activePoll) {
+			return
+		}
+	}
+	o.f.c.KV.SetFaults(kvstore.Faults{Down: true})
+	o.awaitActive(ctx, &t)
+}
+
+func (o *operator) accepted(t tried) {
+	o.content, o.root = t.content, t.root
+	o.f.history.add(acceptedBundle{content: t.content, at: t.at})
+}
+
+// awaitActive waits until every live node has the bundle. The monitor reports
+// nodes that are late. Then the new adapter version is asked for by name.
+func (o *operator) awaitActive(ctx context.Context, t *tried) {
+	for !o.f.monitor.activeAt(t.content.Version) {
+		if time.Since(t.at) > o.f.history.limit+kvHoldSpread || !sleepCtx(ctx, activePoll) {
+			return
+		}
+	}
+	o.active = append(o.active, time.Since(t.at))
+	o.askNew(ctx, t.adapter)
+}
+
+// askSeq is the first sequence number of the operator's own requests.
+const askSeq = 1_000_000
+
+// askNew names a new adapter version at every entry. An entry on which the
+// bundle is active must know it.
+func (o *operator) askNew(ctx context.Context, a ident.Adapter) {
+	for i, e := range o.f.c.Entries {
+		before, live := e.live()
+		if !live {
+			continue
+		}
+		o.probes++
+		r := workload.Request{
+			Seq: askSeq + o.probes, Class: workload.ClassCompletion, Team: o.team(a.Team), Adapter: a, Model: a.String(),
+			Prompt: fmt.Sprintf("operator request %d", o.probes), Tokens: 4, Deadline: faultDeadline,
+		}
+		o.f.wg.Go(func() {
+			answer := o.client.Send(context.WithoutCancel(ctx), o.f.c.Entries[i].Addr(), &r, time.Now())
+			after, _ := e.live()
+			broken := answer.Err != nil && after != before
+			o.f.record(workload.Sample{Request: r, Answer: answer, Intended: answer.Start}, broken)
+			if answer.Status == http.StatusNotFound && after == before {
+				o.f.violate(workload.Violation{Kind: workload.NotActive, Detail: fmt.Sprintf("%s does not know %s", e.set.ID, a)})
+			}
+		})
+	}
+}
+
+func (o *operator) team(name ident.Team) *workload.Team {
+	for i := range o.f.c.Opts.Teams {
+		if o.f.c.Opts.Teams[i].Name == name {
+			return &o.f.c.Opts.Teams[i]
+		}
+	}
+	return nil
+}
+
+func (o *operator) violate(format string, args ...any) {
+	o.f.violate(workload.Violation{Kind: workload.RolloutRace, Detail: fmt.Sprintf(format, args...)})
+}
+
+func sleepCtx(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/pkg/demo/server.go
+++ b/pkg/demo/server.go
@@ -31,6 +31,9 @@
 	process *process
 	ep      *node.Endpoint
 	store   *processStore
+	// generation counts starts, stops, freezes and thaws.
+	generation int
+	frozen     bool
 }
 
 func (c *Cluster) newServer(id, kind, backend string, i int) *Server {
@@ -103,6 +106,7 @@
 	}
 	s.mu.Lock()
 	s.process, s.ep, s.store = p, ep, store
+	s.generation++
 	s.mu.Unlock()
 	return s.announce(ep.Addr())
 }
@@ -149,7 +153,7 @@
 // Leave stops the endpoint process gracefully.
 func (s *Server) Leave() error {
 	s.list(vmlist.StateLeaving)
-	err := s.current().stop()
+	err := s.end().stop()
 	for _, vms := range s.c.VMs {
 		vms.Remove(s.ID)
 	}
@@ -159,13 +163,61 @@
 // Kill ends the endpoint process without a drain. The VM list does not change.
 func (s *Server) Kill() error {
 	s.mu.Lock()
-	p, ep, store := s.process, s.ep, s.store
+	ep, store := s.ep, s.store
 	s.mu.Unlock()
+	p := s.end()
 	store.dead.Store(true)
 	ep.Kill()
 	return p.wait()
 }
 
+// end marks the process as ended and returns it.
+func (s *Server) end() *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.process
+	s.process = nil
+	s.generation++
+	return p
+}
+
+// Freeze stops the process from answering or reaching the key-value service.
+// Its connections stay open.
+func (s *Server) Freeze() {
+	s.setFrozen(true)
+	s.store.pause()
+	for _, r := range s.relays {
+		r.Freeze()
+	}
+}
+
+// Thaw lets a frozen process go on.
+func (s *Server) Thaw() {
+	for _, r := range s.relays {
+		r.Thaw()
+	}
+	s.store.resume()
+	s.setFrozen(false)
+}
+
+func (s *Server) setFrozen(frozen bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.frozen = frozen
+	s.generation++
+}
+
+// live returns the generation of the process, whether it runs and answers, and
+// its address.
+func (s *Server) live() (int, bool, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.process == nil || s.frozen {
+		return s.generation, false, ""
+	}
+	return s.generation, true, s.ep.Addr()
+}
+
 func (s *Server) current() *process {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -53,6 +53,8 @@
 	stopped   chan struct{}
 	addr      atomic.Pointer[net.TCPAddr]
 	ready     chan struct{}
+	killed    chan struct{}
+	killOnce  sync.Once
 }
 
 // New returns an entry process.
@@ -75,6 +77,7 @@
 		bus:     b,
 		stopped: make(chan struct{}),
 		ready:   make(chan struct{}),
+		killed:  make(chan struct{}),
 	}
 	e.directory.Store(&membership.Snapshot{})
 	e.events = newEvents(b)
@@ -134,6 +137,8 @@
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "serve")
+	case <-e.killed:
+		return abort(srv)
 	case <-ctx.Done():
 	}
 	return e.drain(srv)
--- a/pkg/workload/check.go
+++ b/pkg/workload/check.go
@@ -23,6 +23,9 @@
 	AnsweredNotRan   ViolationKind = "answered request did not run"
 	EvictedUnderRun  ViolationKind = "adapter evicted under a running request"
 	WorkWhileLeaving ViolationKind = "new work at a leaving endpoint"
+	NotActive        ViolationKind = "bundle not active in time"
+	BundleReverted   ViolationKind = "bundle version fell"
+	RolloutRace      ViolationKind = "wrong result of a rollout"
 	CutOffByStop     ViolationKind = "request cut off by a graceful stop"
 )
 
--- a/pkg/workload/client.go
+++ b/pkg/workload/client.go
@@ -20,6 +20,7 @@
 const (
 	headerOutcome  = "Fescue-Outcome"
 	headerEndpoint = "Fescue-Endpoint"
+	headerBundle   = "Fescue-Bundle-Version"
 	headerAdapter  = "Fescue-Adapter"
 	headerDeadline = "Fescue-Deadline-Ms"
 	headerStall    = "Fescue-Load-Stall-Us"
@@ -43,7 +44,11 @@
 	Outcome  string
 	Endpoint ident.EndpointID
 	Adapter  string
-	Text     string
+	// BundleVersion is the bundle under which the entry resolved the request, or 0.
+	BundleVersion ident.BundleVersion
+	Text          string
+	// ErrorCode and ErrorMessage are those of an error object.
+	ErrorCode, ErrorMessage string
 	// Complete is true if the answer had its normal end.
 	Complete bool
 	// Err is a broken connection or an undecodable answer.
@@ -142,6 +147,8 @@
 	a.Outcome = resp.Header.Get(headerOutcome)
 	a.Endpoint = ident.EndpointID(resp.Header.Get(headerEndpoint))
 	a.Adapter = resp.Header.Get(headerAdapter)
+	version, _ := strconv.ParseUint(resp.Header.Get(headerBundle), 10, 64) // absent on early refusals
+	a.BundleVersion = ident.BundleVersion(version)
 	a.Stall = microseconds(resp.Header.Get(headerStall))
 	a.Queue = microseconds(resp.Header.Get(headerQueue))
 }
@@ -159,6 +166,7 @@
 	} `json:"choices"`
 	Error *struct {
 		Message string `json:"message"`
+		Code    string `json:"code"`
 	} `json:"error"`
 }
 
@@ -192,6 +200,7 @@
 			return
 		}
 		if ev.Error != nil {
+			a.ErrorCode, a.ErrorMessage = ev.Error.Code, ev.Error.Message
 			continue
 		}
 		last = a.token(last, intended)
@@ -222,6 +231,10 @@
 	}
 	a.FirstToken = time.Since(intended)
 	if a.Status != http.StatusOK {
+		var doc completionAnswer
+		if json.Unmarshal(text, &doc) == nil && doc.Error != nil {
+			a.ErrorCode, a.ErrorMessage = doc.Error.Code, doc.Error.Message
+		}
 		return
 	}
 	a.Complete = true
--- a/standin/fault/fault_test.go
+++ b/standin/fault/fault_test.go
@@ -64,6 +64,34 @@
 	assert.Assert(t, ok && timeout.Timeout(), "error: %v", err)
 }
 
+// Guards against a frozen relay that ends connections, delivers data or loses
+// it, because the process behind it would then look dead or restarted.
+func TestRelayFreeze(t *testing.T) {
+	r, err := NewRelay(echo(t))
+	assert.NilError(t, err)
+	defer r.Close()
+	old := dial(t, r)
+	roundTrip(t, old)
+	r.Freeze()
+	fresh := dial(t, r)
+	for _, c := range []net.Conn{old, fresh} {
+		_, err = c.Write([]byte("ping"))
+		assert.NilError(t, err)
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+		_, err = c.Read(make([]byte, 1))
+		timeout, ok := err.(net.Error) //nolint:errorlint // net.Conn returns the error unwrapped
+		assert.Assert(t, ok && timeout.Timeout(), "error: %v", err)
+	}
+	r.Thaw()
+	for _, c := range []net.Conn{old, fresh} {
+		assert.NilError(t, c.SetReadDeadline(time.Time{}))
+		buf := make([]byte, 4)
+		_, err = io.ReadFull(c, buf)
+		assert.NilError(t, err)
+		assert.Equal(t, string(buf), "ping")
+	}
+}
+
 // Guards against a cut that leaves connections open or ends the relay.
 func TestRelayCut(t *testing.T) {
 	r, err := NewRelay(echo(t))
--- a/standin/fault/relay.go
+++ b/standin/fault/relay.go
@@ -25,6 +25,8 @@
 	target string
 	pairs  map[*pair]bool
 	closed bool
+	// frozen is closed when delivery goes on. It is nil while the relay delivers.
+	frozen chan struct{}
 	wg     sync.WaitGroup
 }
 
@@ -73,11 +75,46 @@
 	return len(r.pairs)
 }
 
+// Freeze holds back all data of existing and new connections until Thaw, as if
+// the process behind the relay had stopped running. Connections stay open.
+func (r *Relay) Freeze() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.frozen == nil {
+		r.frozen = make(chan struct{})
+	}
+}
+
+// Thaw delivers the held data and all that follows.
+func (r *Relay) Thaw() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.thaw()
+}
+
+func (r *Relay) thaw() {
+	if r.frozen != nil {
+		close(r.frozen)
+		r.frozen = nil
+	}
+}
+
+// awaitThaw blocks while the relay is frozen.
+func (r *Relay) awaitThaw() {
+	r.mu.Lock()
+	frozen := r.frozen
+	r.mu.Unlock()
+	if frozen != nil {
+		<-frozen
+	}
+}
+
 // Close ends the relay and all its connections.
 func (r *Relay) Close() error {
 	err := r.lis.Close()
 	r.mu.Lock()
 	r.closed = true
+	r.thaw()
 	for p := range r.pairs {
 		p.close()
 	}
@@ -97,6 +134,7 @@
 }
 
 func (r *Relay) serve(client net.Conn) {
+	r.awaitThaw()
 	r.mu.Lock()
 	target := r.target
 	r.mu.Unlock()
@@ -156,7 +194,7 @@
 func (r *Relay) forward(p *pair, dst, src net.Conn) {
 	chunks := make(chan chunk, chunksInFlight)
 	var wg sync.WaitGroup
-	wg.Go(func() { deliver(p, dst, chunks) })
+	wg.Go(func() { r.deliver(p, dst, chunks) })
 	buf := make([]byte, chunkBytes)
 	for {
 		n, err := src.Read(buf)
@@ -175,11 +213,12 @@
 	}
 }
 
-func deliver(p *pair, dst net.Conn, chunks <-chan chunk) {
+func (r *Relay) deliver(p *pair, dst net.Conn, chunks <-chan chunk) {
 	for c := range chunks {
 		if wait := time.Until(c.due); wait > 0 {
 			time.Sleep(wait)
 		}
+		r.awaitThaw()
 		if p.silent.Load() {
 			continue
 		}
