Keep the pause between muted watches short

Cause: a watch that opens but delivers nothing ends after 5 s of silence. Its end counted as a failure, because only watches of 10 s reset the backoff, so the pause before the next read of the root grew to 3 s. With the spread of the push to endpoints, a bundle could become active later than 8 s after its acceptance.

Ruled out: the poll every 30 s hides the fault only when a watch lasts longer.

Change: a watch of 4 s resets the backoff.

Conclusion: with muted watches an entry reads the root at most 5.1 s after its acceptance.

--- a/pkg/rollout/syncer_test.go
+++ b/pkg/rollout/syncer_test.go
@@ -18,6 +18,8 @@
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/kv"
+	"github.com/fescuecourse/fescuecourse/pkg/kv/etcd"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 )
 
@@ -62,6 +64,34 @@
 	})
 }
 
+// mutedStore opens watches that deliver nothing and end after the silence limit.
+type mutedStore struct{ *fakeStore }
+
+func (mutedStore) Watch(ctx context.Context, _ string, _ int64) (<-chan kv.Event, error) {
+	ch := make(chan kv.Event)
+	time.AfterFunc(etcd.DefaultSilence, func() { close(ch) })
+	return ch, nil
+}
+
+// Guards against pauses between muted watches that grow until an entry adopts a
+// bundle so late that the endpoints get it more than 8 s after its acceptance.
+func TestMutedWatchesDelayOneSilenceOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := mutedStore{newFakeStore()}
+		s := NewSyncer(&Holder{}, first, logging.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.Run(ctx, store)
+		var root *bundle.Root
+		for i := range 50 {
+			time.Sleep(time.Minute + time.Duration(i)*100*time.Millisecond)
+			root = roll(t, store.fakeStore, root, i+1, 3)
+			time.Sleep(etcd.DefaultSilence + watchPauseMin)
+			assert.Equal(t, s.Version(), root.Version)
+		}
+	})
+}
+
 // Guards against a rollout that gives up or runs twice when replies are lost,
 // and against one that never ends during an outage.
 func TestRolloutSettlesLostReplies(t *testing.T) {
--- a/pkg/rollout/watch.go
+++ b/pkg/rollout/watch.go
@@ -19,7 +19,10 @@
 	watchPauseMin = 100 * time.Millisecond
 	watchPauseMax = 3 * time.Second
 	// stableWatch is how long a watch must last before its end resets the backoff.
-	stableWatch = 10 * time.Second
+	// It is below the time after which a watch without messages ends, because
+	// with muted watches the pause would grow to its maximum, and a new bundle
+	// would become active later than 8 s after its acceptance.
+	stableWatch = 4 * time.Second
 )
 
 // Run keeps the active bundle up to date from the key-value service until ctx
