Keep idle connections of a stopping entry while it is unready

Cause: a stop began with SetKeepAlivesEnabled(false), which closes all idle connections at once.

Ruled out: killed entries, whose broken connections are counted apart.

Change: responses of a stopping entry carry Connection: close. Idle connections are closed by Shutdown after the unready delay.

Conclusion: a graceful stop breaks no connection before the unready delay ends.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -147,8 +147,6 @@
 // drain stops the HTTP server without cutting off a request.
 func (e *Entry) drain(srv *http.Server) error {
 	e.stopping.Store(true)
-	// Responses from here on ask callers to connect to another entry.
-	srv.SetKeepAlivesEnabled(false)
 	e.log.For(logging.PartEntry).Info().Msg("stopping, unready")
 	time.Sleep(e.set.UnreadyDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), e.set.DrainTimeout)
--- a/pkg/entry/http.go
+++ b/pkg/entry/http.go
@@ -26,6 +26,7 @@
 
 func (e *Entry) routes() http.Handler {
 	r := chi.NewRouter()
+	r.Use(e.closeWhileStopping)
 	r.Post("/v1/completions", e.serveModel)
 	r.Post("/v1/chat/completions", e.serveModel)
 	r.Post(servicePrefix+"*", e.serveService)
@@ -44,6 +45,18 @@
 	return r
 }
 
+// closeWhileStopping makes the responses of a stopping entry the last ones on
+// their connections. Idle connections stay open until the unready delay has
+// passed, because a caller may be sending a request on them.
+func (e *Entry) closeWhileStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // readiness is the body of /readyz.
 type readiness struct {
 	Ready   bool     `json:"ready"`
