Read the engine again after a refusal

Cause: an endpoint reads its engine's state once a second. After a cold restart it evicted adapters that were gone and sent runs for them until then; the failed commands and refused runs spent the retry budget of the entries.

Ruled out: a late status with the old boot id; the fake never goes back.

Change: a failed command or a refused run causes a reading after 50 ms.

TestRefusalRevealsEngineRestart without the change: the adapter still counts as resident after 10 s (regular readings a minute apart); passes with it.

Conclusion: a cold restart is known shortly after its first effect.

--- a/pkg/endpoint/control.go
+++ b/pkg/endpoint/control.go
@@ -16,8 +16,10 @@
 
 // Intervals and limits of the control loop.
 const (
-	tickInterval      = 100 * time.Millisecond
-	enginePoll        = time.Second
+	tickInterval = 100 * time.Millisecond
+	enginePoll   = time.Second
+	// engineRecheck is the shortest time between two readings of the engine.
+	engineRecheck     = 50 * time.Millisecond
 	engineCallTimeout = 2 * time.Second
 	// commandDeadline is how long a command may take to reach the engine.
 	commandDeadline = 5 * time.Second
@@ -54,6 +56,10 @@
 	applied ident.BundleVersion
 	ticked  time.Time
 
+	enginePoll time.Duration
+	// recheck asks for a reading of the engine before the next one is due.
+	recheck chan struct{}
+
 	// snapshot is read by report goroutines.
 	snapshot atomic.Pointer[snapshot]
 	idleWait []chan struct{}
@@ -88,6 +94,9 @@
 		events:  make(chan event, eventBuffer),
 		done:    make(chan struct{}),
 		waiters: map[ident.AttemptID]chan verdict{},
+		recheck: make(chan struct{}, 1),
+
+		enginePoll: enginePoll,
 	}
 	if e.set.Kind == KindService {
 		c.limits = scheduler.Config{Positions: e.set.Positions, MaxQueued: e.set.MaxQueued}
@@ -158,11 +167,22 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(enginePoll):
+		case <-time.After(c.enginePoll):
+		case <-c.recheck:
+			time.Sleep(engineRecheck)
 		}
 	}
 }
 
+// suspectEngine asks for a reading of the engine soon, because a refusal can
+// mean that it has restarted without its adapters.
+func (c *control) suspectEngine() {
+	select {
+	case c.recheck <- struct{}{}:
+	default:
+	}
+}
+
 func (c *control) pollEngine(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
--- a/pkg/endpoint/endpoint_test.go
+++ b/pkg/endpoint/endpoint_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
@@ -95,6 +96,7 @@
 		MaxQueued: 16, Positions: 4, DrainTimeout: time.Minute, ShareInterval: time.Second,
 	}
 	s := &started{e: New(set, h, authority{}, logging.Nop()), engine: eng, ended: make(chan error, 1)}
+	s.e.control.enginePoll = time.Minute // tests wait for no regular reading
 	ctx, stop := context.WithCancel(t.Context())
 	s.stop = stop
 	go func() { s.ended <- s.e.Run(ctx) }()
@@ -206,3 +208,46 @@
 	s.stop()
 	assert.NilError(t, <-s.ended)
 }
+
+// Guards against an endpoint that goes on working with the adapters of an engine
+// that has restarted, until the next regular reading of its state. Evictions of
+// adapters that were gone failed, and the requests behind them were refused.
+func TestRefusalRevealsEngineRestart(t *testing.T) {
+	s := startEndpoint(t)
+	run := func(id string) grpc.ServerStreamingClient[fescuev1.RunFrame] {
+		st, err := s.client.Run(t.Context(), &fescuev1.RunRequest{
+			Ref: &fescuev1.AttemptRef{RequestId: id, Attempt: 1}, EndpointId: "e", Incarnation: uint64(s.e.Incarnation()),
+			BundleVersion: 1, Team: "a", Idempotent: true, Priority: fescuev1.Priority(ident.PriorityNormal),
+			DeadlineMs: 60000, EndpointClockMs: s.e.clockMS(),
+			Work: &fescuev1.RunRequest_Model{Model: &fescuev1.ModelCall{
+				Path: "/v1/completions", BaseModel: "base", Adapter: "x", Version: "1", Body: []byte(`{"prompt":"` + id + `","max_tokens":1}`),
+			}},
+		})
+		assert.NilError(t, err)
+		return st
+	}
+	grant := func() {
+		for {
+			m, err := s.control.Recv()
+			assert.NilError(t, err)
+			if m.GetPermitRequest() != nil {
+				break
+			}
+		}
+		assert.NilError(t, s.control.Send(&fescuev1.ControlRequest{Body: &fescuev1.ControlRequest_PermitGrant{PermitGrant: &fescuev1.PermitGrant{Adapter: "a/x@1"}}}))
+	}
+	first := run("first")
+	grant()
+	assert.Equal(t, last(t, first).GetEnd().GetTotal(), uint64(1))
+	s.engine.Restart()
+	assert.Equal(t, last(t, run("refused")).GetNotRun().GetReason(), fescuev1.NotRunReason_NOT_RUN_REASON_ENGINE_REFUSED)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(s.e.control.snapshot.Load().stats.Residents) > 0 {
+			return poll.Continue("the adapter still counts as resident")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	again := run("again")
+	grant()
+	assert.Equal(t, last(t, again).GetEnd().GetTotal(), uint64(1))
+}
--- a/pkg/endpoint/events.go
+++ b/pkg/endpoint/events.go
@@ -59,6 +59,7 @@
 func (ev commandDoneEvent) apply(c *control, now time.Time) {
 	if ev.err != nil {
 		c.log.Warn().Err(ev.err).Str("adapter", ev.adapter.String()).Msg("engine command failed")
+		c.suspectEngine()
 	}
 	switch {
 	case !ev.load:
--- a/pkg/endpoint/run.go
+++ b/pkg/endpoint/run.go
@@ -187,6 +187,7 @@
 // refusedByEngine ends a run that the engine did not start.
 func (r *run) refusedByEngine(err error) bool {
 	r.notStarted = true
+	r.e.control.suspectEngine()
 	r.out.send(&fescuev1.RunFrame{Body: &fescuev1.RunFrame_NotRun{NotRun: &fescuev1.NotRun{
 		Reason: fescuev1.NotRunReason_NOT_RUN_REASON_ENGINE_REFUSED,
 		Detail: err.Error(),
