Check the bundle version in every answer

Cause: only the probes of the monitor noticed an entry that goes back to an older bundle.

Change: an answer must be resolved under no lower version than the entry had before the request.

--- a/pkg/demo/callers.go
+++ b/pkg/demo/callers.go
@@ -40,17 +40,17 @@
 	return &balancer{entries: entries, down: make([]bool, len(entries))}
 }
 
-// pick returns the address of the i-th entry in turn, or of the next one that
+// pick returns the i-th entry in turn, or of the next one that
 // is not known to be down.
-func (b *balancer) pick(i int) string {
+func (b *balancer) pick(i int) *EntryServer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for k := range b.entries {
 		if n := (i + k) % len(b.entries); !b.down[n] {
-			return b.entries[n].Addr()
+			return b.entries[n]
 		}
 	}
-	return b.entries[i%len(b.entries)].Addr()
+	return b.entries[i%len(b.entries)]
 }
 
 func (b *balancer) setDown(i int, down bool) {
@@ -123,9 +123,14 @@
 // send sends one request and its repeats and records all answers.
 func (f *faultRun) send(ctx context.Context, client *workload.Client, turn int, r *workload.Request, intended time.Time) {
 	for n := 0; ; n++ {
-		addr := f.balancer.pick(turn + n)
-		a := client.Send(context.WithoutCancel(ctx), addr, r, intended)
-		broken := f.balancer.brokenByKill(addr, &a)
+		e := f.balancer.pick(turn + n)
+		generation, _ := e.live()
+		before := f.monitor.version(e.set.ID, generation)
+		a := client.Send(context.WithoutCancel(ctx), e.Addr(), r, intended)
+		if after, _ := e.live(); after == generation {
+			f.monitor.checkAnswer(e.set.ID, before, a.BundleVersion)
+		}
+		broken := f.balancer.brokenByKill(e.Addr(), &a)
 		f.record(workload.Sample{Request: *r, Answer: a, Intended: intended, Repeat: n > 0}, broken)
 		if n == maxRepeats || !f.mayRepeat(r, &a, broken) {
 			return
--- a/pkg/demo/history.go
+++ b/pkg/demo/history.go
@@ -111,6 +111,27 @@
 	m.checkTime(node, o, asked)
 }
 
+// version returns what a node last had in a generation, or 0.
+func (m *monitor) version(node string, generation int) ident.BundleVersion {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o := m.nodes[node]; o != nil && o.generation == generation {
+		return o.version
+	}
+	return 0
+}
+
+// checkAnswer checks that an answer was resolved under no older bundle than the
+// entry had before the request. Answers without a version are early refusals.
+func (m *monitor) checkAnswer(node string, before, got ident.BundleVersion) {
+	if got == 0 || got >= before {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.violations = append(m.violations, workload.Violation{Kind: workload.BundleReverted, Detail: fmt.Sprintf("%s answered under %d after %d", node, got, before)})
+}
+
 // gone forgets a node that does not answer because of a fault of its process.
 func (m *monitor) gone(node string) {
 	m.mu.Lock()
