Give up silent control streams and permits sooner

Cause: a connection or endpoint that goes silent kept its control stream for 6 s and its load permit for up to 10 s. One load is permitted at a time, so all others waited; the queues behind them, when lost, spent the retry budget and ended as unknown.

Ruled out: lost permit requests. Endpoints repeat them every 2 s and at once on a new control stream.

Change: a silent run ends the control stream of its connection if no report has arrived for the progress time either. Permits expire after 4 s, twice the interval of their renewal. The question about an idempotent request is limited to 1 s. Refusals without authority cost no budget. If every endpoint has been tried and the last one lost the attempt, all may be tried again. A retry that the budget refuses is logged.

--- a/pkg/entry/chain_test.go
+++ b/pkg/entry/chain_test.go
@@ -213,6 +213,31 @@
 	assert.Equal(t, b.fake[1].attempts(), 1)
 }
 
+// Guards against work for a frozen endpoint or lost permits on a dead control
+// stream until its own time limit, and against the end of a control stream that
+// still delivers reports.
+func TestSilentRunEndsSilentControlStream(t *testing.T) {
+	for name, reporting := range map[string]bool{"without reports": false, "with reports": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, modelKind, []script{silent}, []script{answer(3, true, nil)})
+			b.e.policy = firstEndpoint{}
+			l := b.e.connector.link("endpoint-0")
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			conn := l.acquire()
+			defer l.release(conn)
+			l.controlled(conn, cancel)
+			if reporting {
+				l.mu.Lock()
+				conn.heard = time.Now().Add(time.Hour)
+				l.mu.Unlock()
+			}
+			assert.Equal(t, b.post(t, completions, streamBody).body, streamText(3)+"data: [DONE]\n\n")
+			assert.Equal(t, ctx.Err() == nil, reporting)
+		})
+	}
+}
+
 // Guards against a run that goes on for a caller that is gone, and against a
 // request without an outcome or with a limit that is not released.
 func TestCallerGone(t *testing.T) {
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -15,9 +15,11 @@
 
 // Limits of the control loop.
 const (
-	controlBuffer  = 1024
-	permitTick     = 100 * time.Millisecond
-	permitTTL      = 10 * time.Second
+	controlBuffer = 1024
+	permitTick    = 100 * time.Millisecond
+	// permitTTL exceeds the interval at which endpoints renew their permits, which
+	// is 2 s. A silent endpoint holds up the loads of all others for this long.
+	permitTTL      = 4 * time.Second
 	permitParallel = 1
 	// publishInterval bounds how often a snapshot is built. Reports that arrive
 	// in between share one snapshot.
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -109,10 +109,14 @@
 
 // repair replaces the shared connection after silence or a broken transport.
 func (f dispatch) repair(l *link, conn *sharedConn, ctx context.Context, err error) { //nolint:revive // ctx is the subject here
-	if !errors.Is(context.Cause(ctx), errSilent) && status.Code(err) != codes.Unavailable {
+	silent := errors.Is(context.Cause(ctx), errSilent)
+	if !silent && status.Code(err) != codes.Unavailable {
 		return
 	}
 	if err := l.replace(conn); err != nil {
 		f.e.log.For(logging.PartRoute).Warn().Err(err).Msg("connection not replaced")
 	}
+	if silent {
+		l.abandonControl(conn, f.e.timing.progress)
+	}
 }
--- a/pkg/entry/dispatch_test.go
+++ b/pkg/entry/dispatch_test.go
@@ -142,6 +142,19 @@
 	}
 }
 
+// Guards against an unknown result of a request that could be repeated at the
+// only endpoint, and against a repetition there of one that must not run twice.
+func TestOnlyEndpointIsTriedAgain(t *testing.T) {
+	b := newBed(t, modelKind, []script{broken, answer(5, true, nil)})
+	b.e.policy = firstEndpoint{}
+	got := b.post(t, completions, streamBody)
+	assert.Equal(t, got.body, streamText(5)+"data: [DONE]\n\n")
+	b = newBed(t, serviceKind, []script{broken, answer(4, true, nil)})
+	b.e.policy = firstEndpoint{}
+	assert.Equal(t, b.post(t, handoff, "x").outcome, ident.Unknown.String())
+	assert.Equal(t, b.fake[0].attempts(), 1)
+}
+
 // Guards against a request that stays under an old bundle, and against a stream
 // that goes on with another adapter version after the bundle has changed.
 func TestOldBundleIsResolvedAgain(t *testing.T) {
--- a/pkg/entry/link.go
+++ b/pkg/entry/link.go
@@ -37,6 +37,10 @@
 	*grpc.ClientConn
 	users   int
 	retired bool
+	// endControl ends the control stream on this connection, if there is one.
+	// heard is the time of its last report.
+	endControl context.CancelFunc
+	heard      time.Time
 }
 
 func newConn(address string) (*grpc.ClientConn, error) {
@@ -88,6 +92,32 @@
 	return nil
 }
 
+// abandonControl ends the control stream on a connection that has gone silent
+// for a run, unless reports have arrived on it since. The endpoint is then no
+// candidate until it reports again.
+func (l *link) abandonControl(used *sharedConn, silence time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if used.endControl != nil && time.Since(used.heard) >= silence {
+		used.endControl()
+	}
+}
+
+// controlled notes the control stream of a connection.
+func (l *link) controlled(c *sharedConn, end context.CancelFunc) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.endControl = end
+	c.heard = time.Now()
+}
+
+// hear notes a report.
+func (l *link) hear(c *sharedConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.heard = time.Now()
+}
+
 // retire closes a connection once nobody uses it. The caller holds the mutex.
 func (l *link) retire(c *sharedConn) {
 	if c != nil {
@@ -140,6 +170,7 @@
 func (l *link) control(ctx context.Context, id streamID, conn *sharedConn) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	l.controlled(conn, cancel)
 	defer l.connected.Store(false)
 	watchdog := time.AfterFunc(reportSilence, cancel)
 	defer watchdog.Stop()
@@ -158,6 +189,7 @@
 			return err
 		}
 		watchdog.Reset(reportSilence)
+		l.hear(conn)
 		l.connected.Store(true)
 		l.c.e.events.received(id, m)
 		l.c.e.exchanger.reported(l.id, m, conn.ClientConn)
--- a/pkg/entry/place.go
+++ b/pkg/entry/place.go
@@ -9,6 +9,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/membership"
 	"github.com/fescuecourse/fescuecourse/pkg/placement"
+	"github.com/fescuecourse/fescuecourse/pkg/retry"
 )
 
 // admit applies the limits of the team.
@@ -32,7 +33,7 @@
 
 func (f place) Do(ctx context.Context, x *Exchange, next Next) *Failure {
 	snapshot := f.e.directory.Load()
-	d, err := f.e.policy.Place(x.placementRequest(time.Now(), f.e.zone), snapshot)
+	d, err := f.choose(x, snapshot)
 	line := f.e.log.For(logging.PartRoute).Info().Str("request", string(x.ID)).Int("attempt", int(x.attempt)).Str("adapter", x.adapter.String())
 	if err != nil {
 		line.Str("reason", err.Error()).Msg("no endpoint chosen")
@@ -44,6 +45,19 @@
 	return next(ctx, x)
 }
 
+// choose asks the policy. If every endpoint has been tried and the last one
+// lost the attempt, which it did not refuse, all may be tried again.
+func (f place) choose(x *Exchange, s *membership.Snapshot) (placement.Decision, error) {
+	r := x.placementRequest(time.Now(), f.e.zone)
+	d, err := f.e.policy.Place(r, s)
+	if errors.Is(err, placement.ErrNoEndpoint) && x.history.Last == retry.Unknown {
+		x.excluded = nil
+		r.Excluded = nil
+		return f.e.policy.Place(r, s)
+	}
+	return d, err
+}
+
 func refusedPlacement(err error) *Failure {
 	code := "no_endpoint"
 	switch {
--- a/pkg/entry/prove.go
+++ b/pkg/entry/prove.go
@@ -14,6 +14,9 @@
 func (f dispatch) prove(r *relay, l *link, lost attemptResult) attemptResult {
 	for {
 		limit := f.e.timing.revoke
+		if r.x.idempotent {
+			limit = f.e.timing.revokeIdempotent
+		}
 		if lost.timeout {
 			// The deadline has passed, so the caller does not wait for long.
 			limit = f.e.timing.grace
--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -7,6 +7,7 @@
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
 )
 
@@ -60,7 +61,11 @@
 	if x.history.Last == retry.NotRun && redirected(x.result.reason) {
 		return true
 	}
-	return f.e.budget.Retry(time.Now(), x.bundle.Deployment().RetryBudget)
+	if f.e.budget.Retry(time.Now(), x.bundle.Deployment().RetryBudget) {
+		return true
+	}
+	f.e.log.For(logging.PartRoute).Info().Str("request", string(x.ID)).Str("reason", x.result.detail).Msg("retry refused, budget spent")
+	return false
 }
 
 // redirected reports whether an endpoint refused an attempt without queueing it.
@@ -70,6 +75,7 @@
 		fescuev1.NotRunReason_NOT_RUN_REASON_WRONG_INCARNATION,
 		fescuev1.NotRunReason_NOT_RUN_REASON_OLD_BUNDLE,
 		fescuev1.NotRunReason_NOT_RUN_REASON_NOT_READY,
+		fescuev1.NotRunReason_NOT_RUN_REASON_NO_AUTHORITY,
 		fescuev1.NotRunReason_NOT_RUN_REASON_STALE_ATTEMPT:
 		return true
 	default:
--- a/pkg/entry/timing.go
+++ b/pkg/entry/timing.go
@@ -9,6 +9,9 @@
 	progress time.Duration
 	// revoke bounds one question whether an attempt ran.
 	revoke time.Duration
+	// revokeIdempotent bounds this question for a request that may be repeated
+	// without the proof. A frozen endpoint does not reply, and the caller waits.
+	revokeIdempotent time.Duration
 	// poll is the interval of questions about a run that goes on.
 	poll time.Duration
 	// grace is the time after the deadline in which the endpoint's own verdict
@@ -21,12 +24,13 @@
 }
 
 var defaultTiming = timing{
-	progress:   3 * time.Second,
-	revoke:     3 * time.Second,
-	poll:       250 * time.Millisecond,
-	grace:      250 * time.Millisecond,
-	bundleWait: 2 * time.Second,
-	bundlePoll: 10 * time.Millisecond,
+	progress:         3 * time.Second,
+	revoke:           3 * time.Second,
+	revokeIdempotent: time.Second,
+	poll:             250 * time.Millisecond,
+	grace:            250 * time.Millisecond,
+	bundleWait:       2 * time.Second,
+	bundlePoll:       10 * time.Millisecond,
 }
 
 const (
