Send no new work to endpoints with an overdue heartbeat

Cause: an entry placed requests on a frozen endpoint until the first of them had been silent for 3 s. Their retries spent the budget, so that later ones ended unknown.

Ruled out: retries outside the budget, which could multiply an overload.

Change: a run without a frame for 1.5 s puts its endpoint in doubt until a frame or report arrives. Endpoints in doubt get work only if no other one can serve it.

--- a/pkg/entry/chain_test.go
+++ b/pkg/entry/chain_test.go
@@ -238,6 +238,29 @@
 	}
 }
 
+// Guards against new work for an endpoint whose heartbeat is overdue, and against
+// refusals when it is the only one.
+func TestDoubtfulEndpointIsAvoided(t *testing.T) {
+	b := newBed(t, modelKind, []script{silent}, []script{answer(3, true, nil)})
+	b.e.policy = firstEndpoint{}
+	first := make(chan reply, 1)
+	go func() { first <- b.post(t, completions, streamBody) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(b.e.connector.doubtful()) == 0 {
+			return poll.Continue("the endpoint is not in doubt")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	want := streamText(3) + "data: [DONE]\n\n"
+	assert.Equal(t, b.post(t, completions, streamBody).body, want)
+	assert.Equal(t, (<-first).body, want)
+	assert.Equal(t, b.fake[0].attempts(), 1)
+	b = newBed(t, modelKind, []script{answer(3, true, nil)})
+	b.e.connector.link("endpoint-0").doubtful.Store(true)
+	assert.Equal(t, b.post(t, completions, streamBody).body, want)
+	assert.Equal(t, len(b.e.connector.doubtful()), 0)
+}
+
 // Guards against a run that goes on for a caller that is gone, and against a
 // request without an outcome or with a limit that is not released.
 func TestCallerGone(t *testing.T) {
--- a/pkg/entry/connector.go
+++ b/pkg/entry/connector.go
@@ -48,6 +48,19 @@
 	return c.links[id]
 }
 
+// doubtful returns the endpoints that keep a run waiting for its heartbeat.
+func (c *connector) doubtful() []ident.EndpointID {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var out []ident.EndpointID
+	for id, l := range c.links {
+		if l.doubtful.Load() {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // run follows the VM list until ctx ends.
 func (c *connector) run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -62,6 +62,8 @@
 	defer cancel(nil)
 	watchdog := time.AfterFunc(f.e.timing.progress, func() { cancel(errSilent) })
 	defer watchdog.Stop()
+	doubt := time.AfterFunc(f.e.timing.doubt, func() { l.doubtful.Store(true) })
+	defer doubt.Stop()
 	conn := l.acquire()
 	defer l.release(conn)
 	stream, err := conn.NewStream(ctx, &fescuev1.Endpoint_ServiceDesc.Streams[runStream], fescuev1.Endpoint_Run_FullMethodName)
@@ -74,7 +76,7 @@
 		return notSent(err.Error()), true
 	}
 	r.x.markSent()
-	err = f.exchange(stream, r, watchdog, l)
+	err = f.exchange(stream, r, timers{watchdog, doubt}, l)
 	if err == nil {
 		return r.result, true
 	}
@@ -85,9 +87,12 @@
 // runStream is the index of Run among the streams of the service.
 const runStream = 0
 
+// timers run while no frame arrives.
+type timers struct{ watchdog, doubt *time.Timer }
+
 // exchange sends the request and handles frames until the attempt ends. An
 // error means that the end of the attempt is not known.
-func (f dispatch) exchange(stream grpc.ClientStream, r *relay, watchdog *time.Timer, l *link) error {
+func (f dispatch) exchange(stream grpc.ClientStream, r *relay, waiting timers, l *link) error {
 	if err := stream.SendMsg(r.x.runRequest(l.entry, time.Now())); err != nil {
 		return err
 	}
@@ -99,7 +104,9 @@
 		if err := stream.RecvMsg(fr); err != nil {
 			return err
 		}
-		watchdog.Reset(f.e.timing.progress)
+		waiting.watchdog.Reset(f.e.timing.progress)
+		waiting.doubt.Reset(f.e.timing.doubt)
+		l.doubtful.Store(false)
 		done, err := r.frame(fr)
 		if err != nil || done {
 			return err
--- a/pkg/entry/fake_test.go
+++ b/pkg/entry/fake_test.go
@@ -172,7 +172,7 @@
 	set := Settings{ID: "entry-1", Zone: "a", VMList: "127.0.0.1:1", DefaultDeadline: 20 * time.Second, MaxDeadline: time.Minute, MaxBodyBytes: 1 << 16}
 	e, err := New(set, h, logging.Nop())
 	assert.NilError(t, err)
-	e.timing = timing{progress: 400 * time.Millisecond, revoke: 5 * time.Second, revokeIdempotent: 5 * time.Second, poll: time.Millisecond, grace: 20 * time.Millisecond, bundleWait: 5 * time.Second, bundlePoll: time.Millisecond}
+	e.timing = timing{progress: 400 * time.Millisecond, doubt: 100 * time.Millisecond, revoke: 5 * time.Second, revokeIdempotent: 5 * time.Second, poll: time.Millisecond, grace: 20 * time.Millisecond, bundleWait: 5 * time.Second, bundlePoll: time.Millisecond}
 	out := &bed{e: e, b: h}
 	d := membership.New()
 	for i, s := range scripts {
--- a/pkg/entry/link.go
+++ b/pkg/entry/link.go
@@ -25,6 +25,8 @@
 	grants  chan *fescuev1.PermitGrant
 	// connected is true while the endpoint reports on the control stream.
 	connected atomic.Bool
+	// doubtful is true while a run waits for a heartbeat that is overdue.
+	doubtful atomic.Bool
 
 	mu   sync.Mutex
 	conn *sharedConn
@@ -191,6 +193,7 @@
 		watchdog.Reset(reportSilence)
 		l.hear(conn)
 		l.connected.Store(true)
+		l.doubtful.Store(false)
 		l.c.e.events.received(id, m)
 		l.c.e.exchanger.reported(l.id, m, conn.ClientConn)
 	}
--- a/pkg/entry/place.go
+++ b/pkg/entry/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,10 +46,18 @@
 	return next(ctx, x)
 }
 
-// choose asks the policy. If every endpoint has been tried and the last one
-// lost the attempt, which it did not refuse, all may be tried again.
+// choose asks the policy, at first without endpoints in doubt. If every endpoint
+// has been tried and the last one lost the attempt, which it did not refuse, all
+// may be tried again.
 func (f place) choose(x *Exchange, s *membership.Snapshot) (placement.Decision, error) {
 	r := x.placementRequest(time.Now(), f.e.zone)
+	if doubtful := f.e.connector.doubtful(); len(doubtful) > 0 {
+		r.Excluded = slices.Concat(x.excluded, doubtful)
+		if d, err := f.e.policy.Place(r, s); err == nil {
+			return d, nil
+		}
+		r.Excluded = x.excluded
+	}
 	d, err := f.e.policy.Place(r, s)
 	if errors.Is(err, placement.ErrNoEndpoint) && x.history.Last == retry.Unknown {
 		x.excluded = nil
--- a/pkg/entry/timing.go
+++ b/pkg/entry/timing.go
@@ -7,6 +7,9 @@
 	// progress is the longest silence of a run. Endpoints send a frame every
 	// second.
 	progress time.Duration
+	// doubt is the silence of a run after which its endpoint gets no new work if
+	// another one can serve it.
+	doubt time.Duration
 	// revoke bounds one question whether an attempt ran.
 	revoke time.Duration
 	// revokeIdempotent bounds this question for a request that may be repeated
@@ -25,6 +28,7 @@
 
 var defaultTiming = timing{
 	progress:         3 * time.Second,
+	doubt:            1500 * time.Millisecond,
 	revoke:           3 * time.Second,
 	revokeIdempotent: time.Second,
 	poll:             250 * time.Millisecond,
