--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -54,6 +54,8 @@
 	stopped   chan struct{}
 	addr      atomic.Pointer[net.TCPAddr]
 	ready     chan struct{}
+	killed    chan struct{}
+	killOnce  sync.Once
 }
 
 // New returns an entry process.
@@ -77,6 +79,7 @@
 		lookups: make(chan struct{}, maxLookups),
 		stopped: make(chan struct{}),
 		ready:   make(chan struct{}),
+		killed:  make(chan struct{}),
 	}
 	e.directory.Store(&membership.Snapshot{})
 	e.events = newEvents(b)
@@ -136,6 +139,8 @@
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "serve")
+	case <-e.killed:
+		return abort(srv)
 	case <-ctx.Done():
 	}
 	return e.drain(srv)
@@ -144,8 +149,6 @@
 // drain stops the HTTP server without cutting off a request.
 func (e *Entry) drain(srv *http.Server) error {
 	e.stopping.Store(true)
-	// Responses from here on ask callers to connect to another entry.
-	srv.SetKeepAlivesEnabled(false)
 	e.log.For(logging.PartEntry).Info().Msg("stopping, unready")
 	time.Sleep(e.set.UnreadyDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), e.set.DrainTimeout)
