Share the checks of a collection in the administration API

Cause: listing and proposing repeated the checks for an unknown collection and a missing bundle, an approval without a proposal was answered with "decode approval: <nil>", and constants lacked units. Change: activeFor makes the checks; the two causes of a wrong approval have their own messages; pages are counted in items; comments state the unit of the time header and the reason of the rollout time limit. Conclusion: status codes are as before; one error message changes.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -28,7 +28,8 @@
 
 // Headers of a signed request.
 const (
-	HeaderReviewer  = "Fescue-Reviewer"
+	HeaderReviewer = "Fescue-Reviewer"
+	// HeaderTime holds seconds since the Unix epoch.
 	HeaderTime      = "Fescue-Time-S"
 	HeaderBodyHash  = "Fescue-Content-Sha256"
 	HeaderSignature = "Fescue-Signature"
@@ -39,7 +40,9 @@
 	// maxBodyBytes bounds a proposal, which holds the text of a bundle.
 	maxBodyBytes = 32 << 20
 	// maxSkew is the largest difference between the clocks of a reviewer and a node.
-	maxSkew        = 2 * time.Minute
+	maxSkew = 2 * time.Minute
+	// rolloutTimeout bounds a rollout, which repeats calls without a reply. The
+	// result is unknown afterwards.
 	rolloutTimeout = 30 * time.Second
 )
 
@@ -49,7 +52,8 @@
 	store  kv.Store
 	first  bundle.Reviewers
 	now    func() time.Time
-	busy   chan struct{}
+	// busy has one place, which a request holds while it is served.
+	busy chan struct{}
 }
 
 // New returns a server. The first reviewers are trusted until a bundle is active.
@@ -148,7 +152,8 @@
 	return s.first
 }
 
-// Problem is the body of an error response.
+// Problem is the body of an error response. Findings are set if the proposed
+// bundle is not valid, Winner if another rollout was accepted.
 type Problem struct {
 	Message  string           `json:"message"`
 	Findings findings.List    `json:"findings,omitempty"`
--- a/pkg/admin/items.go
+++ b/pkg/admin/items.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
@@ -13,10 +14,10 @@
 	"github.com/fescuecourse/fescuecourse/pkg/rollout"
 )
 
-// Sizes of a page of a list.
+// Numbers of items in one page of a list.
 const (
-	defaultPage = 1000
-	maxPage     = 10_000
+	defaultPageItems = 1000
+	maxPageItems     = 10_000
 )
 
 var (
@@ -68,26 +69,36 @@
 		fail(w, errNoBundle)
 		return
 	}
-	writeJSON(w, http.StatusOK, bundle.Accepted{Version: a.Root.Version, RolloutID: a.Root.RolloutID, Operator: a.Root.Operator})
+	writeJSON(w, http.StatusOK, a.Root.Accepted())
+}
+
+// activeFor returns the active bundle for a request on a collection with the
+// given section kind. It returns errNotFound if the kind is empty, that is, if
+// there is no such collection, and errNoBundle before the first adoption.
+func (s *Server) activeFor(kind string) (*rollout.Active, error) {
+	if kind == "" {
+		return nil, errNotFound
+	}
+	a := s.syncer.Active()
+	if a == nil {
+		return nil, errNoBundle
+	}
+	return a, nil
 }
 
 // list returns a page of a collection. Query: after, limit.
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	kind := kindOf(chi.URLParam(r, "collection"))
-	a := s.syncer.Active()
-	switch {
-	case kind == "":
-		fail(w, errNotFound)
-		return
-	case a == nil:
-		fail(w, errNoBundle)
+	a, err := s.activeFor(kind)
+	if err != nil {
+		fail(w, err)
 		return
 	}
 	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
 	if err != nil || limit < 1 {
-		limit = defaultPage
+		limit = defaultPageItems
 	}
-	limit = min(limit, maxPage)
+	limit = min(limit, maxPageItems)
 	names := namesAfter(a, kind, r.URL.Query().Get("after"))
 	page := Page{Version: uint64(a.Root.Version), More: len(names) > limit, Items: []Item{}}
 	names = names[:min(limit, len(names))]
@@ -96,20 +107,10 @@
 			page.Items = append(page.Items, itemOf(sec))
 		}
 	})
-	slices.SortFunc(page.Items, func(x, y Item) int { return compare(x.Name, y.Name) })
+	slices.SortFunc(page.Items, func(x, y Item) int { return strings.Compare(x.Name, y.Name) })
 	writeJSON(w, http.StatusOK, page)
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // each passes each section of a kind to yield.
 func each(a *rollout.Active, kind string, yield func(*bundle.Section)) {
 	seen := map[string]bool{}
@@ -126,6 +127,7 @@
 	}
 }
 
+// namesAfter returns the sorted names of a kind that follow after.
 func namesAfter(a *rollout.Active, kind, after string) []string {
 	var names []string
 	each(a, kind, func(sec *bundle.Section) {
@@ -145,6 +147,8 @@
 	return item
 }
 
+// find returns the item of a kind with the given name. It returns errNotFound or
+// errNoBundle if there is none.
 func (s *Server) find(kind, name string) (Item, error) {
 	a := s.syncer.Active()
 	if a == nil {
@@ -175,6 +179,8 @@
 	Weight   int    `json:"weight"`
 }
 
+// getPriority returns the priority and weight of a team. Left-out keys have
+// their defaults.
 func (s *Server) getPriority(w http.ResponseWriter, r *http.Request) {
 	item, err := s.find("team", chi.URLParam(r, "team"))
 	if err != nil {
--- a/pkg/admin/proposals.go
+++ b/pkg/admin/proposals.go
@@ -47,13 +47,9 @@
 // propose responds with the proposal of the next bundle, in which the named
 // section is replaced by the item, or left out if item is nil.
 func (s *Server) propose(w http.ResponseWriter, r *http.Request, kind, name string, item *Item) {
-	a := s.syncer.Active()
-	switch {
-	case kind == "":
-		fail(w, errNotFound)
-		return
-	case a == nil:
-		fail(w, errNoBundle)
+	a, err := s.activeFor(kind)
+	if err != nil {
+		fail(w, err)
 		return
 	}
 	text, err := nextText(a, kind, name, item)
@@ -123,6 +119,7 @@
 	return sec, nil
 }
 
+// writePending responds with a proposal, its hash and its trusted signers.
 func (s *Server) writePending(w http.ResponseWriter, code int, p *bundle.Proposal) {
 	root, _, err := p.Build()
 	if err != nil {
@@ -136,8 +133,12 @@
 // approve adds a signature that is valid and from a trusted reviewer.
 func (s *Server) approve(w http.ResponseWriter, r *http.Request) {
 	a := Approval{}
-	if err := json.NewDecoder(r.Body).Decode(&a); err != nil || a.Proposal == nil {
-		fail(w, errors.Newf("decode approval: %v", err))
+	if err := json.NewDecoder(r.Body).Decode(&a); err != nil {
+		fail(w, errors.Wrap(err, "decode approval"))
+		return
+	}
+	if a.Proposal == nil {
+		fail(w, errors.New("approval has no proposal"))
 		return
 	}
 	root, _, err := a.Proposal.Build()
@@ -169,5 +170,5 @@
 		fail(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, bundle.Accepted{Version: root.Version, RolloutID: root.RolloutID, Operator: root.Operator})
+	writeJSON(w, http.StatusOK, root.Accepted())
 }
