Share the assembly of the daemon's roles

Cause: the entry and endpoint roles repeated the registration and checks of their settings and the opening of the key-value service, and a violated invariant was logged without the prefix of a component. Change: role is one type that differs by its settings and its build function. Violations carry the prefix of the role. The check of the log level joins the other checks of the role. Measured: go test -race ./pkg/daemon passes; golangci-lint reports 0 issues. Conclusion: settings, findings and exit codes are as before; one log line gains its prefix.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -1,5 +1,5 @@
 // Package daemon is the command line of fescued: it reads settings, assembles
-// one role and runs it until a signal asks for the end.
+// one role and runs it until SIGTERM or SIGINT.
 package daemon
 
 import (
@@ -34,17 +34,6 @@
 	Run(ctx context.Context) error
 }
 
-// role is one of the daemon's roles with its settings.
-type role interface {
-	// register adds the settings of the role to a set.
-	register(set *config.Set)
-	// check records findings for wrong settings.
-	check(set *config.Set)
-	logLevel() string
-	// assemble builds the role and everything it depends on.
-	assemble(log logging.Logger) (runner, error)
-}
-
 // Main runs the daemon until SIGTERM or SIGINT. A second signal ends the process
 // at once with status 1.
 func Main(args []string, stderr io.Writer) int {
@@ -74,9 +63,9 @@
 	if err != nil {
 		return report(stderr, err)
 	}
-	level, _ := zerolog.ParseLevel(r.logLevel()) // checked by parse
+	level, _ := zerolog.ParseLevel(*r.logLevel) // checked by parse
 	log := logging.New(stderr, level)
-	invariant.SetHandler(logViolation(log))
+	invariant.SetHandler(logViolation(log.For(r.part)))
 	proc, err := r.assemble(log)
 	if err != nil {
 		return report(stderr, err)
@@ -84,22 +73,22 @@
 	return report(stderr, proc.Run(ctx))
 }
 
-func selectRole(args []string) (string, role, bool) {
+func selectRole(args []string) (name string, r *role, ok bool) {
 	if len(args) == 0 {
 		return "", nil, false
 	}
 	switch args[0] {
 	case "entry":
-		return "fescued entry", &entryRole{}, true
+		return "fescued entry", newEntryRole(), true
 	case "endpoint":
-		return "fescued endpoint", &endpointRole{}, true
+		return "fescued endpoint", newEndpointRole(), true
 	default:
 		return "", nil, false
 	}
 }
 
 // parse reads the settings and returns all findings together.
-func parse(name string, r role, args []string, stderr io.Writer) error {
+func parse(name string, r *role, args []string, stderr io.Writer) error {
 	set := config.NewSet(name, stderr)
 	r.register(set)
 	err := set.Parse(args)
@@ -111,8 +100,6 @@
 		return errors.Mark(errors.Newf("unexpected argument %q", set.Arg(0)), config.ErrUsage)
 	}
 	r.check(set)
-	_, levelErr := zerolog.ParseLevel(r.logLevel())
-	set.Requiref(levelErr == nil, "log-level", "must be trace, debug, info, warn, error or disabled")
 	return set.Err()
 }
 
--- a/pkg/daemon/roles.go
+++ b/pkg/daemon/roles.go
@@ -4,6 +4,7 @@
 	"os"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
 	"github.com/fescuecourse/fescuecourse/pkg/config"
@@ -21,6 +22,7 @@
 	set.StringVar((*string)(f), "reviewers", "", "INI `file` with the reviewers that are trusted until a bundle is active")
 }
 
+// load reads the reviewers. It returns a wrapped file error or a findings.List.
 func (f *reviewersFile) load() (bundle.Reviewers, error) {
 	text, err := os.ReadFile(string(*f))
 	if err != nil {
@@ -30,63 +32,56 @@
 	return reviewers, found.Err()
 }
 
-// platform opens the key-value service and reads the first reviewers.
-func platform(kv string, reviewers reviewersFile, log logging.Logger) (node.Platform, error) {
-	first, err := reviewers.load()
-	if err != nil {
-		return node.Platform{}, err
-	}
-	return node.Platform{Store: etcd.New(kv, etcd.Options{}), Reviewers: first, Log: log}, nil
+// settings are the settings of one role.
+type settings interface {
+	Register(set *config.Set)
+	// Check records findings for wrong settings.
+	Check(set *config.Set)
 }
 
-// entryRole is fescued entry.
-type entryRole struct {
-	settings  entry.Settings
+// role is one of the daemon's roles with its settings.
+type role struct {
+	part      logging.Part
+	settings  settings
 	reviewers reviewersFile
+	// kv (host:port) and logLevel are fields of the settings.
+	kv       *string
+	logLevel *string
+	// build returns the process of the role. It is called after Check.
+	build func(node.Platform) (runner, error)
 }
 
-func (r *entryRole) register(set *config.Set) {
-	r.settings.Register(set)
-	r.reviewers.register(set)
-}
-
-func (r *entryRole) check(set *config.Set) {
-	r.settings.Check(set)
-	set.Requiref(r.reviewers != "", "reviewers", "must be set")
-}
-
-func (r *entryRole) logLevel() string { return r.settings.LogLevel }
-
-func (r *entryRole) assemble(log logging.Logger) (runner, error) {
-	p, err := platform(r.settings.KV, r.reviewers, log)
-	if err != nil {
-		return nil, err
-	}
-	return node.NewEntry(r.settings, p)
+func newEntryRole() *role {
+	set := &entry.Settings{}
+	build := func(p node.Platform) (runner, error) { return node.NewEntry(*set, p) }
+	return &role{part: logging.PartEntry, settings: set, kv: &set.KV, logLevel: &set.LogLevel, build: build}
 }
 
-// endpointRole is fescued endpoint.
-type endpointRole struct {
-	settings  endpoint.Settings
-	reviewers reviewersFile
+func newEndpointRole() *role {
+	set := &endpoint.Settings{}
+	build := func(p node.Platform) (runner, error) { return node.NewEndpoint(*set, p), nil }
+	return &role{part: logging.PartEndpoint, settings: set, kv: &set.KV, logLevel: &set.LogLevel, build: build}
 }
 
-func (r *endpointRole) register(set *config.Set) {
+// register adds the settings of the role to a set.
+func (r *role) register(set *config.Set) {
 	r.settings.Register(set)
 	r.reviewers.register(set)
 }
 
-func (r *endpointRole) check(set *config.Set) {
+// check records findings for wrong settings.
+func (r *role) check(set *config.Set) {
 	r.settings.Check(set)
 	set.Requiref(r.reviewers != "", "reviewers", "must be set")
+	_, err := zerolog.ParseLevel(*r.logLevel)
+	set.Requiref(err == nil, "log-level", "must be trace, debug, info, warn, error or disabled")
 }
 
-func (r *endpointRole) logLevel() string { return r.settings.LogLevel }
-
-func (r *endpointRole) assemble(log logging.Logger) (runner, error) {
-	p, err := platform(r.settings.KV, r.reviewers, log)
+// assemble builds the role and everything it depends on.
+func (r *role) assemble(log logging.Logger) (runner, error) {
+	first, err := r.reviewers.load()
 	if err != nil {
 		return nil, err
 	}
-	return node.NewEndpoint(r.settings, p), nil
+	return r.build(node.Platform{Store: etcd.New(*r.kv, etcd.Options{}), Reviewers: first, Log: log})
 }
