Use the backoff library for pauses of rollouts

Cause: pkg/rollout had its own exponential backoff although go.mod already requires github.com/cenkalti/backoff/v5; some comments of the exchange between peers lacked the reason of a constant or the errors. The gRPC status of each error of PeerServer is documented. Conclusion: less own code with the same pauses.

--- a/pkg/rollout/backoff.go
+++ b/pkg/rollout/backoff.go
@@ -4,32 +4,27 @@
 	"context"
 	"math/rand/v2"
 	"time"
-)
-
-// backoff gives jittered pauses that double up to a limit.
-type backoff struct {
-	min, max time.Duration
-	next     time.Duration
-}
-
-func newBackoff(lowest, highest time.Duration) *backoff {
-	return &backoff{min: lowest, max: highest, next: lowest}
-}
 
-func (b *backoff) reset() { b.next = b.min }
+	"github.com/cenkalti/backoff/v5"
+)
 
-// pause returns the next pause, between half of it and the whole.
-func (b *backoff) pause() time.Duration {
-	d := b.next
-	b.next = min(2*b.next, b.max)
-	return jitter(d)
+// newBackoff returns pauses that double until they reach highest. Each pause is
+// random between half of its nominal length and the whole, so that nodes that
+// failed together do not call again together.
+func newBackoff(lowest, highest time.Duration) *backoff.ExponentialBackOff {
+	// 3/4 of a length, varied by a third, is between one half and the whole.
+	return &backoff.ExponentialBackOff{
+		InitialInterval:     lowest * 3 / 4,
+		MaxInterval:         highest * 3 / 4,
+		Multiplier:          2,
+		RandomizationFactor: 1.0 / 3,
+	}
 }
 
-// wait pauses. It returns false if ctx ended.
-func (b *backoff) wait(ctx context.Context) bool { return sleep(ctx, b.pause()) }
-
+// jitter returns a random duration between half of d and d.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
 
+// sleep pauses for d. It returns false if ctx ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/pkg/rollout/exchange.go
+++ b/pkg/rollout/exchange.go
@@ -22,7 +22,8 @@
 	// endpoint, so that usually only one of them transfers the bundle.
 	exchangeSpread  = time.Second
 	exchangeTimeout = 10 * time.Second
-	versionBuffer   = 256
+	// versionBuffer is the number of reported versions that wait for Run.
+	versionBuffer = 256
 )
 
 // versionEvent is the bundle version that an endpoint has reported, or that it
@@ -50,12 +51,13 @@
 	wg       sync.WaitGroup
 }
 
-// peerState is what is known of one endpoint. Its version is read by the
-// goroutine of an exchange.
+// peerState is what is known of one endpoint.
 type peerState struct {
-	client  fescuev1.EndpointClient
+	client fescuev1.EndpointClient
+	// version is atomic because the goroutine of an exchange reads it too.
 	version atomic.Uint64
-	busy    bool
+	// busy is true while an exchange runs.
+	busy bool
 }
 
 // NewExchanger returns an exchanger for the bundles of s.
@@ -99,6 +101,7 @@
 	}
 }
 
+// note records a reported version.
 func (p *Exchanger) note(ev versionEvent) {
 	s := p.peers[ev.endpoint]
 	if s == nil {
@@ -110,8 +113,7 @@
 }
 
 // finish records the version after an exchange, unless a report has arrived
-// meanwhile. An endpoint whose exchange
-// failed is forgotten until its next report.
+// meanwhile. An endpoint whose exchange failed is forgotten until its next report.
 func (p *Exchanger) finish(ev versionEvent) {
 	if ev.failed {
 		delete(p.peers, ev.endpoint)
--- a/pkg/rollout/holder.go
+++ b/pkg/rollout/holder.go
@@ -1,4 +1,4 @@
-// Package rollout brings configuration bundles into force: rollout by
+// Package rollout activates configuration bundles: rollout by
 // compare-and-swap, adoption by each node and propagation between nodes.
 package rollout
 
--- a/pkg/rollout/peer.go
+++ b/pkg/rollout/peer.go
@@ -19,7 +19,11 @@
 // errNoRoot reports a part that arrives before a verified root.
 var errNoRoot = errors.New("part arrived before a verified root")
 
-// PeerServer serves the bundle methods of the endpoint service from a Syncer.
+// PeerServer serves the bundle methods of the endpoint service from a Syncer. Its
+// errors are gRPC statuses: PermissionDenied for a root that is not verified or
+// does not follow the active one, ResourceExhausted for a bundle above a limit,
+// AlreadyExists for a version that is not higher, FailedPrecondition for missing
+// parts, Aborted while another upload runs, else InvalidArgument.
 type PeerServer struct {
 	syncer *Syncer
 	upload uploadSlot
@@ -258,6 +262,7 @@
 	return &fescuev1.BundleRoot{Version: uint64(a.Root.Version), Record: a.Record}
 }
 
+// statusOf maps an error to a gRPC status.
 func statusOf(err error) error {
 	code := codes.InvalidArgument
 	switch {
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -18,7 +18,7 @@
 	partPrefix = "/fescue/bundle/parts/"
 )
 
-// Pauses between attempts of a rollout.
+// Bounds of the pauses between attempts of a rollout.
 const (
 	rolloutPauseMin = 50 * time.Millisecond
 	rolloutPauseMax = 2 * time.Second
@@ -83,7 +83,7 @@
 		if !errors.Is(err, errRetry) && !errors.Is(err, kv.ErrUnavailable) && !errors.Is(err, context.DeadlineExceeded) {
 			return nil, err
 		}
-		if !pause.wait(ctx) {
+		if !sleep(ctx, pause.NextBackOff()) {
 			return nil, r.unsettled(err)
 		}
 	}
--- a/pkg/rollout/watch.go
+++ b/pkg/rollout/watch.go
@@ -15,7 +15,9 @@
 	// root has changed.
 	pollInterval = 30 * time.Second
 	// fetchSpread spreads the reads of all entries after a change.
-	fetchSpread   = time.Second
+	fetchSpread = time.Second
+	// watchPauseMin and watchPauseMax bound the pause before the root is read
+	// again. The longest pause leaves time to adopt a bundle within 8 s.
 	watchPauseMin = 100 * time.Millisecond
 	watchPauseMax = 3 * time.Second
 	// stableWatch is how long a watch must last before its end resets the backoff.
@@ -32,13 +34,13 @@
 			started := time.Now()
 			err = s.watch(ctx, store, revision+1)
 			if time.Since(started) >= stableWatch {
-				pause.reset()
+				pause.Reset()
 			}
 		}
 		if err != nil && ctx.Err() == nil {
 			s.log.Warn().Err(err).Msg("bundle could not be synchronized")
 		}
-		if !pause.wait(ctx) {
+		if !sleep(ctx, pause.NextBackOff()) {
 			return
 		}
 	}
