--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -31,7 +31,8 @@
 	KeyRetention time.Duration
 }
 
-// TeamPolicy holds the limits and the scheduling weight of one team.
+// TeamPolicy holds the limits and the scheduling weight of one team. The limits
+// apply to the whole deployment.
 type TeamPolicy struct {
 	Team          ident.Team
 	Weight        int
@@ -45,11 +46,14 @@
 	version    ident.BundleVersion
 	deployment Deployment
 	teams      map[ident.Team]TeamPolicy
-	keys       map[[sha256.Size]byte]ident.Team
-	adapters   index
-	services   map[string]bool
-	routes     map[string]bool
-	reviewers  map[string][]byte
+	// keys holds the owners of API keys by the SHA-256 of the key.
+	keys     map[[sha256.Size]byte]ident.Team
+	adapters index
+	services map[string]bool
+	// routes tells for each route rule whether its requests are idempotent.
+	routes map[string]bool
+	// reviewers holds ed25519 public keys by name.
+	reviewers map[string][]byte
 }
 
 // Version returns the version of the bundle.
@@ -71,7 +75,8 @@
 }
 
 // Resolve turns a model name into an adapter with its version and base model.
-// A name without version gets the current one.
+// A name without version gets the current one. It returns ErrUnknownAdapter,
+// ErrUnknownVersion, or the error of ident.ParseAdapter for a malformed name.
 func (b *Bundle) Resolve(model string) (ident.Adapter, string, error) {
 	a, err := ident.ParseAdapter(model)
 	if err != nil {
--- a/pkg/bundle/parts.go
+++ b/pkg/bundle/parts.go
@@ -51,7 +51,8 @@
 // Split distributes sections over parts by a stable hash of their titles. The
 // number of parts is a power of two: previous, if the average size stays
 // acceptable, otherwise the smallest one that keeps the average small. The
-// section with the version belongs to the root record and is left out.
+// section with the version belongs to the root record and is left out. It returns
+// ErrTooLarge for too many parts or a part above MaxPartBytes.
 func Split(sections []Section, previous int) ([]Part, error) {
 	count := partCount(size(sections), previous)
 	if count > MaxParts {
@@ -104,7 +105,8 @@
 	return int((sum ^ sum>>32) % uint64(count))
 }
 
-// Join returns the canonical text of a bundle with the given parts.
+// Join returns the canonical text of a bundle with the given parts. It returns
+// ErrPartMismatch for a part whose content does not match its name.
 func Join(version ident.BundleVersion, parts []Part) (string, error) {
 	var text strings.Builder
 	text.WriteString(versionSection(version))
--- a/pkg/bundle/proposal.go
+++ b/pkg/bundle/proposal.go
@@ -29,7 +29,9 @@
 	Signatures []Signature `json:"signatures"`
 }
 
-// Propose returns a proposal of text as the version after base.
+// Propose returns a proposal of text as the version after base, which is nil for
+// version 1. file names the text in findings. It returns a findings.List,
+// ErrWrongVersion or ErrTooFewReviewers for a text that cannot be accepted.
 func Propose(file, text, operator string, base *Root) (*Proposal, error) {
 	p := &Proposal{Base: base, RolloutID: newRolloutID(), Operator: operator}
 	if base != nil {
@@ -63,14 +65,15 @@
 	return hex.EncodeToString(b[:])
 }
 
-// Build returns the root record and the parts of the proposal.
+// Build returns the root record and the parts of the proposal. Its errors are
+// those of Propose and ErrTooLarge.
 func (p *Proposal) Build() (*Root, []Part, error) {
 	b, found := Parse("proposal", p.Text)
 	if err := found.Err(); err != nil {
 		return nil, nil, err
 	}
 	if b.Version() != p.BaseVersion+1 {
-		return nil, nil, ErrWrongVersion
+		return nil, nil, errors.Wrapf(ErrWrongVersion, "text has %d, base has %d", b.Version(), p.BaseVersion)
 	}
 	if !enoughReviewers(b.Reviewers()) {
 		return nil, nil, ErrTooFewReviewers
--- a/pkg/bundle/root.go
+++ b/pkg/bundle/root.go
@@ -16,7 +16,7 @@
 
 // Limits of root records.
 const (
-	// MaxRootBytes is the value limit of the key-value service.
+	// MaxRootBytes is the value limit of the key-value service, 1 MB.
 	MaxRootBytes = 1 << 20
 	// RequiredReviewers is the number of different reviewers that must sign.
 	RequiredReviewers = 2
@@ -136,7 +136,7 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Encode returns the stored form of the record.
+// Encode returns the stored form of the record, or ErrTooLarge.
 func (r *Root) Encode() ([]byte, error) {
 	raw, err := json.Marshal(r)
 	if err == nil && len(raw) > MaxRootBytes {
@@ -145,7 +145,8 @@
 	return raw, err
 }
 
-// DecodeRoot reads a stored record. It checks the form, not the signatures.
+// DecodeRoot reads a stored record. It checks the form, not the signatures, and
+// returns ErrTooLarge or ErrMalformedRoot.
 func DecodeRoot(raw []byte) (*Root, error) {
 	if len(raw) > MaxRootBytes {
 		return nil, errors.Wrapf(ErrTooLarge, "root record with %d bytes", len(raw))
@@ -162,7 +163,8 @@
 
 // Verify checks that two different reviewers signed the record. The caller
 // trusts the given reviewers as of version since; later changes of the
-// reviewers are followed along Chain, each signed by two reviewers before it.
+// reviewers are followed along Chain, each signed by two reviewers before it. It
+// returns ErrUnverified.
 func (r *Root) Verify(trusted Reviewers, since ident.BundleVersion) error {
 	last := since
 	for i := range r.Chain {
