Document the errors and units of the key-value interface

Cause: the methods of kv.Store and the options of the client did not say which errors they return and what their durations bound. Change: doc comments only; two constants are in ascending order. Conclusion: no behaviour changes.

--- a/pkg/kv/etcd/client.go
+++ b/pkg/kv/etcd/client.go
@@ -23,7 +23,8 @@
 	// the 8 s within which a bundle must be active everywhere. A watch from each
 	// of 330 entries reopened at this interval is 66 calls/s.
 	DefaultSilence = 5 * time.Second
-	// maxReplyBytes bounds one reply: several values of the largest size, 1 MB.
+	// maxReplyBytes bounds one reply, so that a faulty one cannot exhaust the memory.
+	// It has room for several values of the largest size, 1 MB.
 	maxReplyBytes = 64 << 20
 	// maxIdleConns bounds the idle connections of a client.
 	maxIdleConns = 16
@@ -33,8 +34,10 @@
 
 // Options configure a client. Zero values mean the defaults.
 type Options struct {
+	// CallTimeout bounds a call whose context has no deadline.
 	CallTimeout time.Duration
-	Silence     time.Duration
+	// Silence is how long a watch may deliver no message before it is closed.
+	Silence time.Duration
 }
 
 // Client is a kv.Store. It is safe for concurrent use.
@@ -46,7 +49,8 @@
 
 var _ kv.Store = (*Client)(nil)
 
-// StatusError is a definite refusal by the service: the call had no effect.
+// StatusError is a definite refusal by the service: the call had no effect. Code
+// is a gRPC status code.
 type StatusError struct {
 	HTTPStatus int
 	Code       int
@@ -138,6 +142,7 @@
 	return c.call(ctx, PathRevoke, LeaseRequest{ID: int64(id)}, &resp)
 }
 
+// call posts req and decodes the reply into resp.
 func (c *Client) call(ctx context.Context, path string, req, resp any) error {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
@@ -158,6 +163,7 @@
 	return nil
 }
 
+// post returns the body of a successful reply, which the caller closes.
 func (c *Client) post(ctx context.Context, path string, req any) (io.ReadCloser, error) {
 	encoded, err := json.Marshal(req)
 	if err != nil {
@@ -179,13 +185,15 @@
 	return r.Body, nil
 }
 
-// unavailable also closes the idle connections: after one connection to the
-// service went silent, the others are suspect.
+// unavailable marks err as kv.ErrUnavailable. It also closes the idle connections,
+// because after one connection went silent the others may be dead too.
 func (c *Client) unavailable(err error) error {
 	c.http.CloseIdleConnections()
 	return fmt.Errorf("%w: %w", kv.ErrUnavailable, err)
 }
 
+// refusal maps an error reply. Server errors and overload count as unavailability,
+// because they do not prove that the call had no effect.
 func (c *Client) refusal(r *http.Response) error {
 	var s Status
 	err := json.NewDecoder(io.LimitReader(r.Body, maxReplyBytes)).Decode(&s)
--- a/pkg/kv/etcd/messages.go
+++ b/pkg/kv/etcd/messages.go
@@ -163,13 +163,13 @@
 	Message string `json:"message"`
 }
 
-// Values of enumerations and codes of the gateway.
+// Values of enumerations, gRPC status codes and the message of an unknown lease.
 const (
 	ResultEqual   = "EQUAL"
 	TargetMod     = "MOD"
 	EventDelete   = "DELETE"
-	CodeNotFound  = 5
 	CodeInvalid   = 3
+	CodeNotFound  = 5
 	LeaseNotFound = "etcdserver: requested lease not found"
 )
 
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -21,7 +21,8 @@
 // LeaseID identifies a lease. Zero means no lease.
 type LeaseID int64
 
-// Pair is one key with its value and revisions.
+// Pair is one key with its value and the store revisions of its creation and its
+// last change.
 type Pair struct {
 	Key            string
 	Value          []byte
@@ -46,7 +47,8 @@
 	OpDelete
 )
 
-// Op is one write of a transaction.
+// Op is one write of a transaction. A put attaches the key to Lease, so that it is
+// deleted when the lease ends; zero attaches it to none.
 type Op struct {
 	Type  OpType
 	Key   string
@@ -54,7 +56,8 @@
 	Lease LeaseID
 }
 
-// Txn writes all Ops if all Compares hold. Otherwise it reads OnFailure keys.
+// Txn writes all Ops if all Compares hold. Otherwise it reads the keys in
+// OnFailure. Each key may occur once in Ops.
 type Txn struct {
 	Compares  []Compare
 	Ops       []Op
@@ -87,15 +90,23 @@
 }
 
 // Store is the key-value service. Every method honours the context's deadline
-// and applies one of its own if there is none.
+// and applies one of its own if there is none. Every method returns
+// ErrUnavailable if no reply arrived in time.
 type Store interface {
+	// Get returns the pair of a key, or ErrNotFound.
 	Get(ctx context.Context, key string) (Pair, error)
 	// List returns the pairs under prefix and the store revision.
 	List(ctx context.Context, prefix string) ([]Pair, int64, error)
+	// Txn runs a transaction. It returns ErrLeaseNotFound, without effect, if an op
+	// names a lease that does not exist.
 	Txn(ctx context.Context, t Txn) (TxnResult, error)
+	// Grant returns a new lease that expires after ttl unless it is renewed.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// KeepAlive renews a lease and returns its full time to live.
+	// KeepAlive renews a lease and returns its full time to live, or
+	// ErrLeaseNotFound.
 	KeepAlive(ctx context.Context, id LeaseID) (time.Duration, error)
+	// Revoke ends a lease and deletes its keys. It returns ErrLeaseNotFound for a
+	// lease that has ended already.
 	Revoke(ctx context.Context, id LeaseID) error
 	// Watch delivers changes under prefix from revision on. The channel is
 	// closed on error, on silence of the connection, and when ctx ends.
