Split the release of the lease into one attempt and its repetition

Change: tryRelease makes one attempt. The log line names the key-value service. Comments state the reasons of the defaults. Conclusion: no behaviour changes but one log text.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -1,5 +1,5 @@
-// Package lease holds the engine lease: the exclusive right to give commands to
-// one engine, with a fencing token that grows with each holder.
+// Package lease implements the engine lease: the exclusive right to give commands
+// to one engine, with a fencing token that increases with each holder.
 package lease
 
 import (
@@ -16,15 +16,22 @@
 
 // Defaults of the settings.
 const (
-	DefaultTTL             = 60 * time.Second
-	DefaultRenewInterval   = 20 * time.Second
-	DefaultRetryInterval   = 2 * time.Second
+	DefaultTTL = 60 * time.Second
+	// DefaultRenewInterval leaves 40 s to repeat a failed renewal before the lease
+	// ends. At 2,800 endpoints it makes 140 writes/s.
+	DefaultRenewInterval = 20 * time.Second
+	// DefaultRetryInterval is the pause after the first failed call.
+	DefaultRetryInterval = 2 * time.Second
+	// DefaultCommandDeadline is the deadline that each command carries. A command
+	// that arrives later has no effect.
 	DefaultCommandDeadline = 5 * time.Second
 	DefaultCallTimeout     = 3 * time.Second
-	DefaultReleaseTimeout  = 5 * time.Second
+	// DefaultReleaseTimeout bounds the release, so that an outage does not delay the
+	// end of the process.
+	DefaultReleaseTimeout = 5 * time.Second
 )
 
-// TokenRises is the invariant that a holder's fencing token never falls.
+// TokenRises is the invariant that each takeover gets a higher fencing token.
 const TokenRises invariant.Name = "fencing_token_rises"
 
 // State is the right to give commands.
@@ -206,6 +213,7 @@
 	}
 }
 
+// report logs a change of the authority.
 func (h *Holder) report() {
 	a := h.Authority()
 	if a.State == h.reported {
@@ -242,6 +250,7 @@
 	h.view.Store(&v)
 }
 
+// waitUntil forbids commands before t.
 func (h *Holder) waitUntil(t time.Time) {
 	v := *h.view.Load()
 	if t.After(v.notBefore) {
@@ -250,6 +259,7 @@
 	h.view.Store(&v)
 }
 
+// renewed extends the lease by ttl from the time at which its renewal was sent.
 func (h *Holder) renewed(sent time.Time, ttl time.Duration) {
 	v := *h.view.Load()
 	v.expiry = sent.Add(min(ttl, h.set.TTL))
--- a/pkg/lease/step.go
+++ b/pkg/lease/step.go
@@ -22,6 +22,10 @@
 	phaseRenew
 )
 
+// releaseRetry is the pause between attempts to release. It is short, because the
+// process waits for the release before it ends.
+const releaseRetry = 200 * time.Millisecond
+
 // step makes the next call and returns the time until the following one.
 func (h *Holder) step(ctx context.Context) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, h.set.CallTimeout)
@@ -56,8 +60,9 @@
 	return 0
 }
 
+// retry logs a failed call and returns the pause before the next one.
 func (h *Holder) retry(err error) time.Duration {
-	h.log.Warn().Err(err).Msg("call failed, retrying")
+	h.log.Warn().Err(err).Msg("call to the key-value service failed, retrying")
 	h.failures++
 	return h.backoff()
 }
@@ -112,6 +117,8 @@
 	return h.next(phaseRevoke)
 }
 
+// checkPresence waits while the process that took over from this one renews its
+// lease.
 func (h *Holder) checkPresence(ctx context.Context) time.Duration {
 	_, err := h.store.Get(ctx, PresenceKey(h.set.Endpoint))
 	switch {
@@ -141,6 +148,7 @@
 	return h.next(phaseGrant)
 }
 
+// grant gets the key-value lease under which the record is written.
 func (h *Holder) grant(ctx context.Context) time.Duration {
 	sent := h.set.Now()
 	id, err := h.store.Grant(ctx, h.set.TTL)
@@ -186,6 +194,7 @@
 	return h.set.RenewInterval
 }
 
+// renew renews the key-value lease.
 func (h *Holder) renew(ctx context.Context) time.Duration {
 	sent := h.set.Now()
 	ttl, err := h.store.KeepAlive(ctx, h.own)
@@ -216,34 +225,11 @@
 	}
 }
 
+// markReleased tries until ctx ends. Without a mark the successor waits for the
+// lease to end.
 func (h *Holder) markReleased(ctx context.Context) {
 	for ctx.Err() == nil {
-		pair, err := h.store.Get(ctx, RecordKey(h.set.Endpoint))
-		if errors.Is(err, kv.ErrUnavailable) {
-			h.pause(ctx)
-			continue
-		}
-		if err != nil {
-			return
-		}
-		r, err := decodeRecord(pair.Value)
-		if err != nil || r.Holder != h.self || r.Released {
-			return
-		}
-		r.Released = true
-		value, err := r.encode()
-		if err != nil {
-			return
-		}
-		_, err = h.store.Txn(ctx, kv.Txn{
-			Compares: []kv.Compare{{Key: RecordKey(h.set.Endpoint), ModRevision: pair.ModRevision}},
-			Ops: []kv.Op{
-				{Type: kv.OpPut, Key: RecordKey(h.set.Endpoint), Value: value},
-				{Type: kv.OpDelete, Key: PresenceKey(h.set.Endpoint)},
-			},
-		})
-		if err == nil {
-			h.log.Info().Uint("token", r.Token).Msg("lease released")
+		if h.tryRelease(ctx) {
 			return
 		}
 		h.pause(ctx)
@@ -251,9 +237,37 @@
 	h.log.Warn().Msg("release not confirmed, the successor waits for the lease to end")
 }
 
-// releaseRetry is the pause between attempts to release.
-const releaseRetry = 200 * time.Millisecond
+// tryRelease marks the record as released. It returns false if the call may
+// succeed later.
+func (h *Holder) tryRelease(ctx context.Context) bool {
+	pair, err := h.store.Get(ctx, RecordKey(h.set.Endpoint))
+	if err != nil {
+		return !errors.Is(err, kv.ErrUnavailable)
+	}
+	r, err := decodeRecord(pair.Value)
+	if err != nil || r.Holder != h.self || r.Released {
+		return true
+	}
+	r.Released = true
+	value, err := r.encode()
+	if err != nil {
+		return true
+	}
+	_, err = h.store.Txn(ctx, kv.Txn{
+		Compares: []kv.Compare{{Key: RecordKey(h.set.Endpoint), ModRevision: pair.ModRevision}},
+		Ops: []kv.Op{
+			{Type: kv.OpPut, Key: RecordKey(h.set.Endpoint), Value: value},
+			{Type: kv.OpDelete, Key: PresenceKey(h.set.Endpoint)},
+		},
+	})
+	if err != nil {
+		return false
+	}
+	h.log.Info().Uint("token", r.Token).Msg("lease released")
+	return true
+}
 
+// pause waits before the next attempt to release, or until ctx ends.
 func (h *Holder) pause(ctx context.Context) {
 	t := time.NewTimer(releaseRetry)
 	defer t.Stop()
