Keep the repeat rule together in pkg/retry

Cause: History.Outcome stood after the budget, and comments did not state the unit of the budget's share and window. Change: order and comments only. Conclusion: no behaviour changes.

--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -15,13 +15,13 @@
 
 // Ends of attempts.
 const (
-	// Answered: the answer is complete.
+	// Answered means that the answer is complete.
 	Answered End = iota + 1
-	// NotRun: the attempt is proved not to have run and never will.
+	// NotRun means that the attempt is proved not to have run and never will.
 	NotRun
-	// Unknown: the attempt was sent and its result is not known.
+	// Unknown means that the attempt was sent and its result is not known.
 	Unknown
-	// CallerGone: the caller's connection has ended.
+	// CallerGone means that the caller's connection has ended.
 	CallerGone
 )
 
@@ -60,8 +60,22 @@
 	}
 }
 
+// Outcome returns the outcome of a request after its last attempt. It is
+// not-run only if every attempt is proved not to have run.
+func (h History) Outcome() ident.Outcome {
+	switch {
+	case h.Last == Answered:
+		return ident.Answered
+	case h.Uncertain || h.Last == CallerGone:
+		return ident.Unknown
+	default:
+		return ident.NotRun
+	}
+}
+
 // Limits of the budget.
 const (
+	// window is the period over which requests and retries are counted.
 	window = 10 * time.Second
 	// minRetries are allowed in a window whatever the number of requests, so
 	// that an entry with little traffic can retry.
@@ -86,7 +100,8 @@
 	b.current.requests++
 }
 
-// Retry takes a retry from the budget. It reports false if the budget is spent.
+// Retry takes a retry from the budget, which is a share (0 to 1) of the requests.
+// It reports false if the budget is spent. A share of 0 allows no retries.
 func (b *Budget) Retry(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -114,16 +129,3 @@
 		b.prior, b.current = counts{}, counts{}
 	}
 }
-
-// Outcome returns the outcome of a request after its last attempt. It is
-// not-run only if every attempt is proved not to have run.
-func (h History) Outcome() ident.Outcome {
-	switch {
-	case h.Last == Answered:
-		return ident.Answered
-	case h.Uncertain || h.Last == CallerGone:
-		return ident.Unknown
-	default:
-		return ident.NotRun
-	}
-}
