Decode claim records in one place

Cause: Lookup and the settlement of a group decoded a stored record with the same code, and doc comments did not state the statuses they return. Change: existing decodes a pair; comments state statuses and units. Conclusion: no behaviour changes.

--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -1,5 +1,5 @@
 // Package claims keeps one record per idempotency key in the key-value service,
-// so that a repeated request finds the first one.
+// so that a repeated request finds the attempt of the first one.
 package claims
 
 import (
@@ -47,9 +47,10 @@
 	Endpoint    ident.EndpointID  `json:"endpoint"`
 	Incarnation ident.Incarnation `json:"incarnation,string"`
 	Attempt     uint32            `json:"attempt"`
-	// EndpointClockMS is the endpoint's clock that the attempt echoes.
+	// EndpointClockMS is the endpoint's monotonic clock that the attempt echoes.
 	EndpointClockMS uint64 `json:"endpoint_clock_ms"`
-	BodyHash        string `json:"body_hash"`
+	// BodyHash is the SHA-256 of the request's body in hexadecimal.
+	BodyHash string `json:"body_hash"`
 }
 
 // Status is the kind of a result.
@@ -90,7 +91,7 @@
 	MaxGroup int
 	// InFlight is the number of concurrent transactions of groups.
 	InFlight int
-	// Now returns the time. Nil means time.Now.
+	// Now returns the wall clock. Nil means time.Now.
 	Now func() time.Time
 }
 
@@ -102,7 +103,7 @@
 
 	mu      sync.Mutex
 	queue   []*waiter
-	workers int
+	workers int // goroutines that commit groups, at most Settings.InFlight
 }
 
 // waiter is one claim that waits for its group.
@@ -132,14 +133,16 @@
 	return &Claims{set: set, store: store}
 }
 
-// Key returns the key of the record of a team's idempotency key.
+// Key returns the key of the record of a team's idempotency key. The hash bounds
+// its length and its characters.
 func Key(team ident.Team, key string) string {
 	sum := sha256.Sum256([]byte(key))
 	return keyPrefix + string(team) + "/" + hex.EncodeToString(sum[:])
 }
 
 // Claim creates the record of a key if there is none. Claims that wait at the
-// same time share a transaction.
+// same time share a transaction. The status is Claimed, Existing, TooOld, or
+// Unavailable with the reason in Err.
 func (c *Claims) Claim(ctx context.Context, team ident.Team, key string, rec Record) Result {
 	if c.tooOld(key) {
 		return Result{Status: TooOld}
@@ -182,7 +185,8 @@
 }
 
 // TakeOver replaces a record that was read at the given revision. The caller has
-// proof that the recorded attempt did not run and never will.
+// proof that the recorded attempt did not run and never will. The status is
+// Claimed, Existing if another record is stored, or Unavailable.
 func (c *Claims) TakeOver(ctx context.Context, team ident.Team, key string, revision int64, rec Record) Result {
 	w, err := newWaiter(Key(team, key), rec)
 	if err != nil {
@@ -211,11 +215,16 @@
 	if err != nil {
 		return Result{Err: err}
 	}
+	return existing(pair)
+}
+
+// existing returns the record in a pair, or an error if it cannot be decoded.
+func existing(p kv.Pair) Result {
 	var rec Record
-	if err := json.Unmarshal(pair.Value, &rec); err != nil {
+	if err := json.Unmarshal(p.Value, &rec); err != nil {
 		return Result{Err: errors.Wrap(err, "decode claim")}
 	}
-	return Result{Status: Existing, Record: rec, Revision: pair.ModRevision}
+	return Result{Status: Existing, Record: rec, Revision: p.ModRevision}
 }
 
 // Drop deletes the record with the given revision. The caller has proof that the
--- a/pkg/claims/group.go
+++ b/pkg/claims/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +13,8 @@
 // before the rest is written one by one.
 const maxGroupRounds = 3
 
+// enqueue adds a claim to the queue and starts a goroutine that commits groups if
+// fewer than the limit run.
 func (c *Claims) enqueue(w *waiter) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -138,6 +139,8 @@
 	return pairs, nil
 }
 
+// groupTxn puts the records of a group, or reads them if a key has another
+// revision.
 func groupTxn(group []*waiter, revision int64, lease kv.LeaseID) kv.Txn {
 	var t kv.Txn
 	for _, w := range group {
@@ -172,13 +175,9 @@
 	if !ok {
 		return Result{}, false
 	}
-	var rec Record
-	if err := json.Unmarshal(p.Value, &rec); err != nil {
-		return Result{Err: errors.Wrap(err, "decode claim")}, true
+	r := existing(p)
+	if r.Err == nil && r.Record == w.record {
+		r.Status = Claimed
 	}
-	status := Existing
-	if rec == w.record {
-		status = Claimed
-	}
-	return Result{Status: status, Record: rec, Revision: p.ModRevision}, true
+	return r, true
 }
