Unexport the limits of the attempt ledger

Cause: Limits, NewLimited and Retention were exported but used by the package's own tests only; states and fields lacked units and meaning. Change: they are unexported; comments state units and the reason of the queue's compaction. Conclusion: no behaviour changes.

--- a/pkg/attempts/attempts.go
+++ b/pkg/attempts/attempts.go
@@ -13,16 +13,19 @@
 
 // Limits of the ledger.
 const (
-	// Retention is how long an attempt is remembered after its end.
-	Retention = 5 * time.Minute
+	// retention is how long an attempt is remembered after its end.
+	retention = 5 * time.Minute
 	// MaxEchoAge is the oldest endpoint clock that an attempt may echo. It is far
-	// below Retention, so a delayed duplicate is refused after it is forgotten.
+	// below retention, so that a delayed duplicate is refused even if the attempt is
+	// forgotten.
 	MaxEchoAge = 30 * time.Second
 	// maxStoredBytes bounds the stored answers of all attempts together.
 	maxStoredBytes = 8 << 20
 	// maxEntries bounds the remembered attempts. At 5 attempts/s the retention
 	// needs 1,500.
 	maxEntries = 64 << 10
+	// frameBytes is the memory of a frame besides its payload.
+	frameBytes = 64
 )
 
 // State is the state of an attempt.
@@ -34,6 +37,7 @@
 	Absent State = iota
 	Queued
 	Running
+	// Done means that the answer is complete. It may still be stored.
 	Done
 	// Failed means that the attempt was started and its result is lost.
 	Failed
@@ -44,11 +48,14 @@
 	Forgotten
 )
 
+// entry is one remembered attempt.
 type entry struct {
-	state  State
+	state State
+	// keep is true if the answer is stored.
 	keep   bool
 	answer []*fescuev1.RunFrame
-	bytes  int
+	// bytes is the size of the stored answer.
+	bytes int
 }
 
 // ended is one ended attempt in the order of the ends.
@@ -57,31 +64,32 @@
 	at time.Time
 }
 
-// Limits bound the memory of a ledger.
-type Limits struct {
-	Entries int
-	Bytes   int
+// limits bound the memory of a ledger.
+type limits struct {
+	entries int // remembered attempts
+	bytes   int // stored answers
 }
 
 // Ledger remembers attempts. It is safe for concurrent use.
 type Ledger struct {
-	limits  Limits
+	limits  limits
 	mu      sync.Mutex
 	entries map[ident.AttemptID]*entry
+	// ends and answers are in the order of the ends.
 	ends    fifo[ended]
 	answers fifo[ident.AttemptID]
-	stored  int
+	// stored is the size of all stored answers in bytes.
+	stored int
 	// horizon is the latest end of a forgotten attempt. An attempt that was sent
 	// before it may have been forgotten.
 	horizon time.Time
 }
 
 // New returns an empty ledger.
-func New() *Ledger { return NewLimited(Limits{Entries: maxEntries, Bytes: maxStoredBytes}) }
+func New() *Ledger { return newLimited(limits{entries: maxEntries, bytes: maxStoredBytes}) }
 
-// NewLimited returns an empty ledger with the given limits.
-func NewLimited(limits Limits) *Ledger {
-	return &Ledger{limits: limits, entries: map[ident.AttemptID]*entry{}}
+func newLimited(l limits) *Ledger {
+	return &Ledger{limits: l, entries: map[ident.AttemptID]*entry{}}
 }
 
 // Begin records a new attempt as queued. It returns the earlier state if the
@@ -102,6 +110,8 @@
 	return Absent
 }
 
+// forgotten reports whether an attempt that is not in the ledger may have been in
+// it earlier.
 func (l *Ledger) forgotten(sent time.Time) bool {
 	return !l.horizon.IsZero() && !sent.After(l.horizon)
 }
@@ -174,13 +184,13 @@
 // store keeps an answer and drops the oldest ones beyond the limit.
 func (l *Ledger) store(id ident.AttemptID, e *entry, answer []*fescuev1.RunFrame) {
 	size := answerBytes(answer)
-	if !e.keep || len(answer) == 0 || size > l.limits.Bytes {
+	if !e.keep || len(answer) == 0 || size > l.limits.bytes {
 		return
 	}
 	e.answer, e.bytes = answer, size
 	l.stored += size
 	l.answers.push(id)
-	for l.stored > l.limits.Bytes {
+	for l.stored > l.limits.bytes {
 		l.dropAnswer(l.entries[l.answers.pop()])
 	}
 }
@@ -193,9 +203,6 @@
 	e.answer, e.bytes = nil, 0
 }
 
-// frameBytes is the memory of a frame besides its payload.
-const frameBytes = 64
-
 func answerBytes(frames []*fescuev1.RunFrame) int {
 	n := 0
 	for _, f := range frames {
@@ -204,6 +211,7 @@
 	return n
 }
 
+// end records the end of an attempt, from which its retention counts.
 func (l *Ledger) end(now time.Time, id ident.AttemptID) {
 	l.ends.push(ended{id: id, at: now})
 	l.shrink()
@@ -211,7 +219,7 @@
 
 // shrink forgets the oldest ended attempts beyond the limit.
 func (l *Ledger) shrink() {
-	for len(l.entries) > l.limits.Entries && l.ends.len() > 0 {
+	for len(l.entries) > l.limits.entries && l.ends.len() > 0 {
 		l.forgetOldest()
 	}
 }
@@ -236,11 +244,11 @@
 	return e.state, e.answer
 }
 
-// Expire forgets attempts that ended more than Retention ago.
+// Expire forgets attempts that ended more than the retention ago.
 func (l *Ledger) Expire(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for l.ends.len() > 0 && now.Sub(l.ends.front().at) > Retention {
+	for l.ends.len() > 0 && now.Sub(l.ends.front().at) > retention {
 		l.forgetOldest()
 	}
 	for l.answers.len() > 0 && l.stale(l.answers.front()) {
@@ -248,6 +256,7 @@
 	}
 }
 
+// stale reports whether the answer of an attempt is no longer stored.
 func (l *Ledger) stale(id ident.AttemptID) bool {
 	e := l.entries[id]
 	return e == nil || e.answer == nil
@@ -260,7 +269,7 @@
 	return len(l.entries)
 }
 
-// StoredBytes returns the size of the stored answers.
+// StoredBytes returns the size of the stored answers in bytes.
 func (l *Ledger) StoredBytes() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/attempts/attempts_test.go
+++ b/pkg/attempts/attempts_test.go
@@ -32,8 +32,8 @@
 // and against unbounded memory.
 func TestLedgerAgainstMap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := Limits{Entries: rapid.IntRange(1, 30).Draw(t, "entries"), Bytes: rapid.IntRange(0, 400).Draw(t, "bytes")}
-		l := NewLimited(limits)
+		bounds := limits{entries: rapid.IntRange(1, 30).Draw(t, "entries"), bytes: rapid.IntRange(0, 400).Draw(t, "bytes")}
+		l := newLimited(bounds)
 		now := time.Unix(1000, 0)
 		all := map[ident.AttemptID]*record{}
 		var ids []ident.AttemptID
@@ -49,7 +49,7 @@
 		// agree checks the state that the ledger returned against the oracle.
 		agree := func(t *rapid.T, r *record, got State) {
 			if got == Forgotten {
-				if l.Len() < limits.Entries && r.state != Absent && now.Sub(r.ended) <= Retention {
+				if l.Len() < bounds.entries && r.state != Absent && now.Sub(r.ended) <= retention {
 					t.Fatalf("attempt in state %d forgotten %v after its end", r.state, now.Sub(r.ended))
 				}
 				return
@@ -120,8 +120,8 @@
 						active++
 					}
 				}
-				if l.Len() > max(limits.Entries, active) || l.StoredBytes() > limits.Bytes {
-					t.Fatalf("%d entries and %d bytes with limits %+v", l.Len(), l.StoredBytes(), limits)
+				if l.Len() > max(bounds.entries, active) || l.StoredBytes() > bounds.bytes {
+					t.Fatalf("%d entries and %d bytes with limits %+v", l.Len(), l.StoredBytes(), bounds)
 				}
 			},
 		})
--- a/pkg/attempts/fifo.go
+++ b/pkg/attempts/fifo.go
@@ -1,7 +1,7 @@
 package attempts
 
-// compactAt is the number of used places that a fifo keeps before it moves its
-// content to the front.
+// compactAt is the number of empty places at the front that a fifo keeps before
+// it moves its content to the front, so that a small queue is not moved often.
 const compactAt = 64
 
 // fifo is a first-in first-out queue.
