Unexport the line index of settings files

Cause: Lines, Place and EnvPrefix had no user outside of pkg/config. Change: they are unexported, and comments say what the fields hold. Conclusion: no behaviour changes.

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -16,8 +16,8 @@
 	"github.com/fescuecourse/fescuecourse/pkg/findings"
 )
 
-// EnvPrefix is the prefix of environment variables, such as FESCUE_LISTEN.
-const EnvPrefix = "FESCUE"
+// envPrefix is the prefix of environment variables, such as FESCUE_LISTEN.
+const envPrefix = "FESCUE"
 
 // ErrUsage reports a wrong flag or argument. Programs exit with status 2.
 var ErrUsage = errors.New("wrong usage")
@@ -26,7 +26,8 @@
 // dots in flag names separate the section from the key.
 type Set struct {
 	*flag.FlagSet
-	file  *string
+	file *string
+	// lines holds the line in the INI file of each setting that it has.
 	lines map[string]int
 	found findings.List
 }
@@ -49,7 +50,7 @@
 	if err != nil {
 		return errors.Mark(err, ErrUsage)
 	}
-	if err := ff.Parse(s.FlagSet, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
+	if err := ff.Parse(s.FlagSet, args, ff.WithEnvVarPrefix(envPrefix)); err != nil {
 		s.found.Addf("environment", 0, "%v", err)
 	}
 	if *s.file == "" {
@@ -75,6 +76,7 @@
 	return s.found.Err()
 }
 
+// setting is one key of the INI file.
 type setting struct {
 	name  string
 	value string
@@ -87,7 +89,7 @@
 		s.found.Addf(path, 0, "%v", err)
 		return nil, s.found
 	}
-	lines := Lines(string(text))
+	lines := lineNumbers(string(text))
 	var out []setting
 	for _, sec := range f.Sections() {
 		for _, key := range sec.Keys() {
@@ -95,12 +97,13 @@
 			if sec.Name() != ini.DefaultSection {
 				name = sec.Name() + "." + name
 			}
-			out = append(out, setting{name: name, value: key.Value(), line: lines[Place{Section: sec.Name(), Key: key.Name()}]})
+			out = append(out, setting{name: name, value: key.Value(), line: lines[place{section: sec.Name(), key: key.Name()}]})
 		}
 	}
 	return out, nil
 }
 
+// apply sets a value from the file unless the setting is given already.
 func (s *Set) apply(path string, kv setting, given map[string]bool) {
 	f := s.Lookup(kv.name)
 	if f == nil || kv.name == "config" {
@@ -139,16 +142,16 @@
 	return s.found.Err()
 }
 
-// Place is a key inside a section of an INI file.
-type Place struct {
-	Section string
-	Key     string
+// place is a key inside a section of an INI file.
+type place struct {
+	section string
+	key     string
 }
 
-// Lines maps the sections and keys of an INI text to line numbers. A section
+// lineNumbers maps the sections and keys of an INI text to line numbers. A section
 // itself has an empty key. The first occurrence counts.
-func Lines(text string) map[Place]int {
-	out := map[Place]int{}
+func lineNumbers(text string) map[place]int {
+	out := map[place]int{}
 	section := ini.DefaultSection
 	for i, line := range strings.Split(text, "\n") {
 		line = strings.TrimSpace(line)
@@ -161,8 +164,8 @@
 		} else {
 			key = strings.TrimSpace(strings.SplitN(line, "=", 2)[0])
 		}
-		if _, ok := out[Place{Section: section, Key: key}]; !ok {
-			out[Place{Section: section, Key: key}] = i + 1
+		if _, ok := out[place{section: section, key: key}]; !ok {
+			out[place{section: section, key: key}] = i + 1
 		}
 	}
 	return out
