State units and reasons in the fake outside systems

Cause: fields of the fake key-value server had abbreviated names, decodeTxn decoded all branches in one function, errors of listeners did not say which one failed, and counters had no description. Change: names, comments and error texts; decodeOps decodes the writes of a transaction; fault counts are sorted with cmp.Compare.

--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -3,6 +3,7 @@
 package fault
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -36,7 +37,7 @@
 	At []time.Duration
 	// Delay is the added time of slow and late faults.
 	Delay time.Duration
-	// AfterEvents is the number of events before a stream is cut.
+	// AfterEvents is the number of server-sent events before a stream is cut.
 	AfterEvents int
 }
 
@@ -121,11 +122,6 @@
 	for k, n := range i.injected {
 		out = append(out, Count{Kind: k, Injected: n})
 	}
-	slices.SortFunc(out, func(a, b Count) int {
-		if a.Kind < b.Kind {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b Count) int { return cmp.Compare(a.Kind, b.Kind) })
 	return out
 }
--- a/standin/fault/relay.go
+++ b/standin/fault/relay.go
@@ -11,7 +11,8 @@
 
 // Sizes of a relay's buffers.
 const (
-	chunkBytes     = 32 << 10
+	chunkBytes = 32 << 10
+	// chunksInFlight bounds the chunks that wait for their delay in one direction.
 	chunksInFlight = 1024
 )
 
@@ -32,7 +33,7 @@
 func NewRelay(target string) (*Relay, error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+		return nil, errors.Wrap(err, "listen for the relay")
 	}
 	r := &Relay{lis: lis, target: target, pairs: map[*pair]bool{}}
 	r.wg.Go(r.accept)
@@ -175,6 +176,7 @@
 	}
 }
 
+// deliver writes each chunk when it is due. A silent pair drops it.
 func deliver(p *pair, dst net.Conn, chunks <-chan chunk) {
 	for c := range chunks {
 		if wait := time.Until(c.due); wait > 0 {
--- a/standin/kvstore/calls.go
+++ b/standin/kvstore/calls.go
@@ -16,9 +16,12 @@
 // maxTxnOps is the default limit of etcd for the operations of a transaction.
 const maxTxnOps = 128
 
+// Refusals of calls that this fake does not support or that etcd refuses too.
 var (
 	errRange     = errors.New("range end must be the end of the prefix")
 	errCompare   = errors.New("only equal mod revisions can be compared")
+	errSuccessOp = errors.New("only writes are supported in the success branch")
+	errFailureOp = errors.New("only reads are supported in the failure branch")
 	errTxnSize   = errors.New("etcdserver: too many operations in txn request")
 	errDuplicate = errors.New("etcdserver: duplicate key given in txn request")
 )
@@ -82,25 +85,33 @@
 		}
 		t.Compares = append(t.Compares, kv.Compare{Key: string(c.Key), ModRevision: c.ModRevision})
 	}
+	for _, op := range req.Failure {
+		if op.Range == nil {
+			return t, errFailureOp
+		}
+		t.OnFailure = append(t.OnFailure, string(op.Range.Key))
+	}
+	var err error
+	t.Ops, err = decodeOps(req.Success)
+	return t, err
+}
+
+// decodeOps returns the writes of a transaction. Each key may occur once.
+func decodeOps(ops []etcd.RequestOp) ([]kv.Op, error) {
+	var out []kv.Op
 	seen := map[string]bool{}
-	for _, op := range req.Success {
+	for _, op := range ops {
 		decoded, err := decodeOp(op)
 		if err != nil {
-			return t, err
+			return nil, err
 		}
 		if seen[decoded.Key] {
-			return t, errDuplicate
+			return nil, errDuplicate
 		}
 		seen[decoded.Key] = true
-		t.Ops = append(t.Ops, decoded)
-	}
-	for _, op := range req.Failure {
-		if op.Range == nil {
-			return t, errors.New("only reads are supported in the failure branch")
-		}
-		t.OnFailure = append(t.OnFailure, string(op.Range.Key))
+		out = append(out, decoded)
 	}
-	return t, nil
+	return out, nil
 }
 
 func decodeOp(op etcd.RequestOp) (kv.Op, error) {
@@ -110,7 +121,7 @@
 	case op.Delete != nil:
 		return kv.Op{Type: kv.OpDelete, Key: string(op.Delete.Key)}, nil
 	default:
-		return kv.Op{}, errors.New("only writes are supported in the success branch")
+		return kv.Op{}, errSuccessOp
 	}
 }
 
@@ -166,7 +177,7 @@
 // notify sends one message of a watch unless watches are muted.
 func (s *Server) notify(w http.ResponseWriter, result etcd.WatchResult) {
 	s.mu.Lock()
-	muted, down := s.flt.MuteWatches, s.flt.Down
+	muted, down := s.faults.MuteWatches, s.faults.Down
 	s.mu.Unlock()
 	if down {
 		panic(http.ErrAbortHandler)
--- a/standin/kvstore/memory.go
+++ b/standin/kvstore/memory.go
@@ -20,6 +20,8 @@
 	expires time.Time
 }
 
+// record is one change in the history, which a watch from an earlier revision
+// replays.
 type record struct {
 	revision int64
 	event    kv.Event
@@ -145,6 +147,7 @@
 	}
 }
 
+// deliver sends an event to a watch, or closes a watch that is too far behind.
 func (m *Memory) deliver(w *watcher, e kv.Event) {
 	if !strings.HasPrefix(e.Pair.Key, w.prefix) {
 		return
@@ -220,6 +223,7 @@
 	}
 }
 
+// end ends a lease and deletes its keys in one revision.
 func (m *Memory) end(id kv.LeaseID) {
 	delete(m.leases, id)
 	var keys []string
@@ -262,7 +266,7 @@
 	return w.events, nil
 }
 
-// Revision returns the current store revision.
+// Revision returns the store revision of the last change.
 func (m *Memory) Revision() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/standin/kvstore/server.go
+++ b/standin/kvstore/server.go
@@ -20,7 +20,7 @@
 	DefaultProgress = time.Second
 	// expireInterval is the resolution of lease expiry seen by watches.
 	expireInterval = 50 * time.Millisecond
-	// headerTimeout bounds the time in which a client sends its request header.
+	// headerTimeout bounds the time that a client may take for its headers.
 	headerTimeout = 10 * time.Second
 )
 
@@ -56,18 +56,19 @@
 	Progress time.Duration
 
 	mem  *Memory
-	mu   sync.Mutex
-	flt  Faults
-	cnt  Counts
 	addr string
 	lis  net.Listener
+
+	mu     sync.Mutex
+	faults Faults
+	counts Counts
 }
 
 // New returns a server that listens on address (host:port). Run serves.
 func New(address string) (*Server, error) {
 	lis, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+		return nil, errors.Wrap(err, "listen for the key-value service")
 	}
 	return &Server{Progress: DefaultProgress, mem: NewMemory(time.Now), lis: lis, addr: lis.Addr().String()}, nil
 }
@@ -82,14 +83,14 @@
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.flt = f
+	s.faults = f
 }
 
 // Counts returns the calls so far.
 func (s *Server) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.cnt
+	return s.counts
 }
 
 // Run serves until ctx ends.
@@ -98,7 +99,7 @@
 	go s.expire(ctx)
 	context.AfterFunc(ctx, func() { srv.Close() })
 	if err := srv.Serve(s.lis); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve")
+		return errors.Wrap(err, "serve the key-value service")
 	}
 	return nil
 }
@@ -128,6 +129,7 @@
 	return mux
 }
 
+// callKind tells whether a call can lose its reply after it took effect.
 type callKind bool
 
 const (
@@ -139,8 +141,8 @@
 // connection ends the handler with http.ErrAbortHandler.
 func (s *Server) begin(ctx context.Context, count func(*Counts)) {
 	s.mu.Lock()
-	count(&s.cnt)
-	f := s.flt
+	count(&s.counts)
+	f := s.faults
 	s.mu.Unlock()
 	if f.Delay > 0 {
 		t := time.NewTimer(f.Delay)
@@ -155,16 +157,19 @@
 	}
 }
 
+// loseReply reports whether the reply to the present write is lost.
 func (s *Server) loseReply() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.flt.LoseReplies == 0 {
+	if s.faults.LoseReplies == 0 {
 		return false
 	}
-	s.flt.LoseReplies--
+	s.faults.LoseReplies--
 	return true
 }
 
+// handle returns the handler of one kind of call, with the faults before and after
+// its effect.
 func handle[Req, Resp any](s *Server, kind callKind, count func(*Counts), serve func(context.Context, Req) (Resp, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var req Req
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -20,7 +20,8 @@
 type Answer struct {
 	Path      string `json:"path"`
 	RequestID string `json:"request_id"`
-	Echo      string `json:"echo"`
+	// Echo is the body of the request.
+	Echo string `json:"echo"`
 }
 
 // Server is a fake service. It does not deduplicate.
--- a/standin/weightstore/weightstore.go
+++ b/standin/weightstore/weightstore.go
@@ -24,9 +24,9 @@
 	faults   *fault.Injector
 
 	mu     sync.Mutex
-	active int
-	loads  int
-	peak   int
+	active int // reads in progress
+	loads  int // reads begun
+	peak   int // highest number of concurrent reads
 }
 
 // New returns a store that completes loadsPerSecond loads when they run one at
@@ -36,7 +36,7 @@
 }
 
 // Read transfers one adapter. With n concurrent readers each gets 1/n of the
-// bandwidth.
+// bandwidth. It returns ErrReadFailed for an injected failure, or ctx's error.
 func (s *Store) Read(ctx context.Context) error {
 	s.enter()
 	defer s.leave()
@@ -84,7 +84,9 @@
 
 // Stats are the counters of a store.
 type Stats struct {
-	Loads          int
+	// Loads counts the reads that have begun.
+	Loads int
+	// PeakConcurrent is the highest number of reads at the same time.
 	PeakConcurrent int
 }
 
