Name and document the order of flows in the fair queue

Cause: flow.mark did not say what it marks, fields of the queue and the unit of costs were not described, and DefaultFloor had no user outside. Change: mark is lastServed, DefaultFloor is unexported; comments. Conclusion: no behaviour changes.

--- a/pkg/fairqueue/dispatch.go
+++ b/pkg/fairqueue/dispatch.go
@@ -24,7 +24,7 @@
 	it := f.first()
 	f.deficit = max(f.deficit-it.Cost, -maxDebtRounds*q.cfg.Quantum*f.weight)
 	q.dispatched++
-	f.mark = q.dispatched
+	f.lastServed = q.dispatched
 	q.order.MoveToBack(f.order)
 	q.Remove(it)
 	return it
@@ -39,7 +39,7 @@
 		return nil
 	}
 	f := front.Value.(*flow[L, V])
-	if int(q.dispatched-f.mark)+q.order.Len() < q.cfg.Floor {
+	if int(q.dispatched-f.lastServed)+q.order.Len() < q.cfg.Floor {
 		return nil
 	}
 	return f
@@ -76,13 +76,14 @@
 	return best
 }
 
+// enable adds a lane to the ready lanes of its flow.
 func (q *Queue[L, V]) enable(ln *lane[L, V]) {
 	f := ln.flow
 	f.ready = append(f.ready, ln)
 	if len(f.ready) > 1 {
 		return
 	}
-	f.mark = q.dispatched
+	f.lastServed = q.dispatched
 	f.ring = q.rings[f.key.class].PushBack(f)
 	f.order = q.order.PushBack(f)
 }
@@ -110,6 +111,7 @@
 	*e = nil
 }
 
+// dropLane removes an empty lane, and its flow if that has no other one.
 func (q *Queue[L, V]) dropLane(ln *lane[L, V], l L) {
 	q.disable(ln)
 	f := ln.flow
--- a/pkg/fairqueue/fairqueue.go
+++ b/pkg/fairqueue/fairqueue.go
@@ -9,8 +9,8 @@
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
 
-// DefaultFloor is the guaranteed minimum if Config.Floor is zero.
-const DefaultFloor = 32
+// defaultFloor is the guaranteed minimum, in dispatches, if Config.Floor is zero.
+const defaultFloor = 32
 
 // classes is the number of priority classes plus the unused zero value.
 const classes = int(ident.PriorityHigh) + 1
@@ -19,9 +19,9 @@
 type Config struct {
 	// Floor is the number of dispatches within which every flow with ready work
 	// is served, whatever its class. With more ready flows than Floor, the bound
-	// is the number of ready flows.
+	// is the number of ready flows. Zero means 32.
 	Floor int
-	// Quantum is the cost that a flow of weight 1 may dispatch per round.
+	// Quantum is the cost that a flow of weight 1 may dispatch per round. Zero means 1.
 	Quantum int
 }
 
@@ -30,7 +30,8 @@
 	Team   ident.Team
 	Class  ident.Priority
 	Weight int
-	Cost   int
+	// Cost is in units of Config.Quantum.
+	Cost int
 	// Lane groups the items that become ready together.
 	Lane  L
 	Value V
@@ -63,26 +64,33 @@
 
 // flow is the queued work of one team in one class.
 type flow[L comparable, V any] struct {
-	key     flowKey
-	weight  int
+	key    flowKey
+	weight int
+	// deficit is the cost that the flow may still dispatch in this round. It is
+	// negative after dispatches for the guaranteed minimum.
 	deficit int
 	// turn states that the deficit has been raised in the current round.
 	turn  bool
 	lanes map[L]*lane[L, V]
 	ready []*lane[L, V]
-	// mark is the number of dispatches when the flow was last served or became ready.
-	mark  uint64
+	// lastServed is the number of dispatches when the flow was last served or became
+	// ready.
+	lastServed uint64
+	// ring and order are the places of a ready flow in Queue.rings and Queue.order.
 	ring  *list.Element
 	order *list.Element
 }
 
 // Queue holds items. An item is dispatched only while its lane is ready.
 type Queue[L comparable, V any] struct {
-	cfg        Config
-	flows      map[flowKey]*flow[L, V]
-	sets       map[L]*laneSet[L, V]
-	rings      [classes]list.List
-	order      list.List
+	cfg   Config
+	flows map[flowKey]*flow[L, V]
+	sets  map[L]*laneSet[L, V]
+	// rings hold the ready flows of each class in the order of the round robin.
+	rings [classes]list.List
+	// order holds all ready flows, the one that has waited longest first.
+	order list.List
+	// teams counts the queued items of each team.
 	teams      map[ident.Team]int
 	length     int
 	seq        uint64
@@ -92,7 +100,7 @@
 // New returns an empty queue. Lanes are not ready at first.
 func New[L comparable, V any](cfg Config) *Queue[L, V] {
 	if cfg.Floor <= 0 {
-		cfg.Floor = DefaultFloor
+		cfg.Floor = defaultFloor
 	}
 	if cfg.Quantum <= 0 {
 		cfg.Quantum = 1
