--- a/pkg/limits/limits.go
+++ b/pkg/limits/limits.go
@@ -19,7 +19,8 @@
 	ReasonInFlight Reason = "in_flight"
 )
 
-// retryAfterInFlight is the advice to callers above the concurrency limit.
+// retryAfterInFlight is the advice to callers above the concurrency limit. The
+// limiter does not know when a request in flight will end.
 const retryAfterInFlight = time.Second
 
 // Refusal describes why a request is over a limit.
@@ -38,14 +39,15 @@
 // in flight.
 type team struct {
 	tokens   float64
-	at       time.Time
+	at       time.Time // when tokens was computed
 	inFlight int
 }
 
 // New returns a limiter without counts.
 func New() *Limiter { return &Limiter{teams: map[ident.Team]*team{}} }
 
-// share returns the limits of one of n entries. A limit of 0 means none.
+// share returns the limits of one of n entries: requests/s and requests in flight.
+// A limit of 0 means none.
 func share(p bundle.TeamPolicy, n int) (rate float64, inFlight int) {
 	n = max(n, 1)
 	rate = p.RatePerSecond / float64(n)
@@ -57,7 +59,8 @@
 
 // Acquire admits a request of a team, or refuses it. The policy comes from the
 // active bundle, so a new bundle takes effect at once and keeps the counts.
-// Each admitted request must be released.
+// entries is the number of entries that share the limits. Each admitted request
+// must be released.
 func (l *Limiter) Acquire(now time.Time, p bundle.TeamPolicy, entries int) (Refusal, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -105,6 +108,7 @@
 	}
 }
 
+// team returns the counts of a team. A new team starts with a full bucket.
 func (l *Limiter) team(now time.Time, id ident.Team, rate float64) *team {
 	t := l.teams[id]
 	if t == nil {
--- a/pkg/membership/index.go
+++ b/pkg/membership/index.go
@@ -11,12 +11,15 @@
 // index keeps what a snapshot needs, so that publishing copies only what has
 // changed since the previous snapshot.
 type index struct {
-	slots   []*Endpoint
-	free    []int32
+	slots []*Endpoint
+	// free lists the unused slots.
+	free []int32
+	// sorted lists the used slots in the order of their endpoint ids.
 	sorted  []int32
 	groups  map[BackendKey]*Group
 	holders [indexShards]map[ident.Adapter][]int32
-	// shared marks shards that the last snapshot refers to.
+	// shared and groupsShared mark what the last snapshot refers to. It is copied
+	// before a change.
 	shared       [indexShards]bool
 	groupsShared bool
 }
@@ -67,6 +70,7 @@
 	x.free = append(x.free, e.slot)
 }
 
+// position returns where an endpoint id is, or belongs, in sorted.
 func (x *index) position(id ident.EndpointID) (int, bool) {
 	return slices.BinarySearchFunc(x.sorted, id, func(slot int32, id ident.EndpointID) int {
 		return strings.Compare(string(x.slots[slot].ID), string(id))
@@ -104,6 +108,7 @@
 	x.groups[key] = next
 }
 
+// link enters an endpoint as holder of its resident and loading adapters.
 func (x *index) link(e *Endpoint) {
 	for _, list := range [][]ident.Adapter{e.Residents, e.Loading} {
 		for _, a := range list {
@@ -115,6 +120,7 @@
 	}
 }
 
+// unlink undoes link.
 func (x *index) unlink(e *Endpoint) {
 	for _, list := range [][]ident.Adapter{e.Residents, e.Loading} {
 		for _, a := range list {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -24,31 +24,39 @@
 
 // Endpoint is one endpoint as last reported. It is immutable.
 type Endpoint struct {
-	ID             ident.EndpointID
-	Incarnation    ident.Incarnation
-	Zone           ident.AvailabilityZone
-	Kind           fescuev1.EndpointKind
-	Backend        string
-	State          fescuev1.EndpointState
-	BundleVersion  ident.BundleVersion
-	ClockMS        uint64
+	ID          ident.EndpointID
+	Incarnation ident.Incarnation
+	Zone        ident.AvailabilityZone
+	Kind        fescuev1.EndpointKind
+	// Backend is the base model or the service.
+	Backend       string
+	State         fescuev1.EndpointState
+	BundleVersion ident.BundleVersion
+	// ClockMS is the endpoint's monotonic clock when it sent the report.
+	ClockMS uint64
+	// PositionsTotal and PositionsUsed count batch positions.
 	PositionsTotal int
 	PositionsUsed  int
-	Queued         int
+	// Queued is the number of waiting requests.
+	Queued int
 	// QueueCapacity is 0 if the endpoint does not report it.
-	QueueCapacity    int
-	SlotsTotal       int
-	Residents        []ident.Adapter
-	Loading          []ident.Adapter
+	QueueCapacity int
+	// SlotsTotal is the number of adapter slots of the engine.
+	SlotsTotal int
+	Residents  []ident.Adapter
+	Loading    []ident.Adapter
+	// CanLoad is false while the endpoint may send no commands to its engine.
 	CanLoad          bool
 	ConnectedEntries int
-	ReportedAt       time.Time
-	Load             *Load
+	// ReportedAt is when the report arrived, on this entry's clock.
+	ReportedAt time.Time
+	Load       *Load
 	// OwnAtReport is the in-flight count of this entry when the report arrived.
 	OwnAtReport int64
 	// Hash is EndpointHash(ID).
 	Hash uint64
 
+	// slot is the index in Snapshot.slots.
 	slot int32
 }
 
@@ -130,6 +138,7 @@
 	}
 }
 
+// adapters parses adapter names and leaves out malformed ones.
 func adapters(names []string) []ident.Adapter {
 	out := make([]ident.Adapter, 0, len(names))
 	for _, n := range names {
--- a/pkg/membership/snapshot.go
+++ b/pkg/membership/snapshot.go
@@ -41,6 +41,7 @@
 	// Entries is the highest number of connected entries that an endpoint
 	// reports, at least 1.
 	Entries int
+	// slots has nil for unused slots.
 	slots   []*Endpoint
 	groups  map[BackendKey]*Group
 	holders [indexShards]map[ident.Adapter][]int32
