Name the failed step in errors of the operator commands

Cause: fescuectl status printed "does not answer: status 500" for an entry that had responded, and fescuectl bundle status did not say what it failed to read. Change: the errors name the request; comments state what the time limits and writers are for. Conclusion: exit codes are as before; error texts change.

--- a/pkg/bundlecmd/bundlecmd.go
+++ b/pkg/bundlecmd/bundlecmd.go
@@ -19,18 +19,20 @@
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
 )
 
-// storeTimeout bounds a command that uses the key-value service.
+// storeTimeout bounds a command that uses the key-value service. A rollout
+// repeats calls that got no reply until then.
 const storeTimeout = 30 * time.Second
 
 // ErrRejected reports a command that printed its findings already. Programs
 // exit with status 1.
 var ErrRejected = errors.New("rejected")
 
-// OpenStore connects to the key-value service at an address.
+// OpenStore connects to the key-value service at an address (host:port).
 type OpenStore func(address string) (kv.Store, error)
 
 // Tool holds what the commands need from their process.
 type Tool struct {
+	// Out receives results and findings, Err usage texts.
 	Out  io.Writer
 	Err  io.Writer
 	Open OpenStore
@@ -75,6 +77,7 @@
 	}
 }
 
+// usage returns an error that programs report as a wrong command line.
 func usage(format string, args ...any) error {
 	return errors.Mark(errors.Newf(format, args...), config.ErrUsage)
 }
--- a/pkg/bundlecmd/remote.go
+++ b/pkg/bundlecmd/remote.go
@@ -180,7 +180,7 @@
 		}
 		root, _, err := rollout.ReadRoot(ctx, store)
 		if err != nil {
-			return err
+			return errors.Wrap(err, "read the accepted bundle")
 		}
 		return t.accepted(*f.json, root)
 	}}
--- a/pkg/statuscmd/statuscmd.go
+++ b/pkg/statuscmd/statuscmd.go
@@ -26,9 +26,11 @@
 	exitUsage   = 2
 )
 
+// callTimeout bounds the call to one entry, so that one that hangs does not hide
+// the state of the others.
 const callTimeout = 3 * time.Second
 
-// Report is the answer of one entry, or the reason why there is none.
+// Report is the status of one entry, or the reason why there is none.
 type Report struct {
 	Address string        `json:"address"`
 	Error   string        `json:"error,omitempty"`
@@ -36,7 +38,7 @@
 }
 
 // Run runs the command and returns the exit status: 0 if every entry is ready
-// and all nodes have the same bundle version, else 1.
+// and all nodes have the same bundle version, 2 for a wrong flag, else 1.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	fs := flag.NewFlagSet("fescuectl status", flag.ContinueOnError)
 	fs.SetOutput(stderr)
@@ -83,20 +85,21 @@
 	return Report{Address: address, Status: s}
 }
 
+// get reads the status of the entry at address (host:port).
 func get(ctx context.Context, address string) (*entry.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+entry.StatusPath, nil)
 	if err != nil {
-		return nil, errors.Wrap(err, "build request")
+		return nil, errors.Wrap(err, "build request for status")
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "read status")
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Newf("status %d", resp.StatusCode)
+		return nil, errors.Newf("read status: HTTP status %d", resp.StatusCode)
 	}
 	var s entry.Status
 	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
@@ -111,7 +114,7 @@
 	newest := newestVersion(reports)
 	for _, r := range reports {
 		if r.Status == nil {
-			out = append(out, r.Address+" does not answer: "+r.Error)
+			out = append(out, r.Address+" gives no status: "+r.Error)
 			continue
 		}
 		out = append(out, checkEntry(r.Status, newest)...)
@@ -129,6 +132,7 @@
 	return newest
 }
 
+// checkEntry returns the problems of an entry and of the endpoints that it sees.
 func checkEntry(s *entry.Status, newest uint64) []string {
 	var out []string
 	if !s.Ready {
