Name the call in errors of the clients and document small packages

Cause: "build request" and "read answer" did not say for which outside system; shapes, units and returned errors were not documented. Change: error texts and comments only. Conclusion: no behaviour changes but error texts.

--- a/pkg/findings/findings.go
+++ b/pkg/findings/findings.go
@@ -8,7 +8,8 @@
 	"strings"
 )
 
-// Finding is one problem at one place.
+// Finding is one problem at one place. Line counts from 1; 0 means that it is not
+// known.
 type Finding struct {
 	File string `json:"file"`
 	Line int    `json:"line"`
--- a/pkg/node/claims.go
+++ b/pkg/node/claims.go
@@ -44,13 +44,14 @@
 	return err
 }
 
+// result returns the stored record and whether it is the caller's own.
 func (s *claimStore) result(r claims.Result) (entry.ClaimRecord, bool, error) {
 	switch r.Status {
 	case claims.Claimed, claims.Existing:
 	case claims.TooOld:
 		return entry.ClaimRecord{}, false, entry.ErrKeyTooOld
 	default:
-		return entry.ClaimRecord{}, false, errors.Wrap(r.Err, "claim")
+		return entry.ClaimRecord{}, false, errors.Wrap(r.Err, "claim of an idempotency key")
 	}
 	rec, err := decode(r.Record)
 	if err != nil {
--- a/pkg/node/endpoint.go
+++ b/pkg/node/endpoint.go
@@ -53,7 +53,8 @@
 	}
 }
 
-// renewsPerTTL is the number of renewals within the time to live of a lease.
+// renewsPerTTL is the number of renewals within the time to live of a lease. It
+// leaves two thirds of that time to repeat a failed one.
 const renewsPerTTL = 3
 
 // Run serves until ctx ends. The lease is released only after the drain, when
--- a/pkg/permits/pool.go
+++ b/pkg/permits/pool.go
@@ -9,8 +9,8 @@
 // pending is one request that waits for a grant.
 type pending struct {
 	key   Key
-	start time.Time
-	index int
+	start time.Time // virtual starting time
+	index int       // place in the heap
 }
 
 // pendingHeap orders requests by their virtual starting times.
@@ -57,7 +57,7 @@
 type pool struct {
 	heap    pendingHeap
 	waiting map[Key]*pending
-	granted map[Key]time.Time
+	granted map[Key]time.Time // when each open grant was given
 }
 
 func newPool() *pool {
@@ -86,7 +86,8 @@
 	}
 }
 
-// grant grants the most urgent requests up to the limit.
+// grant grants the requests with the earliest virtual starting times, until limit
+// grants are open.
 func (p *pool) grant(now time.Time, limit int) []Key {
 	var out []Key
 	for len(p.heap) > 0 && len(p.granted) < limit {
--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -32,7 +32,7 @@
 	RequestID   ident.RequestID
 }
 
-// Response is a complete answer.
+// Response is a complete response with its HTTP status.
 type Response struct {
 	Status      int
 	ContentType string
@@ -45,16 +45,18 @@
 	http *http.Client
 }
 
-// New returns a client for the service at addr (host:port).
+// New returns a client for the service at addr (host:port). Time limits are those
+// of hc and of the context of each call.
 func New(addr string, hc *http.Client) *Client {
 	return &Client{base: "http://" + addr, http: hc}
 }
 
-// Do sends the call once and reads the whole answer.
+// Do sends the call once and reads the whole response. It returns ErrNotSent if
+// nothing was sent, and ErrLost if the call may have run.
 func (c *Client) Do(ctx context.Context, call Call) (Response, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
-		return Response{}, errors.Mark(errors.Wrap(err, "build request"), ErrNotSent)
+		return Response{}, errors.Mark(errors.Wrap(err, "build call of service"), ErrNotSent)
 	}
 	// A nil GetBody keeps net/http from sending the body a second time on
 	// another connection.
@@ -68,7 +70,7 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return Response{}, errors.Mark(errors.Wrap(err, "read answer"), ErrLost)
+		return Response{}, errors.Mark(errors.Wrap(err, "read response of service"), ErrLost)
 	}
 	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
--- a/pkg/settle/settle.go
+++ b/pkg/settle/settle.go
@@ -10,7 +10,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/invariant"
 )
 
-// Settlement is the outcome of one request.
+// Settlement records the outcome of one request. It is safe for concurrent use.
 type Settlement struct {
 	id      ident.RequestID
 	sent    atomic.Bool
@@ -24,8 +24,8 @@
 // the outcome be unknown.
 func (s *Settlement) MarkSent() { s.sent.Store(true) }
 
-// Settle records the outcome. A second call violates an invariant and has no
-// effect.
+// Settle records and counts the outcome. A second call violates an invariant and
+// has no effect.
 func (s *Settlement) Settle(o ident.Outcome) {
 	first := s.outcome.CompareAndSwap(uint32(ident.Pending), uint32(o))
 	if !invariant.Check(first, invariant.OneOutcome, "request %s settled as %s and again as %s", s.id, s.Outcome(), o) {
@@ -35,5 +35,5 @@
 	metrics.GetOrRegisterCounter("requests.outcome."+o.String(), metrics.DefaultRegistry).Inc(1)
 }
 
-// Outcome returns the recorded outcome.
+// Outcome returns the recorded outcome, or ident.Pending.
 func (s *Settlement) Outcome() ident.Outcome { return ident.Outcome(s.outcome.Load()) }
--- a/pkg/vmlist/vmlist.go
+++ b/pkg/vmlist/vmlist.go
@@ -21,7 +21,7 @@
 	StateLeaving State = "leaving"
 )
 
-// VM is one listed VM with the process of the system that runs on it.
+// VM is one listed VM with the endpoint process that runs on it.
 type VM struct {
 	Endpoint ident.EndpointID       `json:"endpoint"`
 	Zone     ident.AvailabilityZone `json:"zone"`
@@ -41,7 +41,8 @@
 	http *http.Client
 }
 
-// New returns a client for the list served at addr (host:port).
+// New returns a client for the list served at addr (host:port). Time limits are
+// those of hc and of the context of each call.
 func New(addr string, hc *http.Client) *Client {
 	return &Client{url: "http://" + addr + "/v1/vms", http: hc}
 }
@@ -50,7 +51,7 @@
 func (c *Client) Get(ctx context.Context) (List, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
 	if err != nil {
-		return List{}, errors.Wrap(err, "build request")
+		return List{}, errors.Wrap(err, "build request for VM list")
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -58,7 +59,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return List{}, errors.Newf("read VM list: status %d", resp.StatusCode)
+		return List{}, errors.Newf("read VM list: HTTP status %d", resp.StatusCode)
 	}
 	var l List
 	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
