Split the root transaction from an attempt of a rollout

Change: replaceRoot makes the root transaction and settles its result. Conclusion: no behaviour changes.

--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -138,9 +138,14 @@
 	if err := r.writeAhead(ctx, ahead); err != nil {
 		return false, err
 	}
-	ops := []kv.Op{{Type: kv.OpPut, Key: RootKey, Value: r.record}}
-	ops = append(ops, inline...)
-	ops = append(ops, r.retire(current, list)...)
+	return r.replaceRoot(ctx, basis, append(inline, r.retire(current, list)...))
+}
+
+// replaceRoot writes the root together with the other operations if the basis
+// still holds. Otherwise it settles the rollout from the root that is stored
+// instead. It returns errRetry if only the list of dropped parts has changed.
+func (r *attempt) replaceRoot(ctx context.Context, basis []kv.Compare, others []kv.Op) (bool, error) {
+	ops := append([]kv.Op{{Type: kv.OpPut, Key: RootKey, Value: r.record}}, others...)
 	r.sent = true
 	res, err := r.store.Txn(ctx, kv.Txn{Compares: basis, Ops: ops, OnFailure: []string{RootKey}})
 	if err != nil || res.Succeeded {
@@ -149,7 +154,8 @@
 	if len(res.Read) == 0 {
 		return false, r.unsettled(errors.New("root record is gone"))
 	}
-	if current, err = bundle.DecodeRoot(res.Read[0].Value); err != nil {
+	current, err := bundle.DecodeRoot(res.Read[0].Value)
+	if err != nil {
 		return false, err
 	}
 	done, err := r.settle(current)
