Read the reviewers' file in one place

Cause: the daemon and the bundle commands read and parsed the file of the first reviewers with the same code. Change: bundle.ReadReviewers reads it. Conclusion: no behaviour changes.

--- a/pkg/bundle/root.go
+++ b/pkg/bundle/root.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"os"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -192,7 +193,19 @@
 	return r.Reviewers
 }
 
-// ParseReviewers reads a text with reviewer sections only.
+// ReadReviewers reads an INI file with reviewer sections only. It returns a
+// wrapped file error or a findings.List.
+func ReadReviewers(path string) (Reviewers, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read reviewers")
+	}
+	reviewers, found := ParseReviewers(path, string(text))
+	return reviewers, found.Err()
+}
+
+// ParseReviewers parses a text with reviewer sections only. file names the text in
+// findings.
 func ParseReviewers(file, text string) (Reviewers, findings.List) {
 	p := newParser()
 	p.file = file
--- a/pkg/bundlecmd/bundlecmd.go
+++ b/pkg/bundlecmd/bundlecmd.go
@@ -7,7 +7,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -98,17 +97,12 @@
 	return t.Open(*f.store)
 }
 
-// first reads the first reviewers.
+// first reads the first reviewers. Without the flag there are none.
 func (f *flags) first() (bundle.Reviewers, error) {
 	if *f.reviewers == "" {
 		return nil, nil
 	}
-	text, err := os.ReadFile(*f.reviewers)
-	if err != nil {
-		return nil, errors.Wrap(err, "read reviewers")
-	}
-	rs, found := bundle.ParseReviewers(*f.reviewers, string(text))
-	return rs, found.Err()
+	return bundle.ReadReviewers(*f.reviewers)
 }
 
 // print writes v as JSON or the plain lines.
--- a/pkg/daemon/roles.go
+++ b/pkg/daemon/roles.go
@@ -1,9 +1,6 @@
 package daemon
 
 import (
-	"os"
-
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
@@ -22,16 +19,6 @@
 	set.StringVar((*string)(f), "reviewers", "", "INI `file` with the reviewers that are trusted until a bundle is active")
 }
 
-// load reads the reviewers. It returns a wrapped file error or a findings.List.
-func (f *reviewersFile) load() (bundle.Reviewers, error) {
-	text, err := os.ReadFile(string(*f))
-	if err != nil {
-		return nil, errors.Wrap(err, "read reviewers")
-	}
-	reviewers, found := bundle.ParseReviewers(string(*f), string(text))
-	return reviewers, found.Err()
-}
-
 // settings are the settings of one role.
 type settings interface {
 	Register(set *config.Set)
@@ -79,7 +66,7 @@
 
 // assemble builds the role and everything it depends on.
 func (r *role) assemble(log logging.Logger) (runner, error) {
-	first, err := r.reviewers.load()
+	first, err := bundle.ReadReviewers(string(r.reviewers))
 	if err != nil {
 		return nil, err
 	}
