--- a/pkg/bundle/root.go
+++ b/pkg/bundle/root.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"os"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +17,7 @@
 
 // Limits of root records.
 const (
-	// MaxRootBytes is the value limit of the key-value service.
+	// MaxRootBytes is the value limit of the key-value service, 1 MB.
 	MaxRootBytes = 1 << 20
 	// RequiredReviewers is the number of different reviewers that must sign.
 	RequiredReviewers = 2
@@ -124,6 +125,11 @@
 	Recent     []Accepted  `json:"recent,omitempty"`
 }
 
+// Accepted returns the fields that name the rollout of the record.
+func (r *Root) Accepted() Accepted {
+	return Accepted{Version: r.Version, RolloutID: r.RolloutID, Operator: r.Operator}
+}
+
 // PartsHash returns the hash of a list of part names.
 func PartsHash(names []string) string {
 	raw, _ := json.Marshal(names) // never fails for strings
@@ -131,7 +137,7 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Encode returns the stored form of the record.
+// Encode returns the stored form of the record, or ErrTooLarge.
 func (r *Root) Encode() ([]byte, error) {
 	raw, err := json.Marshal(r)
 	if err == nil && len(raw) > MaxRootBytes {
@@ -140,7 +146,8 @@
 	return raw, err
 }
 
-// DecodeRoot reads a stored record. It checks the form, not the signatures.
+// DecodeRoot reads a stored record. It checks the form, not the signatures, and
+// returns ErrTooLarge or ErrMalformedRoot.
 func DecodeRoot(raw []byte) (*Root, error) {
 	if len(raw) > MaxRootBytes {
 		return nil, errors.Wrapf(ErrTooLarge, "root record with %d bytes", len(raw))
@@ -157,7 +164,8 @@
 
 // Verify checks that two different reviewers signed the record. The caller
 // trusts the given reviewers as of version since; later changes of the
-// reviewers are followed along Chain, each signed by two reviewers before it.
+// reviewers are followed along Chain, each signed by two reviewers before it. It
+// returns ErrUnverified.
 func (r *Root) Verify(trusted Reviewers, since ident.BundleVersion) error {
 	last := since
 	for i := range r.Chain {
@@ -185,7 +193,19 @@
 	return r.Reviewers
 }
 
-// ParseReviewers reads a text with reviewer sections only.
+// ReadReviewers reads an INI file with reviewer sections only. It returns a
+// wrapped file error or a findings.List.
+func ReadReviewers(path string) (Reviewers, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read reviewers")
+	}
+	reviewers, found := ParseReviewers(path, string(text))
+	return reviewers, found.Err()
+}
+
+// ParseReviewers parses a text with reviewer sections only. file names the text in
+// findings.
 func ParseReviewers(file, text string) (Reviewers, findings.List) {
 	p := newParser()
 	p.file = file
--- a/pkg/bundlecmd/bundlecmd.go
+++ b/pkg/bundlecmd/bundlecmd.go
@@ -7,7 +7,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,18 +18,20 @@
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
 )
 
-// storeTimeout bounds a command that uses the key-value service.
+// storeTimeout bounds a command that uses the key-value service. A rollout
+// repeats calls that got no reply until then.
 const storeTimeout = 30 * time.Second
 
 // ErrRejected reports a command that printed its findings already. Programs
 // exit with status 1.
 var ErrRejected = errors.New("rejected")
 
-// OpenStore connects to the key-value service at an address.
+// OpenStore connects to the key-value service at an address (host:port).
 type OpenStore func(address string) (kv.Store, error)
 
 // Tool holds what the commands need from their process.
 type Tool struct {
+	// Out receives results and findings, Err usage texts.
 	Out  io.Writer
 	Err  io.Writer
 	Open OpenStore
@@ -75,6 +76,7 @@
 	}
 }
 
+// usage returns an error that programs report as a wrong command line.
 func usage(format string, args ...any) error {
 	return errors.Mark(errors.Newf(format, args...), config.ErrUsage)
 }
@@ -95,17 +97,12 @@
 	return t.Open(*f.store)
 }
 
-// first reads the first reviewers.
+// first reads the first reviewers. Without the flag there are none.
 func (f *flags) first() (bundle.Reviewers, error) {
 	if *f.reviewers == "" {
 		return nil, nil
 	}
-	text, err := os.ReadFile(*f.reviewers)
-	if err != nil {
-		return nil, errors.Wrap(err, "read reviewers")
-	}
-	rs, found := bundle.ParseReviewers(*f.reviewers, string(text))
-	return rs, found.Err()
+	return bundle.ReadReviewers(*f.reviewers)
 }
 
 // print writes v as JSON or the plain lines.
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -18,7 +18,7 @@
 	partPrefix = "/fescue/bundle/parts/"
 )
 
-// Pauses between attempts of a rollout.
+// Bounds of the pauses between attempts of a rollout.
 const (
 	rolloutPauseMin = 50 * time.Millisecond
 	rolloutPauseMax = 2 * time.Second
@@ -83,7 +83,7 @@
 		if !errors.Is(err, errRetry) && !errors.Is(err, kv.ErrUnavailable) && !errors.Is(err, context.DeadlineExceeded) {
 			return nil, err
 		}
-		if !pause.wait(ctx) {
+		if !sleep(ctx, pause.NextBackOff()) {
 			return nil, r.unsettled(err)
 		}
 	}
@@ -138,9 +138,14 @@
 	if err := r.writeAhead(ctx, ahead); err != nil {
 		return false, err
 	}
-	ops := []kv.Op{{Type: kv.OpPut, Key: RootKey, Value: r.record}}
-	ops = append(ops, inline...)
-	ops = append(ops, r.retire(current, list)...)
+	return r.replaceRoot(ctx, basis, append(inline, r.retire(current, list)...))
+}
+
+// replaceRoot writes the root together with the other operations if the basis
+// still holds. Otherwise it settles the rollout from the root that is stored
+// instead. It returns errRetry if only the list of dropped parts has changed.
+func (r *attempt) replaceRoot(ctx context.Context, basis []kv.Compare, others []kv.Op) (bool, error) {
+	ops := append([]kv.Op{{Type: kv.OpPut, Key: RootKey, Value: r.record}}, others...)
 	r.sent = true
 	res, err := r.store.Txn(ctx, kv.Txn{Compares: basis, Ops: ops, OnFailure: []string{RootKey}})
 	if err != nil || res.Succeeded {
@@ -149,7 +154,8 @@
 	if len(res.Read) == 0 {
 		return false, r.unsettled(errors.New("root record is gone"))
 	}
-	if current, err = bundle.DecodeRoot(res.Read[0].Value); err != nil {
+	current, err := bundle.DecodeRoot(res.Read[0].Value)
+	if err != nil {
 		return false, err
 	}
 	done, err := r.settle(current)
@@ -170,7 +176,7 @@
 	}
 	if current.Version < r.root.Version {
 		if current.Hash() != r.root.Previous {
-			return false, &ConflictError{Winner: accepted(current)}
+			return false, &ConflictError{Winner: current.Accepted()}
 		}
 		return false, nil
 	}
@@ -184,22 +190,18 @@
 	return false, &ConflictError{Winner: winner}
 }
 
-func accepted(r *bundle.Root) bundle.Accepted {
-	return bundle.Accepted{Version: r.Version, RolloutID: r.RolloutID, Operator: r.Operator}
-}
-
 // acceptedAt returns the rollout of a version, or the latest one and false if
 // the record does not list the version.
 func acceptedAt(current *bundle.Root, v ident.BundleVersion) (bundle.Accepted, bool) {
 	if current.Version == v {
-		return accepted(current), true
+		return current.Accepted(), true
 	}
 	for _, a := range current.Recent {
 		if a.Version == v {
 			return a, true
 		}
 	}
-	return accepted(current), false
+	return current.Accepted(), false
 }
 
 // divide returns the writes of parts that the accepted root does not name: those
