Select policies of load runs and compare them

Cause: load runs could measure only the default policy, and their batch efficiency followed the offered load alone. Workloads set the weights of their bundle. Conclusion: policies can be compared on the same arrivals.

--- a/pkg/demo/check.go
+++ b/pkg/demo/check.go
@@ -71,6 +71,7 @@
 type engineTotals struct {
 	loads, evictions int
 	usedPositionS    float64
+	busyS            float64
 }
 
 func (c *Cluster) engineTotals() engineTotals {
@@ -83,6 +84,7 @@
 		t.loads += st.Loads
 		t.evictions += st.Evictions
 		t.usedPositionS += st.PositionSeconds
+		t.busyS += st.BusySeconds
 	}
 	return t
 }
--- a/pkg/demo/cluster.go
+++ b/pkg/demo/cluster.go
@@ -124,7 +124,7 @@
 	set := entry.Settings{
 		ID: fmt.Sprintf("entry-%d", i+1), Zone: c.entryZone(i), Listen: listen, VMList: c.vmAddrs[i],
 		DefaultDeadline: 30 * time.Second, MaxDeadline: 10 * time.Minute, MaxBodyBytes: 4 << 20,
-		UnreadyDelay: c.Opts.UnreadyDelay, DrainTimeout: c.Opts.DrainTimeout,
+		UnreadyDelay: c.Opts.UnreadyDelay, DrainTimeout: c.Opts.DrainTimeout, PlacementPolicy: c.Opts.Policy.Placement,
 	}
 	n, err := node.NewEntry(set, c.nodePlatform(c.store()))
 	if err != nil {
--- a/pkg/demo/command.go
+++ b/pkg/demo/command.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,6 +68,8 @@
 	fs.DurationVar(&opts.Duration, "duration", time.Minute, "length of the load")
 	fs.StringVar(&opts.Target, "target", "", "`URL` of a running entry; without it a cluster with fakes is started")
 	fs.StringVar(&opts.ReportDir, "report", "", "`directory` for plots and an index page")
+	policy := fs.String("policy", DefaultPolicy, "`policy` of the cluster: default, random, least-loaded or hash")
+	compare := fs.String("compare", "", "`policies` with commas between, run one after another on the same arrivals")
 	asJSON := fs.Bool("json", false, "print the report as JSON")
 	printBundle := fs.Bool("print-bundle", false, "print the bundle that a target needs, and exit")
 	if code, ok := parseFlags(fs, args); !ok {
@@ -79,21 +82,59 @@
 	if *printBundle {
 		return finish(stderr, writeBundle(opts.Workload, stdout))
 	}
-	rep, err := Load(ctx, opts)
+	if *compare == "" {
+		*compare = *policy
+	}
+	chosen, err := FindPolicies(*compare)
+	if err == nil && opts.Target != "" && *compare != DefaultPolicy {
+		err = errors.New("--policy and --compare apply to a cluster with fakes, not to --target")
+	}
 	if err != nil {
-		return finish(stderr, err)
+		fmt.Fprintln(stderr, "fescuectl load:", err)
+		return exitUsage
+	}
+	return finish(stderr, runLoads(ctx, opts, chosen, *asJSON, stdout))
+}
+
+// runLoads runs the workload with each policy and prints one report.
+func runLoads(ctx context.Context, opts LoadOptions, chosen []Policy, asJSON bool, stdout io.Writer) error {
+	c := &workload.Comparison{}
+	violated := false
+	for _, p := range chosen {
+		o := opts
+		o.Policy = p
+		if opts.ReportDir != "" && len(chosen) > 1 {
+			o.ReportDir = filepath.Join(opts.ReportDir, p.Name)
+		}
+		rep, err := Load(ctx, o)
+		if err != nil {
+			return err
+		}
+		violated = violated || len(rep.Violations) > 0
+		c.Reports = append(c.Reports, rep)
 	}
-	write := rep.WriteText
-	if *asJSON {
-		write = rep.WriteJSON
+	if err := writeLoads(c, asJSON, stdout); err != nil {
+		return err
+	}
+	if violated {
+		return ErrViolated
 	}
-	if err := write(stdout); err != nil {
-		return finish(stderr, err)
+	return nil
+}
+
+func writeLoads(c *workload.Comparison, asJSON bool, stdout io.Writer) error {
+	switch {
+	case len(c.Reports) == 1 && asJSON:
+		return c.Reports[0].WriteJSON(stdout)
+	case len(c.Reports) == 1:
+		return c.Reports[0].WriteText(stdout)
+	case asJSON:
+		return c.WriteJSON(stdout)
 	}
-	if len(rep.Violations) > 0 {
-		return finish(stderr, ErrViolated)
+	if err := c.WriteText(stdout); err != nil {
+		return err
 	}
-	return exitOK
+	return c.WriteJSON(stdout)
 }
 
 func writeBundle(path string, out io.Writer) error {
--- a/pkg/demo/load.go
+++ b/pkg/demo/load.go
@@ -11,6 +11,9 @@
 	fakeengine "github.com/fescuecourse/fescuecourse/standin/engine"
 )
 
+// minOfferedS keeps the efficiency of engines that have not run at all defined.
+const minOfferedS = 1e-9
+
 // LoadOptions configure a load run.
 type LoadOptions struct {
 	Workload string
@@ -19,6 +22,8 @@
 	// Target is the URL of a running entry. If it is empty, a cluster with fakes
 	// is started in the process.
 	Target string
+	// Policy is used by a cluster with fakes.
+	Policy Policy
 	// ReportDir gets plots and an index page unless it is empty.
 	ReportDir string
 }
@@ -29,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rep := &workload.Report{Workload: spec.Deployment.Name, Seed: opts.Seed, DurationS: opts.Duration.Seconds(), Violations: []workload.Violation{}}
+	rep := &workload.Report{Workload: spec.Deployment.Name, Policy: opts.Policy.Name, Seed: opts.Seed, DurationS: opts.Duration.Seconds(), Violations: []workload.Violation{}}
 	var recorder *workload.Recorder
 	if opts.Target != "" {
 		recorder, err = loadTarget(ctx, spec, &opts, rep)
@@ -40,6 +45,8 @@
 		return nil, err
 	}
 	rep.Rows = recorder.Rows()
+	rep.Segments = recorder.Segments()
+	rep.Windows = recorder.Windows()
 	rep.Fill()
 	if opts.ReportDir != "" {
 		return rep, recorder.WriteFiles(opts.ReportDir, rep)
@@ -63,7 +70,9 @@
 }
 
 func loadCluster(ctx context.Context, spec *workload.Spec, opts *LoadOptions, rep *workload.Report) (*workload.Recorder, error) {
-	c, err := Start(ctx, optionsFor(spec))
+	clusterOpts := optionsFor(spec)
+	clusterOpts.Policy = opts.Policy
+	c, err := Start(ctx, clusterOpts)
 	if err != nil {
 		return nil, err
 	}
@@ -71,13 +80,16 @@
 	defer client.Close()
 	r := &run{recorder: workload.NewRecorder(fakeengine.Word)}
 	began := time.Now()
-	workload.Drive(ctx, client, c.Addrs(), workload.Schedule(spec, opts.Seed, opts.Duration), r.add)
+	arrivals := workload.Schedule(spec, opts.Seed, opts.Duration)
+	workload.Drive(ctx, client, c.Addrs(), arrivals, r.add)
 	took := time.Since(began)
 	if err := c.Stop(); err != nil {
 		return nil, err
 	}
 	rep.Violations = append(rep.Violations, r.violations(c)...)
 	rep.Engines = c.engineFigures(took)
+	rep.Engines.LoadsNeeded = workload.LoadsNeeded(arrivals, c.Opts.Residents, c.Opts.ModelServers*c.Opts.Slots)
+	rep.Engines.LoadsAllowed = c.Opts.LoadsPerSecond * opts.Duration.Seconds()
 	return r.recorder, ctx.Err()
 }
 
@@ -85,8 +97,10 @@
 func (c *Cluster) engineFigures(took time.Duration) *workload.Engines {
 	t := c.engineTotals()
 	offered := float64(c.Opts.ModelServers*c.Opts.Positions) * took.Seconds()
+	busy := t.busyS * float64(c.Opts.Positions)
 	return &workload.Engines{
 		Loads: t.loads, Evictions: t.evictions, ConcurrentLoads: c.Weights.Stats().PeakConcurrent,
 		UsedPositionS: t.usedPositionS, OfferedS: offered, BatchEfficiency: t.usedPositionS / offered,
+		OfferedBusyS: busy, BusyBatchEfficiency: t.usedPositionS / max(busy, minOfferedS),
 	}
 }
--- a/pkg/demo/options.go
+++ b/pkg/demo/options.go
@@ -48,6 +48,10 @@
 	VMListLag time.Duration
 	// LeaseTTL is the time to live of engine leases.
 	LeaseTTL time.Duration
+	// StallWeight and BatchWeight are those of the bundle.
+	StallWeight float64
+	BatchWeight float64
+	Policy      Policy
 	// FaultSeed seeds the injectors of the fakes.
 	FaultSeed uint64
 }
@@ -64,6 +68,7 @@
 			{Name: "adwenpa", Key: "demo-key-adwenpa", Weight: 1, Priority: ident.PriorityNormal, Adapters: 16, Share: 0.4},
 		},
 		Log: logging.Nop(), EntryListen: "127.0.0.1:0", DrainTimeout: time.Minute, LeaseTTL: 5 * time.Second,
+		StallWeight: 0.8, BatchWeight: 0.2,
 		AvailabilityZone: []string{"obihiro-a", "kushiro-b", "kitami-c"},
 	}
 }
@@ -77,6 +82,7 @@
 	opts.Service = d.Service
 	opts.Slots, opts.Positions, opts.LoadsPerSecond = d.Slots, d.Positions, d.LoadsPerSecond
 	opts.Prefill, opts.Decode = d.Prefill, d.Decode
+	opts.StallWeight, opts.BatchWeight = d.StallWeight, d.BatchWeight
 	opts.Teams = spec.Teams
 	opts.AvailabilityZone = d.Zones
 	opts.Relays = d.OneWayLatency > 0
@@ -105,7 +111,7 @@
 func BundleText(opts Options) string {
 	var b strings.Builder
 	b.WriteString(reviewersText())
-	fmt.Fprintf(&b, "[bundle]\nversion = 1\n\n[deployment]\nname = %s\nstall_weight = 0.8\nbatch_weight = 0.2\n\n", opts.Name)
+	fmt.Fprintf(&b, "[bundle]\nversion = 1\n\n[deployment]\nname = %s\nstall_weight = %g\nbatch_weight = %g\n\n", opts.Name, opts.StallWeight, opts.BatchWeight)
 	for _, t := range opts.Teams {
 		sum := sha256.Sum256([]byte(t.Key))
 		fmt.Fprintf(&b, "[team %q]\nkey_sha256 = %s\nweight = %d\npriority = %s\nmax_in_flight = 1000\nrate = 10000\n\n", t.Name, hex.EncodeToString(sum[:]), t.Weight, t.Priority)
--- a/pkg/demo/server.go
+++ b/pkg/demo/server.go
@@ -41,7 +41,7 @@
 		set: endpoint.Settings{
 			ID: id, Zone: zone, Listen: "127.0.0.1:0", Kind: kind, Backend: backend,
 			MaxQueued: 256, Positions: c.Opts.Positions, DrainTimeout: c.Opts.DrainTimeout, Fencing: endpoint.FencingIgnored,
-			LeaseTTL: c.Opts.LeaseTTL,
+			LeaseTTL: c.Opts.LeaseTTL, EvictionPolicy: c.Opts.Policy.Eviction, LoadPermits: c.Opts.Policy.Permits, QueuePolicy: c.Opts.Policy.Queue,
 		},
 	}
 }
--- a/pkg/endpoint/control.go
+++ b/pkg/endpoint/control.go
@@ -198,9 +198,15 @@
 		c.log.Info().Str("adapter", a.Adapter.String()).Msg("evicting adapter")
 		go c.command(a, false)
 	case scheduler.RequestPermit:
+		if c.e.set.LoadPermits == PermitsNone {
+			go c.send(permitEvent{adapter: a.Adapter}) // the inbox may be full
+			return
+		}
 		c.e.hub.requestPermit(a)
 	case scheduler.ReleasePermit:
-		c.e.hub.releasePermit(a)
+		if c.e.set.LoadPermits != PermitsNone {
+			c.e.hub.releasePermit(a)
+		}
 	}
 }
 
--- a/pkg/endpoint/events.go
+++ b/pkg/endpoint/events.go
@@ -107,7 +107,7 @@
 	c.e.log.For(logging.PartEndpoint).Info().Str("boot", ev.status.BootID).Int("residents", len(ev.status.Residents)).Msg("engine started")
 	c.bootID = ev.status.BootID
 	if c.sched == nil {
-		c.limits = scheduler.Config{Slots: ev.status.SlotsTotal, Positions: ev.status.PositionsTotal, MaxQueued: c.e.set.MaxQueued, ShareInterval: c.e.set.ShareInterval}
+		c.limits = scheduler.Config{Slots: ev.status.SlotsTotal, Positions: ev.status.PositionsTotal, MaxQueued: c.e.set.MaxQueued, ShareInterval: c.e.set.ShareInterval, Evictor: c.e.set.evictor()}
 		c.sched = scheduler.New(c.limits)
 		if c.e.leaving.Load() {
 			c.sched.Leave()
--- a/pkg/endpoint/server.go
+++ b/pkg/endpoint/server.go
@@ -144,6 +144,10 @@
 	if m := req.GetModel(); m != nil && m.GetAdapter() != "" {
 		w.Adapter = ident.Adapter{Team: w.Team, Name: m.GetAdapter(), Version: m.GetVersion()}
 	}
+	if e.set.QueuePolicy == QueueFIFO {
+		// One flow in one class is served in the order of arrival.
+		w.Team, w.Priority, w.Weight = "", ident.PriorityNormal, 1
+	}
 	return w
 }
 
--- a/pkg/endpoint/settings.go
+++ b/pkg/endpoint/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/config"
+	"github.com/fescuecourse/fescuecourse/pkg/scheduler"
 )
 
 // Settings configure an endpoint process.
@@ -28,6 +29,12 @@
 	WeightStore string
 	// ShareInterval is the time between two loads while no entry grants permits.
 	ShareInterval time.Duration
+
+	// EvictionPolicy, LoadPermits and QueuePolicy are the defaults if empty. The
+	// other values are the baselines that load runs compare with.
+	EvictionPolicy string
+	LoadPermits    string
+	QueuePolicy    string
 }
 
 // minLeaseTTL leaves room for slow answers of the key-value service between two
@@ -46,6 +53,24 @@
 	FencingIgnored = "ignored"
 )
 
+// Values of the eviction-policy setting.
+const (
+	EvictionReloadCost = "reload-cost"
+	EvictionLRU        = "lru"
+)
+
+// Values of the load-permits setting.
+const (
+	PermitsCoordinated = "coordinated"
+	PermitsNone        = "none"
+)
+
+// Values of the queue-policy setting.
+const (
+	QueueFair = "fair"
+	QueueFIFO = "fifo"
+)
+
 // Register adds the settings to a set.
 func (s *Settings) Register(set *config.Set) {
 	set.StringVar(&s.ID, "id", "", "unique `name` of the endpoint")
@@ -61,6 +86,9 @@
 	set.IntVar(&s.Positions, "positions", 16, "concurrent calls to a plain service")
 	set.StringVar(&s.WeightStore, "weight-store", "", "`name` of the weight store, for load permits")
 	set.DurationVar(&s.ShareInterval, "share-interval", 5*time.Second, "time between two loads while no entry grants permits")
+	set.StringVar(&s.EvictionPolicy, "eviction-policy", EvictionReloadCost, "which adapter is evicted: reload-cost or lru")
+	set.StringVar(&s.LoadPermits, "load-permits", PermitsCoordinated, "whether loads wait for a permit: coordinated or none")
+	set.StringVar(&s.QueuePolicy, "queue-policy", QueueFair, "order of queued attempts: fair or fifo")
 	set.DurationVar(&s.LeaseTTL, "lease-ttl", 60*time.Second, "time to live of the engine lease; it is renewed three times as often")
 	set.DurationVar(&s.DrainTimeout, "drain-timeout", 2*time.Minute, "longest time that a stop waits for running requests")
 }
@@ -75,8 +103,19 @@
 	set.Requiref(s.Fencing == FencingChecked || s.Fencing == FencingIgnored, "fencing", "must be checked or ignored")
 	set.Requiref(s.MaxQueued > 0, "max-queued", "must be above zero")
 	set.Requiref(s.Positions > 0, "positions", "must be above zero")
+	set.Requiref(s.EvictionPolicy == EvictionReloadCost || s.EvictionPolicy == EvictionLRU, "eviction-policy", "must be reload-cost or lru")
+	set.Requiref(s.LoadPermits == PermitsCoordinated || s.LoadPermits == PermitsNone, "load-permits", "must be coordinated or none")
+	set.Requiref(s.QueuePolicy == QueueFair || s.QueuePolicy == QueueFIFO, "queue-policy", "must be fair or fifo")
 	set.RequirePositive("share-interval", s.ShareInterval)
 	set.RequirePositive("drain-timeout", s.DrainTimeout)
 	set.Requiref(s.LeaseTTL >= minLeaseTTL, "lease-ttl", "must be at least %s", minLeaseTTL)
 	set.Requiref(s.KV != "", "kv", "must be set")
 }
+
+// evictor returns the eviction policy, nil for the scheduler's default.
+func (s *Settings) evictor() scheduler.Evictor {
+	if s.EvictionPolicy == EvictionLRU {
+		return scheduler.LRU{}
+	}
+	return nil
+}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -57,6 +57,9 @@
 
 // New returns an entry process.
 func New(set Settings, bundles *rollout.Holder, log logging.Logger) (*Entry, error) {
+	if set.policy() == nil {
+		return nil, errors.Newf("unknown placement policy %q", set.PlacementPolicy)
+	}
 	b, err := bus.New()
 	if err != nil {
 		return nil, err
@@ -68,7 +71,7 @@
 		log:     log.With("entry", set.ID),
 		bundles: bundles,
 		vms:     vmlist.New(set.VMList, &http.Client{Timeout: vmListTimeout}),
-		policy:  placement.NewAffinity(membership.EndpointHash(ident.EndpointID(set.ID))),
+		policy:  set.policy(),
 		limiter: limits.New(),
 		metrics: newMetrics(),
 		timing:  defaultTiming,
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/config"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/membership"
+	"github.com/fescuecourse/fescuecourse/pkg/placement"
 )
 
 // Settings configure an entry process.
@@ -16,6 +19,8 @@
 	KV       string
 	VMList   string
 	LogLevel string
+	// PlacementPolicy is the name of a policy of pkg/placement, affinity if empty.
+	PlacementPolicy string
 
 	DefaultDeadline time.Duration
 	MaxDeadline     time.Duration
@@ -32,6 +37,7 @@
 	set.StringVar(&s.KV, "kv", "", "`address` of the key-value service")
 	set.StringVar(&s.VMList, "vm-list", "", "`address` of the platform's VM list")
 	set.StringVar(&s.LogLevel, "log-level", "info", "lowest `level` that is logged")
+	set.StringVar(&s.PlacementPolicy, "placement-policy", placement.NameAffinity, "`policy` that places requests: affinity, random, least-loaded or hash")
 	set.DurationVar(&s.DefaultDeadline, "default-deadline", 30*time.Second, "deadline of requests that set none")
 	set.DurationVar(&s.MaxDeadline, "max-deadline", 10*time.Minute, "longest deadline that a request may set")
 	set.Int64Var(&s.MaxBodyBytes, "max-body-bytes", 4<<20, "largest request body")
@@ -45,9 +51,20 @@
 	set.Requiref(s.Zone != "", "zone", "must be set")
 	set.Requiref(s.VMList != "", "vm-list", "must be set")
 	set.Requiref(s.KV != "", "kv", "must be set")
+	set.Requiref(s.policy() != nil, "placement-policy", "must be affinity, random, least-loaded or hash")
 	set.Requiref(s.MaxBodyBytes > 0, "max-body-bytes", "must be above zero")
 	set.Requiref(s.UnreadyDelay >= 0, "unready-delay", "must not be negative")
 	set.RequirePositive("default-deadline", s.DefaultDeadline)
 	set.RequirePositive("max-deadline", s.MaxDeadline)
 	set.RequirePositive("drain-timeout", s.DrainTimeout)
 }
+
+// policy returns the placement policy, or nil if its name is wrong. Its seed
+// differs between entries.
+func (s *Settings) policy() placement.Policy {
+	name := s.PlacementPolicy
+	if name == "" {
+		name = placement.NameAffinity
+	}
+	return placement.ByName(name, membership.EndpointHash(ident.EndpointID(s.ID)))
+}
--- a/pkg/placement/baseline.go
+++ b/pkg/placement/baseline.go
@@ -46,7 +46,7 @@
 type PlainHash struct{}
 
 // Name implements Policy.
-func (PlainHash) Name() string { return "plain-hash" }
+func (PlainHash) Name() string { return "hash" }
 
 // Place implements Policy.
 func (PlainHash) Place(r *Request, s *membership.Snapshot) (Decision, error) {
--- /dev/null
+++ b/pkg/workload/bound.go
@@ -0,0 +1,108 @@
+package workload
+
+import (
+	"container/heap"
+	"math"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// LoadsNeeded returns the number of adapter loads that a cache with all slots
+// pooled needs for the arrivals if it knows them in advance: the first use of
+// each adapter that is not resident at the start, and every later use after an
+// eviction by Belady's rule, which evicts the adapter with the latest next use.
+// No policy needs fewer loads, because pooled slots serve every request anywhere.
+func LoadsNeeded(arrivals []Arrival, residents []ident.Adapter, slots int) int {
+	uses := modelUses(arrivals)
+	next := nextUses(uses)
+	c := &beladyCache{slots: slots, current: map[ident.Adapter]int{}}
+	first := map[ident.Adapter]int{}
+	for i := len(uses) - 1; i >= 0; i-- {
+		first[uses[i]] = i
+	}
+	for _, a := range residents[:min(len(residents), slots)] {
+		at, used := first[a]
+		if !used {
+			at = math.MaxInt
+		}
+		c.put(a, at)
+	}
+	loads := 0
+	for i, a := range uses {
+		if _, hit := c.current[a]; !hit {
+			loads++
+			c.makeRoom()
+		}
+		c.put(a, next[i])
+	}
+	return loads
+}
+
+func modelUses(arrivals []Arrival) []ident.Adapter {
+	var out []ident.Adapter
+	for i := range arrivals {
+		if r := &arrivals[i].Request; r.IsModel() {
+			out = append(out, r.Adapter)
+		}
+	}
+	return out
+}
+
+// nextUses returns for each use the index of the next one of the same adapter.
+func nextUses(uses []ident.Adapter) []int {
+	out := make([]int, len(uses))
+	seen := map[ident.Adapter]int{}
+	for i := len(uses) - 1; i >= 0; i-- {
+		out[i] = math.MaxInt
+		if j, ok := seen[uses[i]]; ok {
+			out[i] = j
+		}
+		seen[uses[i]] = i
+	}
+	return out
+}
+
+// beladyCache holds the next use of each resident adapter. The heap also holds
+// outdated entries, which differ from current and are skipped.
+type beladyCache struct {
+	slots   int
+	current map[ident.Adapter]int
+	order   beladyHeap
+}
+
+type beladyUse struct {
+	adapter ident.Adapter
+	next    int
+}
+
+func (c *beladyCache) put(a ident.Adapter, next int) {
+	c.current[a] = next
+	heap.Push(&c.order, beladyUse{a, next})
+}
+
+func (c *beladyCache) makeRoom() {
+	for len(c.current) >= c.slots {
+		u := heap.Pop(&c.order).(beladyUse)
+		if next, ok := c.current[u.adapter]; ok && next == u.next {
+			delete(c.current, u.adapter)
+		}
+	}
+}
+
+// beladyHeap has the latest next use at the top.
+type beladyHeap []beladyUse
+
+func (h beladyHeap) Len() int           { return len(h) }
+func (h beladyHeap) Less(i, j int) bool { return h[i].next > h[j].next }
+func (h beladyHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *beladyHeap) Push(x any) { *h = append(*h, x.(beladyUse)) }
+
+// Pop implements heap.Interface.
+func (h *beladyHeap) Pop() any {
+	old := *h
+	u := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return u
+}
--- a/pkg/workload/report.go
+++ b/pkg/workload/report.go
@@ -12,25 +12,38 @@
 // Report is the result of a load run.
 type Report struct {
 	Workload  string  `json:"workload"`
+	Policy    string  `json:"policy,omitempty"`
 	Seed      uint64  `json:"seed"`
 	DurationS float64 `json:"duration_s"`
 	Requests  int     `json:"requests"`
 	// OfferedPerS and AnsweredPerS are rates over the duration.
-	OfferedPerS  float64     `json:"offered_per_s"`
-	AnsweredPerS float64     `json:"answered_per_s"`
-	Rows         []Row       `json:"rows"`
-	Engines      *Engines    `json:"engines,omitempty"`
-	Violations   []Violation `json:"violations"`
+	OfferedPerS  float64 `json:"offered_per_s"`
+	AnsweredPerS float64 `json:"answered_per_s"`
+	Rows         []Row   `json:"rows"`
+	// Segments are the model requests by segment, Windows their load stalls over time.
+	Segments   []Row       `json:"segments"`
+	Windows    []Window    `json:"windows"`
+	Engines    *Engines    `json:"engines,omitempty"`
+	Violations []Violation `json:"violations"`
 }
 
 // Engines are figures that only fake engines can give.
 type Engines struct {
-	Loads           int     `json:"loads"`
-	Evictions       int     `json:"evictions"`
-	ConcurrentLoads int     `json:"peak_concurrent_loads"`
-	BatchEfficiency float64 `json:"batch_efficiency"`
-	UsedPositionS   float64 `json:"used_position_s"`
-	OfferedS        float64 `json:"offered_position_s"`
+	Loads           int `json:"loads"`
+	Evictions       int `json:"evictions"`
+	ConcurrentLoads int `json:"peak_concurrent_loads"`
+	// BatchEfficiency relates the used positions to all positions. Under an open
+	// loop it follows the offered load, whatever the policy. BusyBatchEfficiency
+	// relates them to the positions of engines while at least one is in use.
+	BatchEfficiency     float64 `json:"batch_efficiency"`
+	BusyBatchEfficiency float64 `json:"busy_batch_efficiency"`
+	UsedPositionS       float64 `json:"used_position_s"`
+	OfferedS            float64 `json:"offered_position_s"`
+	OfferedBusyS        float64 `json:"offered_busy_position_s"`
+	// LoadsNeeded is the lower bound of LoadsNeeded for the arrivals, LoadsAllowed
+	// the number of loads that the weight store can do in the duration.
+	LoadsNeeded  int     `json:"loads_needed"`
+	LoadsAllowed float64 `json:"loads_allowed"`
 }
 
 // Fill sets the figures that follow from the rows.
@@ -69,6 +82,8 @@
 	if e := r.Engines; e != nil {
 		fmt.Fprintf(out, "loads %d, evictions %d, peak concurrent loads %d, batch efficiency %.4f (%.1f of %.1f position-seconds)\n",
 			e.Loads, e.Evictions, e.ConcurrentLoads, e.BatchEfficiency, e.UsedPositionS, e.OfferedS)
+		fmt.Fprintf(out, "batch efficiency of busy engines %.4f, loads needed at least %d of %.0f allowed (%.2f)\n",
+			e.BusyBatchEfficiency, e.LoadsNeeded, e.LoadsAllowed, float64(e.LoadsNeeded)/e.LoadsAllowed)
 	}
 	WriteViolations(out, r.Violations)
 	return nil
--- a/pkg/workload/spec.go
+++ b/pkg/workload/spec.go
@@ -40,6 +40,9 @@
 	LoadsPerSecond float64
 	Prefill        time.Duration
 	Decode         time.Duration
+	// StallWeight and BatchWeight are those of the deployment's bundle.
+	StallWeight float64
+	BatchWeight float64
 	// Warm fills the adapter slots with the most popular adapters at the start.
 	Warm bool
 }
@@ -124,6 +127,8 @@
 	set.Float64Var(&d.LoadsPerSecond, "deployment.loads_per_second", 0, "")
 	set.DurationVar(&d.Prefill, "deployment.prefill", 0, "")
 	set.DurationVar(&d.Decode, "deployment.decode", 0, "")
+	set.Float64Var(&d.StallWeight, "deployment.stall_weight", 0.5, "")
+	set.Float64Var(&d.BatchWeight, "deployment.batch_weight", 0.5, "")
 	set.BoolVar(&d.Warm, "deployment.warm", false, "")
 }
 
@@ -163,6 +168,8 @@
 	positive(d.ServiceServers, "deployment.service_servers")
 	positive(d.Slots, "deployment.slots")
 	positive(d.Positions, "deployment.positions")
+	share(d.StallWeight, "deployment.stall_weight")
+	share(d.BatchWeight, "deployment.batch_weight")
 	set.Requiref(d.LoadsPerSecond > 0, "deployment.loads_per_second", "must be above zero")
 	set.Requiref(d.Adapters >= k.batchAdapters+2*(k.tail+1), "deployment.adapters", "must be at least two for each team and those of the batch")
 	set.Requiref(l.RequestsPerSecond > 0, "load.requests_per_second", "must be above zero")
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -53,6 +53,8 @@
 	Restarts int
 	// PositionSeconds is the time that batch positions were in use.
 	PositionSeconds float64
+	// BusySeconds is the time that at least one position was in use.
+	BusySeconds float64
 }
 
 type run struct {
@@ -73,6 +75,8 @@
 	positions chan struct{}
 	token     uint64
 	stats     Stats
+	used      int
+	busySince time.Time
 	starts    map[string][]time.Time
 }
 
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -46,6 +46,7 @@
 	defer s.end(started)
 	select {
 	case s.positions <- struct{}{}:
+		s.takePosition()
 		defer s.leavePosition(time.Now())
 	case <-ctx.Done():
 		panic(http.ErrAbortHandler) // the engine restarted or the caller is gone
@@ -72,11 +73,24 @@
 	delete(s.running, started)
 }
 
+func (s *Server) takePosition() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.used == 0 {
+		s.busySince = time.Now()
+	}
+	s.used++
+}
+
 func (s *Server) leavePosition(taken time.Time) {
 	<-s.positions
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stats.PositionSeconds += time.Since(taken).Seconds()
+	s.used--
+	if s.used == 0 {
+		s.stats.BusySeconds += time.Since(s.busySince).Seconds()
+	}
 }
 
 // stream sends the events. It reports false if the stream broke off.
