--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -35,6 +35,8 @@
 	PositionsTotal int
 	PositionsUsed  int
 	Queued         int
+	// Stalled is the part of Queued that waits for the load of an adapter.
+	Stalled int
 	// QueueCapacity is 0 if the endpoint does not report it.
 	QueueCapacity    int
 	SlotsTotal       int
@@ -110,6 +112,7 @@
 		PositionsTotal:   int(r.GetPositionsTotal()),
 		PositionsUsed:    int(r.GetPositionsUsed()),
 		Queued:           int(r.GetQueued()),
+		Stalled:          int(r.GetStalled()),
 		QueueCapacity:    int(r.GetQueueCapacity()),
 		SlotsTotal:       int(r.GetSlotsTotal()),
 		Residents:        adapters(r.GetResidents()),
--- a/pkg/scheduler/slots.go
+++ b/pkg/scheduler/slots.go
@@ -188,8 +188,10 @@
 
 // Stats is a summary for reports. The slices must not be changed.
 type Stats struct {
-	Running   int
-	Queued    int
+	Running int
+	Queued  int
+	// Stalled is the part of Queued that waits for the load of an adapter.
+	Stalled   int
 	Residents []ident.Adapter
 	// Loading are the adapters that are loading or waiting for a permit.
 	Loading []ident.Adapter
@@ -207,7 +209,20 @@
 	if s.view.stale {
 		s.view = s.buildView()
 	}
-	return Stats{Running: len(s.running), Queued: s.queue.Len(), Residents: s.view.residents, Loading: s.view.loading}
+	return Stats{Running: len(s.running), Queued: s.queue.Len(), Stalled: s.stalled(), Residents: s.view.residents, Loading: s.view.loading}
+}
+
+// stalled counts the queued attempts that wait for the load of an adapter.
+func (s *Scheduler) stalled() int {
+	_, n, _ := s.queue.Waiting(ident.Adapter{})
+	out := s.queue.Len() - n
+	for _, st := range s.slots {
+		if st.state == stateResident {
+			_, n, _ = s.queue.Waiting(st.name)
+			out -= n
+		}
+	}
+	return out
 }
 
 func (s *Scheduler) buildView() residentView {
