Spill over only when another load costs less than the wait

Cause: a request left the endpoint that holds its adapter at a fixed load of 1.25, also while the weight store had a long queue. Change: entries estimate the wait for another load from the loads that endpoints report and raise the bound to the load at which the wait for a position is as long; batch efficiency raises it further.

--- a/pkg/membership/index.go
+++ b/pkg/membership/index.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
@@ -150,9 +151,30 @@
 		s.Endpoints[i] = x.slots[slot]
 		s.Entries = max(s.Entries, s.Endpoints[i].ConnectedEntries)
 	}
+	s.LoadWait = loadWait(s.Endpoints)
 	x.groupsShared = true
 	for i := range x.shared {
 		x.shared[i] = true
 	}
 	return s
 }
+
+// defaultLoadTime is assumed until an endpoint reports the time of a load.
+const defaultLoadTime = 500 * time.Millisecond
+
+// loadWait estimates how long a load takes that is requested now. Loads run one
+// at a time, so it follows those that are running or waiting for a permit.
+func loadWait(list []*Endpoint) time.Duration {
+	var shortest time.Duration
+	loading := 0
+	for _, e := range list {
+		loading += len(e.Loading)
+		if e.LoadTime > 0 && (shortest == 0 || e.LoadTime < shortest) {
+			shortest = e.LoadTime
+		}
+	}
+	if shortest == 0 {
+		shortest = defaultLoadTime
+	}
+	return time.Duration(loading+1) * shortest
+}
--- a/pkg/membership/snapshot.go
+++ b/pkg/membership/snapshot.go
@@ -41,9 +41,12 @@
 	// Entries is the highest number of connected entries that an endpoint
 	// reports, at least 1.
 	Entries int
-	slots   []*Endpoint
-	groups  map[BackendKey]*Group
-	holders [indexShards]map[ident.Adapter][]int32
+	// LoadWait is the estimated time that a load requested now takes, with the
+	// loads that the endpoints wait for before it.
+	LoadWait time.Duration
+	slots    []*Endpoint
+	groups   map[BackendKey]*Group
+	holders  [indexShards]map[ident.Adapter][]int32
 }
 
 // At returns the endpoint in a slot, or nil.
--- a/pkg/placement/affinity.go
+++ b/pkg/placement/affinity.go
@@ -22,6 +22,8 @@
 	// holderUtilisation is the share of a holder's positions that one adapter
 	// may take before it gets another preferred endpoint.
 	holderUtilisation = 0.5
+	// maxLoadBound keeps the bound finite while many loads wait.
+	maxLoadBound = 4
 	// defaultServiceTime is assumed before the first sample of a backend.
 	defaultServiceTime = time.Second
 	// minConfidence is the weight of the oldest report that is still in use.
@@ -33,9 +35,11 @@
 type Affinity struct {
 	demand  demand
 	scorers atomic.Pointer[[]weighted]
-	picker  Picker
-	sample  source
-	scratch sync.Pool
+	// deployment holds the weights of the active bundle.
+	deployment atomic.Pointer[bundle.Deployment]
+	picker     Picker
+	sample     source
+	scratch    sync.Pool
 }
 
 type scratch struct {
@@ -59,6 +63,7 @@
 func (p *Affinity) ApplyConfig(d bundle.Deployment) {
 	s := scorers(d)
 	p.scorers.Store(&s)
+	p.deployment.Store(&d)
 }
 
 // Place implements Policy.
@@ -70,6 +75,7 @@
 	sc := p.scratch.Get().(*scratch)
 	defer p.scratch.Put(sc)
 	sc.candidates = p.gather(sc.candidates[:0], r, s, g)
+	bound := p.loadBound(r, s, g)
 	in, err := filter(r, sc.candidates)
 	if err != nil && len(sc.candidates) < len(g.Slots) {
 		sc.candidates = gatherAll(sc.candidates[:0], r, s, g)
@@ -78,9 +84,36 @@
 	if err != nil {
 		return Decision{}, err
 	}
+	for i := range in {
+		in[i].Bound = bound
+	}
 	return p.choose(r, sc, in), nil
 }
 
+// loadBound returns the load from which a request for an adapter spills over. A
+// load of n means n-1 service times in the queue, so the bound is where that wait
+// is as long as the load of another copy takes. Batch efficiency raises the
+// bound, because another copy puts another engine to use.
+func (p *Affinity) loadBound(r *Request, s *membership.Snapshot, g *membership.Group) float64 {
+	if r.Adapter.IsZero() {
+		return loadBound
+	}
+	rounds := s.LoadWait.Seconds() / serviceTime(g).Seconds()
+	return min(max(loadBound, 1+rounds*(1+p.batchShare())), maxLoadBound)
+}
+
+func (p *Affinity) batchShare() float64 {
+	_, batch := shares(*p.deployment.Load())
+	return batch
+}
+
+func serviceTime(g *membership.Group) time.Duration {
+	if mean := g.Service.Mean(); mean > 0 {
+		return mean
+	}
+	return defaultServiceTime
+}
+
 func (p *Affinity) choose(r *Request, sc *scratch, in []Candidate) Decision {
 	scorers := *p.scorers.Load()
 	sc.scored = sc.scored[:0]
@@ -173,10 +206,7 @@
 // rate: concurrency by Little's law, divided by what one holder takes.
 func preferredCount(rate float64, s *membership.Snapshot, g *membership.Group) int {
 	e := s.At(g.Slots[0])
-	service := g.Service.Mean()
-	if service == 0 {
-		service = defaultServiceTime
-	}
+	service := serviceTime(g)
 	concurrency := rate * float64(max(e.ConnectedEntries, 1)) * service.Seconds()
 	holders := math.Ceil(concurrency / (holderUtilisation * float64(max(e.PositionsTotal, 1))))
 	return int(min(max(holders, 1), maxPreferred-spillOver))
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -56,6 +56,8 @@
 	Load float64
 	// Wait is the estimated time in the queue.
 	Wait time.Duration
+	// Bound is the load above which another endpoint is preferred.
+	Bound float64
 }
 
 // Scored is a candidate with its weighted score.
--- a/pkg/placement/scorers.go
+++ b/pkg/placement/scorers.go
@@ -5,16 +5,17 @@
 	"github.com/fescuecourse/fescuecourse/pkg/membership"
 )
 
-// loadBound is the load above which a holder or a preferred endpoint loses its
+// loadBound is the lowest load above which a holder or a preferred endpoint loses its
 // advantage, so that requests spill over to the next endpoint.
 const loadBound = 1.25
 
 // bounded lowers an advantage in proportion to the load above the bound.
 func bounded(c *Candidate) float64 {
-	if c.Load <= loadBound {
+	bound := max(c.Bound, loadBound)
+	if c.Load <= bound {
 		return 1
 	}
-	over := loadBound / c.Load
+	over := bound / c.Load
 	return over * over
 }
 
--- a/pkg/scheduler/slots.go
+++ b/pkg/scheduler/slots.go
@@ -186,12 +186,25 @@
 	return best
 }
 
+// best returns the shortest of the kept load times, whatever their age.
+func (l *loadTimes) best() time.Duration {
+	var best time.Duration
+	for _, took := range l.took {
+		if took > 0 && (best == 0 || took < best) {
+			best = took
+		}
+	}
+	return best
+}
+
 // Stats is a summary for reports. The slices must not be changed.
 type Stats struct {
 	Running int
 	Queued  int
 	// Stalled is the part of Queued that waits for the load of an adapter.
-	Stalled   int
+	Stalled int
+	// LoadTime is the shortest recent time of one load, 0 if none is known.
+	LoadTime  time.Duration
 	Residents []ident.Adapter
 	// Loading are the adapters that are loading or waiting for a permit.
 	Loading []ident.Adapter
@@ -209,7 +222,7 @@
 	if s.view.stale {
 		s.view = s.buildView()
 	}
-	return Stats{Running: len(s.running), Queued: s.queue.Len(), Stalled: s.stalled(), Residents: s.view.residents, Loading: s.view.loading}
+	return Stats{Running: len(s.running), Queued: s.queue.Len(), Stalled: s.stalled(), LoadTime: s.loads.best(), Residents: s.view.residents, Loading: s.view.loading}
 }
 
 // stalled counts the queued attempts that wait for the load of an adapter.
