Load where the eviction costs least, and pack batches

Cause: loads went to an adapter's own endpoints whatever they evicted, and a high batch weight hardly changed the placement. Change: a request whose adapter is nowhere resident considers up to 16 endpoints by the demand of the adapter that would be evicted; the weights scale the scores for load, own endpoint and packing.

--- a/pkg/placement/affinity.go
+++ b/pkg/placement/affinity.go
@@ -22,6 +22,8 @@
 	// holderUtilisation is the share of a holder's positions that one adapter
 	// may take before it gets another preferred endpoint.
 	holderUtilisation = 0.5
+	// evictionHorizon is the time for which the demand of an evicted adapter counts.
+	evictionHorizon = 20 * time.Second
 	// maxLoadBound keeps the bound finite while many loads wait.
 	maxLoadBound = 4
 	// defaultServiceTime is assumed before the first sample of a backend.
@@ -135,12 +137,19 @@
 	}
 	hash := membership.AdapterHash(r.Adapter)
 	preferred := preferredCount(p.demand.add(r.Now, hash), s, g)
+	holders := s.Holders(r.Adapter, hash)
+	considered := preferred + spillOver
+	if len(holders) == 0 {
+		considered = maxPreferred
+	}
 	var top topRanks
-	top.fill(hash, g, preferred+spillOver)
+	top.fill(hash, g, considered)
 	for rank := range top.n {
 		out = append(out, candidate(r, s.At(g.Slots[top.index[rank]]), g, rank, preferred))
 	}
-	holders := s.Holders(r.Adapter, hash)
+	if len(holders) == 0 {
+		p.expectMisses(out, r, s)
+	}
 	start := 0
 	if len(holders) > maxHolders {
 		start = p.sample.below(len(holders))
@@ -154,6 +163,22 @@
 	return out
 }
 
+// expectMisses sets the cost of an eviction for each candidate of a request whose
+// adapter is nowhere resident, from the demand that this entry sees.
+func (p *Affinity) expectMisses(list []Candidate, r *Request, s *membership.Snapshot) {
+	for i := range list {
+		e := list[i].Endpoint
+		if len(e.Residents)+len(e.Loading) < e.SlotsTotal {
+			continue
+		}
+		lowest := math.Inf(1)
+		for _, a := range e.Residents {
+			lowest = min(lowest, p.demand.rate(r.Now, membership.AdapterHash(a)))
+		}
+		list[i].Misses = lowest * float64(s.Entries) * evictionHorizon.Seconds()
+	}
+}
+
 // gatherSample collects endpoints for a request without an adapter.
 func (p *Affinity) gatherSample(out []Candidate, r *Request, s *membership.Snapshot, g *membership.Group) []Candidate {
 	n := len(g.Slots)
--- a/pkg/placement/demand.go
+++ b/pkg/placement/demand.go
@@ -58,6 +58,14 @@
 	return perSecond(next.value)
 }
 
+// rate returns the rate of an adapter in requests/s.
+func (d *demand) rate(now time.Time, hash uint64) float64 {
+	s := &d.shards[hash%demandShards]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return perSecond(s.rates[hash].decayTo(now))
+}
+
 // forget drops rarely used adapters, or all if none is rare enough.
 func (s *demandShard) forget(now time.Time) {
 	for h, d := range s.rates {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -56,6 +56,9 @@
 	Load float64
 	// Wait is the estimated time in the queue.
 	Wait time.Duration
+	// Misses is the expected number of requests for the adapter that a load would
+	// evict, within evictionHorizon. It is 0 if a slot is free.
+	Misses float64
 	// Bound is the load above which another endpoint is preferred.
 	Bound float64
 }
--- a/pkg/placement/scorers.go
+++ b/pkg/placement/scorers.go
@@ -62,6 +62,20 @@
 	return bounded(c) / float64(2+c.Rank-c.Preferred)
 }
 
+// EvictionScorer prefers endpoints where a load evicts nothing that is wanted soon.
+type EvictionScorer struct{}
+
+// Name implements Scorer.
+func (EvictionScorer) Name() string { return "eviction" }
+
+// Score implements Scorer.
+func (EvictionScorer) Score(_ *Request, c *Candidate) float64 {
+	if c.Resident || c.Loading {
+		return 1
+	}
+	return 1 / (1 + c.Misses)
+}
+
 // LoadScorer prefers endpoints with little load.
 type LoadScorer struct{}
 
@@ -124,15 +138,16 @@
 }
 
 // scorers returns the scorers with the weights of a deployment. A high stall
-// weight favours resident adapters and idle endpoints; a high batch weight
-// favours filling batches that already run.
+// weight favours resident adapters, idle endpoints and the adapter's own endpoint; a
+// high batch weight favours filling batches that already run.
 func scorers(d bundle.Deployment) []weighted {
 	stall, batch := shares(d)
 	return []weighted{
 		{ResidentScorer{}, 1 + 2*stall},
 		{LoadingScorer{}, 0.5 + stall},
-		{RendezvousScorer{}, 0.75},
-		{LoadScorer{}, 0.25 + stall},
+		{RendezvousScorer{}, 0.25 + 0.5*stall},
+		{EvictionScorer{}, 0.75},
+		{LoadScorer{}, 0.05 + 1.2*stall},
 		{PackScorer{}, batch},
 		{ZoneScorer{}, 0.1},
 		{PrefixScorer{}, 0.2},
