Gather batch-class work at idle engines

Cause: an engine that runs one attempt of a batch offers all its positions. Change: batch-class work waits at an idle engine until other work runs, half of the positions can be filled, or 10 s times the batch weight or a quarter of the time to the deadline have passed.

--- a/pkg/fairqueue/fairqueue.go
+++ b/pkg/fairqueue/fairqueue.go
@@ -108,6 +108,16 @@
 // Len returns the number of queued items.
 func (q *Queue[L, V]) Len() int { return q.length }
 
+// ReadyClass returns the highest class with ready work, or zero if none is ready.
+func (q *Queue[L, V]) ReadyClass() ident.Priority {
+	for class := classes - 1; class > 0; class-- {
+		if q.rings[class].Len() > 0 {
+			return ident.Priority(class)
+		}
+	}
+	return 0
+}
+
 // TeamLen returns the number of queued items of a team.
 func (q *Queue[L, V]) TeamLen(t ident.Team) int { return q.teams[t] }
 
--- a/pkg/scheduler/config.go
+++ b/pkg/scheduler/config.go
@@ -85,6 +85,8 @@
 
 func (c Config) batchHold() time.Duration { return scale(batchHold, c.batchShare()) }
 
+func (c Config) gatherTime() time.Duration { return scale(gatherTime, c.batchShare()) }
+
 func scale(d time.Duration, share float64) time.Duration {
 	return time.Duration(float64(d) * share)
 }
--- /dev/null
+++ b/pkg/scheduler/gather.go
@@ -0,0 +1,42 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+const (
+	// gatherTime is how long batch-class work waits at an idle engine for more work,
+	// at a batch share of 1.
+	gatherTime = 10 * time.Second
+	// gatherSlack is the part of the time to the deadline that it may wait.
+	gatherSlack = 4
+)
+
+// gathering reports whether the ready work waits for more work. An engine that
+// runs only one attempt uses one position and offers all of them, so batch-class
+// work starts once other work runs, half of the positions can be filled, or the
+// oldest has waited long enough.
+func (s *Scheduler) gathering(now time.Time) bool {
+	if len(s.running) > 0 || s.queue.ReadyClass() != ident.PriorityBatch {
+		return false
+	}
+	if _, n, _ := s.queue.Waiting(ident.Adapter{}); n > 0 {
+		return false
+	}
+	count := 0
+	for _, st := range s.slots {
+		oldest, n, _ := s.queue.Waiting(st.name)
+		if n == 0 || st.state != stateResident || st.draining {
+			continue
+		}
+		count += n
+		waited := now.Sub(oldest.Value.since)
+		slack := oldest.Value.work.Deadline.Sub(now)
+		if waited >= min(s.cfg.gatherTime(), slack/gatherSlack) {
+			return false
+		}
+	}
+	return 2*count < s.cfg.Positions
+}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -225,6 +225,9 @@
 
 func (s *Scheduler) startReady(now time.Time) []Action {
 	var out []Action
+	if s.gathering(now) {
+		return nil
+	}
 	for len(s.running) < s.cfg.Positions {
 		it := s.queue.Next()
 		if it == nil {
