Scale the rates of the dominant team and the tail in workloads

Cause: the isolation of teams could not be measured. Change: teams.dominant_factor and teams.tail_factor multiply request rates.

--- a/pkg/workload/spec.go
+++ b/pkg/workload/spec.go
@@ -87,6 +87,10 @@
 	dominantWeight int
 	tail           int
 	batchAdapters  int
+	// dominantFactor and tailFactor multiply the request rates of the dominant team
+	// and of the tail; the adapters of the teams stay.
+	dominantFactor float64
+	tailFactor     float64
 }
 
 // Read reads a workload from an INI file. Problems are returned together as
@@ -110,6 +114,7 @@
 		return nil, err
 	}
 	s.setTeams(k)
+	s.scale(k)
 	return s, nil
 }
 
@@ -152,6 +157,8 @@
 func registerTeams(set *config.Set, k *teamKeys) {
 	set.StringVar(&k.dominant, "teams.dominant", "", "")
 	set.Float64Var(&k.dominantShare, "teams.dominant_share", 0, "")
+	set.Float64Var(&k.dominantFactor, "teams.dominant_factor", 1, "")
+	set.Float64Var(&k.tailFactor, "teams.tail_factor", 1, "")
 	set.IntVar(&k.dominantWeight, "teams.dominant_weight", 10, "")
 	set.IntVar(&k.tail, "teams.tail", 0, "")
 	set.IntVar(&k.batchAdapters, "teams.batch_adapters", 0, "")
@@ -185,6 +192,8 @@
 	set.Requiref(k.dominant != "", "teams.dominant", "must be set")
 	share(k.dominantShare, "teams.dominant_share")
 	positive(k.tail, "teams.tail")
+	set.Requiref(k.dominantFactor > 0, "teams.dominant_factor", "must be above zero")
+	set.Requiref(k.tailFactor > 0, "teams.tail_factor", "must be above zero")
 }
 
 // setTeams creates the dominant team, the tail and the batch team. The dominant
@@ -209,6 +218,24 @@
 	}
 }
 
+// scale multiplies the request rates of the dominant team and of the tail.
+func (s *Spec) scale(k *teamKeys) {
+	total := 0.0
+	for i := range s.Teams {
+		t := &s.Teams[i]
+		if t.Dominant {
+			t.Share *= k.dominantFactor
+		} else {
+			t.Share *= k.tailFactor
+		}
+		total += t.Share
+	}
+	for i := range s.Teams {
+		s.Teams[i].Share /= total
+	}
+	s.Load.RequestsPerSecond *= total
+}
+
 func (s *Spec) add(t Team) {
 	t.Key = "key-of-" + string(t.Name)
 	s.Teams = append(s.Teams, t)
