Charge teams for their recent loads in the order of permits

Cause: a burst of one team delays the loads of all others. Change: recent grants of a team delay its next request.

--- a/pkg/permits/permits.go
+++ b/pkg/permits/permits.go
@@ -85,7 +85,7 @@
 		}
 		return []Key{r.Key}
 	}
-	p.put(r.Key, start(now, r))
+	p.put(r.Key, start(now, r).Add(p.debts.of(now, r)))
 	return p.grant(now, c.cfg.MaxConcurrent)
 }
 
@@ -138,6 +138,7 @@
 // Tick expires grants and returns new ones.
 func (c *Coordinator) Tick(now time.Time) []Key {
 	for store, p := range c.pools {
+		p.debts.forget(now)
 		for k, at := range p.granted {
 			if now.Sub(at) > c.cfg.GrantTTL {
 				c.forget(store, k)
--- a/pkg/permits/pool.go
+++ b/pkg/permits/pool.go
@@ -58,10 +58,11 @@
 	heap    pendingHeap
 	waiting map[Key]*pending
 	granted map[Key]time.Time
+	debts   debts
 }
 
 func newPool() *pool {
-	return &pool{waiting: map[Key]*pending{}, granted: map[Key]time.Time{}}
+	return &pool{waiting: map[Key]*pending{}, granted: map[Key]time.Time{}, debts: debts{}}
 }
 
 // put adds a request or replaces an earlier one. A request never becomes less
@@ -93,6 +94,7 @@
 		n := heap.Pop(&p.heap).(*pending)
 		delete(p.waiting, n.key)
 		p.granted[n.key] = now
+		p.debts.charge(now, n.key.Adapter.Team)
 		out = append(out, n.key)
 	}
 	return out
