Answer permit requests that wait for their turn

Cause: with a backlog of more than 10 s at the weight store, endpoints took the coordinator for dead and loaded without permits, which slowed all loads. Change: a request that is not granted yet is answered with a grant of 0 ms.

--- a/pkg/endpoint/events.go
+++ b/pkg/endpoint/events.go
@@ -74,11 +74,18 @@
 	}
 }
 
-// permitEvent grants a load.
-type permitEvent struct{ adapter ident.Adapter }
+// permitEvent grants a load, or states that the request for it waits for its turn.
+type permitEvent struct {
+	adapter ident.Adapter
+	queued  bool
+}
 
 func (ev permitEvent) apply(c *control, now time.Time) {
-	if c.sched != nil {
+	switch {
+	case c.sched == nil:
+	case ev.queued:
+		c.sched.PermitQueued(now)
+	default:
 		c.perform(c.sched.PermitGranted(now, ev.adapter))
 	}
 }
--- a/pkg/endpoint/hub.go
+++ b/pkg/endpoint/hub.go
@@ -173,7 +173,7 @@
 		}
 		if g := m.GetPermitGrant(); g != nil {
 			if a, err := ident.ParseAdapter(g.GetAdapter()); err == nil {
-				e.control.send(permitEvent{adapter: a})
+				e.control.send(permitEvent{adapter: a, queued: g.GetValidMs() == 0})
 			}
 		}
 	}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
@@ -215,7 +216,9 @@
 func (c *control) onPermit(now time.Time, ev permitEvent) {
 	if r := ev.request; r != nil {
 		if a, err := ident.ParseAdapter(r.GetAdapter()); err == nil {
-			c.send(c.coordinator.Request(now, c.permitRequest(ev.endpoint, a, r)))
+			grants := c.coordinator.Request(now, c.permitRequest(ev.endpoint, a, r))
+			c.send(grants)
+			c.acknowledge(permits.Key{Endpoint: ev.endpoint, Adapter: a}, grants)
 		}
 		return
 	}
@@ -224,6 +227,17 @@
 	}
 }
 
+// acknowledge answers a request that is not granted yet. Without an answer the
+// endpoint takes the coordinator for dead and loads beside the permitted load.
+func (c *control) acknowledge(k permits.Key, grants []permits.Key) {
+	if slices.Contains(grants, k) {
+		return
+	}
+	if l := c.e.connector.link(k.Endpoint); l != nil {
+		l.grant(&fescuev1.PermitGrant{Adapter: k.Adapter.String()})
+	}
+}
+
 func (c *control) permitRequest(id ident.EndpointID, a ident.Adapter, r *fescuev1.PermitRequest) permits.Request {
 	req := permits.Request{
 		Key:      permits.Key{Endpoint: id, Adapter: a},
--- a/pkg/scheduler/permit.go
+++ b/pkg/scheduler/permit.go
@@ -50,6 +50,10 @@
 	return append([]Action{{Kind: ReleasePermit, Adapter: a}}, s.schedule(now)...)
 }
 
+// PermitQueued notes that the coordinator has answered a request that waits for
+// its turn, so that it is not taken for dead.
+func (s *Scheduler) PermitQueued(now time.Time) { s.fallback.silent = now }
+
 // park notes that a granted load had no slot, so that the next slot that can be
 // freed for it is drained.
 func (s *Scheduler) park(now time.Time, st *adapter) {
