Load only where a slot can be freed

Cause: packing sent loads to engines whose slots were all in use, where they waited for a slot to drain. Change: endpoints report how many slots further loads could take; engines without one are the last choice. The load bound is at most 2.

--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -37,6 +37,8 @@
 	Queued         int
 	// Stalled is the part of Queued that waits for the load of an adapter.
 	Stalled int
+	// Openings is the number of slots that further loads could take at once.
+	Openings int
 	// LoadTime is the shortest recent time of one adapter load, 0 if unknown.
 	LoadTime time.Duration
 	// QueueCapacity is 0 if the endpoint does not report it.
@@ -115,6 +117,7 @@
 		PositionsUsed:    int(r.GetPositionsUsed()),
 		Queued:           int(r.GetQueued()),
 		Stalled:          int(r.GetStalled()),
+		Openings:         int(r.GetOpenings()),
 		LoadTime:         time.Duration(r.GetLoadTimeMs()) * time.Millisecond,
 		QueueCapacity:    int(r.GetQueueCapacity()),
 		SlotsTotal:       int(r.GetSlotsTotal()),
--- a/pkg/placement/affinity.go
+++ b/pkg/placement/affinity.go
@@ -25,7 +25,7 @@
 	// evictionHorizon is the time for which the demand of an evicted adapter counts.
 	evictionHorizon = 20 * time.Second
 	// maxLoadBound keeps the bound finite while many loads wait.
-	maxLoadBound = 4
+	maxLoadBound = 2
 	// defaultServiceTime is assumed before the first sample of a backend.
 	defaultServiceTime = time.Second
 	// minConfidence is the weight of the oldest report that is still in use.
@@ -171,6 +171,10 @@
 		if len(e.Residents)+len(e.Loading) < e.SlotsTotal {
 			continue
 		}
+		if e.Openings == 0 {
+			list[i].Misses = math.Inf(1)
+			continue
+		}
 		lowest := math.Inf(1)
 		for _, a := range e.Residents {
 			lowest = min(lowest, p.demand.rate(r.Now, membership.AdapterHash(a)))
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -57,7 +57,8 @@
 	// Wait is the estimated time in the queue.
 	Wait time.Duration
 	// Misses is the expected number of requests for the adapter that a load would
-	// evict, within evictionHorizon. It is 0 if a slot is free.
+	// evict, within evictionHorizon. It is 0 if a slot is free and infinite if every
+	// slot is in use.
 	Misses float64
 	// Bound is the load above which another endpoint is preferred.
 	Bound float64
--- a/pkg/scheduler/loads.go
+++ b/pkg/scheduler/loads.go
@@ -162,6 +162,17 @@
 	return out
 }
 
+// openings counts the slots that further loads could take at once.
+func (s *Scheduler) openings() int {
+	n := s.cfg.Slots - s.occupied() - len(s.asks)
+	for _, st := range s.slots {
+		if _, queued, _ := s.queue.Waiting(st.name); st.state == stateResident && st.pins == 0 && queued == 0 {
+			n++
+		}
+	}
+	return max(n, 0)
+}
+
 // opening returns the adapter that gives way to a candidate, pinned if it must
 // be drained first, or nil.
 func (s *Scheduler) opening(now time.Time, c candidate, free int, taken map[*adapter]bool) *adapter {
