Compare with pooled slots in a simulation

Cause: it was not known which part of the stalls a better policy could avoid. Change: load runs report the load stalls of a simulation with all slots pooled, unlimited positions and one load at a time in order of class.

--- a/pkg/demo/load.go
+++ b/pkg/demo/load.go
@@ -89,6 +89,7 @@
 	rep.Violations = append(rep.Violations, r.violations(c)...)
 	rep.Engines = c.engineFigures(took)
 	rep.Engines.LoadsNeeded = workload.LoadsNeeded(arrivals, c.Opts.Residents, c.Opts.ModelServers*c.Opts.Slots)
+	rep.Engines.Pooled = workload.PooledReference(arrivals, c.Opts.Residents, c.Opts.ModelServers*c.Opts.Slots, time.Duration(float64(time.Second)/c.Opts.LoadsPerSecond))
 	rep.Engines.LoadsAllowed = c.Opts.LoadsPerSecond * opts.Duration.Seconds()
 	return r.recorder, ctx.Err()
 }
--- a/pkg/workload/compare.go
+++ b/pkg/workload/compare.go
@@ -34,6 +34,11 @@
 	if err := w.Flush(); err != nil {
 		return errors.Wrap(err, "write comparison")
 	}
+	if e := c.Reports[0].Engines; e != nil {
+		for _, p := range e.Pooled {
+			fmt.Fprintf(out, "pooled slots, loads one at a time by class (simulated): %s load stall p50/p95 %.0f/%.0f ms\n", p.Segment, p.P50, p.P95)
+		}
+	}
 	fmt.Fprintln(out, "latencies are p50/p95/p99; batch eff. is over all positions, busy eff. over those of engines in use")
 	for _, rep := range c.Reports {
 		fmt.Fprintf(out, "%s: ", rep.Policy)
--- /dev/null
+++ b/pkg/workload/reference.go
@@ -0,0 +1,123 @@
+package workload
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// Reference is the load stall of one segment in an idealised deployment.
+type Reference struct {
+	Segment Segment `json:"segment"`
+	P50     float64 `json:"load_stall_p50_ms"`
+	P95     float64 `json:"load_stall_p95_ms"`
+}
+
+// PooledReference simulates a deployment whose slots are all pooled, with
+// unlimited batch positions and without delays but those of the weight store,
+// which loads one adapter at a time: the highest class first, in it the adapter
+// with the longest wait. It evicts the least recently used adapter. The result
+// shows what the arrivals and the weight store alone cost. It is no bound for a
+// single segment, because another order of loads trades the segments.
+func PooledReference(arrivals []Arrival, residents []ident.Adapter, slots int, loadTime time.Duration) []Reference {
+	p := &pooled{slots: slots, loadTime: loadTime, used: map[ident.Adapter]time.Duration{}, waiting: map[ident.Adapter][]*Arrival{}, stalls: map[Segment][]time.Duration{}}
+	for i, a := range residents[:min(len(residents), slots)] {
+		p.used[a] = -time.Duration(i + 1)
+	}
+	for i := range arrivals {
+		if arrivals[i].Request.IsModel() {
+			p.arrive(&arrivals[i])
+		}
+	}
+	for len(p.waiting) > 0 {
+		p.load()
+	}
+	return p.references()
+}
+
+type pooled struct {
+	slots    int
+	loadTime time.Duration
+	// free is when the weight store has done its last load.
+	free    time.Duration
+	used    map[ident.Adapter]time.Duration
+	waiting map[ident.Adapter][]*Arrival
+	stalls  map[Segment][]time.Duration
+}
+
+// arrive does the loads that begin before an arrival, then adds it.
+func (p *pooled) arrive(a *Arrival) {
+	for len(p.waiting) > 0 && p.free <= a.At {
+		p.load()
+	}
+	p.free = max(p.free, a.At)
+	name := a.Request.Adapter
+	if at, ok := p.used[name]; ok && at <= a.At {
+		p.used[name] = a.At
+		p.record(a, 0)
+		return
+	} else if ok {
+		p.record(a, at-a.At) // its load is running
+		return
+	}
+	p.waiting[name] = append(p.waiting[name], a)
+}
+
+func (p *pooled) record(a *Arrival, stall time.Duration) {
+	s := segmentOf(&a.Request)
+	p.stalls[s] = append(p.stalls[s], stall)
+}
+
+// load does the most urgent load. Arrivals during it find the adapter with a use
+// in the future.
+func (p *pooled) load() {
+	var next []*Arrival
+	for _, list := range p.waiting {
+		if next == nil || compareUrgency(list[0], next[0]) < 0 {
+			next = list
+		}
+	}
+	name := next[0].Request.Adapter
+	p.evict()
+	p.free += p.loadTime
+	p.used[name] = p.free
+	delete(p.waiting, name)
+	for _, a := range next {
+		p.record(a, p.free-a.At)
+	}
+}
+
+func compareUrgency(a, b *Arrival) int {
+	return cmp.Or(
+		cmp.Compare(b.Request.Team.Priority, a.Request.Team.Priority),
+		cmp.Compare(a.At, b.At),
+		cmp.Compare(a.Request.Seq, b.Request.Seq),
+	)
+}
+
+func (p *pooled) evict() {
+	if len(p.used) < p.slots {
+		return
+	}
+	var victim ident.Adapter
+	found := false
+	for a, at := range p.used {
+		if !found || at < p.used[victim] || at == p.used[victim] && a.String() < victim.String() {
+			victim, found = a, true
+		}
+	}
+	delete(p.used, victim)
+}
+
+func (p *pooled) references() []Reference {
+	var out []Reference
+	for s, list := range p.stalls {
+		slices.Sort(list)
+		at := func(percent int) float64 { return list[len(list)*percent/100].Seconds() * 1000 }
+		out = append(out, Reference{Segment: s, P50: at(50), P95: at(95)})
+	}
+	slices.SortFunc(out, func(a, b Reference) int { return cmp.Compare(a.Segment, b.Segment) })
+	return out
+}
--- a/pkg/workload/report.go
+++ b/pkg/workload/report.go
@@ -42,8 +42,10 @@
 	OfferedBusyS        float64 `json:"offered_busy_position_s"`
 	// LoadsNeeded is the lower bound of LoadsNeeded for the arrivals, LoadsAllowed
 	// the number of loads that the weight store can do in the duration.
-	LoadsNeeded  int     `json:"loads_needed"`
-	LoadsAllowed float64 `json:"loads_allowed"`
+	LoadsNeeded int `json:"loads_needed"`
+	// Pooled is the load stall in the simulation of PooledReference.
+	Pooled       []Reference `json:"pooled_reference"`
+	LoadsAllowed float64     `json:"loads_allowed"`
 }
 
 // Fill sets the figures that follow from the rows.
