--- a/pkg/entry/link.go
+++ b/pkg/entry/link.go
@@ -177,12 +177,11 @@
 	}
 }
 
-// grant queues a permit for the endpoint.
-func (l *link) grant(g *fescuev1.PermitGrant) bool {
+// grant queues a permit for the endpoint. A permit that finds the queue full is
+// dropped; the endpoint repeats its request.
+func (l *link) grant(g *fescuev1.PermitGrant) {
 	select {
 	case l.grants <- g:
-		return true
 	default:
-		return false
 	}
 }
--- a/pkg/permits/debt.go
+++ b/pkg/permits/debt.go
@@ -11,7 +11,7 @@
 	// debtHalfLife is the time in which the weight of an earlier grant halves.
 	debtHalfLife = 10 * time.Second
 	// debtStep is the waiting time that one recent grant costs a team of weight 1.
-	debtStep = time.Second
+	debtStep = 500 * time.Millisecond
 	// forgottenDebt is the number of grants below which a team is forgotten.
 	forgottenDebt = 0.01
 )
@@ -39,8 +39,7 @@
 // head start of its class.
 func (m debts) of(now time.Time, r Request) time.Duration {
 	cost := m[r.Adapter.Team].decayed(now) / float64(max(r.Weight, 1)) * float64(debtStep)
-	most := max(time.Duration(r.Priority-ident.PriorityBatch), 0) * classHeadStart
-	return min(time.Duration(cost), most)
+	return min(time.Duration(cost), headStart(r.Priority))
 }
 
 // forget drops the teams without recent grants.
--- a/pkg/permits/permits.go
+++ b/pkg/permits/permits.go
@@ -44,19 +44,33 @@
 // The order of requests is that of their virtual starting times. All requests age
 // at the same rate, so any request is granted in the end.
 const (
-	// classHeadStart is the waiting time that one priority class is worth.
-	classHeadStart = 10 * time.Second
+	// normalHeadStart and highHeadStart are the waiting times that the classes are
+	// worth. Both are well before batch work. High and normal work differ little,
+	// because a burst of one delays the other for all of it.
+	normalHeadStart = 19500 * time.Millisecond
+	highHeadStart   = 20 * time.Second
 	// doublingHeadStart is the waiting time that twice as much weighted work is worth.
-	doublingHeadStart = 500 * time.Millisecond
+	doublingHeadStart = 250 * time.Millisecond
 	// maxWorkHeadStart keeps the waiting work from outweighing a class.
 	maxWorkHeadStart = 8 * time.Second
 )
 
+func headStart(class ident.Priority) time.Duration {
+	switch class {
+	case ident.PriorityHigh:
+		return highHeadStart
+	case ident.PriorityNormal:
+		return normalHeadStart
+	default:
+		return 0
+	}
+}
+
 // start returns the virtual starting time of a request.
 func start(now time.Time, r Request) time.Time {
 	work := float64(max(r.Waiting, 1)) * float64(max(r.Weight, 1))
 	head := min(time.Duration(math.Log2(work)*float64(doublingHeadStart)), maxWorkHeadStart)
-	return now.Add(-r.Waited - head - time.Duration(r.Priority)*classHeadStart)
+	return now.Add(-r.Waited - head - headStart(r.Priority))
 }
 
 // Coordinator grants loads.
