Share loads between teams by weight

Cause: with an overloaded weight store the backlog of one team is older than every new request of the others, so no order by age can isolate teams. Change: the coordinator shares grants by start-time fair queueing over teams; the order by age applies inside a team. Batch work follows other work unless it has waited 19.5 s longer. This replaces the charge for recent loads.

--- a/pkg/permits/permits.go
+++ b/pkg/permits/permits.go
@@ -41,7 +41,8 @@
 	GrantTTL time.Duration
 }
 
-// The order of requests is that of their virtual starting times. All requests age
+// Teams get grants in proportion to their weights, see pool. The order of the
+// requests of one team is that of their virtual starting times. All requests age
 // at the same rate, so any request is granted in the end.
 const (
 	// normalHeadStart and highHeadStart are the waiting times that the classes are
@@ -99,7 +100,7 @@
 		}
 		return []Key{r.Key}
 	}
-	p.put(r.Key, start(now, r).Add(p.debts.of(now, r)))
+	p.put(r, start(now, r))
 	return p.grant(now, c.cfg.MaxConcurrent)
 }
 
@@ -152,7 +153,6 @@
 // Tick expires grants and returns new ones.
 func (c *Coordinator) Tick(now time.Time) []Key {
 	for store, p := range c.pools {
-		p.debts.forget(now)
 		for k, at := range p.granted {
 			if now.Sub(at) > c.cfg.GrantTTL {
 				c.forget(store, k)
@@ -174,7 +174,7 @@
 func (c *Coordinator) Waiting() int {
 	n := 0
 	for _, p := range c.pools {
-		n += len(p.heap)
+		n += len(p.waiting)
 	}
 	return n
 }
