--- a/pkg/scheduler/slots.go
+++ b/pkg/scheduler/slots.go
@@ -14,7 +14,7 @@
 // Parameters of the demand estimate and of the clean-up.
 const (
 	// rateHalfLife is the time in which the weight of an earlier demand halves.
-	rateHalfLife = time.Minute
+	rateHalfLife = 5 * time.Minute
 	// forgottenRate is the demand below which an absent adapter is forgotten.
 	forgottenRate = 0.05
 	cleanInterval = 10 * time.Second
