Report adapters with waiting work as loading

Cause: an adapter whose load was not asked for yet, for instance batch work that is held back, was on no report, so other requests for it could go to other endpoints and be loaded there too. Change: every adapter with waiting work is reported as loading, and an endpoint that holds or loads an adapter outweighs packing.

--- a/pkg/placement/scorers.go
+++ b/pkg/placement/scorers.go
@@ -140,11 +140,13 @@
 // scorers returns the scorers with the weights of a deployment. A high stall
 // weight favours resident adapters, idle endpoints and the adapter's own endpoint; a
 // high batch weight favours filling batches that already run.
+// Packing weighs less than an endpoint that holds or loads the adapter, or the
+// adapter would be loaded twice.
 func scorers(d bundle.Deployment) []weighted {
 	stall, batch := shares(d)
 	return []weighted{
-		{ResidentScorer{}, 1 + 2*stall},
-		{LoadingScorer{}, 0.5 + stall},
+		{ResidentScorer{}, 1.5 + 1.5*stall},
+		{LoadingScorer{}, 1.25 + stall},
 		{RendezvousScorer{}, 0.25 + 0.5*stall},
 		{EvictionScorer{}, 0.75},
 		{LoadScorer{}, 0.05 + 1.2*stall},
--- a/pkg/scheduler/loads.go
+++ b/pkg/scheduler/loads.go
@@ -212,6 +212,7 @@
 		out = append(out, s.refuseAll(a, fescuev1.NotRunReason_NOT_RUN_REASON_NO_AUTHORITY)...)
 	}
 	clear(s.wanted)
+	s.view.stale = true
 	return out
 }
 
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -74,6 +74,7 @@
 		q.stall = st.state != stateResident
 		if st.state == stateAbsent {
 			s.wanted[w.Adapter] = st
+			s.view.stale = true
 		}
 	}
 	s.items[w.ID] = it
@@ -88,6 +89,7 @@
 	id := it.Value.work.ID
 	s.queue.Remove(it)
 	delete(s.items, id)
+	s.view.stale = true
 	return Action{Kind: Refuse, ID: id, Adapter: it.Lane, Reason: reason}
 }
 
--- a/pkg/scheduler/slots.go
+++ b/pkg/scheduler/slots.go
@@ -208,7 +208,7 @@
 	// LoadTime is the shortest recent time of one load, 0 if none is known.
 	LoadTime  time.Duration
 	Residents []ident.Adapter
-	// Loading are the adapters that are loading or waiting for a permit.
+	// Loading are the adapters that are loading or have queued work that waits for it.
 	Loading []ident.Adapter
 }
 
@@ -250,8 +250,10 @@
 			v.loading = append(v.loading, st.name)
 		}
 	}
-	for _, st := range s.asks {
-		v.loading = append(v.loading, st.name)
+	for a := range s.wanted {
+		if _, n, _ := s.queue.Waiting(a); n > 0 {
+			v.loading = append(v.loading, a)
+		}
 	}
 	slices.SortFunc(v.loading, compareAdapters)
 	return v
