Send requests for loads of normal work beside high work

Cause: an endpoint asks for few loads at once and preferred high work by 5 s of waiting, so the coordinator did not see the requests of the tail. The tail still waits for slots, which the runs of the dominant team pin.

--- a/pkg/scheduler/loads.go
+++ b/pkg/scheduler/loads.go
@@ -51,7 +51,18 @@
 func (c candidate) urgency() time.Duration {
 	work := float64(max(c.waiting, 1)) * float64(max(c.weight, 1))
 	head := min(time.Duration(math.Log2(work)*float64(doublingStep)), maxWorkStep)
-	return c.aging + time.Duration(c.class)*agingStep + head
+	return c.aging + classStep(c.class) + head
+}
+
+// classStep is the waiting time that a class is worth in the order of loads. High
+// and normal work differ little, because the coordinator of the permits divides
+// the loads between teams and can do so only if their requests are sent.
+func classStep(class ident.Priority) time.Duration {
+	step := time.Duration(class) * agingStep
+	if class == ident.PriorityHigh {
+		return step - agingStep + doublingStep
+	}
+	return step
 }
 
 // agedClass raises the class by one for each aging step.
