Count waiting work of a loading adapter in the load

Cause: all requests of a batch went to the endpoint that loads their adapter, because waiting requests did not count, and queued there for positions. Change: waiting requests count where the adapter is loading.

--- a/pkg/placement/affinity.go
+++ b/pkg/placement/affinity.go
@@ -215,19 +215,24 @@
 
 // candidate estimates the load of an endpoint. Own requests count fully, those
 // of others as last reported with a confidence that decays with age. Requests
-// that wait for a load take no position and do not count.
+// that wait for a load take no position and do not count, except where this
+// adapter is loading: they are likely to need a position together.
 func candidate(r *Request, e *membership.Endpoint, g *membership.Group, rank, preferred int) Candidate {
 	others := max(float64(int64(e.PositionsUsed+e.Queued)-e.OwnAtReport), 0)
 	age := max(float64(r.Now.Sub(e.ReportedAt))/float64(StaleAfter), 0)
 	confidence := max(1-age*(1-minConfidence), minConfidence)
 	positions := float64(max(e.PositionsTotal, 1))
 	c := Candidate{Endpoint: e, Rank: rank, Preferred: preferred}
-	c.Load = max(float64(e.Load.InFlight())+confidence*others-float64(e.Stalled), 0) / positions
 	c.Wait = time.Duration(float64(e.Queued-e.Stalled) / positions * float64(g.Service.Mean()))
 	if !r.Adapter.IsZero() {
 		c.Resident = e.Holds(r.Adapter)
 		c.Loading = e.IsLoading(r.Adapter)
 	}
+	stalled := float64(e.Stalled)
+	if c.Loading && !c.Resident {
+		stalled = 0
+	}
+	c.Load = max(float64(e.Load.InFlight())+confidence*others-stalled, 0) / positions
 	return c
 }
 
