Refund permits that are returned unused

Cause: a grant that finds no slot is returned, but its team has paid for it. Change: the coordinator takes the charge back.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -223,7 +223,11 @@
 		return
 	}
 	if a, err := ident.ParseAdapter(ev.release.GetAdapter()); err == nil {
-		c.send(c.coordinator.Release(now, permits.Key{Endpoint: ev.endpoint, Adapter: a}))
+		k := permits.Key{Endpoint: ev.endpoint, Adapter: a}
+		if !ev.release.GetLoaded() {
+			c.coordinator.Refund(k)
+		}
+		c.send(c.coordinator.Release(now, k))
 	}
 }
 
