Never pack onto engines without a free slot

Cause: at a high batch weight, packing outweighed an engine without a slot that can be freed, contrary to its purpose. Change: the weight of the eviction score rises with the batch weight; a test checks the choice for both weights.

--- a/pkg/placement/policy_test.go
+++ b/pkg/placement/policy_test.go
@@ -125,3 +125,45 @@
 	assert.Equal(t, stall.Reason, "adapter resident")
 	assert.Assert(t, stall.Score > batch.Score, "stall %v, batch %v", stall.Score, batch.Score)
 }
+
+// Guards against a load that evicts an adapter in demand or waits for a slot in
+// use while another endpoint has an idle one, and against a batch weight that does
+// not pack batches.
+func TestLoadGoesWhereItCostsLeast(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := ident.Adapter{Team: "tokachi", Name: "cold", Version: "1"}
+	place := func(w bundle.Deployment, change func(i int, r *fescuev1.Report)) ident.EndpointID {
+		d := membership.New()
+		for i := range 4 {
+			r := report(i, 100)
+			r.PositionsTotal, r.PositionsUsed, r.Queued = 16, 0, 0
+			r.SlotsTotal, r.Openings = uint32(len(r.Residents)), 1
+			change(i, r)
+			d.Apply(now, r)
+		}
+		p := placement.NewAffinity(1)
+		p.ApplyConfig(w)
+		r := &placement.Request{Now: now, Kind: fescuev1.EndpointKind_ENDPOINT_KIND_MODEL, Backend: "kuma-7b", Adapter: a}
+		got, err := p.Place(r, d.Snapshot())
+		assert.NilError(t, err)
+		return got.Endpoint.ID
+	}
+	stall, batch := bundle.Deployment{StallWeight: 1}, bundle.Deployment{BatchWeight: 1}
+	for busy := range 4 {
+		id := ident.EndpointID(fmt.Sprintf("endpoint-%04d", busy))
+		inUse := func(i int, r *fescuev1.Report) {
+			if i == busy {
+				r.PositionsUsed = 15
+			}
+		}
+		assert.Equal(t, place(batch, inUse), id)
+		assert.Assert(t, place(stall, inUse) != id)
+		full := func(i int, r *fescuev1.Report) {
+			inUse(i, r)
+			if i == busy {
+				r.Openings = 0
+			}
+		}
+		assert.Assert(t, place(batch, full) != id)
+	}
+}
--- a/pkg/placement/scorers.go
+++ b/pkg/placement/scorers.go
@@ -141,14 +141,14 @@
 // weight favours resident adapters, idle endpoints and the adapter's own endpoint; a
 // high batch weight favours filling batches that already run.
 // Packing weighs less than an endpoint that holds or loads the adapter, or the
-// adapter would be loaded twice.
+// adapter would be loaded twice, and less than a slot that can be freed.
 func scorers(d bundle.Deployment) []weighted {
 	stall, batch := shares(d)
 	return []weighted{
 		{ResidentScorer{}, 1.5 + 1.5*stall},
 		{LoadingScorer{}, 1.25 + stall},
 		{RendezvousScorer{}, 0.25 + 0.5*stall},
-		{EvictionScorer{}, 0.75},
+		{EvictionScorer{}, 0.75 + batch},
 		{LoadScorer{}, 0.05 + 1.2*stall},
 		{PackScorer{}, batch},
 		{ZoneScorer{}, 0.1},
