Revert "Refund permits that are returned unused"

Cause: the change did not shorten the stalls that it was made for. Change: a returned grant is charged again.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -224,11 +224,7 @@
 		return
 	}
 	if a, err := ident.ParseAdapter(ev.release.GetAdapter()); err == nil {
-		k := permits.Key{Endpoint: ev.endpoint, Adapter: a}
-		if !ev.release.GetLoaded() {
-			c.coordinator.Refund(k)
-		}
-		c.send(c.coordinator.Release(now, k))
+		c.send(c.coordinator.Release(now, permits.Key{Endpoint: ev.endpoint, Adapter: a}))
 	}
 }
 
--- a/pkg/permits/permits.go
+++ b/pkg/permits/permits.go
@@ -152,20 +152,9 @@
 	return c.pools[store].grant(now, c.cfg.MaxConcurrent)
 }
 
-// Refund takes back the charge for a grant that is returned unused, or its team
-// would wait for the same load twice. It is called before Release.
-func (c *Coordinator) Refund(k Key) {
-	store, known := c.stores[k.Endpoint][k.Adapter]
-	if !known {
-		return
-	}
-	c.pools[store].refund(k)
-}
-
 func (c *Coordinator) forget(store string, k Key) {
 	p := c.pools[store]
 	delete(p.granted, k)
-	delete(p.charged, k)
 	p.remove(k)
 	delete(c.stores[k.Endpoint], k.Adapter)
 	if len(c.stores[k.Endpoint]) == 0 {
--- a/pkg/permits/pool.go
+++ b/pkg/permits/pool.go
@@ -76,8 +76,6 @@
 	flows   map[ident.Team]*flow
 	waiting map[Key]*pending
 	granted map[Key]time.Time
-	// charged is what each grant has cost its team.
-	charged map[Key]float64
 	// virtual is the start of the last grant.
 	virtual float64
 	// finish holds the teams whose finish is later than the virtual time.
@@ -85,7 +83,7 @@
 }
 
 func newPool() *pool {
-	return &pool{flows: map[ident.Team]*flow{}, waiting: map[Key]*pending{}, granted: map[Key]time.Time{}, charged: map[Key]float64{}, finish: map[ident.Team]float64{}}
+	return &pool{flows: map[ident.Team]*flow{}, waiting: map[Key]*pending{}, granted: map[Key]time.Time{}, finish: map[ident.Team]float64{}}
 }
 
 // put adds a request or replaces an earlier one. A request never becomes less
@@ -129,7 +127,7 @@
 	for len(p.waiting) > 0 && len(p.granted) < limit {
 		team := p.next()
 		k := p.flows[team].heap[0].key
-		p.charged[k] = p.charge(team)
+		p.charge(team)
 		p.remove(k)
 		p.granted[k] = now
 		out = append(out, k)
@@ -173,24 +171,12 @@
 
 func (p *pool) start(team ident.Team) float64 { return max(p.virtual, p.finish[team]) }
 
-// charge moves the finish of a team and the virtual time by one grant. It returns
-// the cost of the grant.
-func (p *pool) charge(team ident.Team) float64 {
+// charge moves the finish of a team and the virtual time by one grant.
+func (p *pool) charge(team ident.Team) {
 	start := p.start(team)
-	cost := 1 / float64(p.flows[team].weight)
-	p.finish[team] = start + cost
+	p.finish[team] = start + 1/float64(p.flows[team].weight)
 	if start > p.virtual {
 		p.virtual = start
 		maps.DeleteFunc(p.finish, func(_ ident.Team, at float64) bool { return at <= start })
 	}
-	return cost
-}
-
-func (p *pool) refund(k Key) {
-	cost, granted := p.charged[k]
-	team := k.Adapter.Team
-	if at, later := p.finish[team]; granted && later {
-		p.finish[team] = at - cost
-	}
-	delete(p.charged, k)
 }
