--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -175,7 +175,6 @@
 	if b := c.e.bundles.Current(); b != nil && b != c.bundle {
 		c.bundle = b
 		c.e.ApplyConfig(b)
-		c.coordinator.ApplyConfig(b.Deployment().StallWeight, b.Deployment().BatchWeight)
 	}
 }
 
--- a/pkg/permits/permits.go
+++ b/pkg/permits/permits.go
@@ -39,54 +39,39 @@
 	MaxConcurrent int
 	// GrantTTL is how long a grant is valid without a release or a renewal.
 	GrantTTL time.Duration
-	// StallWeight and BatchWeight weigh load stalls against batch efficiency. Only
-	// their ratio matters; if both are zero they count as equal.
-	StallWeight float64
-	BatchWeight float64
 }
 
 // Teams get grants in proportion to their weights, see pool. The order of the
 // requests of one team is that of their virtual starting times. All requests age
 // at the same rate, so any request is granted in the end.
 const (
-	// minNormalHeadStart and maxNormalHeadStart are the waiting time that normal work
-	// is worth before batch work, at a stall share of 0 and of 1.
-	minNormalHeadStart = 5 * time.Second
-	maxNormalHeadStart = 23 * time.Second
-	// highHeadStart is the waiting time that high work is worth before normal work.
-	// They differ little, because a burst of one delays the other for all of it.
-	highHeadStart = 500 * time.Millisecond
+	// normalHeadStart and highHeadStart are the waiting times that the classes are
+	// worth. Both are well before batch work. High and normal work differ little,
+	// because a burst of one delays the other for all of it.
+	normalHeadStart = 19500 * time.Millisecond
+	highHeadStart   = 20 * time.Second
 	// doublingHeadStart is the waiting time that twice as much weighted work is worth.
 	doublingHeadStart = 250 * time.Millisecond
 	// maxWorkHeadStart keeps the waiting work from outweighing a class.
 	maxWorkHeadStart = 8 * time.Second
 )
 
-func (c Config) headStart(class ident.Priority) time.Duration {
-	normal := minNormalHeadStart + time.Duration(c.stallShare()*float64(maxNormalHeadStart-minNormalHeadStart))
+func headStart(class ident.Priority) time.Duration {
 	switch class {
 	case ident.PriorityHigh:
-		return normal + highHeadStart
+		return highHeadStart
 	case ident.PriorityNormal:
-		return normal
+		return normalHeadStart
 	default:
 		return 0
 	}
 }
 
-func (c Config) stallShare() float64 {
-	sum := c.StallWeight + c.BatchWeight
-	if sum <= 0 {
-		return 0.5
-	}
-	return c.StallWeight / sum
-}
-
 // start returns the virtual starting time of a request.
-func (c Config) start(now time.Time, r Request) time.Time {
+func start(now time.Time, r Request) time.Time {
 	work := float64(max(r.Waiting, 1)) * float64(max(r.Weight, 1))
 	head := min(time.Duration(math.Log2(work)*float64(doublingHeadStart)), maxWorkHeadStart)
-	return now.Add(-r.Waited - head - c.headStart(r.Priority))
+	return now.Add(-r.Waited - head - headStart(r.Priority))
 }
 
 // Coordinator grants loads.
@@ -102,11 +87,6 @@
 	return &Coordinator{cfg: cfg, pools: map[string]*pool{}, stores: map[ident.EndpointID]map[ident.Adapter]string{}}
 }
 
-// ApplyConfig takes the weights of a deployment. They apply to later requests.
-func (c *Coordinator) ApplyConfig(stallWeight, batchWeight float64) {
-	c.cfg.StallWeight, c.cfg.BatchWeight = stallWeight, batchWeight
-}
-
 // Request adds or replaces a request and returns new grants. The request for a
 // granted load renews the grant and returns it again.
 func (c *Coordinator) Request(now time.Time, r Request) []Key {
@@ -120,7 +100,7 @@
 		}
 		return []Key{r.Key}
 	}
-	p.put(r, c.cfg.start(now, r))
+	p.put(r, start(now, r))
 	return p.grant(now, c.cfg.MaxConcurrent)
 }
 
