--- a/pkg/demo/check.go
+++ b/pkg/demo/check.go
@@ -80,6 +80,7 @@
 type engineTotals struct {
 	loads, evictions int
 	usedPositionS    float64
+	busyS            float64
 }
 
 func (c *Cluster) engineTotals() engineTotals {
@@ -92,6 +93,7 @@
 		t.loads += st.Loads
 		t.evictions += st.Evictions
 		t.usedPositionS += st.PositionSeconds
+		t.busyS += st.BusySeconds
 	}
 	return t
 }
--- a/pkg/demo/content.go
+++ b/pkg/demo/content.go
@@ -74,7 +74,7 @@
 func (c content) text(opts *Options) string {
 	var b strings.Builder
 	b.WriteString(reviewersText())
-	fmt.Fprintf(&b, "[bundle]\nversion = %d\n\n[deployment]\nname = %s\nstall_weight = 0.8\nbatch_weight = 0.2\n\n", c.Version, opts.Name)
+	fmt.Fprintf(&b, "[bundle]\nversion = %d\n\n[deployment]\nname = %s\nstall_weight = %g\nbatch_weight = %g\n\n", c.Version, opts.Name, opts.StallWeight, opts.BatchWeight)
 	for _, t := range opts.Teams {
 		sum := sha256.Sum256([]byte(t.Key))
 		fmt.Fprintf(&b, "[team %q]\nkey_sha256 = %s\nweight = %d\npriority = %s\nmax_in_flight = %d\nrate = 10000\n\n", t.Name, hex.EncodeToString(sum[:]), t.Weight, t.Priority, c.MaxInFlight[t.Name])
--- a/pkg/demo/options.go
+++ b/pkg/demo/options.go
@@ -44,6 +44,10 @@
 	VMListLag time.Duration
 	// LeaseTTL is the time to live of engine leases.
 	LeaseTTL time.Duration
+	// StallWeight and BatchWeight are those of the bundle.
+	StallWeight float64
+	BatchWeight float64
+	Policy      Policy
 	// FaultSeed seeds the injectors of the fakes.
 	FaultSeed uint64
 }
@@ -60,6 +64,7 @@
 			{Name: "adwenpa", Key: "demo-key-adwenpa", Weight: 1, Priority: ident.PriorityNormal, Adapters: 16, Share: 0.4},
 		},
 		Log: logging.Nop(), EntryListen: "127.0.0.1:0", DrainTimeout: time.Minute, LeaseTTL: 5 * time.Second,
+		StallWeight: 0.8, BatchWeight: 0.2,
 		AvailabilityZone: []string{"obihiro-a", "kushiro-b", "kitami-c"},
 	}
 }
@@ -73,6 +78,7 @@
 	opts.Service = d.Service
 	opts.Slots, opts.Positions, opts.LoadsPerSecond = d.Slots, d.Positions, d.LoadsPerSecond
 	opts.Prefill, opts.Decode = d.Prefill, d.Decode
+	opts.StallWeight, opts.BatchWeight = d.StallWeight, d.BatchWeight
 	opts.Teams = spec.Teams
 	opts.AvailabilityZone = d.Zones
 	opts.Relays = d.OneWayLatency > 0
--- a/pkg/endpoint/endpoint_test.go
+++ b/pkg/endpoint/endpoint_test.go
@@ -230,7 +230,7 @@
 				break
 			}
 		}
-		assert.NilError(t, s.control.Send(&fescuev1.ControlRequest{Body: &fescuev1.ControlRequest_PermitGrant{PermitGrant: &fescuev1.PermitGrant{Adapter: "a/x@1"}}}))
+		assert.NilError(t, s.control.Send(&fescuev1.ControlRequest{Body: &fescuev1.ControlRequest_PermitGrant{PermitGrant: &fescuev1.PermitGrant{Adapter: "a/x@1", ValidMs: 10000}}}))
 	}
 	first := run("first")
 	grant()
--- a/pkg/endpoint/engine_test.go
+++ b/pkg/endpoint/engine_test.go
@@ -293,7 +293,7 @@
 		if p := m.GetPermitRequest(); p != nil {
 			h.requests <- p.GetAdapter()
 			if !h.withhold.Load() {
-				grant := &fescuev1.PermitGrant{Adapter: p.GetAdapter()}
+				grant := &fescuev1.PermitGrant{Adapter: p.GetAdapter(), ValidMs: 10000}
 				_ = h.control.Send(&fescuev1.ControlRequest{Body: &fescuev1.ControlRequest_PermitGrant{PermitGrant: grant}}) // Recv reports the end
 			}
 		}
--- a/pkg/endpoint/poll.go
+++ b/pkg/endpoint/poll.go
@@ -80,7 +80,7 @@
 	c.gate.fenced = 0
 	c.e.runs.restarted()
 	if c.sched == nil {
-		c.limits = scheduler.Config{MaxQueued: c.e.set.MaxQueued, ShareInterval: c.e.set.ShareInterval, CommandDeadline: c.e.timing.commandDeadline}
+		c.limits = scheduler.Config{MaxQueued: c.e.set.MaxQueued, ShareInterval: c.e.set.ShareInterval, CommandDeadline: c.e.timing.commandDeadline, Evictor: c.e.set.evictor()}
 		c.limits.Slots, c.limits.Positions = ev.status.SlotsTotal, ev.status.PositionsTotal
 		c.sched = scheduler.New(c.limits)
 		if c.e.leaving.Load() {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -39,6 +39,12 @@
 	PositionsUsed  int
 	// Queued is the number of waiting requests.
 	Queued int
+	// Stalled is the part of Queued that waits for the load of an adapter.
+	Stalled int
+	// Openings is the number of slots that further loads could take at once.
+	Openings int
+	// LoadTime is the shortest recent time of one adapter load, 0 if unknown.
+	LoadTime time.Duration
 	// QueueCapacity is 0 if the endpoint does not report it.
 	QueueCapacity int
 	// SlotsTotal is the number of adapter slots of the engine.
@@ -118,6 +124,9 @@
 		PositionsTotal:   int(r.GetPositionsTotal()),
 		PositionsUsed:    int(r.GetPositionsUsed()),
 		Queued:           int(r.GetQueued()),
+		Stalled:          int(r.GetStalled()),
+		Openings:         int(r.GetOpenings()),
+		LoadTime:         time.Duration(r.GetLoadTimeMs()) * time.Millisecond,
 		QueueCapacity:    int(r.GetQueueCapacity()),
 		SlotsTotal:       int(r.GetSlotsTotal()),
 		Residents:        adapters(r.GetResidents()),
--- a/pkg/membership/snapshot.go
+++ b/pkg/membership/snapshot.go
@@ -41,6 +41,9 @@
 	// Entries is the highest number of connected entries that an endpoint
 	// reports, at least 1.
 	Entries int
+	// LoadWait is the estimated time that a load requested now takes, with the
+	// loads that the endpoints wait for before it.
+	LoadWait time.Duration
 	// slots has nil for unused slots.
 	slots   []*Endpoint
 	groups  map[BackendKey]*Group
--- a/pkg/placement/affinity.go
+++ b/pkg/placement/affinity.go
@@ -22,6 +22,10 @@
 	// holderUtilisation is the share of a holder's positions that one adapter
 	// may take before it gets another preferred endpoint.
 	holderUtilisation = 0.5
+	// evictionHorizon is the time for which the demand of an evicted adapter counts.
+	evictionHorizon = 20 * time.Second
+	// maxLoadBound keeps the bound finite while many loads wait.
+	maxLoadBound = 2
 	// defaultServiceTime is assumed before the first sample of a backend.
 	defaultServiceTime = time.Second
 	// minConfidence is the weight of the oldest report that is still in use.
@@ -33,9 +37,11 @@
 type Affinity struct {
 	demand  demand
 	scorers atomic.Pointer[[]weighted]
-	picker  Picker
-	sample  source
-	scratch sync.Pool
+	// deployment holds the weights of the active bundle.
+	deployment atomic.Pointer[bundle.Deployment]
+	picker     Picker
+	sample     source
+	scratch    sync.Pool
 }
 
 type scratch struct {
@@ -59,6 +65,7 @@
 func (p *Affinity) ApplyConfig(d bundle.Deployment) {
 	s := scorers(d)
 	p.scorers.Store(&s)
+	p.deployment.Store(&d)
 }
 
 // Place implements Policy.
@@ -70,6 +77,7 @@
 	sc := p.scratch.Get().(*scratch)
 	defer p.scratch.Put(sc)
 	sc.candidates = p.gather(sc.candidates[:0], r, s, g)
+	bound := p.loadBound(r, s, g)
 	in, err := filter(r, sc.candidates)
 	if err != nil && len(sc.candidates) < len(g.Slots) {
 		in, err = scan(sc.candidates[:0], r, s, g)
@@ -78,9 +86,36 @@
 	if err != nil {
 		return Decision{}, err
 	}
+	for i := range in {
+		in[i].Bound = bound
+	}
 	return p.choose(r, sc, in), nil
 }
 
+// loadBound returns the load from which a request for an adapter spills over. A
+// load of n means n-1 service times in the queue, so the bound is where that wait
+// is as long as the load of another copy takes. Batch efficiency raises the
+// bound, because another copy puts another engine to use.
+func (p *Affinity) loadBound(r *Request, s *membership.Snapshot, g *membership.Group) float64 {
+	if r.Adapter.IsZero() {
+		return loadBound
+	}
+	rounds := s.LoadWait.Seconds() / serviceTime(g).Seconds()
+	return min(max(loadBound, 1+rounds*(1+p.batchShare())), maxLoadBound)
+}
+
+func (p *Affinity) batchShare() float64 {
+	_, batch := shares(*p.deployment.Load())
+	return batch
+}
+
+func serviceTime(g *membership.Group) time.Duration {
+	if mean := g.Service.Mean(); mean > 0 {
+		return mean
+	}
+	return defaultServiceTime
+}
+
 func (p *Affinity) choose(r *Request, sc *scratch, in []Candidate) Decision {
 	scorers := *p.scorers.Load()
 	sc.scored = sc.scored[:0]
@@ -102,12 +137,19 @@
 	}
 	hash := membership.AdapterHash(r.Adapter)
 	preferred := preferredCount(p.demand.add(r.Now, hash), s, g)
+	holders := s.Holders(r.Adapter, hash)
+	considered := preferred + spillOver
+	if len(holders) == 0 {
+		considered = maxPreferred
+	}
 	var top topRanks
-	top.fill(hash, g, preferred+spillOver)
+	top.fill(hash, g, considered)
 	for rank := range top.n {
 		out = append(out, candidate(r, s.At(g.Slots[top.index[rank]]), g, rank, preferred))
 	}
-	holders := s.Holders(r.Adapter, hash)
+	if len(holders) == 0 {
+		p.expectMisses(out, r, s)
+	}
 	start := 0
 	if len(holders) > maxHolders {
 		start = p.sample.below(len(holders))
@@ -121,6 +163,26 @@
 	return out
 }
 
+// expectMisses sets the cost of an eviction for each candidate of a request whose
+// adapter is nowhere resident, from the demand that this entry sees.
+func (p *Affinity) expectMisses(list []Candidate, r *Request, s *membership.Snapshot) {
+	for i := range list {
+		e := list[i].Endpoint
+		if len(e.Residents)+len(e.Loading) < e.SlotsTotal {
+			continue
+		}
+		if e.Openings == 0 {
+			list[i].Misses = math.Inf(1)
+			continue
+		}
+		lowest := math.Inf(1)
+		for _, a := range e.Residents {
+			lowest = min(lowest, p.demand.rate(r.Now, membership.AdapterHash(a)))
+		}
+		list[i].Misses = lowest * float64(s.Entries) * evictionHorizon.Seconds()
+	}
+}
+
 // gatherSample collects endpoints for a request without an adapter.
 func (p *Affinity) gatherSample(out []Candidate, r *Request, s *membership.Snapshot, g *membership.Group) []Candidate {
 	n := len(g.Slots)
@@ -152,19 +214,25 @@
 }
 
 // candidate estimates the load of an endpoint. Own requests count fully, those
-// of others as last reported with a confidence that decays with age.
+// of others as last reported with a confidence that decays with age. Requests
+// that wait for a load take no position and do not count, except where this
+// adapter is loading: they are likely to need a position together.
 func candidate(r *Request, e *membership.Endpoint, g *membership.Group, rank, preferred int) Candidate {
 	others := max(float64(int64(e.PositionsUsed+e.Queued)-e.OwnAtReport), 0)
 	age := max(float64(r.Now.Sub(e.ReportedAt))/float64(StaleAfter), 0)
 	confidence := max(1-age*(1-minConfidence), minConfidence)
 	positions := float64(max(e.PositionsTotal, 1))
 	c := Candidate{Endpoint: e, Rank: rank, Preferred: preferred}
-	c.Load = (float64(e.Load.InFlight()) + confidence*others) / positions
 	c.Wait = queueWait(e, g.Service.Mean())
 	if !r.Adapter.IsZero() {
 		c.Resident = e.Holds(r.Adapter)
 		c.Loading = e.IsLoading(r.Adapter)
 	}
+	stalled := float64(e.Stalled)
+	if c.Loading && !c.Resident {
+		stalled = 0
+	}
+	c.Load = max(float64(e.Load.InFlight())+confidence*others-stalled, 0) / positions
 	return c
 }
 
@@ -172,10 +240,7 @@
 // rate: concurrency by Little's law, divided by what one holder takes.
 func preferredCount(rate float64, s *membership.Snapshot, g *membership.Group) int {
 	e := s.At(g.Slots[0])
-	service := g.Service.Mean()
-	if service == 0 {
-		service = defaultServiceTime
-	}
+	service := serviceTime(g)
 	concurrency := rate * float64(max(e.ConnectedEntries, 1)) * service.Seconds()
 	holders := math.Ceil(concurrency / (holderUtilisation * float64(max(e.PositionsTotal, 1))))
 	return int(min(max(holders, 1), maxPreferred-spillOver))
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -56,6 +56,12 @@
 	Load float64
 	// Wait is the estimated time in the queue.
 	Wait time.Duration
+	// Misses is the expected number of requests for the adapter that a load would
+	// evict, within evictionHorizon. It is 0 if a slot is free and infinite if every
+	// slot is in use.
+	Misses float64
+	// Bound is the load above which another endpoint is preferred.
+	Bound float64
 }
 
 // Scored is a candidate with its weighted score.
--- a/pkg/placement/scan.go
+++ b/pkg/placement/scan.go
@@ -60,8 +60,9 @@
 	return noObstacle
 }
 
-// queueWait estimates the time that a new request spends in the queue.
+// queueWait estimates the time that a new request spends in the queue. Requests
+// that wait for a load take no position.
 func queueWait(e *membership.Endpoint, mean time.Duration) time.Duration {
 	positions := float64(max(e.PositionsTotal, 1))
-	return time.Duration(float64(e.Queued) / positions * float64(mean))
+	return time.Duration(float64(e.Queued-e.Stalled) / positions * float64(mean))
 }
--- a/pkg/placement/scorers.go
+++ b/pkg/placement/scorers.go
@@ -5,16 +5,17 @@
 	"github.com/fescuecourse/fescuecourse/pkg/membership"
 )
 
-// loadBound is the load above which a holder or a preferred endpoint loses its
+// loadBound is the lowest load above which a holder or a preferred endpoint loses its
 // advantage, so that requests spill over to the next endpoint.
 const loadBound = 1.25
 
 // bounded lowers an advantage in proportion to the load above the bound.
 func bounded(c *Candidate) float64 {
-	if c.Load <= loadBound {
+	bound := max(c.Bound, loadBound)
+	if c.Load <= bound {
 		return 1
 	}
-	over := loadBound / c.Load
+	over := bound / c.Load
 	return over * over
 }
 
@@ -61,6 +62,20 @@
 	return bounded(c) / float64(2+c.Rank-c.Preferred)
 }
 
+// EvictionScorer prefers endpoints where a load evicts nothing that is wanted soon.
+type EvictionScorer struct{}
+
+// Name implements Scorer.
+func (EvictionScorer) Name() string { return "eviction" }
+
+// Score implements Scorer.
+func (EvictionScorer) Score(_ *Request, c *Candidate) float64 {
+	if c.Resident || c.Loading {
+		return 1
+	}
+	return 1 / (1 + c.Misses)
+}
+
 // LoadScorer prefers endpoints with little load.
 type LoadScorer struct{}
 
@@ -123,15 +138,18 @@
 }
 
 // scorers returns the scorers with the weights of a deployment. A high stall
-// weight favours resident adapters and idle endpoints; a high batch weight
-// favours filling batches that already run.
+// weight favours resident adapters, idle endpoints and the adapter's own endpoint; a
+// high batch weight favours filling batches that already run.
+// Packing weighs less than an endpoint that holds or loads the adapter, or the
+// adapter would be loaded twice, and less than a slot that can be freed.
 func scorers(d bundle.Deployment) []weighted {
 	stall, batch := shares(d)
 	return []weighted{
-		{ResidentScorer{}, 1 + 2*stall},
-		{LoadingScorer{}, 0.5 + stall},
-		{RendezvousScorer{}, 0.75},
-		{LoadScorer{}, 0.25 + stall},
+		{ResidentScorer{}, 1.5 + 1.5*stall},
+		{LoadingScorer{}, 1.25 + stall},
+		{RendezvousScorer{}, 0.25 + 0.5*stall},
+		{EvictionScorer{}, 0.75 + batch},
+		{LoadScorer{}, 0.05 + 1.2*stall},
 		{PackScorer{}, batch},
 		{ZoneScorer{}, 0.1},
 		{PrefixScorer{}, 0.2},
--- a/pkg/scheduler/loads.go
+++ b/pkg/scheduler/loads.go
@@ -51,7 +51,18 @@
 func (c candidate) urgency() time.Duration {
 	work := float64(max(c.waiting, 1)) * float64(max(c.weight, 1))
 	head := min(time.Duration(math.Log2(work)*float64(doublingStep)), maxWorkStep)
-	return c.aging + time.Duration(c.class)*agingStep + head
+	return c.aging + classStep(c.class) + head
+}
+
+// classStep is the waiting time that a class is worth in the order of loads. High
+// and normal work differ little, because the coordinator of the permits divides
+// the loads between teams and can do so only if their requests are sent.
+func classStep(class ident.Priority) time.Duration {
+	step := time.Duration(class) * agingStep
+	if class == ident.PriorityHigh {
+		return step - agingStep + doublingStep
+	}
+	return step
 }
 
 // agedClass raises the class by one for each aging step.
@@ -162,6 +173,17 @@
 	return out
 }
 
+// openings counts the slots that further loads could take at once.
+func (s *Scheduler) openings() int {
+	n := s.cfg.Slots - s.occupied() - len(s.asks)
+	for _, st := range s.slots {
+		if _, queued, _ := s.queue.Waiting(st.name); st.state == stateResident && st.pins == 0 && queued == 0 {
+			n++
+		}
+	}
+	return max(n, 0)
+}
+
 // opening returns the adapter that gives way to a candidate, pinned if it must
 // be drained first, or nil.
 func (s *Scheduler) opening(now time.Time, c candidate, free int, taken map[*adapter]bool) *adapter {
@@ -201,6 +223,7 @@
 		out = append(out, s.refuseAll(a, fescuev1.NotRunReason_NOT_RUN_REASON_NO_AUTHORITY)...)
 	}
 	clear(s.wanted)
+	s.view.stale = true
 	return out
 }
 
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -239,6 +239,9 @@
 
 func (s *Scheduler) startReady(now time.Time) []Action {
 	var out []Action
+	if s.gathering(now) {
+		return nil
+	}
 	for len(s.running)+len(s.foreign) < s.cfg.Positions {
 		it := s.queue.Next()
 		if it == nil {
--- a/pkg/scheduler/slots.go
+++ b/pkg/scheduler/slots.go
@@ -208,15 +208,32 @@
 	return best
 }
 
+// best returns the shortest of the kept load times, whatever their age.
+func (l *loadTimes) best() time.Duration {
+	var best time.Duration
+	for _, took := range l.took {
+		if took > 0 && (best == 0 || took < best) {
+			best = took
+		}
+	}
+	return best
+}
+
 // Stats is a summary for reports. The slices must not be changed.
 type Stats struct {
 	Running int
 	Queued  int
 	// Foreign counts the runs at the engine that this process did not start. They
 	// use positions too.
-	Foreign   int
+	Foreign int
+	// Stalled is the part of Queued that waits for the load of an adapter.
+	Stalled int
+	// Openings is the number of slots that further loads could take at once.
+	Openings int
+	// LoadTime is the shortest recent time of one load, 0 if none is known.
+	LoadTime  time.Duration
 	Residents []ident.Adapter
-	// Loading are the adapters that are loading or waiting for a permit.
+	// Loading are the adapters that are loading or have queued work that waits for it.
 	Loading []ident.Adapter
 }
 
@@ -232,7 +249,20 @@
 	if s.view.stale {
 		s.view = s.buildView()
 	}
-	return Stats{Running: len(s.running), Queued: s.queue.Len(), Foreign: len(s.foreign), Residents: s.view.residents, Loading: s.view.loading}
+	return Stats{Running: len(s.running), Queued: s.queue.Len(), Foreign: len(s.foreign), Stalled: s.stalled(), Openings: s.openings(), LoadTime: s.loads.best(), Residents: s.view.residents, Loading: s.view.loading}
+}
+
+// stalled counts the queued attempts that wait for the load of an adapter.
+func (s *Scheduler) stalled() int {
+	_, n, _ := s.queue.Waiting(ident.Adapter{})
+	out := s.queue.Len() - n
+	for _, st := range s.slots {
+		if st.state == stateResident {
+			_, n, _ = s.queue.Waiting(st.name)
+			out -= n
+		}
+	}
+	return out
 }
 
 func (s *Scheduler) buildView() residentView {
@@ -245,8 +275,10 @@
 			v.loading = append(v.loading, st.name)
 		}
 	}
-	for _, st := range s.asks {
-		v.loading = append(v.loading, st.name)
+	for a := range s.wanted {
+		if _, n, _ := s.queue.Waiting(a); n > 0 {
+			v.loading = append(v.loading, a)
+		}
 	}
 	slices.SortFunc(v.loading, compareAdapters)
 	return v
--- a/pkg/workload/spec.go
+++ b/pkg/workload/spec.go
@@ -40,6 +40,9 @@
 	LoadsPerSecond float64
 	Prefill        time.Duration
 	Decode         time.Duration
+	// StallWeight and BatchWeight are those of the deployment's bundle.
+	StallWeight float64
+	BatchWeight float64
 	// Warm fills the adapter slots with the most popular adapters at the start.
 	Warm bool
 }
@@ -84,6 +87,10 @@
 	dominantWeight int
 	tail           int
 	batchAdapters  int
+	// dominantFactor and tailFactor multiply the request rates of the dominant team
+	// and of the tail; the adapters of the teams stay.
+	dominantFactor float64
+	tailFactor     float64
 }
 
 // Read reads a workload from an INI file. Problems are returned together as
@@ -107,6 +114,7 @@
 		return nil, err
 	}
 	s.setTeams(k)
+	s.scale(k)
 	return s, nil
 }
 
@@ -124,6 +132,8 @@
 	set.Float64Var(&d.LoadsPerSecond, "deployment.loads_per_second", 0, "")
 	set.DurationVar(&d.Prefill, "deployment.prefill", 0, "")
 	set.DurationVar(&d.Decode, "deployment.decode", 0, "")
+	set.Float64Var(&d.StallWeight, "deployment.stall_weight", 0.5, "")
+	set.Float64Var(&d.BatchWeight, "deployment.batch_weight", 0.5, "")
 	set.BoolVar(&d.Warm, "deployment.warm", false, "")
 }
 
@@ -147,6 +157,8 @@
 func registerTeams(set *config.Set, k *teamKeys) {
 	set.StringVar(&k.dominant, "teams.dominant", "", "")
 	set.Float64Var(&k.dominantShare, "teams.dominant_share", 0, "")
+	set.Float64Var(&k.dominantFactor, "teams.dominant_factor", 1, "")
+	set.Float64Var(&k.tailFactor, "teams.tail_factor", 1, "")
 	set.IntVar(&k.dominantWeight, "teams.dominant_weight", 10, "")
 	set.IntVar(&k.tail, "teams.tail", 0, "")
 	set.IntVar(&k.batchAdapters, "teams.batch_adapters", 0, "")
@@ -163,6 +175,8 @@
 	positive(d.ServiceServers, "deployment.service_servers")
 	positive(d.Slots, "deployment.slots")
 	positive(d.Positions, "deployment.positions")
+	share(d.StallWeight, "deployment.stall_weight")
+	share(d.BatchWeight, "deployment.batch_weight")
 	set.Requiref(d.LoadsPerSecond > 0, "deployment.loads_per_second", "must be above zero")
 	set.Requiref(d.Adapters >= k.batchAdapters+2*(k.tail+1), "deployment.adapters", "must be at least two for each team and those of the batch")
 	set.Requiref(l.RequestsPerSecond > 0, "load.requests_per_second", "must be above zero")
@@ -178,6 +192,8 @@
 	set.Requiref(k.dominant != "", "teams.dominant", "must be set")
 	share(k.dominantShare, "teams.dominant_share")
 	positive(k.tail, "teams.tail")
+	set.Requiref(k.dominantFactor > 0, "teams.dominant_factor", "must be above zero")
+	set.Requiref(k.tailFactor > 0, "teams.tail_factor", "must be above zero")
 }
 
 // setTeams creates the dominant team, the tail and the batch team. The dominant
@@ -202,6 +218,24 @@
 	}
 }
 
+// scale multiplies the request rates of the dominant team and of the tail.
+func (s *Spec) scale(k *teamKeys) {
+	total := 0.0
+	for i := range s.Teams {
+		t := &s.Teams[i]
+		if t.Dominant {
+			t.Share *= k.dominantFactor
+		} else {
+			t.Share *= k.tailFactor
+		}
+		total += t.Share
+	}
+	for i := range s.Teams {
+		s.Teams[i].Share /= total
+	}
+	s.Load.RequestsPerSecond *= total
+}
+
 func (s *Spec) add(t Team) {
 	t.Key = "key-of-" + string(t.Name)
 	s.Teams = append(s.Teams, t)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -55,6 +55,8 @@
 	Running int
 	// PositionSeconds is the time that batch positions were in use.
 	PositionSeconds float64
+	// BusySeconds is the time that at least one position was in use.
+	BusySeconds float64
 }
 
 type run struct {
@@ -75,6 +77,8 @@
 	positions chan struct{}
 	token     uint64
 	stats     Stats
+	used      int
+	busySince time.Time
 	starts    map[string][]time.Time
 }
 
