Refuse ambiguous routes, bound bodies by the message limit

Cause: [route "desk/pay"] and [route "/desk/pay/"] became one rule and the last one decided whether a payment may be repeated. Requests of up to 4 MiB were accepted although a message to an endpoint may have 4 MiB in all, so the largest ended unknown. Responses of services were read without a limit. Measured: go test ./pkg/bundle -run RouteHasOneSpelling: no finding before, one after.

--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -241,3 +241,12 @@
 		})
 	}
 }
+
+// Guards against two spellings of one route, of which the last would silently
+// decide whether its requests may be repeated.
+func TestRouteHasOneSpelling(t *testing.T) {
+	text := "[bundle]\nversion = 1\n[deployment]\nname = d\n[service \"desk\"]\n[route \"desk/pay\"]\nidempotent = false\n[route \"/desk/pay/\"]\nidempotent = true\n"
+	_, found := Parse("b.ini", text)
+	assert.Equal(t, len(found), 1)
+	assert.Equal(t, found[0].Line, 8)
+}
--- a/pkg/bundle/parse.go
+++ b/pkg/bundle/parse.go
@@ -129,7 +129,11 @@
 		r.check(name != "" && !strings.Contains(name, "/"), "", "needs a name without '/'")
 		p.b.services[name] = true
 	case kindRoute:
-		p.b.routes[strings.Trim(name, "/")] = r.bool("idempotent", false)
+		// Two spellings of one route would be two rules, and the last would win.
+		idempotent := r.bool("idempotent", false)
+		if r.check(name != "" && name == strings.Trim(name, "/"), "", "route must not be empty or begin or end with '/'") {
+			p.b.routes[name] = idempotent
+		}
 	default:
 		r.check(false, "", "unknown section")
 	}
--- a/pkg/demo/entryserver.go
+++ b/pkg/demo/entryserver.go
@@ -41,7 +41,7 @@
 	}
 	e := &EntryServer{c: c, set: entry.Settings{
 		ID: fmt.Sprintf("entry-%d", i+1), Zone: c.entryZone(i), Listen: listen, VMList: c.vmAddrs[i],
-		DefaultDeadline: 30 * time.Second, MaxDeadline: 10 * time.Minute, MaxBodyBytes: 4 << 20,
+		DefaultDeadline: 30 * time.Second, MaxDeadline: 10 * time.Minute, MaxBodyBytes: 3 << 20,
 		UnreadyDelay: c.Opts.UnreadyDelay, DrainTimeout: c.Opts.DrainTimeout, PlacementPolicy: c.Opts.Policy.Placement,
 	}}
 	if err := e.Start(); err != nil {
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -15,6 +15,9 @@
 	defaultMaxDeadline = 10 * time.Minute
 	// drainMargin is the time that a stop needs beyond the longest request.
 	drainMargin = 30 * time.Second
+	// maxBodyLimit leaves room for the other fields of a message to an endpoint,
+	// which gRPC limits to 4 MiB.
+	maxBodyLimit = 3 << 20
 )
 
 // Settings configure an entry process.
@@ -49,7 +52,7 @@
 	set.StringVar(&s.PlacementPolicy, "placement-policy", placement.NameAffinity, "`policy` that places requests: affinity, random, least-loaded or hash")
 	set.DurationVar(&s.DefaultDeadline, "default-deadline", 30*time.Second, "deadline of requests that set none")
 	set.DurationVar(&s.MaxDeadline, "max-deadline", defaultMaxDeadline, "longest deadline that a request may set")
-	set.Int64Var(&s.MaxBodyBytes, "max-body-bytes", 4<<20, "largest request body")
+	set.Int64Var(&s.MaxBodyBytes, "max-body-bytes", maxBodyLimit, "largest request body")
 	set.IntVar(&s.RemoteEndpoints, "remote-endpoints", 0, "endpoints of each other zone to connect to, 0 for all")
 	set.DurationVar(&s.UnreadyDelay, "unready-delay", 5*time.Second, "time between unready and the end of acceptance at a stop")
 	set.DurationVar(&s.DrainTimeout, "drain-timeout", defaultMaxDeadline+2*drainMargin, "longest time that a stop waits for requests")
@@ -62,7 +65,7 @@
 	set.Requiref(s.VMList != "", "vm-list", "must be set")
 	set.Requiref(s.KV != "", "kv", "must be set")
 	set.Requiref(s.policy() != nil, "placement-policy", "must be affinity, random, least-loaded or hash")
-	set.Requiref(s.MaxBodyBytes > 0, "max-body-bytes", "must be above zero")
+	set.Requiref(s.MaxBodyBytes > 0 && s.MaxBodyBytes <= maxBodyLimit, "max-body-bytes", "must be between 1 and %d", maxBodyLimit)
 	set.Requiref(s.RemoteEndpoints >= 0, "remote-endpoints", "must not be negative")
 	set.Requiref(s.UnreadyDelay >= 0, "unready-delay", "must not be negative")
 	set.RequirePositive("default-deadline", s.DefaultDeadline)
--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -12,6 +12,10 @@
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
 
+// maxBodyBytes bounds a response. It is held whole, so that a broken one is never
+// relayed as a short body.
+const maxBodyBytes = 3 << 20
+
 // Errors returned by the client.
 var (
 	// ErrNotSent reports a call that did not reach the service.
@@ -68,7 +72,10 @@
 		return Response{}, errors.Mark(errors.Wrap(err, "call service"), ErrLost)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
+	if err == nil && len(body) > maxBodyBytes {
+		err = errors.Newf("body is larger than %d bytes", maxBodyBytes)
+	}
 	if err != nil {
 		return Response{}, errors.Mark(errors.Wrap(err, "read response of service"), ErrLost)
 	}
