--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -2,8 +2,10 @@
 package e2e
 
 import (
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
@@ -92,3 +94,28 @@
 	assert.Equal(t, events, 3)
 	assert.ErrorContains(t, stream.Err(), "result_unknown")
 }
+
+// Guards against a stream that is cut at an engine and reaches the client short or
+// with repeated events: an idempotent one goes on at its offset on another engine.
+func TestCutStreamIsResumed(t *testing.T) {
+	c, err := demo.Start(t.Context(), demo.DefaultOptions())
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, c.Stop()) })
+	client := openai.NewClient(option.WithBaseURL("http://"+c.Entries[0].Addr()+"/v1"), option.WithAPIKey("demo-key-tokachi"), option.WithMaxRetries(0))
+	faults := c.Servers[0].Faults
+	for i := 0; len(faults.Counts()) == 0; i++ {
+		assert.Assert(t, i < 20, "no stream ran at the first engine")
+		faults.Set(fault.StreamCut, fault.Rule{})
+		params := chatParams(fmt.Sprintf("tokachi/adapter-%03d", i+1))
+		whole, err := client.Chat.Completions.New(t.Context(), params)
+		assert.NilError(t, err)
+		faults.Set(fault.StreamCut, fault.Rule{At: []time.Duration{0}, AfterEvents: 3})
+		stream := client.Chat.Completions.NewStreaming(t.Context(), params)
+		text := ""
+		for stream.Next() {
+			text += stream.Current().Choices[0].Delta.Content
+		}
+		assert.NilError(t, stream.Err())
+		assert.Equal(t, text, whole.Choices[0].Message.Content)
+	}
+}
