--- a/pkg/entry/chain_test.go
+++ b/pkg/entry/chain_test.go
@@ -51,7 +51,7 @@
 // that may have run, and against an outcome other than the attempts support,
 // through the whole chain with random ends of attempts and missing endpoints.
 func TestChainOutcomesAgainstOracle(t *testing.T) {
-	b := newBed(t, serviceKind, []script{silent}, []script{silent}, []script{silent})
+	b := newTestBed(t, serviceKind, []script{silent}, []script{silent}, []script{silent})
 	b.e.timing.bundleWait = time.Millisecond
 	rapid.Check(t, func(t *rapid.T) {
 		b.e.limiter = limits.New() // the rate is not under test
@@ -89,7 +89,7 @@
 
 // Guards against a wrong status, code or outcome of refused requests.
 func TestRefusals(t *testing.T) {
-	b := newBed(t, modelKind, []script{answer(3, true, nil)})
+	b := newTestBed(t, modelKind, []script{answer(3, true, nil)})
 	rows := []struct {
 		name, path, body string
 		headers          []string
@@ -121,7 +121,7 @@
 // Guards against limits that do not refuse, against a refusal without advice,
 // and against a new bundle that resets the counts.
 func TestTeamLimit(t *testing.T) {
-	b := newBed(t, modelKind, []script{answer(3, true, nil)})
+	b := newTestBed(t, modelKind, []script{answer(3, true, nil)})
 	b.b.Adopt(testBundle(t, 2, "rate = 0.01"))
 	assert.Equal(t, b.post(t, completions, plainBody).status, 200)
 	next := testBundle(t, 3, "rate = 0.01")
@@ -150,7 +150,7 @@
 // Guards against a panic that leaves a request without an outcome, and against
 // a not-run for a request that was sent.
 func TestPanic(t *testing.T) {
-	b := newBed(t, modelKind, []script{silent})
+	b := newTestBed(t, modelKind, []script{silent})
 	for _, sent := range []bool{false, true} {
 		b.e.models = chain(authenticate{b.e}, resolve{b.e}, admit{b.e}, panics{sent})
 		got := b.post(t, completions, plainBody)
@@ -165,12 +165,12 @@
 
 // Guards against readiness without an endpoint or while stopping.
 func TestReadiness(t *testing.T) {
-	b := newBed(t, modelKind, []script{silent})
+	b := newTestBed(t, modelKind, []script{silent})
 	assert.Equal(t, len(b.e.unreadyReasons()), 0)
 	b.e.stopping.Store(true)
 	assert.DeepEqual(t, b.e.unreadyReasons(), []string{"stopping"})
 	b.e.stopping.Store(false)
-	assert.DeepEqual(t, newBed(t, modelKind).e.unreadyReasons(), []string{"no endpoint is ready"})
+	assert.DeepEqual(t, newTestBed(t, modelKind).e.unreadyReasons(), []string{"no endpoint is ready"})
 }
 
 // Guards against a call that is cut off because another call on the same
@@ -191,7 +191,7 @@
 			}
 		}
 	}
-	b := newBed(t, modelKind, []script{slow, silent}, []script{answer(3, true, nil)})
+	b := newTestBed(t, modelKind, []script{slow, silent}, []script{answer(3, true, nil)})
 	b.e.policy = firstEndpoint{}
 	first := make(chan reply, 1)
 	go func() { first <- b.post(t, completions, streamBody) }()
@@ -219,7 +219,7 @@
 func TestSilentRunEndsSilentControlStream(t *testing.T) {
 	for name, reporting := range map[string]bool{"without reports": false, "with reports": true} {
 		t.Run(name, func(t *testing.T) {
-			b := newBed(t, modelKind, []script{silent}, []script{answer(3, true, nil)})
+			b := newTestBed(t, modelKind, []script{silent}, []script{answer(3, true, nil)})
 			b.e.policy = firstEndpoint{}
 			l := b.e.connector.link("endpoint-0")
 			ctx, cancel := context.WithCancel(t.Context())
@@ -241,7 +241,7 @@
 // Guards against new work for an endpoint whose heartbeat is overdue, and against
 // refusals when it is the only one.
 func TestDoubtfulEndpointIsAvoided(t *testing.T) {
-	b := newBed(t, modelKind, []script{silent}, []script{answer(3, true, nil)})
+	b := newTestBed(t, modelKind, []script{silent}, []script{answer(3, true, nil)})
 	b.e.policy = firstEndpoint{}
 	first := make(chan reply, 1)
 	go func() { first <- b.post(t, completions, streamBody) }()
@@ -255,7 +255,7 @@
 	assert.Equal(t, b.post(t, completions, streamBody).body, want)
 	assert.Equal(t, (<-first).body, want)
 	assert.Equal(t, b.fake[0].attempts(), 1)
-	b = newBed(t, modelKind, []script{answer(3, true, nil)})
+	b = newTestBed(t, modelKind, []script{answer(3, true, nil)})
 	b.e.connector.link("endpoint-0").doubtful.Store(true)
 	assert.Equal(t, b.post(t, completions, streamBody).body, want)
 	assert.Equal(t, len(b.e.connector.doubtful()), 0)
@@ -269,7 +269,7 @@
 		<-stream.Context().Done()
 		return stream.Context().Err()
 	})
-	b := newBed(t, modelKind, []script{func(f *fakeEndpoint, req *fescuev1.RunRequest, stream grpc.ServerStreamingServer[fescuev1.RunFrame]) error {
+	b := newTestBed(t, modelKind, []script{func(f *fakeEndpoint, req *fescuev1.RunRequest, stream grpc.ServerStreamingServer[fescuev1.RunFrame]) error {
 		defer close(ended)
 		return run(f, req, stream)
 	}})
--- a/pkg/entry/dispatch_test.go
+++ b/pkg/entry/dispatch_test.go
@@ -69,7 +69,7 @@
 	}
 	for name, s := range rows {
 		t.Run(name, func(t *testing.T) {
-			b := newBed(t, modelKind, []script{s}, []script{answer(5, true, nil)})
+			b := newTestBed(t, modelKind, []script{s}, []script{answer(5, true, nil)})
 			b.e.policy = firstEndpoint{}
 			got := b.post(t, completions, streamBody)
 			assert.Equal(t, got.body, streamText(5)+"data: [DONE]\n\n")
@@ -107,7 +107,7 @@
 	}
 	for _, r := range rows {
 		t.Run(r.name, func(t *testing.T) {
-			b := newBed(t, serviceKind, []script{r.run}, []script{answer(4, true, nil)})
+			b := newTestBed(t, serviceKind, []script{r.run}, []script{answer(4, true, nil)})
 			b.e.policy = firstEndpoint{}
 			b.fake[0].revokes = r.revokes
 			got := b.post(t, handoff, "x")
@@ -130,11 +130,11 @@
 			continue
 		}
 		t.Run(name, func(t *testing.T) {
-			b := newBed(t, serviceKind, []script{refuse(reason, 0)}, []script{answer(4, true, nil)})
+			b := newTestBed(t, serviceKind, []script{refuse(reason, 0)}, []script{answer(4, true, nil)})
 			b.e.policy = firstEndpoint{}
 			got := b.post(t, handoff, "x")
 			assert.Equal(t, got.body, "0123")
-			b = newBed(t, serviceKind, []script{refuse(reason, 0)})
+			b = newTestBed(t, serviceKind, []script{refuse(reason, 0)})
 			got = b.post(t, handoff, "x")
 			assert.Equal(t, got.status, 503)
 			assert.Equal(t, got.outcome, ident.NotRun.String())
@@ -146,11 +146,11 @@
 // Guards against an unknown result of a request that could be repeated at the
 // only endpoint, and against a repetition there of one that must not run twice.
 func TestOnlyEndpointIsTriedAgain(t *testing.T) {
-	b := newBed(t, modelKind, []script{broken, answer(5, true, nil)})
+	b := newTestBed(t, modelKind, []script{broken, answer(5, true, nil)})
 	b.e.policy = firstEndpoint{}
 	got := b.post(t, completions, streamBody)
 	assert.Equal(t, got.body, streamText(5)+"data: [DONE]\n\n")
-	b = newBed(t, serviceKind, []script{broken, answer(4, true, nil)})
+	b = newTestBed(t, serviceKind, []script{broken, answer(4, true, nil)})
 	b.e.policy = firstEndpoint{}
 	assert.Equal(t, b.post(t, handoff, "x").outcome, ident.Unknown.String())
 	assert.Equal(t, b.fake[0].attempts(), 1)
@@ -160,7 +160,7 @@
 // that goes on with another adapter version after the bundle has changed.
 func TestOldBundleIsResolvedAgain(t *testing.T) {
 	old := refuse(fescuev1.NotRunReason_NOT_RUN_REASON_OLD_BUNDLE, 2)
-	b := newBed(t, modelKind, []script{answer(2, false, broken), old, answer(4, true, nil)})
+	b := newTestBed(t, modelKind, []script{answer(2, false, broken), old, answer(4, true, nil)})
 	b.e.policy = keepEndpoint{}
 	next := testBundle(t, 2, "")
 	time.AfterFunc(20*time.Millisecond, func() { b.b.Adopt(next) })
@@ -176,14 +176,14 @@
 // unknown result, and a normal end of a stream that broke off.
 func TestDeadlineAndBrokenStream(t *testing.T) {
 	for _, s := range []script{silent, broken} {
-		b := newBed(t, serviceKind, []script{s})
+		b := newTestBed(t, serviceKind, []script{s})
 		b.fake[0].revokes = []*fescuev1.RevokeReply{state(fescuev1.RevokeReply_STATE_RUNNING)}
 		got := b.post(t, handoff, "x", headerDeadline, "300")
 		assert.Equal(t, got.status, 504)
 		assert.Equal(t, got.outcome, ident.Unknown.String())
 	}
 
-	b := newBed(t, modelKind, []script{answer(2, false, broken)})
+	b := newTestBed(t, modelKind, []script{answer(2, false, broken)})
 	got := b.post(t, completions, streamBody)
 	assert.Equal(t, got.outcome, ident.Unknown.String())
 	assert.Assert(t, strings.HasPrefix(got.body, streamText(2)+"data: {\"error\":"), got.body)
@@ -239,7 +239,7 @@
 // Guards against a second run of a request with an idempotency key, against a
 // wrong answer to a repeated request, and against a run that is not recorded.
 func TestIdempotencyKey(t *testing.T) {
-	b := newBed(t, serviceKind, []script{answer(4, true, nil)})
+	b := newTestBed(t, serviceKind, []script{answer(4, true, nil)})
 	got := b.post(t, handoff, "x", headerKey, "k")
 	assert.Equal(t, got.status, 502, "without a store")
 	store := &memoryClaims{records: map[string]ClaimRecord{}, down: true}
@@ -292,7 +292,7 @@
 		store.down = false
 	}
 
-	refused := newBed(t, serviceKind, []script{refuse(fescuev1.NotRunReason_NOT_RUN_REASON_LEAVING, 0)})
+	refused := newTestBed(t, serviceKind, []script{refuse(fescuev1.NotRunReason_NOT_RUN_REASON_LEAVING, 0)})
 	refused.e.SetClaims(store)
 	assert.Equal(t, refused.post(t, handoff, "x", headerKey, "dropped").status, 503)
 	assert.Equal(t, len(store.records), 1, "claim of a request that did not run is kept")
--- a/pkg/entry/fake_test.go
+++ b/pkg/entry/fake_test.go
@@ -156,16 +156,16 @@
 	return &fescuev1.RevokeReply{State: s}
 }
 
-// bed is an entry with fake endpoints.
-type bed struct {
+// testBed is an entry with fake endpoints.
+type testBed struct {
 	e    *Entry
 	http *httptest.Server
 	fake []*fakeEndpoint
 	b    *rollout.Holder
 }
 
-// newBed starts an entry in front of one fake endpoint for each list of scripts.
-func newBed(t *testing.T, kind fescuev1.EndpointKind, scripts ...[]script) *bed {
+// newTestBed starts an entry in front of one fake endpoint for each list of scripts.
+func newTestBed(t *testing.T, kind fescuev1.EndpointKind, scripts ...[]script) *testBed {
 	t.Helper()
 	h := &rollout.Holder{}
 	h.Adopt(testBundle(t, 1, ""))
@@ -173,7 +173,7 @@
 	e, err := New(set, h, logging.Nop())
 	assert.NilError(t, err)
 	e.timing = timing{progress: 400 * time.Millisecond, doubt: 100 * time.Millisecond, revoke: 5 * time.Second, revokeIdempotent: 5 * time.Second, poll: time.Millisecond, grace: 20 * time.Millisecond, bundleWait: 5 * time.Second, bundlePoll: time.Millisecond}
-	out := &bed{e: e, b: h}
+	out := &testBed{e: e, b: h}
 	d := membership.New()
 	for i, s := range scripts {
 		out.fake = append(out.fake, startFake(t, e, d, fmt.Sprintf("endpoint-%d", i), kind, s))
@@ -213,7 +213,7 @@
 	retryAfter string
 }
 
-func (b *bed) post(t *testing.T, path, body string, headers ...string) reply {
+func (b *testBed) post(t *testing.T, path, body string, headers ...string) reply {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, b.http.URL+path, bytes.NewBufferString(body))
 	assert.NilError(t, err)
