Keep a new entry unready while its endpoints connect

The entry answered /readyz with 200 once the first endpoint (the service) was ready, while the model servers were still connecting; a balancer would have sent it requests that it could only refuse. Ruled out: a fault of the stop itself; no stream had started. Change: for its first 3 s an entry is unready until every endpoint that it connects to is ready; a dead VM on the list delays it no longer than that. fescuectl status names endpoints that are starting, and the end-to-end tests wait for it, so their verdict does not depend on the 3 s. Measured: go test -race -count=2 -run 'Process|Graceful|Keyed|Admin' ./e2e passes; TestNewEntryWaitsForEndpoints covers the rule (without it, it does not build). Conclusion: the window is closed for starts; an entry whose endpoints all restart later still refuses, as not run.

--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -24,6 +24,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/statuscmd"
 	"github.com/fescuecourse/fescuecourse/pkg/vmlist"
 	fakeengine "github.com/fescuecourse/fescuecourse/standin/engine"
 	"github.com/fescuecourse/fescuecourse/standin/kvstore"
@@ -138,9 +139,24 @@
 	for i := range 2 {
 		d.startEntry(fmt.Sprintf("entry-%d", i+1))
 	}
+	d.awaitStatus()
 	return d
 }
 
+// awaitStatus waits until every entry knows all endpoints as ready and all nodes
+// have the same bundle.
+func (d *deployment) awaitStatus() {
+	d.t.Helper()
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		var out, problems strings.Builder
+		args := []string{"-entry", d.entries[0].address + "," + d.entries[1].address}
+		if statuscmd.Run(d.t.Context(), args, &out, &problems) != 0 || strings.Count(out.String(), " ready ") < 2*(len(d.endpoints)+1) {
+			return poll.Continue("status: %s%s", out.String(), problems.String())
+		}
+		return poll.Success()
+	}, poll.WithTimeout(startLimit))
+}
+
 func (d *deployment) serve(h http.Handler) string {
 	s := httptest.NewServer(h)
 	d.t.Cleanup(s.Close)
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -14,8 +14,6 @@
 	"github.com/openai/openai-go/v3"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
-
-	"github.com/fescuecourse/fescuecourse/pkg/statuscmd"
 )
 
 // Guards against parts that only work inside one process: each part is a process
@@ -49,13 +47,7 @@
 		}, poll.WithTimeout(startLimit))
 	}
 	assert.Assert(t, strings.Contains(d.ctl("bundle", "status", "-kv", d.kv.Addr()), "2"))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		var out, problems strings.Builder
-		if statuscmd.Run(t.Context(), []string{"-entry", d.entries[0].address + "," + d.entries[1].address}, &out, &problems) != 0 {
-			return poll.Continue("status: %s", problems.String())
-		}
-		return poll.Success()
-	}, poll.WithTimeout(startLimit))
+	d.awaitStatus()
 }
 
 // Guards against planned stops that cut off a request: an endpoint and an entry
--- a/pkg/entry/chain_test.go
+++ b/pkg/entry/chain_test.go
@@ -17,6 +17,7 @@
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/limits"
+	"github.com/fescuecourse/fescuecourse/pkg/membership"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
 )
 
@@ -339,3 +340,18 @@
 func (passOn) Name() string { return "pass" }
 
 func (passOn) Do(ctx context.Context, x *Exchange, next Next) *Failure { return next(ctx, x) }
+
+// Guards against a new entry that counts as ready while it knows only some of the
+// endpoints, and against one that waits for a dead one forever.
+func TestNewEntryWaitsForEndpoints(t *testing.T) {
+	b := newTestBed(t, modelKind, []script{answer(1, true, nil)}, []script{answer(1, true, nil)})
+	known := b.e.directory.Load()
+	b.e.started = time.Now()
+	assert.Equal(t, len(b.e.unreadyReasons()), 0)
+	b.e.directory.Store(membership.New().Snapshot())
+	assert.Equal(t, len(b.e.unreadyReasons()), 2)
+	b.e.started = time.Now().Add(-startGrace)
+	assert.Equal(t, len(b.e.unreadyReasons()), 1)
+	b.e.directory.Store(known)
+	assert.Equal(t, len(b.e.unreadyReasons()), 0)
+}
--- a/pkg/entry/connector.go
+++ b/pkg/entry/connector.go
@@ -65,6 +65,13 @@
 	return out
 }
 
+// size returns the number of endpoints that the entry connects to.
+func (c *connector) size() int {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return len(c.links)
+}
+
 // run follows the VM list until ctx ends.
 func (c *connector) run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -51,11 +51,13 @@
 	control   *control
 	models    Next
 	stopping  atomic.Bool
-	stopped   chan struct{}
-	addr      atomic.Pointer[net.TCPAddr]
-	ready     chan struct{}
-	killed    chan struct{}
-	killOnce  sync.Once
+	// started is when Run began.
+	started  time.Time
+	stopped  chan struct{}
+	addr     atomic.Pointer[net.TCPAddr]
+	ready    chan struct{}
+	killed   chan struct{}
+	killOnce sync.Once
 }
 
 // New returns an entry process.
@@ -117,6 +119,7 @@
 // Run serves until ctx ends, then drains: the entry reports unready, goes on
 // accepting until the balancer has noticed, and completes what runs.
 func (e *Entry) Run(ctx context.Context) error {
+	e.started = time.Now()
 	lis, err := net.Listen("tcp", e.set.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen")
--- a/pkg/entry/http.go
+++ b/pkg/entry/http.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime/debug"
 	"strings"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/rcrowley/go-metrics"
@@ -73,12 +74,20 @@
 	if e.bundles.Current() == nil {
 		out = append(out, "no active configuration bundle")
 	}
-	if e.ReadyEndpoints() == 0 {
+	ready := e.ReadyEndpoints()
+	if ready == 0 {
 		out = append(out, "no endpoint is ready")
 	}
+	if time.Since(e.started) < startGrace && ready < e.connector.size() {
+		out = append(out, "endpoints are still connecting")
+	}
 	return out
 }
 
+// startGrace is how long a new entry stays unready while it waits for the listed
+// endpoints. Without it, its first requests meet the few that were faster.
+const startGrace = 3 * time.Second
+
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	reasons := e.unreadyReasons()
 	body, _ := json.Marshal(readiness{Ready: len(reasons) == 0, Reasons: reasons}) // plain struct, cannot fail
--- a/pkg/statuscmd/statuscmd.go
+++ b/pkg/statuscmd/statuscmd.go
@@ -142,6 +142,9 @@
 		out = append(out, fmt.Sprintf("%s has bundle version %d, the newest is %d", s.Entry, s.BundleVersion, newest))
 	}
 	for _, e := range s.Endpoints {
+		if e.State == "starting" {
+			out = append(out, fmt.Sprintf("%s is starting", e.ID))
+		}
 		if uint64(e.BundleVersion) != newest {
 			out = append(out, fmt.Sprintf("%s has bundle version %d, the newest is %d", e.ID, e.BundleVersion, newest))
 		}
