Follow the store with one watch, keep a planner for its lifetime

Ruled out: serializable reads in place of the watch (may be seconds old, so no proof that a server stays); longer pauses (they are a part of the time in which a leaving server must be known).

Conclusion: fewer calls for the same knowledge; the planner belongs to one lifetime, by id, birth and sequence.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -65,9 +65,11 @@
 
 // Catalog decodes the store's items.
 type Catalog interface {
-	ServersPrefix() string
-	OperatorPrefix() string
+	// Prefix is that of all keys which the entry follows.
+	Prefix() string
+	// EndpointID returns the endpoint that a key belongs to, or false if the key is
+	// not that of an endpoint.
+	EndpointID(key string) (fleet.ID, bool)
 	Endpoint(p kv.Pair) (fleet.Endpoint, error)
-	EndpointID(key string) fleet.ID
 	Operator(p kv.Pair) (fleet.OperatorItem, error)
 }
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -13,7 +13,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/mirror"
 )
 
-// storeEvent is a group of changes of the store under one prefix.
+// storeEvent is a group of changes of the store.
 type storeEvent struct{ changes []mirror.Change }
 
 // control owns the directory and the links to the processes beside the model
@@ -24,17 +24,15 @@
 	catalog   Catalog
 	log       logging.Logger
 	bus       *bus.Bus
-	servers   bus.Topic[storeEvent]
-	operator  bus.Topic[storeEvent]
-	mu        sync.Mutex // the handlers of both topics share the directory
+	changes   bus.Topic[storeEvent]
 	directory *fleet.Directory
 	links     map[*fleet.Live]*link
 	ctx       context.Context
 	snapshot  atomic.Pointer[fleet.Snapshot]
 	demands   sync.Map // *fleet.Live -> *demand
 	synced    atomic.Bool
-	// refresh makes the mirrors list again. It is set once running is closed.
-	refresh func()
+	// mirror follows the store. It is set once running is closed.
+	mirror  *mirror.Mirror
 	running chan struct{}
 }
 
@@ -49,15 +47,13 @@
 		catalog:   catalog,
 		log:       log.For(logging.PartRoute),
 		bus:       b,
-		servers:   bus.NewTopic[storeEvent](b, "servers"),
-		operator:  bus.NewTopic[storeEvent](b, "operator"),
+		changes:   bus.NewTopic[storeEvent](b, "store"),
 		directory: fleet.NewDirectory(),
 		links:     map[*fleet.Live]*link{},
 		running:   make(chan struct{}),
 	}
 	c.snapshot.Store(c.directory.Snapshot())
-	c.servers.Handle("directory-servers", c.onServers)
-	c.operator.Handle("directory-operator", c.onOperator)
+	c.changes.Handle("directory", c.onChanges)
 	return c, nil
 }
 
@@ -68,24 +64,16 @@
 	wg.Go(func() { _ = c.bus.Run(ctx) }) // ends with ctx
 	<-c.bus.Running()
 	// The bus only fails once ctx has ended.
-	servers := mirror.New(c.store, c.catalog.ServersPrefix(), func(ch []mirror.Change) { _ = c.servers.Publish(storeEvent{changes: ch}) }, c.log)
-	operator := mirror.New(c.store, c.catalog.OperatorPrefix(), func(ch []mirror.Change) { _ = c.operator.Publish(storeEvent{changes: ch}) }, c.log)
-	c.refresh = func() {
-		servers.Refresh()
-		operator.Refresh()
-	}
+	c.mirror = mirror.New(c.store, c.catalog.Prefix(), func(ch []mirror.Change) { _ = c.changes.Publish(storeEvent{changes: ch}) }, c.log)
 	close(c.running)
-	wg.Go(func() { servers.Run(ctx) })
-	wg.Go(func() { operator.Run(ctx) })
+	wg.Go(func() { c.mirror.Run(ctx) })
 	wg.Wait()
 }
 
-func (c *control) onServers(ev storeEvent) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (c *control) onChanges(ev storeEvent) {
 	changed := !c.synced.Load()
 	for _, ch := range ev.changes {
-		if c.applyServer(ch) {
+		if c.apply(ch) {
 			changed = true
 		}
 	}
@@ -95,10 +83,18 @@
 	}
 }
 
+// apply reports whether the directory has changed. The operator's items are never
+// taken back.
+func (c *control) apply(ch mirror.Change) bool {
+	if id, ok := c.catalog.EndpointID(ch.Pair.Key); ok {
+		return c.applyServer(id, ch)
+	}
+	return !ch.Deleted && c.applyOperator(time.Now(), ch.Pair)
+}
+
 // applyServer reports whether the directory has changed.
-func (c *control) applyServer(ch mirror.Change) bool {
+func (c *control) applyServer(id fleet.ID, ch mirror.Change) bool {
 	if ch.Deleted {
-		id := c.catalog.EndpointID(ch.Pair.Key)
 		c.log.Info().Str("endpoint", string(id)).Msg("endpoint gone")
 		return c.directory.RemoveEndpoint(id)
 	}
@@ -109,7 +105,7 @@
 			Uint("revision", uint64(ch.Pair.ModRevision)).
 			Err(err).
 			Msg("unreadable server entry, ignored")
-		return c.directory.RemoveEndpoint(c.catalog.EndpointID(ch.Pair.Key))
+		return c.directory.RemoveEndpoint(id)
 	}
 	if !c.directory.SetEndpoint(e) {
 		return false
@@ -125,19 +121,8 @@
 	return true
 }
 
-func (c *control) onOperator(ev storeEvent) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	for _, ch := range ev.changes {
-		if !ch.Deleted {
-			c.applyOperator(now, ch.Pair)
-		}
-	}
-	c.publish()
-}
-
-func (c *control) applyOperator(now time.Time, p kv.Pair) {
+// applyOperator reports whether the directory has changed.
+func (c *control) applyOperator(now time.Time, p kv.Pair) bool {
 	item, err := c.catalog.Operator(p)
 	switch {
 	case err != nil:
@@ -149,6 +134,7 @@
 			Uint("revision", uint64(p.ModRevision)).
 			Bool("adopted", adopted).
 			Msg("configuration read")
+		return adopted
 	case item.Adapter != nil:
 		adopted := c.directory.SetVersion(now, *item.Adapter)
 		c.log.Info().
@@ -157,7 +143,9 @@
 			Int("version", item.Adapter.Version).
 			Bool("adopted", adopted).
 			Msg("adapter version named")
+		return adopted
 	}
+	return false
 }
 
 // woke ages what was believed before the machine was suspended, and reads the store
@@ -168,7 +156,7 @@
 			e.Live.Age(slept)
 		}
 	}
-	c.refresh()
+	c.mirror.Refresh()
 }
 
 // publish makes the directory visible to requests.
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -29,6 +29,10 @@
 	state   *fescuev1.ServerState
 	light   *fescuev1.ServerState // state without the models and adapters
 	held    string                // the models and adapters of state
+	// asked are the instances named by entries that led to a look at the server,
+	// while it is the one in askedAs.
+	asked   map[string]bool
+	askedAs string
 }
 
 // peer is one connected entry.
@@ -37,12 +41,10 @@
 	// arrivals are those not yet counted by the planner.
 	arrivals map[fleet.AdapterKey]int
 	notify   chan struct{}
-	// asked is the last instance of the entry that led to a look at the server.
-	asked string
 }
 
 func newHub(wake chan struct{}) *hub {
-	return &hub{wake: wake, entries: map[*peer]struct{}{}}
+	return &hub{wake: wake, entries: map[*peer]struct{}{}, asked: map[string]bool{}}
 }
 
 // Sync implements fescuev1.ResidencyServer.
@@ -183,15 +185,20 @@
 	return false
 }
 
-// foreign reports whether an entry has read of a later lifetime of the server than
-// the given one. The answer is given once for each update.
+// foreign reports whether an entry names another instance than the given one: the
+// server may have started again, or the entry still lists an earlier lifetime. Each
+// name leads to one look.
 func (h *hub) foreign(instance string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if instance != h.askedAs && instance != "" {
+		clear(h.asked)
+		h.askedAs = instance
+	}
 	found := false
 	for p := range h.entries {
-		if id := p.update.GetInstanceId(); id != "" && id != instance && id != p.asked {
-			p.asked = id
+		if id := p.update.GetInstanceId(); id != "" && id != instance && !h.asked[id] {
+			h.asked[id] = true
 			found = true
 		}
 	}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -72,9 +72,12 @@
 	directory *fleet.Directory
 
 	// State of the control goroutine.
-	planner  *residency.Planner
-	report   *residency.Report
+	planner *residency.Planner
+	report  *residency.Report
+	// instance is the server's current lifetime, empty until the server was asked.
 	instance fleet.ID
+	// planned is the lifetime that the planner belongs to.
+	planned  fleet.ID
 	reached  bool
 	pausedTo time.Time
 	// replacing is an adapter whose newer version waits for the runs of the older
@@ -226,7 +229,10 @@
 		s.reached = false
 		return false
 	}
-	if s.report == nil || s.report.Born != r.Born || r.Sequence < s.report.Sequence || s.hub.foreign(string(s.instance)) {
+	if s.report == nil || s.report.Born != r.Born || r.Sequence < s.report.Sequence {
+		s.newLifetime()
+	}
+	if s.hub.foreign(string(s.instance)) {
 		s.instance = ""
 	}
 	s.report = &r
@@ -243,7 +249,14 @@
 	return true
 }
 
-// identify asks a new lifetime of the server for its id.
+// newLifetime forgets what was known of the server, which started again.
+func (s *Sidecar) newLifetime() {
+	s.instance, s.planned = "", ""
+	s.planner = residency.New()
+}
+
+// identify asks the server for its id. Another id than the last one is a new
+// lifetime.
 func (s *Sidecar) identify(ctx context.Context, snap *fleet.Snapshot) bool {
 	if snap.Table == nil || snap.Table.Service(s.set.Service) == nil {
 		return false
@@ -254,7 +267,13 @@
 		return false
 	}
 	s.instance = id
-	s.planner = residency.New()
+	if id == s.planned {
+		return true // an entry had read of an earlier lifetime
+	}
+	if s.planned != "" {
+		s.planner = residency.New()
+	}
+	s.planned = id
 	s.log.For(logging.PartEndpoint).Info().
 		Str("instance", string(id)).
 		Uint("born", uint64(s.report.Born)).
