Tell the entries which prompt parts a server has read for others

Cause: each entry knew only the parts of the prompts that it had sent itself.

Ruled out: the server's own cache events (a call for each server, late and with gaps); messages of their own for the parts.

--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -49,6 +49,10 @@
 	Live *Live
 }
 
+// PrefixKeepTime is how long a prompt prefix is expected to stay in a server's cache.
+// Each use renews it.
+const PrefixKeepTime = 20 * time.Second
+
 // AdapterKey names an adapter of a base model without its version.
 type AdapterKey struct {
 	Model string
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -9,6 +9,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/bus"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
+	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/mirror"
 )
@@ -26,6 +27,7 @@
 	bus       *bus.Bus
 	changes   bus.Topic[storeEvent]
 	directory *fleet.Directory
+	prefixes  *locality.Prefixes
 	links     map[*fleet.Live]*link
 	ctx       context.Context
 	snapshot  atomic.Pointer[fleet.Snapshot]
@@ -36,7 +38,7 @@
 	running chan struct{}
 }
 
-func newControl(set *Settings, store kv.Store, catalog Catalog, log logging.Logger) (*control, error) {
+func newControl(set *Settings, store kv.Store, catalog Catalog, prefixes *locality.Prefixes, log logging.Logger) (*control, error) {
 	b, err := bus.New()
 	if err != nil {
 		return nil, err
@@ -49,6 +51,7 @@
 		bus:       b,
 		changes:   bus.NewTopic[storeEvent](b, "store"),
 		directory: fleet.NewDirectory(),
+		prefixes:  prefixes,
 		links:     map[*fleet.Live]*link{},
 		running:   make(chan struct{}),
 	}
@@ -202,7 +205,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), log: c.log, cancel: cancel}
+	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), prefixes: c.prefixes, log: c.log, cancel: cancel}
 	c.links[e.Live] = l
 	go l.run(ctx)
 }
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +18,9 @@
 	// heard of.
 	urgent chan struct{}
 	dirty  bool
+	// read are the shared parts of prompts that the server has read since the last
+	// update.
+	read map[uint64]struct{}
 }
 
 type adapterDemand struct {
@@ -27,7 +32,7 @@
 }
 
 func newDemand() *demand {
-	return &demand{adapters: map[fleet.AdapterKey]*adapterDemand{}, urgent: make(chan struct{}, 1)}
+	return &demand{adapters: map[fleet.AdapterKey]*adapterDemand{}, urgent: make(chan struct{}, 1), read: map[uint64]struct{}{}}
 }
 
 func (d *demand) of(k fleet.AdapterKey) *adapterDemand {
@@ -77,6 +82,22 @@
 	d.of(k).waiting--
 }
 
+// maxReadParts bounds the parts that wait for an update. While the process beside
+// the server is away, nobody takes them.
+const maxReadParts = 1000
+
+// parts notes shared parts of prompts that the server has read.
+func (d *demand) parts(hashes []uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.read) > maxReadParts {
+		clear(d.read)
+	}
+	for _, h := range hashes {
+		d.read[h] = struct{}{}
+	}
+}
+
 // update returns the message for the server's process and whether anything has
 // changed since the last one.
 func (d *demand) update(now time.Time, entry string, instance fleet.ID, backlog fleet.Backlog) (*fescuev1.DemandUpdate, bool) {
@@ -106,5 +127,7 @@
 		}
 		m.Adapters = append(m.Adapters, row)
 	}
+	m.ReadParts = slices.Collect(maps.Keys(d.read))
+	clear(d.read)
 	return m, changed
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -64,11 +64,11 @@
 // New returns a routed entry process.
 func New(set Settings, store kv.Store, catalog Catalog, headers Headers, log logging.Logger) (*Gateway, error) {
 	log = log.With("entry", set.ID)
-	c, err := newControl(&set, store, catalog, log)
+	prefixes := locality.NewPrefixes()
+	c, err := newControl(&set, store, catalog, prefixes, log)
 	if err != nil {
 		return nil, err
 	}
-	prefixes := locality.NewPrefixes()
 	g := &Gateway{
 		set:      set,
 		headers:  headers,
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -12,6 +12,7 @@
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/wait"
 )
@@ -35,6 +36,7 @@
 	endpoint *fleet.Endpoint
 	target   string
 	demand   *demand
+	prefixes *locality.Prefixes
 	log      logging.Logger
 	cancel   context.CancelFunc
 }
@@ -98,7 +100,9 @@
 			l.log.Info().Str("endpoint", string(l.endpoint.ID)).Msg("dependency regained: process beside the server")
 		}
 		*up = true
-		next := status(time.Now(), m)
+		now := time.Now()
+		l.prefixes.Learn(now, l.endpoint.Live, m.GetReadParts())
+		next := status(now, m)
 		if m.GetHoldingsUnchanged() {
 			if held == nil {
 				continue
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
 	"github.com/fescuecourse/fescuecourse/pkg/upstream"
 )
@@ -72,6 +73,7 @@
 		return
 	}
 	f.g.prefixes.Read(time.Now(), x.endpoint, x.call.Key, x.call.Prefix)
+	f.g.control.demandOf(x.endpoint).parts(locality.SharedParts(x.call.Key, x.call.Prefix))
 }
 
 func (f sendFilter) forward(x *exchange, resp *http.Response, events []byte) error {
--- a/pkg/locality/locality_test.go
+++ b/pkg/locality/locality_test.go
@@ -106,8 +106,12 @@
 	c, ok := New(DefaultWeights(), prefixes).Choose(&Request{Now: now, Key: testKey, Prefix: []Part{parts[0], {ID: "c", Tokens: 3800}}, PromptTokens: 6300}, []*fleet.Endpoint{list[5]})
 	assert.Assert(t, ok)
 	assert.Equal(t, c.Cached, 2500)
-	assert.Equal(t, prefixes.Cached(now.Add(2*keepTime), last, testKey, parts), 0)
+	assert.Equal(t, prefixes.Cached(now.Add(2*fleet.PrefixKeepTime), last, testKey, parts), 0)
 	assert.Equal(t, prefixes.Cached(now, list[0], testKey, parts), 0)
+	other := NewPrefixes()
+	other.Learn(now, last.Live, SharedParts(testKey, parts))
+	assert.Equal(t, other.Cached(now, last, testKey, parts), 6300, "parts read for another entry")
+	assert.Equal(t, other.Cached(now, last, fleet.AdapterKey{Model: "m", Name: "a2"}, parts), 0)
 }
 
 // Guards against a plain endpoint that fails part of its requests and still gets as
--- a/pkg/locality/prefixes.go
+++ b/pkg/locality/prefixes.go
@@ -4,23 +4,37 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 )
 
-const (
-	// keepTime is how long a prefix is expected to stay in a server's cache. Each
-	// use renews it.
-	keepTime = 20 * time.Second
-	// maxPrefixes bounds the memory of one process.
-	maxPrefixes = 50_000
-)
+// maxPrefixes bounds the memory of one process.
+const maxPrefixes = 50_000
 
 // prefixKey names a part that a server has read for an adapter. The pointer tells
 // the lifetimes of a server apart.
 type prefixKey struct {
 	live *fleet.Live
-	key  fleet.AdapterKey
-	part string
+	part uint64
+}
+
+// PartHash names a part of a prompt as read for an adapter.
+func PartHash(key fleet.AdapterKey, id string) uint64 {
+	return xxhash.Sum64String(key.Model + "/" + key.Name + "/" + id)
+}
+
+// SharedParts names the parts of a prompt that other requests may share. The last
+// part belongs to the request itself or its session.
+func SharedParts(key fleet.AdapterKey, parts []Part) []uint64 {
+	if len(parts) < 2 {
+		return nil
+	}
+	out := make([]uint64, 0, len(parts)-1)
+	for _, part := range parts[:len(parts)-1] {
+		out = append(out, PartHash(key, part.ID))
+	}
+	return out
 }
 
 // Prefixes remembers which servers have read which shared parts of prompts. It is
@@ -34,14 +48,14 @@
 func NewPrefixes() *Prefixes { return &Prefixes{seen: map[prefixKey]time.Time{}} }
 
 // Cached returns the number of leading prompt tokens that the server is expected
-// to keep. The last part belongs to the request itself or its session.
+// to keep.
 func (p *Prefixes) Cached(now time.Time, e *fleet.Endpoint, key fleet.AdapterKey, parts []Part) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	tokens := 0
 	for _, part := range parts {
-		at, ok := p.seen[prefixKey{live: e.Live, key: key, part: part.ID}]
-		if !ok || now.Sub(at) > keepTime {
+		at, ok := p.seen[prefixKey{live: e.Live, part: PartHash(key, part.ID)}]
+		if !ok || now.Sub(at) > fleet.PrefixKeepTime {
 			break
 		}
 		tokens += part.Tokens
@@ -51,13 +65,23 @@
 
 // Read records that a server has read a prompt.
 func (p *Prefixes) Read(now time.Time, e *fleet.Endpoint, key fleet.AdapterKey, parts []Part) {
+	hashes := make([]uint64, len(parts))
+	for i, part := range parts {
+		hashes[i] = PartHash(key, part.ID)
+	}
+	p.Learn(now, e.Live, hashes)
+}
+
+// Learn records the parts that one lifetime of a server has read, for this process
+// or another one.
+func (p *Prefixes) Learn(now time.Time, live *fleet.Live, parts []uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.seen)+len(parts) > maxPrefixes {
 		p.expire(now)
 	}
 	for _, part := range parts {
-		p.seen[prefixKey{live: e.Live, key: key, part: part.ID}] = now
+		p.seen[prefixKey{live: live, part: part}] = now
 	}
 }
 
@@ -65,7 +89,7 @@
 // too little.
 func (p *Prefixes) expire(now time.Time) {
 	for k, at := range p.seen {
-		if now.Sub(at) > keepTime {
+		if now.Sub(at) > fleet.PrefixKeepTime {
 			delete(p.seen, k)
 		}
 	}
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -33,6 +33,9 @@
 	// while it is the one in askedAs.
 	asked   map[string]bool
 	askedAs string
+	// parts are those of the instance in partsOf.
+	parts   *partLog
+	partsOf string
 }
 
 // peer is one connected entry.
@@ -41,10 +44,12 @@
 	// arrivals are those not yet counted by the planner.
 	arrivals map[fleet.AdapterKey]int
 	notify   chan struct{}
+	// position is how far the entry has been told of the parts.
+	position int
 }
 
 func newHub(wake chan struct{}) *hub {
-	return &hub{wake: wake, entries: map[*peer]struct{}{}, asked: map[string]bool{}}
+	return &hub{wake: wake, entries: map[*peer]struct{}{}, asked: map[string]bool{}, parts: newPartLog()}
 }
 
 // Sync implements fescuev1.ResidencyServer.
@@ -82,6 +87,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p.update = m
+	if m.GetInstanceId() == h.partsOf {
+		h.parts.add(time.Now(), p, m.GetReadParts())
+	}
 	waiting := false
 	for _, a := range m.GetAdapters() {
 		p.arrivals[keyOf(a)] += int(a.GetArrivals())
@@ -110,7 +118,7 @@
 		if state.message != nil && due {
 			message := state.message
 			if state.held == held {
-				message = state.light
+				message = h.news(p, state)
 			}
 			if err := stream.Send(message); err != nil {
 				return err //nolint:wrapcheck // a status of the stream
@@ -128,6 +136,21 @@
 	}
 }
 
+// news returns the light form of a state with the parts that the entry has not been
+// told of.
+func (h *hub) news(p *peer, state published) *fescuev1.ServerState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	parts, position := h.parts.since(p.position, p)
+	p.position = position
+	if len(parts) == 0 || state.message.GetInstanceId() != h.partsOf {
+		return state.light
+	}
+	m := withoutHoldings(state.message)
+	m.ReadParts = parts
+	return m
+}
+
 // published is a state with the key of what the server holds.
 type published struct {
 	message *fescuev1.ServerState
@@ -146,6 +169,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	m.BacklogTokens = h.backlog()
+	if m.GetInstanceId() != h.partsOf {
+		h.parts, h.partsOf = newPartLog(), m.GetInstanceId()
+		for p := range h.entries {
+			p.position = 0
+		}
+	}
 	held := heldKey(m)
 	changed := held != h.held
 	if !changed && h.state != nil && sameLoad(h.state, m) {
