Send large changes of a server's backlog to the entries at once

Cause: a choice rests on a state that is up to 450 ms old: the entry's update (150 ms), the report of the process beside the server (100 ms) and the interval of the states (200 ms). Meanwhile all entries choose the same holder of a hot adapter.

A prompt of 2,000 tokens or more is now announced at once, and the process beside the server passes on a change of 4,000 tokens or more at once.

Conclusion: what the entries know of a backlog has to be younger than the time in which it builds up.

--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -14,8 +14,8 @@
 type demand struct {
 	mu       sync.Mutex
 	adapters map[fleet.AdapterKey]*adapterDemand
-	// urgent has a value while a request waits that the server's process has not
-	// heard of.
+	// urgent has a value while a request waits or has been sent that the server's
+	// process should hear of at once.
 	urgent chan struct{}
 	dirty  bool
 	// read are the shared parts of prompts that the server has read since the last
@@ -45,13 +45,29 @@
 	return a
 }
 
-// start counts a request that is sent to the server.
-func (d *demand) start(k fleet.AdapterKey) {
+// urgentPrompt is the number of tokens from which on a prompt is announced at once:
+// about 50 ms of a server's work.
+const urgentPrompt = 2000
+
+// start counts a request that is sent to the server, which has to read the given
+// number of tokens.
+func (d *demand) start(k fleet.AdapterKey, tokens int64) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	a := d.of(k)
 	a.inFlight++
 	a.arrivals++
+	d.mu.Unlock()
+	if tokens >= urgentPrompt {
+		d.announce()
+	}
+}
+
+// announce makes the next update go out at once.
+func (d *demand) announce() {
+	select {
+	case d.urgent <- struct{}{}:
+	default:
+	}
 }
 
 func (d *demand) end(k fleet.AdapterKey) {
@@ -70,10 +86,7 @@
 	}
 	a.waiting++
 	d.mu.Unlock()
-	select {
-	case d.urgent <- struct{}{}:
-	default:
-	}
+	d.announce()
 }
 
 func (d *demand) unwait(k fleet.AdapterKey) {
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -159,7 +159,7 @@
 	l := &load{live: x.endpoint.Live, demand: f.g.control.demandOf(x.endpoint), key: x.call.Key, class: fleet.PriorityClass(x.route.Priority)}
 	l.backlog = int64(max(x.call.PromptTokens-x.choice.Cached, 0))
 	l.live.Backlog[l.class].Add(l.backlog)
-	l.demand.start(l.key)
+	l.demand.start(l.key, l.backlog)
 	return l
 }
 
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
@@ -17,6 +18,9 @@
 	loadInterval = 200 * time.Millisecond
 	// stateInterval is the interval of states without a change.
 	stateInterval = 500 * time.Millisecond
+	// urgentTokens is the change of the backlog that is sent at once: about 100 ms of
+	// a server's work. Other entries would choose the same server meanwhile.
+	urgentTokens = 4000
 )
 
 // hub connects the entries: it collects their demand and sends them states.
@@ -29,6 +33,7 @@
 	state   *fescuev1.ServerState
 	light   *fescuev1.ServerState // state without the models and adapters
 	held    string                // the models and adapters of state
+	backlog uint64                // prompt tokens of all classes in state
 	// asked are the instances named by entries that led to a look at the server,
 	// while it is the one in askedAs.
 	asked   map[string]bool
@@ -95,9 +100,43 @@
 		p.arrivals[keyOf(a)] += int(a.GetArrivals())
 		waiting = waiting || a.GetWaiting() > 0
 	}
+	h.announceBacklog()
 	return waiting
 }
 
+// announceBacklog makes a backlog known at once that has changed much. It is called
+// with mu held.
+func (h *hub) announceBacklog() {
+	sum := h.sumBacklog()
+	if h.state == nil || apart(total(sum), h.backlog) < urgentTokens {
+		return
+	}
+	m, ok := proto.Clone(h.state).(*fescuev1.ServerState)
+	if !ok {
+		return // a clone has the type of its original
+	}
+	m.BacklogTokens = sum
+	h.state, h.light, h.backlog = m, withoutHoldings(m), total(sum)
+	h.notifyAll()
+}
+
+func total(tokens []uint64) uint64 {
+	sum := uint64(0)
+	for _, n := range tokens {
+		sum += n
+	}
+	return sum
+}
+
+func apart(a, b uint64) uint64 { return max(a, b) - min(a, b) }
+
+// notifyAll is called with mu held.
+func (h *hub) notifyAll() {
+	for p := range h.entries {
+		signal(p.notify)
+	}
+}
+
 func keyOf(a *fescuev1.AdapterDemand) fleet.AdapterKey {
 	return fleet.AdapterKey{Model: a.GetModel(), Name: a.GetAdapter()}
 }
@@ -108,22 +147,20 @@
 	tick := time.NewTicker(loadInterval)
 	defer tick.Stop()
 	var (
-		last *fescuev1.ServerState
-		held string
+		last published
 		at   time.Time
 	)
 	for {
 		state, now := h.current(), time.Now()
-		due := state.held != held || state.message != last && now.Sub(at) >= loadInterval || now.Sub(at) >= stateInterval
-		if state.message != nil && due {
+		if state.message != nil && due(&state, &last, now.Sub(at)) {
 			message := state.message
-			if state.held == held {
+			if state.held == last.held {
 				message = h.news(p, state)
 			}
 			if err := stream.Send(message); err != nil {
 				return err //nolint:wrapcheck // a status of the stream
 			}
-			last, held, at = state.message, state.held, now
+			last, at = state, now
 		}
 		select {
 		case err := <-failed:
@@ -136,6 +173,18 @@
 	}
 }
 
+// due reports whether a state is sent to an entry that was sent another one before.
+func due(state, last *published, since time.Duration) bool {
+	switch {
+	case since >= stateInterval, state.held != last.held:
+		return true
+	case state.message == last.message:
+		return false
+	default:
+		return since >= loadInterval || apart(state.backlog, last.backlog) >= urgentTokens
+	}
+}
+
 // news returns the light form of a state with the parts that the entry has not been
 // told of.
 func (h *hub) news(p *peer, state published) *fescuev1.ServerState {
@@ -156,19 +205,20 @@
 	message *fescuev1.ServerState
 	light   *fescuev1.ServerState
 	held    string
+	backlog uint64
 }
 
 func (h *hub) current() published {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return published{message: h.state, light: h.light, held: h.held}
+	return published{message: h.state, light: h.light, held: h.held, backlog: h.backlog}
 }
 
 // publish makes a state known to all entries. Messages are not changed after.
 func (h *hub) publish(m *fescuev1.ServerState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	m.BacklogTokens = h.backlog()
+	m.BacklogTokens = h.sumBacklog()
 	if m.GetInstanceId() != h.partsOf {
 		h.parts, h.partsOf = newPartLog(), m.GetInstanceId()
 		for p := range h.entries {
@@ -180,17 +230,14 @@
 	if !changed && h.state != nil && sameLoad(h.state, m) {
 		return
 	}
-	h.state, h.light, h.held = m, withoutHoldings(m), held
-	if !changed {
-		return
-	}
-	for p := range h.entries {
-		signal(p.notify)
+	h.state, h.light, h.held, h.backlog = m, withoutHoldings(m), held, total(m.GetBacklogTokens())
+	if changed {
+		h.notifyAll()
 	}
 }
 
-// backlog sums the tokens of all entries. It is called with mu held.
-func (h *hub) backlog() []uint64 {
+// sumBacklog sums the tokens of all entries. It is called with mu held.
+func (h *hub) sumBacklog() []uint64 {
 	sum := make([]uint64, fleet.PriorityClasses)
 	for p := range h.entries {
 		for i, tokens := range p.update.GetBacklogTokens() {
--- a/pkg/sidecar/hub_test.go
+++ b/pkg/sidecar/hub_test.go
@@ -29,7 +29,7 @@
 	w := h.wants(time.Unix(9, 0), residency.New())[k]
 	assert.DeepEqual(t, w, residency.Want{InFlight: 4, Waiting: 2, Waited: 80 * time.Millisecond})
 	assert.Equal(t, len(one.arrivals), 0)
-	assert.DeepEqual(t, h.backlog(), []uint64{110, 5, 0, 0})
+	assert.DeepEqual(t, h.sumBacklog(), []uint64{110, 5, 0, 0})
 	h.leave(two)
 	assert.Equal(t, h.wants(time.Unix(9, 0), residency.New())[k].Waiting, 0)
 	assert.Assert(t, !h.waiting())
