Fetch kept prompt parts from another server

Only servers count as a source that report, do not drain and have not failed of late, with the same version of the adapter.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -24,6 +24,8 @@
 	MaxOutputTokens int
 	// LastEventID is the event after which a stream goes on, or empty.
 	LastEventID string
+	// FetchFrom is the address of a server that has kept parts of the prompt.
+	FetchFrom string
 }
 
 // Attempt is what the gateway adds to a request for one endpoint.
@@ -37,6 +39,8 @@
 	Priority int
 	// LastEventID is the event after which the stream goes on, or empty.
 	LastEventID string
+	// FetchFrom is the address of a server that has kept parts of the prompt.
+	FetchFrom string
 }
 
 // Reply is what a response's headers say.
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -271,6 +271,7 @@
 		Int("candidates", c.Candidates).
 		Int("prompt_tokens", x.call.PromptTokens).
 		Int("cached_tokens", c.Cached).
+		Str("fetch_from", fetchFrom(c)).
 		Uint("backlog_tokens", uint64(max(c.Backlog, 0))).
 		Dur("cost_ms", c.Cost).
 		Dur("status_age_ms", c.StatusAge).
@@ -278,6 +279,14 @@
 		Msg("placed")
 }
 
+// fetchFrom names the server that parts of the prompt are fetched from, if any.
+func fetchFrom(c *locality.Choice) string {
+	if c.Source == nil {
+		return ""
+	}
+	return string(c.Source.ID)
+}
+
 func (f placeFilter) waiting(x *exchange, c *locality.Choice) {
 	ev := f.g.log.For(logging.PartPlace).Info().
 		Str("request", x.call.RequestID).
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -216,6 +216,9 @@
 		Priority:    x.route.Priority,
 		LastEventID: x.lastEventID,
 	}
+	if x.engine() && x.choice.Source != nil {
+		a.FetchFrom = x.choice.Source.Address
+	}
 	if a.LastEventID == "" {
 		a.LastEventID = x.call.LastEventID
 	}
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -41,10 +41,13 @@
 	Resident bool
 	// Cost is the expected time to the first event.
 	Cost time.Duration
-	// Cached are the prompt tokens that the server is expected to have kept.
+	// Cached are the prompt tokens that the server is expected to have kept or to
+	// fetch from Source.
 	Cached     int
 	Backlog    int64
 	Candidates int
+	// Source is a server to fetch kept parts of the prompt from, or nil.
+	Source *fleet.Endpoint
 	// StatusAge is the age of the report that the choice rests on.
 	StatusAge time.Duration
 }
@@ -77,6 +80,9 @@
 	Stale time.Duration
 	// RemoteZone is added for servers in another zone.
 	RemoteZone time.Duration
+	// Fetch is the time in which a server fetches kept parts of a prompt from another
+	// one.
+	Fetch time.Duration
 }
 
 // DefaultWeights suit engines that read a prompt of 9,000 tokens in a quarter of
@@ -94,6 +100,7 @@
 		Failure:     250 * time.Millisecond,
 		Stale:       400 * time.Millisecond,
 		RemoteZone:  15 * time.Millisecond,
+		Fetch:       20 * time.Millisecond,
 	}
 }
 
@@ -131,13 +138,14 @@
 func (c *Chooser) Choose(r *Request, endpoints []*fleet.Endpoint) (Choice, bool) {
 	best := Choice{Cost: math.MaxInt64}
 	order := ranks(r.Key, endpoints)
+	source := c.source(r, endpoints)
 	candidates := 0
 	for i, e := range endpoints {
 		if !usable(r, e) {
 			continue
 		}
 		candidates++
-		choice := c.rate(r, e, order[i])
+		choice := c.rate(r, e, order[i], &source)
 		if choice.Cost < best.Cost {
 			best = choice
 		}
@@ -200,7 +208,7 @@
 }
 
 // rate estimates the time to the first event at one server.
-func (c *Chooser) rate(r *Request, e *fleet.Endpoint, rank int) Choice {
+func (c *Chooser) rate(r *Request, e *fleet.Endpoint, rank int, source *source) Choice {
 	w := &c.weights
 	choice := Choice{Endpoint: e}
 	st := e.Live.Status()
@@ -212,6 +220,10 @@
 	} else {
 		cost += c.loadCost(r, e, st)
 	}
+	if source.useful(r, e, choice.Cached) {
+		choice.Source, choice.Cached = source.endpoint, source.tokens
+		cost += w.Fetch
+	}
 	cost += time.Duration(float64(r.PromptTokens-choice.Cached) / w.TokensPerMS * float64(time.Millisecond))
 	cost += time.Duration(rank) * w.Rank
 	cost += time.Duration(e.Live.Failures(r.Now) * float64(w.Failure))
--- a/pkg/locality/locality_test.go
+++ b/pkg/locality/locality_test.go
@@ -114,6 +114,40 @@
 	assert.Equal(t, other.Cached(now, last, fleet.AdapterKey{Model: "m", Name: "a2"}, parts), 0)
 }
 
+// Names the pattern of a hot adapter with several holders, of which one has read the
+// long shared part of a prompt and is busy. Guards against another holder reading that
+// part again, and against a fetch from a server that may not answer.
+func TestKeptPartsAreFetchedFromAnotherHolder(t *testing.T) {
+	parts := []Part{{ID: "a", Tokens: 2500}, {ID: "b", Tokens: 3800}, {ID: "own", Tokens: 2890}}
+	now := time.Now()
+	choose := func(change func(busy *fleet.Endpoint)) Choice {
+		list := endpoints(2)
+		busy, idle := list[0], list[1]
+		hold(busy, 1)
+		hold(idle, 1)
+		busy.Live.Backlog[0].Store(40_000)
+		prefixes := NewPrefixes()
+		prefixes.Learn(now, busy.Live, SharedParts(testKey, parts))
+		change(busy)
+		c, ok := New(DefaultWeights(), prefixes).Choose(&Request{Now: now, Key: testKey, Prefix: parts, PromptTokens: 9190}, list)
+		assert.Assert(t, ok)
+		assert.Equal(t, c.Endpoint, idle)
+		return c
+	}
+	c := choose(func(*fleet.Endpoint) {})
+	assert.Assert(t, c.Source != nil)
+	assert.Equal(t, c.Cached, 6300)
+	for name, change := range map[string]func(*fleet.Endpoint){
+		"another version": func(e *fleet.Endpoint) { hold(e, 2) },
+		"failing":         func(e *fleet.Endpoint) { e.Live.Failed(now) },
+		"draining":        func(e *fleet.Endpoint) { e.State = fleet.Draining },
+		"silent":          func(e *fleet.Endpoint) { e.Live.Age(2 * lateStatus) },
+	} {
+		c := choose(change)
+		assert.Assert(t, c.Source == nil && c.Cached == 0, name)
+	}
+}
+
 // Guards against a plain endpoint that fails part of its requests and still gets as
 // many as the others.
 func TestPlainAvoidsFailingEndpoints(t *testing.T) {
