Keep the age of a request that turns to another server for its load

Cause: a request that has waited 1.5 s at a server whose load has not begun turns to another one, and its age was counted anew there. Servers load the adapter whose requests have waited longest, so it stood behind all that came since.

Ruled out: more loads at a time (18 servers with one each already share a store that serves 8 at full speed; 32 loads/s went through all the while).

Conclusion: no request starves; the order among waiting loads is by arrival.

--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -76,13 +76,13 @@
 	d.of(k).inFlight--
 }
 
-// wait counts a request that needs the adapter to be loaded.
-func (d *demand) wait(now time.Time, k fleet.AdapterKey, version int) {
+// wait counts a request that needs the adapter to be loaded and arrived at a time.
+func (d *demand) wait(began time.Time, k fleet.AdapterKey, version int) {
 	d.mu.Lock()
 	a := d.of(k)
 	a.version = max(a.version, version)
-	if a.waiting == 0 {
-		a.oldest = now
+	if a.waiting == 0 || began.Before(a.oldest) {
+		a.oldest = began
 	}
 	a.waiting++
 	d.mu.Unlock()
--- a/pkg/gateway/demand_test.go
+++ b/pkg/gateway/demand_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -19,3 +20,22 @@
 	assert.Equal(t, len(d.urgent), 1)
 	d.start(k, urgentPrompt) // must not block
 }
+
+// Names the pattern of a fleet that has restarted and loads all its adapters at
+// once. Guards against requests that turn to another server after a while and wait
+// there behind all that came since: they were refused in the end.
+func TestWaitingRequestKeepsItsAgeWhenItMoves(t *testing.T) {
+	k := fleet.AdapterKey{Model: "m", Name: "a1"}
+	first, second := newDemand(), newDemand()
+	now := time.Now()
+	began := now.Add(-2 * time.Second)
+	w := waiter{began: began}
+	w.move(first, &fleet.Endpoint{Live: fleet.NewLive()}, k, 0)
+	second.wait(now.Add(-time.Second), k, 0) // a younger request waits there already
+	w.move(second, &fleet.Endpoint{Live: fleet.NewLive()}, k, 0)
+	m, _ := second.update(now, "e1", "i-1", fleet.Backlog{})
+	assert.Equal(t, m.GetAdapters()[0].GetWaitedMs(), uint32(2000))
+	assert.Equal(t, m.GetAdapters()[0].GetWaiting(), uint32(2))
+	m, _ = first.update(now, "e1", "i-1", fleet.Backlog{})
+	assert.Equal(t, m.GetAdapters()[0].GetWaiting(), uint32(0))
+}
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -228,7 +228,7 @@
 // model chooses a server and waits until it holds the adapter.
 func (f placeFilter) model(ctx context.Context, x *exchange) *failure {
 	began := time.Now()
-	var w waiter
+	w := waiter{began: x.started}
 	defer w.stop()
 	for {
 		s := f.g.control.snapshot.Load()
@@ -314,10 +314,13 @@
 
 // waiter announces a waiting request to one server at a time.
 type waiter struct {
+	// began is when the request arrived. It keeps its age wherever it waits.
+	began    time.Time
 	demand   *demand
 	endpoint *fleet.Endpoint
-	since    time.Time
-	key      fleet.AdapterKey
+	// since is when the request turned to the endpoint.
+	since time.Time
+	key   fleet.AdapterKey
 }
 
 // maxLoadWait is how long a request waits at one server for a load before it
@@ -355,7 +358,7 @@
 	w.stop()
 	w.demand, w.endpoint, w.key, w.since = d, e, k, time.Now()
 	e.Live.Waiting.Add(1)
-	d.wait(w.since, k, version)
+	d.wait(w.began, k, version)
 	return true
 }
 
