Share the retries beyond the ratio among the entries

The process beside a model server counts the entries that are connected to it; the minimum of an entry is its part of the fleet's slack, a setting that the platform fills in, and ten at most.

Ruled out: a count of entries in the store (the system writes nothing there).

--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -61,7 +61,7 @@
 	if x.history.Last == retry.NotRun && redirected(x.result.reason) {
 		return true
 	}
-	if f.e.budget.Retry(time.Now(), x.bundle.Deployment().RetryBudget) {
+	if f.e.budget.Retry(time.Now(), x.bundle.Deployment().RetryBudget, retry.MinRetries) {
 		return true
 	}
 	f.e.log.For(logging.PartRoute).Info().Str("request", string(x.ID)).Str("reason", x.result.detail).Msg("retry refused, budget spent")
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -39,6 +39,20 @@
 	Versions map[AdapterKey]NewestVersion
 }
 
+// Entries returns the number of entries, as far as the processes beside the model
+// servers know them, or 0.
+func (s *Snapshot) Entries() int {
+	most := 0
+	for _, list := range s.Services {
+		for _, e := range list {
+			if st := e.Live.Status(); st != nil {
+				most = max(most, st.Entries)
+			}
+		}
+	}
+	return most
+}
+
 // Directory collects the view. It is used from one goroutine.
 type Directory struct {
 	endpoints map[ID]*Endpoint
--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -96,6 +96,9 @@
 	// CacheUsed and CacheTotal are tokens of KV cache.
 	CacheUsed  int64
 	CacheTotal int64
+	// Entries is the number of entries that are connected to the process beside the
+	// server, this one included.
+	Entries int
 }
 
 // PriorityClasses is the number of classes into which the priorities of requests are
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -141,11 +141,13 @@
 	if !retry.MayRepeat(x.history, allowed) {
 		return false
 	}
-	if !budget.Retry(time.Now(), f.g.set.RetryRatio) {
+	minimum := retry.Minimum(f.g.set.RetrySlack, f.g.control.snapshot.Load().Entries())
+	if !budget.Retry(time.Now(), f.g.set.RetryRatio, minimum) {
 		f.g.log.For(logging.PartRoute).Info().
 			Str("request", x.call.RequestID).
 			Str("service", x.service.Name).
 			Str("reason", x.result.detail).
+			Float("minimum", minimum).
 			Msg("retry refused, budget spent")
 		return false
 	}
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -165,6 +165,7 @@
 		Queued:     int(m.GetQueued()),
 		CacheUsed:  int64(m.GetCacheUsed()),
 		CacheTotal: int64(m.GetCacheTotal()),
+		Entries:    int(m.GetEntries()),
 	}
 	for i, tokens := range m.GetBacklogTokens() {
 		s.Backlog[fleet.PriorityClass(i)] += int64(tokens)
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -21,6 +21,9 @@
 	Grace time.Duration
 	// RetryRatio is the share of a service's requests that may be sent again.
 	RetryRatio float64
+	// RetrySlack is the number of retries in ten seconds that all entries together may
+	// make beyond this share, or 0 if it is not known.
+	RetrySlack int
 	// MemoryMB is the memory that the process may use, or 0 if it is not bounded.
 	MemoryMB int
 }
@@ -37,6 +40,7 @@
 	set.IntVar(&s.ResidencyPort, "residency-port", 0, "`port` of the processes beside the model servers")
 	set.DurationVar(&s.Grace, "grace", 8*time.Second, "time between SIGTERM and the forced end")
 	set.Float64Var(&s.RetryRatio, "retry-ratio", 0.1, "share of a service's requests that may be sent again")
+	set.IntVar(&s.RetrySlack, "retry-slack", 0, "retries in 10s of all entries together beyond this share, 0 if not known")
 	set.IntVar(&s.MemoryMB, "memory-mb", 0, "memory that the process may use, 0 for no bound")
 }
 
@@ -48,5 +52,6 @@
 	set.Requiref(s.ResidencyPort > 0 && s.ResidencyPort < 1<<16, "residency-port", "must be a port")
 	set.Requiref(s.Grace >= time.Second, "grace", "must be 1s or more")
 	set.Requiref(s.RetryRatio >= 0 && s.RetryRatio <= 1, "retry-ratio", "must be between 0 and 1")
+	set.Requiref(s.RetrySlack >= 0, "retry-slack", "must not be negative")
 	set.Requiref(s.MemoryMB >= 0, "memory-mb", "must not be negative")
 }
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -77,9 +77,9 @@
 const (
 	// window is the period over which requests and retries are counted.
 	window = 10 * time.Second
-	// minRetries are allowed in a window whatever the number of requests, so
-	// that an entry with little traffic can retry.
-	minRetries = 10
+	// MinRetries are allowed in a window whatever the number of requests, so
+	// that an entry with little traffic can retry. It suits a handful of entries.
+	MinRetries = 10.0
 )
 
 // Budget bounds the retries to a share of the requests. Counts decay linearly
@@ -100,16 +100,27 @@
 	b.current.requests++
 }
 
-// Retry takes a retry from the budget, which is a share (0 to 1) of the requests.
-// It reports false if the budget is spent. A share of 0 allows no retries.
-func (b *Budget) Retry(now time.Time, share float64) bool {
+// Minimum returns the retries that one of several entries may make in a window
+// whatever the number of its requests, where all of them together may make slack
+// retries. It is MinRetries where the number of entries is not known.
+func Minimum(slack, entries int) float64 {
+	if slack <= 0 || entries <= 0 {
+		return MinRetries
+	}
+	return min(float64(slack)/float64(entries), MinRetries)
+}
+
+// Retry takes a retry from the budget, which is a share (0 to 1) of the requests, but
+// at least a minimum in each window. It reports false if the budget is spent. A share
+// of 0 allows no retries.
+func (b *Budget) Retry(now time.Time, share, minimum float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.roll(now)
 	weight := 1 - float64(now.Sub(b.start))/float64(window)
 	requests := b.current.requests + weight*b.prior.requests
 	retries := b.current.retries + weight*b.prior.retries
-	if share <= 0 || retries+1 > max(share*requests, minRetries) {
+	if share <= 0 || retries+1 > max(share*requests, minimum) {
 		return false
 	}
 	b.current.retries++
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -78,15 +78,41 @@
 	for i := range 10000 {
 		at := now.Add(time.Duration(i) * time.Millisecond)
 		b.Request(at)
-		if b.Retry(at, 0.1) {
+		if b.Retry(at, 0.1, retry.MinRetries) {
 			granted++
 		}
 	}
 	assert.Assert(t, granted >= 900 && granted <= 1000, "%d retries for 10000 requests", granted)
 	later := now.Add(time.Minute)
 	for range 10 {
-		assert.Assert(t, b.Retry(later, 0.1), "minimum is not available")
+		assert.Assert(t, b.Retry(later, 0.1, retry.MinRetries), "minimum is not available")
 	}
-	assert.Assert(t, !b.Retry(later, 0.1), "retry above the minimum")
-	assert.Assert(t, !b.Retry(later.Add(time.Minute), 0), "retry with a budget of 0")
+	assert.Assert(t, !b.Retry(later, 0.1, retry.MinRetries), "retry above the minimum")
+	assert.Assert(t, !b.Retry(later.Add(time.Minute), 0, retry.MinRetries), "retry with a budget of 0")
+}
+
+// Guards against many entries that together retry more than the fleet may: a
+// minimum of 10 each made 310 retries of 31 entries where 274 were allowed.
+func TestManyEntriesShareTheSlack(t *testing.T) {
+	const (
+		entries  = 31
+		requests = 860
+		share    = 0.2
+		slack    = 102
+	)
+	now := time.Unix(1000, 0)
+	retries := 0
+	for i := range entries {
+		b := &retry.Budget{}
+		for range (requests + i) / entries {
+			b.Request(now)
+		}
+		for b.Retry(now, share, retry.Minimum(slack, entries)) {
+			retries++
+		}
+	}
+	assert.Assert(t, retries <= share*requests+slack, "%d retries", retries)
+	assert.Equal(t, retry.Minimum(slack, 0), retry.MinRetries)
+	assert.Equal(t, retry.Minimum(0, 5), retry.MinRetries)
+	assert.Equal(t, retry.Minimum(58, 5), retry.MinRetries)
 }
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -219,6 +219,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	m.BacklogTokens = h.sumBacklog()
+	m.Entries = uint32(len(h.entries))
 	if m.GetInstanceId() != h.partsOf {
 		h.parts, h.partsOf = newPartLog(), m.GetInstanceId()
 		for p := range h.entries {
--- a/pkg/sidecar/state.go
+++ b/pkg/sidecar/state.go
@@ -45,6 +45,7 @@
 		Draining:          m.GetDraining(),
 		LoadMs:            m.GetLoadMs(),
 		LoadLimit:         m.GetLoadLimit(),
+		Entries:           m.GetEntries(),
 		HoldingsUnchanged: true,
 	}
 }
