--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -24,8 +24,6 @@
 	MaxOutputTokens int
 	// LastEventID is the event after which a stream goes on, or empty.
 	LastEventID string
-	// FetchFrom is the address of a server that has kept parts of the prompt.
-	FetchFrom string
 }
 
 // Attempt is what the gateway adds to a request for one endpoint.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -36,7 +36,7 @@
 		held = append(held, buf[:n]...)
 		x.heard.Store(int64(time.Since(x.started)))
 		if end := wholeEvents(held, err); end > 0 {
-			f.firstEvent(x, l)
+			f.promptRead(x, l)
 			if werr := f.forward(x, ex.Response, held[:end]); werr != nil {
 				ex.Abort()
 				return result{end: retry.CallerGone, status: status, detail: "the caller is gone"}
@@ -66,14 +66,15 @@
 	return i + len(eventEnd)
 }
 
-// firstEvent notes that the server has read the prompt.
-func (f sendFilter) firstEvent(x *exchange, l *load) {
+// promptRead notes that the server has read the prompt, as the first event of an
+// attempt shows. A resumed run says nothing of what was read.
+func (f sendFilter) promptRead(x *exchange, l *load) {
 	l.read()
-	if x.lastEventID != "" {
+	if l.demand == nil || x.headSent || x.lastEventID != "" {
 		return
 	}
 	f.g.prefixes.Read(time.Now(), x.endpoint, x.call.Key, x.call.Prefix)
-	f.g.control.demandOf(x.endpoint).parts(locality.SharedParts(x.call.Key, x.call.Prefix))
+	l.demand.parts(locality.SharedParts(x.call.Key, x.call.Prefix))
 }
 
 func (f sendFilter) forward(x *exchange, resp *http.Response, events []byte) error {
