Judge adapter versions in the soak, put faulty links in front of the servers

Cause: the soak checked that the right adapter answered, not its version, and its only relay stood in front of the store, so links between the entries, the servers and the processes beside them were never delayed, reset, silent or cut one way.

Each server and each process beside one is now reached through a relay of its own. New faults: link reset, silent, one way (answers are lost) and slow. A request of the calm at the end must run with the newest version: the last one was named 7 s before, where 5 s are allowed.

Ruled out: judging versions while faults last, since they may delay a version for as long as the store is away.

--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/wait"
+	"github.com/fescuecourse/fescuecourse/standin/fault"
 	"github.com/fescuecourse/fescuecourse/standin/platform"
 )
 
@@ -66,6 +67,14 @@
 		w.relay.SetDelay(200 * time.Millisecond)
 		return func() { w.relay.SetDelay(0) }
 	}},
+	{"link reset", func(w *world, rng *rand.Rand) func() { w.anyLink(rng).Cut(); return nil }},
+	{"link silent", func(w *world, rng *rand.Rand) func() { w.anyLink(rng).Silence(); return nil }},
+	{"link one way", func(w *world, rng *rand.Rand) func() { w.anyLink(rng).SilenceAnswers(); return nil }},
+	{"link slow", func(w *world, rng *rand.Rand) func() {
+		l := w.anyLink(rng)
+		l.SetDelay(150 * time.Millisecond)
+		return func() { l.SetDelay(0) }
+	}},
 	{"configuration", func(w *world, _ *rand.Rand) func() { w.writeConfig(); return nil }},
 	{"adapter version", func(w *world, rng *rand.Rand) func() { w.nameVersion(adapterName(rng)); return nil }},
 	{"foreign entry", func(w *world, rng *rand.Rand) func() {
@@ -76,6 +85,8 @@
 
 func (w *world) entry(rng *rand.Rand) *entryProcess { return w.entries[rng.IntN(len(w.entries))] }
 
+func (w *world) anyLink(rng *rand.Rand) *fault.Relay { return w.links[rng.IntN(len(w.links))] }
+
 func (w *world) sideProcess(rng *rand.Rand) *process { return w.side[rng.IntN(len(w.side))] }
 
 func freeze(p *process) func() {
@@ -115,9 +126,14 @@
 	return n
 }
 
-// heal ends all faults.
+// heal ends all faults. Links are cut once more: no keep-alive probe finds a silent
+// connection on loopback.
 func (w *world) heal() {
 	time.Sleep(longestFault)
+	for _, l := range w.links {
+		l.SetDelay(0)
+		l.Cut()
+	}
 	w.relay.SetDelay(0)
 	w.store.SetFaults(platform.StoreFaults{})
 	for _, e := range w.entries {
--- a/pkg/soak/history.go
+++ b/pkg/soak/history.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/fescuecourse/fescuecourse/standin/platform"
 )
 
 // record is one request as its caller saw it.
@@ -38,7 +40,8 @@
 type history struct {
 	mu      sync.Mutex
 	records []*record
-	calm    bool
+	// calmSince is when the calm at the end began, zero before.
+	calmSince time.Time
 }
 
 func newHistory() *history { return &history{} }
@@ -46,14 +49,14 @@
 func (h *history) add(r *record) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r.calm = h.calm
+	r.calm = !h.calmSince.IsZero() && r.sent.After(h.calmSince)
 	h.records = append(h.records, r)
 }
 
 func (h *history) beginCalm() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.calm = true
+	h.calmSince = time.Now()
 }
 
 // report checks the promises.
@@ -64,7 +67,7 @@
 	runs := w.runs()
 	for _, r := range h.records {
 		out.count(r)
-		for _, v := range check(r, runs[r.id]) {
+		for _, v := range check(r, runs[r.id], w.newest(r.adapter)) {
 			out.Violations = append(out.Violations, r.id+" "+r.route.prefix+": "+v)
 		}
 	}
@@ -93,8 +96,9 @@
 	}
 }
 
-// check returns the promises that a request shows as broken.
-func check(r *record, runs []string) []string {
+// check returns the promises that a request shows as broken, given its runs and the
+// newest version of its adapter.
+func check(r *record, runs []platform.Run, newest int) []string {
 	var out []string
 	idempotent := r.route.kind == "idempotent" || r.route.resumable
 	if !idempotent && len(runs) > 1 {
@@ -115,9 +119,14 @@
 	if len(runs) == 0 {
 		out = append(out, "a success without a run")
 	}
-	for _, adapter := range runs {
-		if adapter != r.adapter {
-			out = append(out, "ran with adapter "+adapter+", asked for "+r.adapter)
+	for _, run := range runs {
+		if run.Adapter != r.adapter {
+			out = append(out, "ran with adapter "+run.Adapter+", asked for "+r.adapter)
+		}
+		// The calm begins longestFault and settleTime, together 7 s, after the last
+		// version was named. An older one may answer for 5 s.
+		if r.calm && run.Version < newest {
+			out = append(out, fmt.Sprintf("ran with version %d of %s, %d is named", run.Version, r.adapter, newest))
 		}
 	}
 	if r.route.service == modelPool {
@@ -140,14 +149,21 @@
 	return nil
 }
 
-// runs returns the adapters of all executions by request.
-func (w *world) runs() map[string][]string {
+// newest returns the newest version that was named of an adapter, or 0.
+func (w *world) newest(adapter string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.versions[adapter]
+}
+
+// runs returns all executions by request.
+func (w *world) runs() map[string][]platform.Run {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	out := map[string][]string{}
+	out := map[string][]platform.Run{}
 	for _, s := range w.all {
 		for _, run := range s.Runs() {
-			out[run.RequestID] = append(out[run.RequestID], run.Adapter)
+			out[run.RequestID] = append(out[run.RequestID], run)
 		}
 	}
 	return out
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -31,9 +31,11 @@
 
 // world is the system under test with the fakes around it.
 type world struct {
-	o       *Options
-	store   *platform.Store
-	relay   *fault.Relay // between all processes and the store
+	o     *Options
+	store *platform.Store
+	relay *fault.Relay // between all processes and the store
+	// links are between the entries and the servers with the processes beside them.
+	links   []*fault.Relay
 	entries []*entryProcess
 	side    []*process
 	port    int
@@ -45,7 +47,6 @@
 	born     int64
 	config   int64
 	versions map[string]int
-	named    map[string]time.Time
 }
 
 type entryProcess struct {
@@ -55,7 +56,7 @@
 }
 
 func newWorld(o *Options) (*world, error) {
-	w := &world{o: o, store: platform.NewStore(), versions: map[string]int{}, named: map[string]time.Time{}}
+	w := &world{o: o, store: platform.NewStore(), versions: map[string]int{}}
 	relay, err := fault.NewRelay(w.store.Address())
 	if err != nil {
 		return nil, err
@@ -71,11 +72,9 @@
 		}
 	}
 	for i := range plainServers {
-		s, err := w.newServer(fmt.Sprintf("127.0.2.%d:0", i+1), plainPool, "")
-		if err != nil {
+		if err := w.addPlainServer(i); err != nil {
 			return w, err
 		}
-		w.plain = append(w.plain, s)
 	}
 	for i := range o.Entries {
 		if err := w.addEntry(i); err != nil {
@@ -99,14 +98,24 @@
 	return n, errors.Wrap(err, "find a free port")
 }
 
-// newServer starts a server and enters it in the store.
-func (w *world) newServer(address, service, model string) (*platform.Server, error) {
+// link puts a relay on an address in front of a target and returns its address.
+func (w *world) link(address, target string) (string, error) {
+	r, err := fault.NewRelayAt(address, target)
+	if err != nil {
+		return "", err
+	}
+	w.links = append(w.links, r)
+	return r.Addr(), nil
+}
+
+// newServer starts a server and enters it in the store under its public address.
+func (w *world) newServer(address, public, service, model string) (*platform.Server, error) {
 	w.mu.Lock()
 	w.born++
 	born := w.born
 	w.mu.Unlock()
 	s, err := platform.NewServer(platform.ServerConfig{
-		ID: fmt.Sprintf("i-%d", born), Service: service, Zone: zoneName, Address: address, Model: model,
+		ID: fmt.Sprintf("i-%d", born), Service: service, Zone: zoneName, Address: address, Public: public, Model: model,
 		MaxAdapters: places, LoadTime: adapterLoad, Events: streamSize, EventGap: eventGap, Born: born,
 	})
 	if err != nil {
@@ -122,11 +131,47 @@
 	return s, nil
 }
 
+// address returns an address on a host of its own with a port that is free now.
+func address(host string) (string, error) {
+	port, err := freePort(host)
+	return fmt.Sprintf("%s:%d", host, port), err
+}
+
+// addPlainServer starts a plain server behind a relay.
+func (w *world) addPlainServer(i int) error {
+	own, err := address(fmt.Sprintf("127.0.2.%d", i+1))
+	if err != nil {
+		return err
+	}
+	public, err := w.link(fmt.Sprintf("127.0.5.%d:0", i+1), own)
+	if err != nil {
+		return err
+	}
+	s, err := w.newServer(own, public, plainPool, "")
+	if err != nil {
+		return err
+	}
+	w.plain = append(w.plain, s)
+	return nil
+}
+
 // addModelServer starts a model server on an address of its own and the process
-// beside it.
+// beside it, both behind relays on one other host, because entries find the process
+// by the host of the server.
 func (w *world) addModelServer(i int) error {
-	host := fmt.Sprintf("127.0.1.%d", i+1)
-	s, err := w.newServer(host+":0", modelPool, modelName)
+	host, publicHost := fmt.Sprintf("127.0.1.%d", i+1), fmt.Sprintf("127.0.4.%d", i+1)
+	own, err := address(host)
+	if err != nil {
+		return err
+	}
+	public, err := w.link(publicHost+":0", own)
+	if err != nil {
+		return err
+	}
+	if _, err := w.link(fmt.Sprintf("%s:%d", publicHost, w.port), fmt.Sprintf("%s:%d", host, w.port)); err != nil {
+		return err
+	}
+	s, err := w.newServer(own, public, modelPool, modelName)
 	if err != nil {
 		return err
 	}
@@ -209,7 +254,6 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.versions[adapter] = max(w.versions[adapter], 1) + 1
-	w.named[adapter] = time.Now()
 	for _, s := range w.all {
 		s.SetNewest(adapter, w.versions[adapter])
 	}
@@ -227,7 +271,7 @@
 	if len(w.models) > 0 && &list[0] == &w.models[0] {
 		service, model = modelPool, modelName
 	}
-	s, err := w.newServer(old.Address(), service, model)
+	s, err := w.newServer(old.Address(), old.Public(), service, model)
 	if err != nil {
 		return err
 	}
@@ -267,6 +311,9 @@
 	for _, s := range w.all {
 		s.Close()
 	}
+	for _, l := range w.links {
+		l.Close()
+	}
 	w.relay.Close()
 	w.store.Close()
 }
--- a/standin/fault/fault_test.go
+++ b/standin/fault/fault_test.go
@@ -64,6 +64,46 @@
 	assert.Assert(t, ok && timeout.Timeout(), "error: %v", err)
 }
 
+// Guards against a one-way silence that also stops what clients send, or that lets
+// answers through: checks of a run whose answer is lost would check something else.
+func TestRelaySilenceAnswers(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer lis.Close()
+	arrived := make(chan string, 1)
+	go func() {
+		c, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		buf := make([]byte, 4)
+		for {
+			if _, err := io.ReadFull(c, buf); err != nil {
+				return
+			}
+			arrived <- string(buf)
+			if _, err := c.Write(buf); err != nil {
+				return
+			}
+		}
+	}()
+	r, err := NewRelayAt("127.0.0.1:0", lis.Addr().String())
+	assert.NilError(t, err)
+	defer r.Close()
+	c := dial(t, r)
+	roundTrip(t, c)
+	<-arrived
+	assert.Equal(t, r.SilenceAnswers(), 1)
+	_, err = c.Write([]byte("more"))
+	assert.NilError(t, err)
+	assert.Equal(t, <-arrived, "more")
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = c.Read(make([]byte, 1))
+	timeout, ok := err.(net.Error) //nolint:errorlint // net.Conn returns the error unwrapped
+	assert.Assert(t, ok && timeout.Timeout(), "error: %v", err)
+}
+
 // Guards against a frozen relay that ends connections, delivers data or loses
 // it, because the process behind it would then look dead or restarted.
 func TestRelayFreeze(t *testing.T) {
--- a/standin/fault/relay.go
+++ b/standin/fault/relay.go
@@ -32,8 +32,11 @@
 }
 
 // NewRelay listens on a loopback port and forwards to target (host:port).
-func NewRelay(target string) (*Relay, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+func NewRelay(target string) (*Relay, error) { return NewRelayAt("127.0.0.1:0", target) }
+
+// NewRelayAt listens on an address and forwards to target (host:port).
+func NewRelayAt(address, target string) (*Relay, error) {
+	lis, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the relay")
 	}
@@ -61,7 +64,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for p := range r.pairs {
-		p.silent.Store(true)
+		p.toServer.silent.Store(true)
+		p.toClient.silent.Store(true)
+	}
+	return len(r.pairs)
+}
+
+// SilenceAnswers stops delivery on the existing connections in the direction of the
+// clients only. What clients send still arrives.
+func (r *Relay) SilenceAnswers() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		p.toClient.silent.Store(true)
 	}
 	return len(r.pairs)
 }
@@ -151,8 +166,8 @@
 	}
 	defer r.remove(p)
 	var wg sync.WaitGroup
-	wg.Go(func() { r.forward(p, server, client) })
-	wg.Go(func() { r.forward(p, client, server) })
+	wg.Go(func() { r.forward(p, &p.toServer, server, client) })
+	wg.Go(func() { r.forward(p, &p.toClient, client, server) })
 	wg.Wait()
 }
 
@@ -176,9 +191,13 @@
 type pair struct {
 	client net.Conn
 	server net.Conn
-	silent atomic.Bool
+	// The two directions.
+	toServer, toClient direction
 }
 
+// direction is one way of a forwarded connection. A silent one drops what it reads.
+type direction struct{ silent atomic.Bool }
+
 func (p *pair) close() {
 	p.client.Close()
 	p.server.Close()
@@ -190,16 +209,16 @@
 	data []byte
 }
 
-// forward copies one direction until either side ends. A silent pair drops what
-// it reads, so that the sender notices nothing.
-func (r *Relay) forward(p *pair, dst, src net.Conn) {
+// forward copies one direction until either side ends. A silent one drops what it
+// reads, so that the sender notices nothing.
+func (r *Relay) forward(p *pair, d *direction, dst, src net.Conn) {
 	chunks := make(chan chunk, chunksInFlight)
 	var wg sync.WaitGroup
-	wg.Go(func() { r.deliver(p, dst, chunks) })
+	wg.Go(func() { r.deliver(p, d, dst, chunks) })
 	buf := make([]byte, chunkBytes)
 	for {
 		n, err := src.Read(buf)
-		if n > 0 && !p.silent.Load() {
+		if n > 0 && !d.silent.Load() {
 			due := time.Now().Add(time.Duration(r.delay.Load()))
 			chunks <- chunk{due: due, data: append([]byte(nil), buf[:n]...)}
 		}
@@ -209,19 +228,19 @@
 	}
 	close(chunks)
 	wg.Wait()
-	if !p.silent.Load() {
+	if !d.silent.Load() {
 		p.close()
 	}
 }
 
-// deliver writes each chunk when it is due. A silent pair drops it.
-func (r *Relay) deliver(p *pair, dst net.Conn, chunks <-chan chunk) {
+// deliver writes each chunk when it is due. A silent direction drops it.
+func (r *Relay) deliver(p *pair, d *direction, dst net.Conn, chunks <-chan chunk) {
 	for c := range chunks {
 		if wait := time.Until(c.due); wait > 0 {
 			time.Sleep(wait)
 		}
 		r.awaitThaw()
-		if p.silent.Load() {
+		if d.silent.Load() {
 			continue
 		}
 		if _, err := dst.Write(c.data); err != nil {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -21,6 +21,9 @@
 	Zone    string
 	// Address to listen on, a free port of loopback if it is empty.
 	Address string
+	// Public is the address that the server's entry in the store names, its own if it
+	// is empty.
+	Public string
 	// Model is the base model of a model server, empty for a plain one.
 	Model       string
 	MaxAdapters int
@@ -104,6 +107,14 @@
 // Address returns the host:port of the server.
 func (s *Server) Address() string { return s.lis.Addr().String() }
 
+// Public returns the address that the server's entry names.
+func (s *Server) Public() string {
+	if s.cfg.Public == "" {
+		return s.Address()
+	}
+	return s.cfg.Public
+}
+
 // Close ends the server and breaks its connections.
 func (s *Server) Close() { s.srv.Close() }
 
@@ -113,7 +124,7 @@
 // Entry returns the server's entry in the store.
 func (s *Server) Entry(state string) string {
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":%q,"coldRemainingMs":0,"sequence":1,"born":%d}`,
-		s.cfg.Service, s.Address(), s.cfg.Zone, state, s.cfg.Born)
+		s.cfg.Service, s.Public(), s.cfg.Zone, state, s.cfg.Born)
 }
 
 // SetFaults replaces the faults.
