Answer a stream before its caller stops waiting

The server learned of it when the machine woke.

A stream's time is now shorter by 100 ms, a twentieth of it at most, so that the caller has its 504 before it leaves. Nothing can tell a frozen server to stop.

Ruled out: giving the stream up when the server's reports stop (it may run once only, and the machine may wake in time); the fetch of prompt parts (none of these requests named a source).

Conclusion: the final answer has to reach the caller while it still waits.

--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -26,6 +26,13 @@
 	retryAfterCapacity = 300 * time.Millisecond
 	// defaultBudget bounds requests whose caller and route set no time.
 	defaultBudget = 30 * time.Second
+	// replyMargin is how long before a caller stops waiting for a stream it gets the
+	// final answer, so that it does not leave while a server that cannot be reached
+	// still has the request. It covers the way to the entry and back, and a processor
+	// that is held up for a tenth of a second.
+	replyMargin = 100 * time.Millisecond
+	// replyMarginShare bounds the margin to one part of so many of the caller's time.
+	replyMarginShare = 20
 	// maxSends bounds the endpoints that one request is sent to, also if each of
 	// them refuses it.
 	maxSends = 3
@@ -81,6 +88,9 @@
 	if x.call.Budget > 0 {
 		budget = x.call.Budget
 	}
+	if x.route.Kind == route.Streaming {
+		budget -= min(replyMargin, budget/replyMarginShare)
+	}
 	if x.route.Timeout > 0 {
 		budget = min(budget, x.route.Timeout)
 	}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -233,3 +233,20 @@
 	}
 	assert.Equal(t, givenUp(result{end: retry.CallerGone}).end, retry.Unknown)
 }
+
+// Guards against callers that leave before the final answer while a server on a
+// frozen machine still has their requests: to the server they have then left without
+// a sign (Tokachi, deploy/days/side-machines.toml --vary --seed 334900643013).
+func TestStreamIsAnsweredBeforeItsCallerLeaves(t *testing.T) {
+	w := newWorld(t, onceRoute)
+	stop := make(chan struct{})
+	e := w.serve(modelService, func(http.ResponseWriter, *http.Request) { <-stop })
+	defer close(stop)
+	hold(e, adapterKey, 1)
+	const budget = time.Second
+	began := time.Now()
+	r := w.do(http.MethodPost, "/o/x", map[string]string{"Model": "m/a1", "Budget-Ms": "1000"})
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(began) < budget, "answered after %v", time.Since(began))
+}
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -62,7 +62,7 @@
 		return nil, err
 	}
 	w.relay = relay
-	if w.port, err = freePort("127.0.0.1"); err != nil {
+	if w.port, err = commonPort(o.Servers); err != nil {
 		return nil, err
 	}
 	w.writeConfig()
@@ -108,6 +108,42 @@
 	return r.Addr(), nil
 }
 
+// portTries bounds the search for a port that is free on all hosts. Another soak on
+// the machine uses the same hosts.
+const portTries = 20
+
+// commonPort returns a port that is free now on the hosts of all model servers and of
+// the relays in front of them.
+func commonPort(servers int) (int, error) {
+	for range portTries {
+		port, err := freePort("127.0.0.1")
+		if err != nil {
+			return 0, err
+		}
+		if freeOnAll(port, servers) {
+			return port, nil
+		}
+	}
+	return 0, errors.New("no port is free on all hosts")
+}
+
+func freeOnAll(port, servers int) bool {
+	for i := range servers {
+		for _, host := range []string{modelHost(i), relayHost(i)} {
+			lis, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
+			if err != nil {
+				return false
+			}
+			lis.Close()
+		}
+	}
+	return true
+}
+
+func modelHost(i int) string { return fmt.Sprintf("127.0.1.%d", i+1) }
+
+func relayHost(i int) string { return fmt.Sprintf("127.0.4.%d", i+1) }
+
 // newServer starts a server and enters it in the store under its public address.
 func (w *world) newServer(address, public, service, model string) (*platform.Server, error) {
 	w.mu.Lock()
@@ -159,7 +195,10 @@
 // beside it, both behind relays on one other host, because entries find the process
 // by the host of the server.
 func (w *world) addModelServer(i int) error {
-	host, publicHost := fmt.Sprintf("127.0.1.%d", i+1), fmt.Sprintf("127.0.4.%d", i+1)
+	host, publicHost := modelHost(i), relayHost(i)
+	if _, err := w.link(fmt.Sprintf("%s:%d", publicHost, w.port), fmt.Sprintf("%s:%d", host, w.port)); err != nil {
+		return err
+	}
 	own, err := address(host)
 	if err != nil {
 		return err
@@ -168,9 +207,6 @@
 	if err != nil {
 		return err
 	}
-	if _, err := w.link(fmt.Sprintf("%s:%d", publicHost, w.port), fmt.Sprintf("%s:%d", host, w.port)); err != nil {
-		return err
-	}
 	s, err := w.newServer(own, public, modelPool, modelName)
 	if err != nil {
 		return err
