--- a/standin/fault/relay.go
+++ b/standin/fault/relay.go
@@ -61,32 +61,27 @@
 // Silence stops delivery on the existing connections in both directions. They
 // stay open. It returns their number.
 func (r *Relay) Silence() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for p := range r.pairs {
+	return r.each(func(p *pair) {
 		p.toServer.silent.Store(true)
 		p.toClient.silent.Store(true)
-	}
-	return len(r.pairs)
+	})
 }
 
 // SilenceAnswers stops delivery on the existing connections in the direction of the
 // clients only. What clients send still arrives.
 func (r *Relay) SilenceAnswers() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for p := range r.pairs {
-		p.toClient.silent.Store(true)
-	}
-	return len(r.pairs)
+	return r.each(func(p *pair) { p.toClient.silent.Store(true) })
 }
 
 // Cut closes the existing connections and returns their number.
-func (r *Relay) Cut() int {
+func (r *Relay) Cut() int { return r.each((*pair).close) }
+
+// each applies a change to the existing connections and returns their number.
+func (r *Relay) each(change func(*pair)) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for p := range r.pairs {
-		p.close()
+		change(p)
 	}
 	return len(r.pairs)
 }
