gateway: end streams before their callers disconnect in a gap

Cause: callers disconnect after a gap without events (2 s, 4 times the latency target or 8 times the permitted gap, whichever is longest), also before the first event.

Ruled out: a late cancel or a cancel on a silent connection. The entry saw the caller leave at once and reset the connection, but the frozen server read the request before the reset.

Change: a stall timer per stream, counted from the arrival and from each event sent, ends the stream 100 ms before its caller would leave. Requests that wait for a load are refused as not run at the same time.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -23,11 +23,13 @@
 	r        *http.Request
 	started  time.Time
 	deadline time.Time
-	call     Call
-	table    *route.Table
-	route    *route.Route
-	service  *route.Service
-	body     []byte
+	// stall ends a stream whose next event is late. It is nil for other requests.
+	stall   *stallTimer
+	call    Call
+	table   *route.Table
+	route   *route.Route
+	service *route.Service
+	body    []byte
 
 	settlement *settle.Settlement
 	history    retry.History
@@ -54,6 +56,15 @@
 // forModelServer reports whether the request goes to a service of model servers.
 func (x *exchange) forModelServer() bool { return x.service.Engine != nil }
 
+// nextEventBy returns the time by which the response, or the next event of a stream,
+// must be sent. Afterwards the caller is gone.
+func (x *exchange) nextEventBy() time.Time {
+	if x.stall != nil && x.stall.expiry.Before(x.deadline) {
+		return x.stall.expiry
+	}
+	return x.deadline
+}
+
 // repeatable reports whether the request may be sent again although an earlier
 // attempt may have run.
 func (x *exchange) repeatable() bool {
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -82,6 +82,10 @@
 	x.deadline = x.started.Add(f.timeLimit(x))
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	if x.route.Kind == route.Streaming {
+		ctx, x.stall = startStallTimer(ctx, x.route, x.started)
+		defer x.stall.stop()
+	}
 	return next(ctx, x)
 }
 
@@ -93,7 +97,7 @@
 		timeLimit = x.call.MaxWait
 	}
 	if x.route.Kind == route.Streaming {
-		timeLimit -= min(replyMargin, timeLimit/replyMarginShare)
+		timeLimit = withReplyMargin(timeLimit)
 	}
 	if x.route.Timeout > 0 {
 		timeLimit = min(timeLimit, x.route.Timeout)
@@ -186,7 +190,7 @@
 		return &failure{status: http.StatusBadGateway, reason: "the response broke off: " + x.result.detail, abort: true}
 	case x.history.Outcome() == ident.NotRun:
 		return notRun("the request was not run: "+x.result.detail, retryAfterCapacity)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) || stalled(ctx):
 		return rejected(http.StatusGatewayTimeout, "no response in time, the result is not known")
 	default:
 		return rejected(http.StatusBadGateway, "the result is not known: "+x.result.detail)
@@ -262,7 +266,7 @@
 			return nil
 		}
 		choice = w.preferCurrent(s.Services[x.service.Name], choice)
-		if time.Until(x.deadline) < minServiceTime {
+		if time.Until(x.nextEventBy()) < minServiceTime {
 			return notRun("no server could load the adapter in time", retryAfterCapacity)
 		}
 		changed := choice.Endpoint.Runtime.Changed()
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -213,7 +213,7 @@
 
 // ended changes the result of an attempt to CallerGone if the request was cancelled.
 func (f sendFilter) ended(ctx context.Context, r result) result {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if cancelledByCaller(ctx) {
 		r.end = retry.CallerGone
 	}
 	return r
--- /dev/null
+++ b/pkg/gateway/stall.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/route"
+)
+
+const (
+	// minStallLimit is the shortest gap in a stream after which callers disconnect.
+	minStallLimit = 2 * time.Second
+	// stallTargetFactor and stallGapFactor give the gap after which callers disconnect
+	// as multiples of the latency target and of the longest permitted gap of a route.
+	stallTargetFactor = 4
+	stallGapFactor    = 8
+)
+
+// errStalled is the cause of the cancellation of a stream whose next event did not
+// arrive before the caller would have disconnected.
+var errStalled = errors.New("the stream stalled")
+
+// stallLimit returns how long callers wait for the first event of a stream, and for
+// each further one, before they disconnect.
+func stallLimit(r *route.Route) time.Duration {
+	return max(minStallLimit, stallTargetFactor*r.TargetLatency, stallGapFactor*r.MaxEventGap)
+}
+
+// stallTimer cancels a stream shortly before its caller disconnects because no event
+// arrived, so that the caller gets a final response and no server works on for it. It
+// belongs to the goroutine of the request.
+type stallTimer struct {
+	limit  time.Duration
+	timer  *time.Timer
+	expiry time.Time
+}
+
+// startStallTimer returns a context that is cancelled with the cause errStalled when
+// no event has arrived within the limit of the route, counted from began.
+func startStallTimer(ctx context.Context, r *route.Route, began time.Time) (context.Context, *stallTimer) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	s := &stallTimer{limit: withReplyMargin(stallLimit(r))}
+	s.expiry = began.Add(s.limit)
+	s.timer = time.AfterFunc(time.Until(s.expiry), func() { cancel(errStalled) })
+	return ctx, s
+}
+
+// eventSent restarts the timer after an event was sent to the caller.
+func (s *stallTimer) eventSent() {
+	if s == nil {
+		return
+	}
+	s.expiry = time.Now().Add(s.limit)
+	s.timer.Reset(s.limit)
+}
+
+func (s *stallTimer) stop() { s.timer.Stop() }
+
+// withReplyMargin shortens a limit of the caller so that the final response arrives
+// before the caller disconnects.
+func withReplyMargin(limit time.Duration) time.Duration {
+	return limit - min(replyMargin, limit/replyMarginShare)
+}
+
+// stalled reports whether a stream was cancelled by its stallTimer.
+func stalled(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStalled) }
+
+// cancelledByCaller reports whether a request was cancelled for another reason than
+// the end of its time.
+func cancelledByCaller(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !stalled(ctx)
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -41,6 +41,7 @@
 				ex.Abort()
 				return result{end: retry.CallerGone, status: status, detail: "the caller is gone"}
 			}
+			x.stall.eventSent()
 			buffered = append(buffered[:0], buffered[end:]...)
 		}
 		switch {
