platform, mirror, fleet: follow a store that returns to an earlier copy

Cause: the store may come back from a copy some seconds old. Revisions are then given out again, but the mirror dropped every item whose revision was not above the one it knew, and a watch went on from a revision of the lost era, so what the operator and the servers wrote again was never seen.

The directory does not let a restored item bring back a removed or draining endpoint. The stand-in store can go back to a copy.

Ruled out: relying on 410 alone. Once revisions have been given out past the watch's position, no 410 comes and the lost range is skipped in silence.

Not done: leases, claims and rollouts on the etcd store, which has no era.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -59,13 +60,25 @@
 // safe for concurrent use.
 type Directory struct {
 	endpoints map[ID]*Endpoint
-	versions  map[AdapterKey]NewestVersion
-	table     *route.Table
+	// removed holds the endpoints that were removed within the last removedRetention.
+	removed  map[ID]removal
+	versions map[AdapterKey]NewestVersion
+	table    *route.Table
+}
+
+// removedRetention is how long a removed endpoint is remembered. Copies from which a
+// store is restored are some seconds old.
+const removedRetention = time.Minute
+
+// removal is the end of one lifetime of an endpoint.
+type removal struct {
+	born int64
+	at   time.Time
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{endpoints: map[ID]*Endpoint{}, versions: map[AdapterKey]NewestVersion{}}
+	return &Directory{endpoints: map[ID]*Endpoint{}, removed: map[ID]removal{}, versions: map[AdapterKey]NewestVersion{}}
 }
 
 // SetEndpoint adds or updates an endpoint and reports whether anything has changed.
@@ -81,14 +94,34 @@
 		return false
 	}
 	d.endpoints[e.ID] = &e
+	delete(d.removed, e.ID)
 	return true
 }
 
+// RestoreEndpoint applies an item that was read from an earlier copy of the store, and
+// reports whether anything has changed. The copy does not bring back an endpoint that
+// was removed, or make one ready that is draining: its item may be older than the one
+// known. A later write of the endpoint itself does both.
+func (d *Directory) RestoreEndpoint(e Endpoint) bool {
+	if r, ok := d.removed[e.ID]; ok && r.born == e.Born {
+		return false
+	}
+	if prev := d.endpoints[e.ID]; prev != nil && prev.Born == e.Born && prev.State == Draining {
+		return false
+	}
+	return d.SetEndpoint(e)
+}
+
 // RemoveEndpoint removes an endpoint and reports whether it was present.
-func (d *Directory) RemoveEndpoint(id ID) bool {
-	_, ok := d.endpoints[id]
+func (d *Directory) RemoveEndpoint(now time.Time, id ID) bool {
+	e, ok := d.endpoints[id]
+	if !ok {
+		return false
+	}
 	delete(d.endpoints, id)
-	return ok
+	maps.DeleteFunc(d.removed, func(_ ID, r removal) bool { return now.Sub(r.at) > removedRetention })
+	d.removed[id] = removal{born: e.Born, at: now}
+	return true
 }
 
 // SetConfig applies a configuration unless the same or a newer version is in force.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -102,7 +102,7 @@
 func (c *control) applyServer(id fleet.ID, ch mirror.Change) bool {
 	if ch.Deleted {
 		c.log.Info().Str("endpoint", string(id)).Msg("endpoint gone")
-		return c.directory.RemoveEndpoint(id)
+		return c.directory.RemoveEndpoint(time.Now(), id)
 	}
 	e, err := c.catalog.Endpoint(ch.Pair)
 	if err != nil {
@@ -111,9 +111,13 @@
 			Uint("revision", uint64(ch.Pair.ModRevision)).
 			Err(err).
 			Msg("cannot decode the endpoint's item; endpoint removed")
-		return c.directory.RemoveEndpoint(id)
+		return c.directory.RemoveEndpoint(time.Now(), id)
 	}
-	if !c.directory.SetEndpoint(e) {
+	set := c.directory.SetEndpoint
+	if ch.Restored {
+		set = c.directory.RestoreEndpoint
+	}
+	if !set(e) {
 		return false
 	}
 	c.log.Info().
@@ -123,6 +127,7 @@
 		Str("state", e.State.String()).
 		Uint("born", uint64(e.Born)).
 		Uint("revision", uint64(ch.Pair.ModRevision)).
+		Bool("restored", ch.Restored).
 		Msg("endpoint changed")
 	return true
 }
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/wait"
@@ -30,6 +32,9 @@
 	Pair kv.Pair
 	// Deleted means that the item was removed. Pair then has only a key.
 	Deleted bool
+	// Restored means that the item was read after the service returned to an earlier
+	// copy of its data, so that it may be older than an item passed on before.
+	Restored bool
 }
 
 // Mirror keeps a local copy of one prefix.
@@ -43,6 +48,8 @@
 	synced bool
 	// unavailable is true from the first failed call until the next complete list.
 	unavailable bool
+	// era is the era of the revisions in items.
+	era kv.Era
 	// refresh is a request for a new list.
 	refresh chan struct{}
 }
@@ -88,28 +95,33 @@
 
 // list replaces the copy and returns the revision of the list. After an outage,
 // missing items are kept until a second list, missingItemGrace later, confirms that
-// they are gone.
+// they are gone. The same holds after a return of the service to an earlier copy.
 func (m *Mirror) list(ctx context.Context) (int64, error) {
 	pairs, revision, err := m.store.List(ctx, m.prefix)
 	if err != nil {
 		return 0, err
 	}
+	restored := m.enterEra(kv.EraOf(m.store), revision)
 	missing := m.missing(pairs)
 	mass := float64(len(missing)) > max(1, massLossShare*float64(len(m.items)))
-	if m.synced && len(missing) > 0 && (m.unavailable || mass) {
-		m.put(pairs)
+	if m.synced && len(missing) > 0 && (m.unavailable || restored || mass) {
+		m.put(pairs, restored)
+		restored = false
 		m.log.Info().Int("missing", len(missing)).Msg("items are missing after an outage; keeping them for a grace period")
 		wait.For(ctx, missingItemGrace)
 		if pairs, revision, err = m.store.List(ctx, m.prefix); err != nil {
 			return 0, err
 		}
+		if kv.EraOf(m.store) != m.era {
+			return 0, errEraChanged
+		}
 		missing = m.missing(pairs)
 	}
 	if m.unavailable || !m.synced {
 		m.log.Info().Int("items", len(pairs)).Uint("revision", uint64(revision)).Msg("dependency regained: key-value service")
 	}
 	m.unavailable = false
-	m.put(pairs)
+	m.put(pairs, restored)
 	m.remove(missing)
 	if !m.synced && len(pairs) == 0 {
 		m.apply(nil)
@@ -118,6 +130,30 @@
 	return revision, nil
 }
 
+// errEraChanged means that the era changed between two lists.
+var errEraChanged = errors.New("the era of the key-value service changed")
+
+// enterEra records the era of a list. If the service has returned to an earlier copy
+// since the previous list, it reports true and forgets the revisions of all items,
+// because they may be given out again.
+func (m *Mirror) enterEra(era kv.Era, revision int64) bool {
+	previous := m.era
+	m.era = era
+	if previous == 0 || era == previous {
+		return false
+	}
+	for key, p := range m.items {
+		p.ModRevision = 0
+		m.items[key] = p
+	}
+	m.log.Warn().
+		Uint("era", uint64(era)).
+		Uint("previous_era", uint64(previous)).
+		Uint("revision", uint64(revision)).
+		Msg("key-value service returned to an earlier copy")
+	return true
+}
+
 // missing returns the keys of the copy that are not in pairs.
 func (m *Mirror) missing(pairs []kv.Pair) []string {
 	present := make(map[string]bool, len(pairs))
@@ -133,15 +169,16 @@
 	return out
 }
 
-// put stores the items that are new or changed and passes them to apply.
-func (m *Mirror) put(pairs []kv.Pair) {
+// put stores the items that are new or changed and passes them to apply, marked as
+// restored or not.
+func (m *Mirror) put(pairs []kv.Pair, restored bool) {
 	var changes []Change
 	for _, p := range pairs {
 		if m.items[p.Key].ModRevision >= p.ModRevision {
 			continue
 		}
 		m.items[p.Key] = p
-		changes = append(changes, Change{Pair: p})
+		changes = append(changes, Change{Pair: p, Restored: restored})
 	}
 	if len(changes) > 0 {
 		m.apply(changes)
@@ -170,6 +207,9 @@
 		m.reportUnavailable(err)
 		return
 	}
+	if kv.EraOf(m.store) != m.era {
+		return
+	}
 	for m.next(ctx, events) {
 	}
 	if ctx.Err() == nil {
@@ -192,7 +232,7 @@
 		case ev.Type == kv.EventDelete:
 			m.remove([]string{ev.Pair.Key})
 		default:
-			m.put([]kv.Pair{ev.Pair})
+			m.put([]kv.Pair{ev.Pair}, false)
 		}
 		return true
 	}
--- a/standin/kvstore/memory.go
+++ b/standin/kvstore/memory.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -267,6 +268,32 @@
 	return w.events, nil
 }
 
+// Copy is the state of a Memory at one moment.
+type Copy struct {
+	revision int64
+	pairs    map[string]kv.Pair
+	history  []change
+}
+
+// Copy returns the current state without the leases.
+func (m *Memory) Copy() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Copy{revision: m.revision, pairs: maps.Clone(m.pairs), history: slices.Clone(m.history)}
+}
+
+// Restore returns to an earlier state. All later writes and all leases are lost,
+// revisions are given out again, and all watches end.
+func (m *Memory) Restore(c Copy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision, m.pairs, m.history = c.revision, maps.Clone(c.pairs), slices.Clone(c.history)
+	clear(m.leases)
+	for w := range m.watchers {
+		m.closeWatch(w)
+	}
+}
+
 // Revision returns the current revision of the store.
 func (m *Memory) Revision() int64 {
 	m.mu.Lock()
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -22,6 +22,8 @@
 	mu     sync.Mutex
 	faults StoreFaults
 	calls  int
+	// era is the number of restores, counted from 1.
+	era uint64
 }
 
 // StoreFaults are the injected faults of a store. The zero value has none.
@@ -40,7 +42,7 @@
 
 // NewStore starts an empty store. The caller must close it.
 func NewStore() *Store {
-	s := &Store{mem: kvstore.NewMemory(time.Now)}
+	s := &Store{mem: kvstore.NewMemory(time.Now), era: 1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/kv-key", s.key)
 	mux.HandleFunc("GET /api/kv-range", s.listRange)
@@ -79,6 +81,16 @@
 	return s.calls
 }
 
+// Restore returns the store to an earlier copy of its items and closes all
+// connections.
+func (s *Store) Restore(c kvstore.Copy) {
+	s.mu.Lock()
+	s.era++
+	s.mem.Restore(c)
+	s.mu.Unlock()
+	s.srv.CloseClientConnections()
+}
+
 // CloseConnections closes all connections, including those of watches.
 func (s *Store) CloseConnections() { s.srv.CloseClientConnections() }
 
@@ -110,6 +122,7 @@
 		s.mu.Lock()
 		s.calls++
 		down := s.faults.FailStatus
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 		s.mu.Unlock()
 		switch {
 		case down < 0:
@@ -192,7 +205,7 @@
 		return
 	}
 	f := s.currentFaults()
-	if after < f.CompactedRevision {
+	if after < f.CompactedRevision || after > s.mem.Revision() {
 		w.WriteHeader(http.StatusGone)
 		return
 	}
