residency: load first what still serves requests in time

Hypothesis: after a restart of the fleet the servers load adapters in the order of the oldest waiting request.

Change: entries report, per waiting request, the time within which its adapter must be loaded (latency target less the time to read the prompt). The planner orders loads by the number of requests that they still serve in time, a late one counting 0.1, then by the shortest slack, then by age. Ages are counted on between updates.

--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -27,8 +28,16 @@
 	inFlight int
 	arrivals int
 	version  int
-	waiting  int
-	oldest   time.Time
+	waiting  []waitTimes
+}
+
+// waitTimes are the times of one request that waits for a load.
+type waitTimes struct {
+	// began is when the request arrived.
+	began time.Time
+	// loadBy is when the adapter must be loaded for the first event to meet the latency
+	// target.
+	loadBy time.Time
 }
 
 func newDemand() *demand {
@@ -76,24 +85,49 @@
 	d.adapter(k).inFlight--
 }
 
-// wait counts a request that arrived at began and waits for the adapter to be loaded
-// in the given version.
-func (d *demand) wait(began time.Time, k fleet.AdapterKey, version int) {
+// wait counts a request that waits for the adapter to be loaded in the given version.
+func (d *demand) wait(w waitTimes, k fleet.AdapterKey, version int) {
 	d.mu.Lock()
 	a := d.adapter(k)
 	a.version = max(a.version, version)
-	if a.waiting == 0 || began.Before(a.oldest) {
-		a.oldest = began
-	}
-	a.waiting++
+	a.waiting = append(a.waiting, w)
 	d.mu.Unlock()
 	d.sendNow()
 }
 
-func (d *demand) endWait(k fleet.AdapterKey) {
+// endWait ends a wait that was counted with the same times.
+func (d *demand) endWait(w waitTimes, k fleet.AdapterKey) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.adapter(k).waiting--
+	a := d.adapter(k)
+	if i := slices.Index(a.waiting, w); i >= 0 {
+		a.waiting = slices.Delete(a.waiting, i, i+1)
+	}
+}
+
+// maxSlacks limits the waiting requests of one adapter whose slack an update lists.
+const maxSlacks = 16
+
+// waited returns the age of the oldest waiting request.
+func (a *adapterDemand) waited(now time.Time) time.Duration {
+	oldest := now
+	for _, w := range a.waiting {
+		if w.began.Before(oldest) {
+			oldest = w.began
+		}
+	}
+	return now.Sub(oldest)
+}
+
+// slacks returns the longest times that the waiting requests have left until their
+// adapter must be loaded, in milliseconds, the longest first.
+func (a *adapterDemand) slacks(now time.Time) []int32 {
+	out := make([]int32, 0, len(a.waiting))
+	for _, w := range a.waiting {
+		out = append(out, int32(w.loadBy.Sub(now).Milliseconds()))
+	}
+	slices.SortFunc(out, func(a, b int32) int { return cmp.Compare(b, a) })
+	return out[:min(len(out), maxSlacks)]
 }
 
 // maxProcessedParts limits the prompt parts that are kept for the next update. While
@@ -130,14 +164,13 @@
 			Adapter:  k.Name,
 			Version:  uint32(a.version),
 			InFlight: uint32(a.inFlight),
-			Waiting:  uint32(a.waiting),
+			Waiting:  uint32(len(a.waiting)),
+			WaitedMs: uint32(a.waited(now).Milliseconds()),
+			SlackMs:  a.slacks(now),
 			Arrivals: uint32(a.arrivals),
 		}
-		if a.waiting > 0 {
-			row.WaitedMs = uint32(now.Sub(a.oldest).Milliseconds())
-		}
 		a.arrivals = 0
-		if a.inFlight == 0 && a.waiting == 0 {
+		if a.inFlight == 0 && len(a.waiting) == 0 {
 			delete(d.adapters, k)
 		}
 		m.Adapters = append(m.Adapters, row)
--- a/pkg/gateway/demand_test.go
+++ b/pkg/gateway/demand_test.go
@@ -29,9 +29,9 @@
 	first, second := newDemand(), newDemand()
 	now := time.Now()
 	began := now.Add(-2 * time.Second)
-	w := waiter{began: began}
+	w := waiter{times: waitTimes{began: began}}
 	w.move(first, &fleet.Endpoint{Runtime: fleet.NewRuntime()}, k, 0)
-	second.wait(now.Add(-time.Second), k, 0) // a younger request waits there already
+	second.wait(waitTimes{began: now.Add(-time.Second)}, k, 0) // a younger request waits there already
 	w.move(second, &fleet.Endpoint{Runtime: fleet.NewRuntime()}, k, 0)
 	m, _ := second.update(now, "e1", "i-1", fleet.Backlog{})
 	assert.Equal(t, m.GetAdapters()[0].GetWaitedMs(), uint32(2000))
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -251,7 +251,7 @@
 // adapter.
 func (f endpointFilter) chooseModelServer(ctx context.Context, x *exchange) *failure {
 	began := time.Now()
-	w := waiter{began: x.started}
+	w := waiter{times: waitTimes{began: x.started, loadBy: f.loadBy(x)}}
 	defer w.stop()
 	for {
 		s := f.g.control.snapshot.Load()
@@ -337,11 +337,16 @@
 	return v.Version
 }
 
+// loadBy returns when the adapter of a request must be loaded for the first event to
+// meet the latency target of its route.
+func (f endpointFilter) loadBy(x *exchange) time.Time {
+	return x.started.Add(x.route.TargetLatency - f.g.chooser.PromptTime(x.call.PromptTokens))
+}
+
 // waiter counts a waiting request in the demand of one server at a time.
 type waiter struct {
-	// began is when the request arrived. It stays the same when the request moves to
-	// another server.
-	began    time.Time
+	// times stay the same when the request moves to another server.
+	times    waitTimes
 	demand   *demand
 	endpoint *fleet.Endpoint
 	// since is when the request started to wait at the current endpoint.
@@ -385,13 +390,13 @@
 	w.stop()
 	w.demand, w.endpoint, w.key, w.since = d, e, k, time.Now()
 	e.Runtime.Waiting.Add(1)
-	d.wait(w.began, k, version)
+	d.wait(w.times, k, version)
 	return true
 }
 
 func (w *waiter) stop() {
 	if w.demand != nil {
-		w.demand.endWait(w.key)
+		w.demand.endWait(w.times, w.key)
 		w.endpoint.Runtime.Waiting.Add(-1)
 	}
 	w.demand = nil
--- a/pkg/locality/fleet_test.go
+++ b/pkg/locality/fleet_test.go
@@ -1,6 +1,7 @@
 package locality
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -30,24 +31,35 @@
 	// adapter, or 0 if it stays.
 	shift    time.Duration
 	duration time.Duration
+	// shortOnly leaves out the long prompts.
+	shortOnly bool
+	// fullRateLoads is the number of loads that the weight store serves at its full
+	// rate at a time, or 0 for defaultFullRateLoads.
+	fullRateLoads int
+	// modelLoad is the time at the start in which the servers load their base model and
+	// no adapter.
+	modelLoad time.Duration
+	// ignoreSlack makes the servers load the adapters in the order of the oldest
+	// waiting request, without regard to the latency targets.
+	ignoreSlack bool
 }
 
 // Parameters of the simulation. There are two kinds of requests: long prompts with
 // short responses, and short prompts with long responses.
 const (
-	longPrompt     = 9190
-	longRun        = 300 * time.Millisecond
-	shortPrompt    = 826
-	shortRun       = 2 * time.Second
-	tokensPerMS    = 38.4
-	fullRateLoads  = 8
-	coldLoad       = 250 * time.Millisecond
-	maxWarmCopies  = 54
-	warmLoadTime   = 25 * time.Millisecond
-	statusInterval = 150 * time.Millisecond
-	simStep        = 5 * time.Millisecond
-	longTarget     = time.Second
-	shortTarget    = 800 * time.Millisecond
+	longPrompt           = 9190
+	longRun              = 300 * time.Millisecond
+	shortPrompt          = 826
+	shortRun             = 2 * time.Second
+	tokensPerMS          = 38.4
+	defaultFullRateLoads = 8
+	coldLoad             = 250 * time.Millisecond
+	maxWarmCopies        = 54
+	warmLoadTime         = 25 * time.Millisecond
+	statusInterval       = 150 * time.Millisecond
+	simStep              = 5 * time.Millisecond
+	longTarget           = time.Second
+	shortTarget          = 800 * time.Millisecond
 )
 
 // simRequest is a request in the simulation.
@@ -71,12 +83,19 @@
 	return 1
 }
 
-func (r *simRequest) inTime() bool {
-	target := longTarget
+func (r *simRequest) target() time.Duration {
 	if r.prompt == shortPrompt {
-		target = shortTarget
+		return shortTarget
 	}
-	return r.first > 0 && r.first <= target
+	return longTarget
+}
+
+func (r *simRequest) inTime() bool { return r.first > 0 && r.first <= r.target() }
+
+// slack returns the time left for the adapter to be loaded in time.
+func (r *simRequest) slack(now time.Time) time.Duration {
+	read := time.Duration(float64(r.prompt) / tokensPerMS * float64(time.Millisecond))
+	return r.target() - read - now.Sub(r.at)
 }
 
 // simServer is a model server that processes prompts one after the other and has room
@@ -99,6 +118,7 @@
 	l          workload
 	engine     *route.Engine
 	servers    []*simServer
+	started    time.Time
 	now        time.Time
 	storeLoads int
 	choose     func(r *Request, s *sim) (*simServer, bool)
@@ -136,6 +156,7 @@
 		weights[i] = math.Pow(float64(i+1), -s.l.skew)
 		total += weights[i]
 	}
+	s.started = s.now
 	start := s.now
 	next := s.now
 	var all []*simRequest
@@ -168,7 +189,7 @@
 		i = (i + int(at.Sub(start)/s.l.shift)) % len(weights)
 	}
 	r := &simRequest{at: at, key: fleet.AdapterKey{Model: "m", Name: fmt.Sprintf("a%d", i)}, prompt: longPrompt, run: longRun}
-	if rng.IntN(2) == 0 {
+	if s.l.shortOnly || rng.IntN(2) == 0 {
 		r.prompt, r.run = shortPrompt, shortRun
 	}
 	return r
@@ -240,7 +261,8 @@
 	for _, v := range s.servers {
 		n += len(v.cold)
 	}
-	share := min(1, float64(fullRateLoads)/float64(max(n, 1)))
+	fullRate := cmp.Or(s.l.fullRateLoads, defaultFullRateLoads)
+	share := min(1, float64(fullRate)/float64(max(n, 1)))
 	for _, v := range s.servers {
 		for _, k := range v.loading() {
 			left := v.loads[k]
@@ -279,12 +301,20 @@
 	for k, list := range v.waiting {
 		w := wants[k]
 		w.Waiting, w.Waited = len(list), s.now.Sub(list[0].at)
+		for _, r := range list {
+			if !s.l.ignoreSlack {
+				w.Slacks = append(w.Slacks, r.slack(s.now))
+			}
+		}
 		wants[k] = w
 	}
 	return &residency.Input{Now: s.now, Report: v.report, Engine: s.engine, DemandByAdapter: wants}
 }
 
 func (s *sim) planLoads(v *simServer) {
+	if s.now.Sub(s.started) < s.l.modelLoad {
+		return
+	}
 	for range 4 {
 		in := v.input(s)
 		o, ok := v.planner.Next(in)
@@ -386,3 +416,24 @@
 		assert.Assert(t, loads < freeLoads, "%s: %d loads, %d without StorePenalty", name, loads, freeLoads)
 	}
 }
+
+// Guards against serving a backlog of loads in the order of arrival. The pattern is an
+// empty fleet, as after a power failure, whose servers load the base model for a second
+// while requests for many adapters arrive. In order of arrival, almost every load then
+// comes too late for the requests that wait for it until the backlog is gone.
+func TestEmptyFleetServesRequestsThatAreStillInTime(t *testing.T) {
+	l := workload{
+		servers: 9, adapterSlots: 18, adapters: 3000, skew: 1.2, perSecond: 180, duration: 12 * time.Second,
+		shortOnly: true, fullRateLoads: 16, modelLoad: 1200 * time.Millisecond,
+	}
+	inOrder := l
+	inOrder.ignoreSlack = true
+	for seed := range uint64(2) {
+		byValue, loads := newSim(l, byChooser(DefaultWeights())).simulate(seed)
+		byAge, ageLoads := newSim(inOrder, byChooser(DefaultWeights())).simulate(seed)
+		least, leastLoads := newSim(l, leastLoaded).simulate(seed)
+		t.Logf("in time %.3f with %d loads; in order of arrival %.3f with %d; least loaded %.3f with %d", byValue, loads, byAge, ageLoads, least, leastLoads)
+		assert.Assert(t, byValue > byAge, "in time %.3f, in order of arrival %.3f", byValue, byAge)
+		assert.Assert(t, byValue > least, "in time %.3f, least loaded %.3f", byValue, least)
+	}
+}
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -145,6 +145,12 @@
 // New returns a Chooser with the given weights and index of cached prompt prefixes.
 func New(w Weights, p *PrefixIndex) *Chooser { return &Chooser{weights: w, prefixes: p} }
 
+// PromptTime returns the time in which a server processes the given number of prompt
+// tokens.
+func (c *Chooser) PromptTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / c.weights.TokensPerMS * float64(time.Millisecond))
+}
+
 // Choose returns the server with the lowest cost, which is the estimated time to the
 // first event plus penalties. It reports false if no server can take the request.
 func (c *Chooser) Choose(r *Request, endpoints []*fleet.Endpoint) (Choice, bool) {
@@ -227,7 +233,7 @@
 	st := e.Runtime.Status()
 	choice.Resident = holds(st, r)
 	choice.BacklogTokens = backlogAhead(r, st, e)
-	cost := time.Duration(float64(choice.BacklogTokens) / w.TokensPerMS * float64(time.Millisecond))
+	cost := c.PromptTime(int(choice.BacklogTokens))
 	if choice.Resident {
 		choice.CachedTokens = c.prefixes.CachedTokens(r.Now, e, r.Key, r.Prefix)
 	} else {
@@ -237,7 +243,7 @@
 		choice.Source, choice.CachedTokens = source.endpoint, source.tokens
 		cost += w.PrefixFetchTime
 	}
-	cost += time.Duration(float64(r.PromptTokens-choice.CachedTokens) / w.TokensPerMS * float64(time.Millisecond))
+	cost += c.PromptTime(r.PromptTokens - choice.CachedTokens)
 	cost += time.Duration(rank) * w.RankPenalty
 	cost += time.Duration(e.Runtime.Failures(r.Now) * float64(w.FailurePenalty))
 	cost += e.WarmupRemaining
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -76,6 +76,10 @@
 	Version int
 	// Waited is how long the oldest waiting request has waited.
 	Waited time.Duration
+	// Slacks are the times within which the adapter must be loaded for waiting requests
+	// to meet their latency targets, negative for missed targets. Not all waiting
+	// requests may be listed.
+	Slacks []time.Duration
 }
 
 const (
@@ -221,10 +225,10 @@
 	return 0
 }
 
-// loadAdapter returns an order for the adapter whose requests have waited longest
+// loadAdapter returns an order for the adapter whose load serves its requests best
 // or, if there is no free slot, an order that evicts another adapter.
 func (p *Planner) loadAdapter(in *Input) (Order, bool) {
-	k, ok := p.longestWaiting(in)
+	k, ok := p.bestLoad(in)
 	if !ok || len(in.Report.Loading) >= p.limiter.Limit() {
 		return Order{}, false
 	}
@@ -238,29 +242,6 @@
 	return newOrder(in, Unload, victim, 0, "its place is needed"), true
 }
 
-// longestWaiting returns the adapter with the oldest waiting request among those
-// that are neither loaded nor being loaded.
-func (p *Planner) longestWaiting(in *Input) (fleet.AdapterKey, bool) {
-	var best fleet.AdapterKey
-	found := false
-	for k, w := range in.DemandByAdapter {
-		if w.Waiting <= 0 || k.Name == "" || !hasModel(in.Report, k.Model) {
-			continue
-		}
-		if _, held := in.Report.Residents[k]; held {
-			continue // replace loads a newer version
-		}
-		if _, loading := in.Report.Loading[k]; loading {
-			continue
-		}
-		longest := in.DemandByAdapter[best].Waited
-		if !found || w.Waited > longest || w.Waited == longest && lessAdapter(k, best) {
-			best, found = k, true
-		}
-	}
-	return best, found
-}
-
 // lessAdapter orders adapters by name so that ties are broken in the same way each
 // time.
 func lessAdapter(a, b fleet.AdapterKey) bool {
--- a/pkg/residency/residency_test.go
+++ b/pkg/residency/residency_test.go
@@ -33,10 +33,10 @@
 
 // Guards against requests that keep waiting for a load although the server has a
 // free slot.
-func TestLoadsWhatWaitsLongest(t *testing.T) {
+func TestLoadsWhatRequestsWaitFor(t *testing.T) {
 	o, ok := New().Next(input(report(1), map[fleet.AdapterKey]Demand{
+		key(1): {InFlight: 5},
 		key(2): {Waiting: 1, Waited: time.Second},
-		key(3): {Waiting: 5, Waited: time.Millisecond},
 	}))
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, o, Order{Operation: Load, Key: key(2), Expected: 7, Reason: o.Reason})
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -50,8 +50,9 @@
 
 // peer is one connected entry.
 type peer struct {
-	// update is the latest demand that the entry has sent.
-	update *fescuev1.DemandUpdate
+	// update is the latest demand that the entry has sent, which arrived at updatedAt.
+	update    *fescuev1.DemandUpdate
+	updatedAt time.Time
 	// arrivals counts the requests per adapter that have not been passed to the
 	// planner yet.
 	arrivals map[fleet.AdapterKey]int
@@ -102,7 +103,7 @@
 func (h *hub) record(p *peer, m *fescuev1.DemandUpdate) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	p.update = m
+	p.update, p.updatedAt = m, time.Now()
 	if m.GetInstanceId() == h.partsInstance {
 		h.parts.add(time.Now(), p, m.GetReadParts())
 	}
@@ -309,15 +310,25 @@
 			planner.Arrived(now, k, n)
 		}
 		clear(p.arrivals)
+		age := now.Sub(p.updatedAt)
 		for _, a := range p.update.GetAdapters() {
 			k := adapterKey(a)
-			w := out[k]
-			w.InFlight += int(a.GetInFlight())
-			w.Waiting += int(a.GetWaiting())
-			w.Version = max(w.Version, int(a.GetVersion()))
-			w.Waited = max(w.Waited, time.Duration(a.GetWaitedMs())*time.Millisecond)
-			out[k] = w
+			out[k] = addDemand(out[k], a, age)
 		}
 	}
 	return out
 }
+
+// addDemand adds the demand of one entry, reported the given time ago.
+func addDemand(d residency.Demand, a *fescuev1.AdapterDemand, age time.Duration) residency.Demand {
+	d.InFlight += int(a.GetInFlight())
+	d.Waiting += int(a.GetWaiting())
+	d.Version = max(d.Version, int(a.GetVersion()))
+	if a.GetWaiting() > 0 {
+		d.Waited = max(d.Waited, time.Duration(a.GetWaitedMs())*time.Millisecond+age)
+	}
+	for _, ms := range a.GetSlackMs() {
+		d.Slacks = append(d.Slacks, time.Duration(ms)*time.Millisecond-age)
+	}
+	return d
+}
--- a/pkg/sidecar/hub_test.go
+++ b/pkg/sidecar/hub_test.go
@@ -14,10 +14,18 @@
 // demandOf returns the demand update of an entry for one adapter.
 func demandOf(instance string, waiting uint32, backlog ...uint64) *fescuev1.DemandUpdate {
 	return &fescuev1.DemandUpdate{InstanceId: instance, BacklogTokens: backlog, Adapters: []*fescuev1.AdapterDemand{
-		{Model: "m", Adapter: "a1", InFlight: 2, Waiting: waiting, Arrivals: 3, WaitedMs: 40 * waiting},
+		{Model: "m", Adapter: "a1", InFlight: 2, Waiting: waiting, Arrivals: 3, WaitedMs: 40 * waiting, SlackMs: slacks(waiting)},
 	}}
 }
 
+// slacks returns the slacks that an entry lists for waiting requests.
+func slacks(waiting uint32) []int32 {
+	if waiting == 0 {
+		return nil
+	}
+	return []int32{600}
+}
+
 // Guards against demand that is counted twice or outlives the stream of its entry.
 func TestHubSumsTheEntries(t *testing.T) {
 	h := newHub(make(chan struct{}, 1))
@@ -27,8 +35,8 @@
 	assert.Assert(t, !h.record(one, demandOf("i-1", 0, 100, 5)))
 	assert.Assert(t, h.record(two, demandOf("i-1", 2, 10)))
 	k := fleet.AdapterKey{Model: "m", Name: "a1"}
-	w := h.demand(time.Unix(9, 0), residency.New())[k]
-	assert.DeepEqual(t, w, residency.Demand{InFlight: 4, Waiting: 2, Waited: 80 * time.Millisecond})
+	w := h.demand(two.updatedAt.Add(time.Second), residency.New())[k]
+	assert.DeepEqual(t, w, residency.Demand{InFlight: 4, Waiting: 2, Waited: 1080 * time.Millisecond, Slacks: []time.Duration{-400 * time.Millisecond}})
 	assert.Equal(t, len(one.arrivals), 0)
 	assert.DeepEqual(t, h.sumBacklog(), []uint64{110, 5, 0, 0})
 	h.leave(two)
