residency: learn how many copies a server keeps in main memory

Hypothesis: entries expect 54 warm copies at each server, whatever its size.

Change: the endpoint process learns the number from the durations of its own loads and reports it. Loads of the limiter: until loads beside few and beside many others took equally long, the fastest load time is capped at 300 ms again.

--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -104,6 +104,10 @@
 	// Entries is the number of entry processes connected to the sidecar, this one
 	// included.
 	Entries int
+	// WarmCopies is the number of adapters that the server is estimated to keep in main
+	// memory, loaded ones included, or 0 if it is not known. Loading one of these is
+	// about ten times as fast as from the weight store.
+	WarmCopies int
 }
 
 // PriorityClasses is the number of classes into which request priorities are grouped
@@ -160,11 +164,6 @@
 	version int
 }
 
-// maxWarmAdapters is the number of adapters of which a server is expected to keep a
-// copy in its main memory. Loading one of these is about ten times as fast as from
-// the weight store.
-const maxWarmAdapters = 54
-
 // HeldRecently reports whether the server recently had the adapter loaded in exactly
 // the given version. Version 0 stands for version 1.
 func (r *Runtime) HeldRecently(k AdapterKey, version int) bool {
@@ -175,12 +174,12 @@
 }
 
 // recordResidents records the resident adapters of a report and removes the oldest
-// records beyond maxWarmAdapters. The caller holds mu.
+// records beyond the server's number of warm copies. The caller holds mu.
 func (r *Runtime) recordResidents(s *Status) {
 	for k, version := range s.Residents {
 		r.warm[warmKey{key: k, version: version}] = s.ReceivedAt
 	}
-	for len(r.warm) > maxWarmAdapters {
+	for len(r.warm) > max(s.WarmCopies, len(s.Residents)) {
 		var oldest warmKey
 		at := s.ReceivedAt
 		for k, t := range r.warm {
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -191,6 +191,7 @@
 		CacheUsed:    int64(m.GetCacheUsed()),
 		CacheTotal:   int64(m.GetCacheTotal()),
 		Entries:      int(m.GetEntries()),
+		WarmCopies:   int(m.GetWarmCopies()),
 	}
 	for i, tokens := range m.GetBacklogTokens() {
 		s.Backlog[fleet.PriorityClass(i)] += int64(tokens)
--- a/pkg/locality/fleet_test.go
+++ b/pkg/locality/fleet_test.go
@@ -351,8 +351,9 @@
 	st := &fleet.Status{
 		ReceivedAt: s.now, Models: []string{"m"}, Residents: map[fleet.AdapterKey]int{}, Loading: map[fleet.AdapterKey]int{},
 		Free: residency.Free(v.report, s.engine), Evictable: v.planner.Evictable(in),
-		Backlog:  v.endpoint.Runtime.OwnBacklog(),
-		LoadTime: v.planner.LoadLimiter().LoadTime(), LoadLimit: v.planner.LoadLimiter().Limit(),
+		WarmCopies: v.planner.WarmCopies(),
+		Backlog:    v.endpoint.Runtime.OwnBacklog(),
+		LoadTime:   v.planner.LoadLimiter().LoadTime(), LoadLimit: v.planner.LoadLimiter().Limit(),
 	}
 	for k := range v.report.Residents {
 		st.Residents[k] = 1
--- a/pkg/residency/load_limiter.go
+++ b/pkg/residency/load_limiter.go
@@ -33,7 +33,9 @@
 	// averageWeight is the weight of a new load in the moving averages. A single load
 	// time includes the interval between two reports.
 	averageWeight = 0.3
-	// DefaultLoadTime is the load time assumed before the first measured load.
+	// DefaultLoadTime is the load time assumed before the first measured load. Until the
+	// full rate of the weight store is known, it also caps the fastest load time that
+	// others are compared with: after a restart of the fleet, all loads may be slow.
 	DefaultLoadTime = 300 * time.Millisecond
 )
 
@@ -56,7 +58,49 @@
 	fastest time.Duration
 	// concurrent is the moving average of the number of loads of all servers.
 	concurrent float64
-	started    map[fleet.AdapterKey]startedLoad
+	// fewest and most are the loads that ran beside the fewest and the most others.
+	fewest, most sample
+	// fullRateKnown is true once loads beside few and beside many others took equally
+	// long, so that neither were slowed down.
+	fullRateKnown bool
+	started       map[fleet.AdapterKey]startedLoad
+}
+
+// sample is the duration of a load beside a number of concurrent ones.
+type sample struct {
+	concurrent float64
+	took       time.Duration
+}
+
+const (
+	// minSpread is the ratio of the numbers of concurrent loads from which the times of
+	// two loads are compared, and maxDifference the ratio of their times up to which
+	// they count as equal.
+	minSpread     = 1.5
+	maxDifference = 1.15
+)
+
+// learnFullRate sets fullRateKnown if the load is evidence of it.
+func (l *LoadLimiter) learnFullRate(s sample) {
+	if l.fewest.took == 0 || s.concurrent < l.fewest.concurrent {
+		l.fewest = s
+	}
+	if s.concurrent > l.most.concurrent {
+		l.most = s
+	}
+	spread := l.most.concurrent / l.fewest.concurrent
+	difference := float64(l.most.took) / float64(l.fewest.took)
+	if spread >= minSpread && difference <= maxDifference {
+		l.fullRateKnown = true
+	}
+}
+
+// fullRateTime returns the time of a load that is not slowed down by others.
+func (l *LoadLimiter) fullRateTime() time.Duration {
+	if l.fullRateKnown {
+		return l.fastest
+	}
+	return min(l.fastest, DefaultLoadTime)
 }
 
 // startedLoad is a load that was ordered and has not completed.
@@ -98,9 +142,17 @@
 	l.started[k] = startedLoad{at: now, concurrent: l.elsewhere + len(l.started) + 1}
 }
 
+// completedLoad is a load that a report has shown as complete.
+type completedLoad struct {
+	key  fleet.AdapterKey
+	took time.Duration
+}
+
 // Observe records the number of loads at other servers and the time of each started
-// load that the report shows as complete, and discards the loads that are lost.
-func (l *LoadLimiter) Observe(now time.Time, r *Report, elsewhere int) {
+// load that the report shows as complete, and discards the loads that are lost. It
+// returns the complete ones.
+func (l *LoadLimiter) Observe(now time.Time, r *Report, elsewhere int) []completedLoad {
+	var done []completedLoad
 	l.elsewhere = elsewhere
 	for k, load := range l.started {
 		if _, loading := r.Loading[k]; loading {
@@ -111,11 +163,13 @@
 		if _, held := r.Residents[k]; held {
 			concurrent := float64(load.concurrent+elsewhere+len(l.started)) / 2
 			l.recordLoad(took, concurrent)
+			done = append(done, completedLoad{key: k, took: took})
 			delete(l.started, k)
 		} else if took > lostLoadTimeout {
 			delete(l.started, k)
 		}
 	}
+	return done
 }
 
 // reportedAt returns the load as of a report that lists it.
@@ -138,7 +192,8 @@
 	l.average += time.Duration(averageWeight * float64(took-l.average))
 	l.concurrent += averageWeight * (concurrent - l.concurrent)
 	l.fastest = min(l.fastest, l.average)
-	slowdown := float64(l.average) / float64(l.fastest)
+	l.learnFullRate(sample{concurrent: concurrent, took: took})
+	slowdown := float64(l.average) / float64(l.fullRateTime())
 	switch {
 	case slowdown > slowFactor:
 		l.saturated = true
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -111,20 +111,26 @@
 type Planner struct {
 	usageByAdapter map[fleet.AdapterKey]*usage
 	limiter        *LoadLimiter
+	warm           *WarmCopies
 }
 
 // New returns a planner without any past demand.
 func New() *Planner {
-	return &Planner{usageByAdapter: map[fleet.AdapterKey]*usage{}, limiter: NewLoadLimiter()}
+	return &Planner{usageByAdapter: map[fleet.AdapterKey]*usage{}, limiter: NewLoadLimiter(), warm: NewWarmCopies()}
 }
 
 // LoadLimiter returns the limiter of the server's concurrent loads.
 func (p *Planner) LoadLimiter() *LoadLimiter { return p.limiter }
 
+// WarmCopies returns the estimated number of adapters that the server keeps in main
+// memory, loaded ones included.
+func (p *Planner) WarmCopies() int { return p.warm.Count() }
+
 // Accepted records an order that the server has accepted.
 func (p *Planner) Accepted(now time.Time, o Order) {
 	if o.Operation == Load && o.Key.Name != "" {
 		p.limiter.Started(now, o.Key)
+		p.warm.started(o.Key, o.Version)
 	}
 }
 
@@ -167,7 +173,10 @@
 	if in.Report == nil || in.Engine == nil {
 		return Order{}, false
 	}
-	p.limiter.Observe(in.Now, in.Report, in.LoadsElsewhere)
+	for _, load := range p.limiter.Observe(in.Now, in.Report, in.LoadsElsewhere) {
+		p.warm.ended(load.key, load.took)
+	}
+	p.warm.observe(in.Now, in.Report, in.Engine.MaxAdapters)
 	if in.Report.Busy {
 		return Order{}, false
 	}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -369,6 +369,7 @@
 		Queued:     uint32(r.Queued),
 		CacheUsed:  uint64(max(r.CacheUsed, 0)),
 		CacheTotal: uint64(max(r.CacheTotal, 0)),
+		WarmCopies: uint32(s.planner.WarmCopies()),
 	}
 	for k, w := range in.DemandByAdapter {
 		_, held := r.Residents[k]
--- a/pkg/sidecar/state.go
+++ b/pkg/sidecar/state.go
@@ -48,6 +48,7 @@
 		LoadMs:            m.GetLoadMs(),
 		LoadLimit:         m.GetLoadLimit(),
 		Entries:           m.GetEntries(),
+		WarmCopies:        m.GetWarmCopies(),
 		HoldingsUnchanged: true,
 	}
 }
