gateway: refuse at once what cannot be loaded before its caller leaves

Hypothesis: where loads are scarce, requests that have missed their latency target wait until 150 ms before their callers leave and are then refused, although it was known long before that the loads ahead of theirs take longer.

Change: a request past its target is refused as soon as the shortest time in which the server can work off the loads that are due (at four at a time) exceeds the time that its caller stays. Retry-After is that time, varied by a quarter.

--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -269,6 +270,9 @@
 		if time.Until(x.nextEventBy()) < minServiceTime {
 			return notRun("no server could load the adapter in time", retryAfterCapacity)
 		}
+		if retryAfter, hopeless := f.hopeless(x, &w, choice.Endpoint); hopeless {
+			return notRun("the loads ahead take longer than the caller waits", retryAfter)
+		}
 		changed := choice.Endpoint.Runtime.Changed()
 		if w.move(f.g.control.demandOf(choice.Endpoint), choice.Endpoint, x.call.Key, x.version) {
 			f.waiting(x, &choice)
@@ -343,6 +347,28 @@
 	return x.started.Add(x.route.TargetLatency - f.g.chooser.PromptTime(x.call.PromptTokens))
 }
 
+// hopeless reports whether a request that has missed its latency target will also see
+// its caller leave before the server can have worked off the loads that are due now.
+// New requests that are still in time go first, so the wait is not shorter than that.
+// The caller is told to come back when the loads are done.
+func (f endpointFilter) hopeless(x *exchange, w *waiter, e *fleet.Endpoint) (retryAfter time.Duration, hopeless bool) {
+	now := time.Now()
+	if now.Before(w.times.loadBy) {
+		return 0, false
+	}
+	backlog := locality.LoadBacklog(now, e.Runtime.Status(), x.call.Key)
+	if now.Add(backlog + f.g.chooser.PromptTime(x.call.PromptTokens)).Before(x.nextEventBy()) {
+		return 0, false
+	}
+	return spread(backlog), true
+}
+
+// spread varies a Retry-After value by up to a quarter in both directions, so that the
+// callers refused at one moment do not return together.
+func spread(d time.Duration) time.Duration {
+	return d*3/4 + rand.N(d/2+1)
+}
+
 // waiter counts a waiting request in the demand of one server at a time.
 type waiter struct {
 	// times stay the same when the request moves to another server.
--- a/pkg/locality/locality_test.go
+++ b/pkg/locality/locality_test.go
@@ -151,6 +151,21 @@
 	}
 }
 
+// Guards against refusing a request that a server could still serve, and against
+// letting one wait for loads that take longer than its caller waits.
+func TestLoadBacklog(t *testing.T) {
+	now := time.Now()
+	other := fleet.AdapterKey{Model: "m", Name: "other"}
+	st := &fleet.Status{ReceivedAt: now, PendingLoads: 11, LoadTime: 300 * time.Millisecond}
+	assert.Equal(t, LoadBacklog(now, st, testKey), 750*time.Millisecond)
+	st.Loading = map[fleet.AdapterKey]int{other: 1}
+	assert.Equal(t, LoadBacklog(now, st, other), time.Duration(0), "being loaded")
+	assert.Equal(t, LoadBacklog(now.Add(time.Minute), st, testKey), time.Duration(0), "no recent status")
+	assert.Equal(t, LoadBacklog(now, nil, testKey), time.Duration(0))
+	st.PendingLoads = 0
+	assert.Equal(t, LoadBacklog(now, st, testKey), time.Duration(0))
+}
+
 // Guards against a plain endpoint that fails some of its requests and still gets as
 // many as the others.
 func TestPlainAvoidsFailingEndpoints(t *testing.T) {
--- a/pkg/residency/order.go
+++ b/pkg/residency/order.go
@@ -8,7 +8,7 @@
 
 // lateShare is the value of a waiting request that misses its latency target, relative
 // to one that meets it.
-const lateShare = 0.1
+const lateShare = 0.3
 
 // loadValue is what the load of one adapter is worth to the requests that wait for it.
 type loadValue struct {
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -66,6 +66,10 @@
 	{"store forgets", func(tb *testbed, _ *rand.Rand) func() {
 		return tb.injectStoreFaults(platform.StoreFaults{CompactedRevision: tb.store.Memory().Revision()})
 	}},
+	{"store returns to a copy", func(tb *testbed, _ *rand.Rand) func() {
+		early := tb.store.Memory().Copy()
+		return func() { tb.restoreStore(early) }
+	}},
 	{"store connections cut", func(tb *testbed, _ *rand.Rand) func() { tb.storeRelay.CloseConnections(); return nil }},
 	{"store connections silent", func(tb *testbed, _ *rand.Rand) func() { tb.storeRelay.Blackhole(); return nil }},
 	{"store slow", func(tb *testbed, _ *rand.Rand) func() {
--- a/pkg/soak/testbed.go
+++ b/pkg/soak/testbed.go
@@ -12,6 +12,7 @@
 
 	"github.com/fescuecourse/fescuecourse/pkg/wait"
 	"github.com/fescuecourse/fescuecourse/standin/fault"
+	"github.com/fescuecourse/fescuecourse/standin/kvstore"
 	"github.com/fescuecourse/fescuecourse/standin/platform"
 )
 
@@ -44,6 +45,7 @@
 	modelServers  []*platform.Server
 	plainServers  []*platform.Server
 	allServers    []*platform.Server // including stopped ones
+	stopped       map[*platform.Server]bool
 	startNumber   int64
 	configVersion int64
 	versions      map[string]int
@@ -56,7 +58,7 @@
 }
 
 func newTestbed(o *Options) (*testbed, error) {
-	tb := &testbed{o: o, store: platform.NewStore(), versions: map[string]int{}}
+	tb := &testbed{o: o, store: platform.NewStore(), versions: map[string]int{}, stopped: map[*platform.Server]bool{}}
 	storeRelay, err := fault.NewRelay(tb.store.Address())
 	if err != nil {
 		return nil, err
@@ -296,10 +298,35 @@
 	tb.store.PutVersion(modelName, adapter, tb.versions[adapter])
 }
 
+// rewriteDelay is the time in which the operator and the servers write their items
+// again after the store has returned to a copy.
+const rewriteDelay = 300 * time.Millisecond
+
+// restoreStore returns the store to an earlier copy. The operator and the running
+// servers then write their items again, and the items of servers that are gone expire.
+func (tb *testbed) restoreStore(c kvstore.Copy) {
+	tb.store.Restore(c)
+	time.Sleep(rewriteDelay)
+	tb.writeConfig()
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for adapter, version := range tb.versions {
+		tb.store.PutVersion(modelName, adapter, version)
+	}
+	for _, s := range tb.allServers {
+		if tb.stopped[s] {
+			tb.store.Remove(s.Key())
+			continue
+		}
+		tb.store.Put(s.Key(), s.Registration("ready"))
+	}
+}
+
 // restartServer stops a server abruptly and starts a new instance on its address.
 func (tb *testbed) restartServer(list []*platform.Server, i int) error {
 	tb.mu.Lock()
 	old := list[i]
+	tb.stopped[old] = true
 	tb.mu.Unlock()
 	old.Close()
 	tb.store.Remove(old.Key())
