gateway: keep the number of loads of a service as a running total

Cause: each update to an endpoint process summed the loads of all servers, so an entry's work grew with the square of the number of servers: at the target's 2,800 servers about 50 million steps a second.

Change: each link adds the change of its server's loads to a total of the service. The loads of a server whose process cannot be reached no longer count.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -29,10 +29,12 @@
 	directory *fleet.Directory
 	prefixes  *locality.PrefixIndex
 	links     map[*fleet.Runtime]*link
-	ctx       context.Context
-	snapshot  atomic.Pointer[fleet.Snapshot]
-	demands   sync.Map // *fleet.Runtime -> *demand
-	synced    atomic.Bool
+	// loads counts, by service, the adapters that the model servers are loading.
+	loads    map[string]*atomic.Int64
+	ctx      context.Context
+	snapshot atomic.Pointer[fleet.Snapshot]
+	demands  sync.Map // *fleet.Runtime -> *demand
+	synced   atomic.Bool
 	// mirror watches the key-value store. It is set before running is closed and must
 	// not be read earlier.
 	mirror  *mirror.Mirror
@@ -54,6 +56,7 @@
 		directory: fleet.NewDirectory(),
 		prefixes:  prefixes,
 		links:     map[*fleet.Runtime]*link{},
+		loads:     map[string]*atomic.Int64{},
 		running:   make(chan struct{}),
 	}
 	c.snapshot.Store(c.directory.Snapshot())
@@ -214,14 +217,18 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), servers: c.endpointsOf, prefixes: c.prefixes, log: c.log, cancel: cancel}
+	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, prefixes: c.prefixes, log: c.log, cancel: cancel}
 	c.links[e.Runtime] = l
 	go l.run(ctx)
 }
 
-// endpointsOf returns the endpoints of a service.
-func (c *control) endpointsOf(service string) []*fleet.Endpoint {
-	return c.snapshot.Load().Services[service]
+// serviceLoads returns the counter of the adapters that the servers of a service are
+// loading.
+func (c *control) serviceLoads(service string) *atomic.Int64 {
+	if c.loads[service] == nil {
+		c.loads[service] = &atomic.Int64{}
+	}
+	return c.loads[service]
 }
 
 // demandOf returns the demand counters for the current lifetime of a server. They are
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -38,8 +38,7 @@
 	endpoint *fleet.Endpoint
 	target   string
 	demand   *demand
-	// servers returns the endpoints of a service.
-	servers  func(service string) []*fleet.Endpoint
+	loads    loadCount
 	prefixes *locality.PrefixIndex
 	log      logging.Logger
 	cancel   context.CancelFunc
@@ -93,6 +92,7 @@
 		return errors.Wrap(err, "open stream")
 	}
 	go l.send(ctx, cancel, stream)
+	defer l.loads.set(0)
 	var last *fleet.Status // the last status received on this stream
 	for {
 		m, err := stream.Recv()
@@ -119,6 +119,7 @@
 		}
 		last = next
 		l.endpoint.Runtime.SetStatus(next)
+		l.loads.set(len(next.Loading))
 	}
 }
 
@@ -144,7 +145,7 @@
 	for {
 		now := time.Now()
 		m, changed := l.demand.update(now, l.entry, l.endpoint.ID, l.endpoint.Runtime.OwnBacklog())
-		m.LoadsElsewhere = uint32(l.loadsElsewhere())
+		m.LoadsElsewhere = uint32(l.loads.elsewhere())
 		if changed || now.Sub(sent) >= unchangedInterval {
 			if err := stream.Send(m); err != nil {
 				return
@@ -160,18 +161,6 @@
 	}
 }
 
-// loadsElsewhere returns the number of adapters that the other servers of the same
-// service are loading.
-func (l *link) loadsElsewhere() int {
-	n := 0
-	for _, e := range l.servers(l.endpoint.Service) {
-		if st := e.Runtime.Status(); st != nil && e.Runtime != l.endpoint.Runtime {
-			n += len(st.Loading)
-		}
-	}
-	return n
-}
-
 // status converts a status report that was received at the given time.
 func status(now time.Time, m *fescuev1.ServerState) *fleet.Status {
 	s := &fleet.Status{
