--- /dev/null
+++ b/pkg/gateway/choose.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/locality"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+)
+
+const (
+	// loadRecheck is the longest time after which the server is chosen again while a
+	// request waits for an adapter load.
+	loadRecheck = 100 * time.Millisecond
+	// minServiceTime is the shortest remaining time with which a model request keeps
+	// waiting for an adapter load. With less, it is refused.
+	minServiceTime = 150 * time.Millisecond
+	// staleStatusAge is the age of a server's status report from which a waiting request
+	// looks for another server. Reports arrive at least every 500 ms.
+	staleStatusAge = 800 * time.Millisecond
+	// versionGrace is how long an older adapter version may still serve requests after a
+	// new one is announced, while the servers replace it.
+	versionGrace = 2 * time.Second
+)
+
+// endpointFilter chooses the endpoint for an attempt.
+type endpointFilter struct{ g *Gateway }
+
+func (f endpointFilter) do(ctx context.Context, x *exchange, next next) *failure {
+	choose := f.choosePlain
+	if x.forModelServer() && x.call.Key.Model != "" {
+		choose = f.chooseModelServer
+	}
+	if fail := choose(ctx, x); fail != nil {
+		return fail
+	}
+	return next(ctx, x)
+}
+
+func (f endpointFilter) request(x *exchange) *locality.Request {
+	return &locality.Request{
+		Now:          time.Now(),
+		Key:          x.call.Key,
+		Version:      x.version,
+		Prefix:       x.call.Prefix,
+		PromptTokens: x.call.PromptTokens,
+		Priority:     x.route.Priority,
+		Zone:         f.g.set.Zone,
+		Excluded:     x.excluded,
+	}
+}
+
+func (f endpointFilter) choosePlain(_ context.Context, x *exchange) *failure {
+	endpoints := f.g.control.snapshot.Load().Services[x.service.Name]
+	r := f.request(x)
+	e := locality.ChoosePlain(r, endpoints, f.g.spread.Add(1))
+	if e == nil && len(x.excluded) > 0 && x.repeatable() {
+		r.Excluded = nil
+		e = locality.ChoosePlain(r, endpoints, f.g.spread.Add(1))
+	}
+	if e == nil {
+		return notRun("no endpoint of the service is available", retryAfterCapacity)
+	}
+	x.endpoint = e
+	f.g.log.For(logging.ComponentPlacement).Info().
+		Str("request", x.call.RequestID).
+		Str("endpoint", string(e.ID)).
+		Int("endpoints", len(endpoints)).
+		Uint("own_in_flight", uint64(e.Runtime.InFlight.Load())).
+		Float("failures", e.Runtime.Failures(r.Now)).
+		Dur("latency_ms", e.Runtime.Latency()).
+		Msg("placed")
+	return nil
+}
+
+// chooseModelServer chooses a server and, if necessary, waits until it has loaded the
+// adapter.
+func (f endpointFilter) chooseModelServer(ctx context.Context, x *exchange) *failure {
+	began := time.Now()
+	w := waiter{times: waitTimes{began: x.started, loadBy: f.loadBy(x)}}
+	defer w.stop()
+	for {
+		s := f.g.control.snapshot.Load()
+		x.version = requiredVersion(began, s, x.call.Key)
+		choice, ok := f.g.chooser.Choose(f.request(x), s.Services[x.service.Name])
+		if !ok {
+			return notRun("no model server is available", retryAfterCapacity)
+		}
+		if choice.Resident {
+			x.endpoint, x.choice = choice.Endpoint, choice
+			f.placed(x, began)
+			return nil
+		}
+		choice = w.preferCurrent(s.Services[x.service.Name], choice)
+		if time.Until(x.nextEventBy()) < minServiceTime {
+			return notRun("no server could load the adapter in time", retryAfterCapacity)
+		}
+		if retryAfter, hopeless := f.hopeless(x, &w, choice.Endpoint); hopeless {
+			return notRun("the loads ahead take longer than the caller waits", retryAfter)
+		}
+		changed := choice.Endpoint.Runtime.Changed()
+		if w.move(f.g.control.demandOf(choice.Endpoint), choice.Endpoint, x.call.Key, x.version) {
+			f.waiting(x, &choice)
+		}
+		if !waitChange(ctx, changed) {
+			return notRun("the time ended while the adapter was loading", retryAfterCapacity)
+		}
+	}
+}
+
+func (f endpointFilter) placed(x *exchange, began time.Time) {
+	waited := time.Since(began)
+	if waited > time.Millisecond {
+		f.g.metrics.loadWaits.Inc(1)
+		f.g.metrics.loadWait.Update(waited.Milliseconds())
+	}
+	c := &x.choice
+	f.g.log.For(logging.ComponentPlacement).Info().
+		Str("request", x.call.RequestID).
+		Str("endpoint", string(c.Endpoint.ID)).
+		Str("adapter", x.call.Key.Name).
+		Int("version", x.version).
+		Int("candidates", c.Candidates).
+		Int("prompt_tokens", x.call.PromptTokens).
+		Int("cached_tokens", c.CachedTokens).
+		Str("fetch_from", fetchFrom(c)).
+		Uint("backlog_tokens", uint64(max(c.BacklogTokens, 0))).
+		Dur("cost_ms", c.Cost).
+		Dur("status_age_ms", c.StatusAge).
+		Dur("load_wait_ms", waited).
+		Msg("placed")
+}
+
+// fetchFrom returns the id of the server from which cached prompt parts are fetched,
+// or an empty string.
+func fetchFrom(c *locality.Choice) string {
+	if c.Source == nil {
+		return ""
+	}
+	return string(c.Source.ID)
+}
+
+func (f endpointFilter) waiting(x *exchange, c *locality.Choice) {
+	ev := f.g.log.For(logging.ComponentPlacement).Info().
+		Str("request", x.call.RequestID).
+		Str("endpoint", string(c.Endpoint.ID)).
+		Str("adapter", x.call.Key.Name).
+		Int("version", x.version).
+		Int("candidates", c.Candidates).
+		Dur("cost_ms", c.Cost).
+		Dur("status_age_ms", c.StatusAge)
+	if st := c.Endpoint.Runtime.Status(); st != nil {
+		ev = ev.Int("free", st.Free).Int("evictable", st.Evictable).Int("coming", len(st.Loading)).Int("wanted", st.PendingLoads)
+	}
+	ev.Msg("waiting for a load")
+}
+
+// requiredVersion returns the lowest version of an adapter that may serve a request,
+// or 0 if any version may. During versionGrace after a new version is announced, any
+// version may serve it.
+func requiredVersion(now time.Time, s *fleet.Snapshot, k fleet.AdapterKey) int {
+	v, ok := s.Versions[k]
+	if !ok || now.Sub(v.LearnedAt) < versionGrace {
+		return 0
+	}
+	return v.Version
+}
--- a/pkg/mirror/era_test.go
+++ b/pkg/mirror/era_test.go
@@ -23,7 +23,7 @@
 
 func (s *restorableStore) restore(c kvstore.Copy) {
 	s.era.Add(1)
-	s.Memory.Restore(c)
+	s.Restore(c)
 }
 
 // runRestorable starts a mirror of a store with items/a and calls fn once the first
