sidecar: ignore the number of loads of an entry that is frozen

Cause: the highest number of loads that any connected entry names limits the loads of the server, also after that entry was frozen, until its connection breaks. Test: TestHubLoadsElsewhere.

--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -319,14 +319,21 @@
 	return out
 }
 
+// staleUpdateAge is the age of an entry's update from which its number of loads no
+// longer counts. Entries send an update at least every second; one that is frozen would
+// otherwise hold the loads of the server back.
+const staleUpdateAge = 2500 * time.Millisecond
+
 // loadsElsewhere returns the number of adapters that the other servers are loading. An
 // entry that is cut off from some servers knows of fewer, so the highest number counts.
-func (h *hub) loadsElsewhere() int {
+func (h *hub) loadsElsewhere(now time.Time) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	most := uint32(0)
 	for p := range h.entries {
-		most = max(most, p.update.GetLoadsElsewhere())
+		if now.Sub(p.updatedAt) < staleUpdateAge {
+			most = max(most, p.update.GetLoadsElsewhere())
+		}
 	}
 	return int(most)
 }
--- a/pkg/sidecar/hub_test.go
+++ b/pkg/sidecar/hub_test.go
@@ -44,6 +44,19 @@
 	assert.Assert(t, !h.hasWaitingRequests())
 }
 
+// Guards against a server whose loads are held back by what a frozen entry said last,
+// and against taking the number of an entry that is cut off from other servers.
+func TestHubLoadsElsewhere(t *testing.T) {
+	h := newHub(make(chan struct{}, 1))
+	frozen, cutOff := &peer{}, &peer{}
+	h.entries[frozen], h.entries[cutOff] = struct{}{}, struct{}{}
+	h.record(frozen, &fescuev1.DemandUpdate{LoadsElsewhere: 20})
+	h.record(cutOff, &fescuev1.DemandUpdate{LoadsElsewhere: 3})
+	assert.Equal(t, h.loadsElsewhere(frozen.updatedAt.Add(time.Second)), 20)
+	cutOff.updatedAt = frozen.updatedAt.Add(2 * time.Second)
+	assert.Equal(t, h.loadsElsewhere(frozen.updatedAt.Add(3*time.Second)), 3)
+}
+
 // Guards against keeping the instance id of a lifetime that has ended.
 func TestHubNoticesAnotherLifetime(t *testing.T) {
 	h := newHub(make(chan struct{}, 1))
