gateway, platform: log software versions and resumed requests

Servers name the version of their software in their items, and callers name in Resumes the request whose response brought the first event of the stream that they resume.

"endpoint changed" and "placed" now name the software version, and the closing line of a resumed request names the request and the event that it resumes. No decision depends on them yet.

--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -39,6 +39,9 @@
 	// Address is the host:port of the server.
 	Address string
 	Zone    string
+	// SoftwareVersion is the version of the server's software, which is unrelated to the
+	// versions of models and adapters. It is empty if the item names none.
+	SoftwareVersion string
 	// Slots is the number of requests that the server runs concurrently.
 	Slots int
 	State State
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -27,6 +27,9 @@
 	MaxOutputTokens int
 	// LastEventID is the id of the event after which the stream continues, or empty.
 	LastEventID string
+	// Resumes is the id of the request whose response brought the first event of the
+	// resumed stream, or empty if the headers do not say.
+	Resumes string
 }
 
 // Attempt holds what the gateway adds to the headers of a request for one endpoint.
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -66,6 +66,7 @@
 	f.g.log.For(logging.ComponentPlacement).Info().
 		Str("request", x.call.RequestID).
 		Str("endpoint", string(e.ID)).
+		Str("software_version", e.SoftwareVersion).
 		Int("endpoints", len(endpoints)).
 		Uint("own_in_flight", uint64(e.Runtime.InFlight.Load())).
 		Float("failures", e.Runtime.Failures(r.Now)).
@@ -119,6 +120,7 @@
 	f.g.log.For(logging.ComponentPlacement).Info().
 		Str("request", x.call.RequestID).
 		Str("endpoint", string(c.Endpoint.ID)).
+		Str("software_version", c.Endpoint.SoftwareVersion).
 		Str("adapter", x.call.Key.Name).
 		Int("version", x.version).
 		Int("candidates", c.Candidates).
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -127,6 +127,7 @@
 		Str("endpoint", string(e.ID)).
 		Str("service", e.Service).
 		Str("address", e.Address).
+		Str("software_version", e.SoftwareVersion).
 		Str("state", e.State.String()).
 		Uint("born", uint64(e.Born)).
 		Uint("revision", uint64(ch.Pair.ModRevision)).
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -159,6 +159,9 @@
 	if x.route != nil {
 		ev = ev.Str("route", x.route.Name).Uint("config", uint64(x.table.Version))
 	}
+	if x.call.LastEventID != "" {
+		ev = ev.Str("resumes", x.call.Resumes).Str("after_event", x.call.LastEventID)
+	}
 	if fail != nil {
 		ev = ev.Int("status", fail.status).Str("reason", fail.reason).Dur("retry_after_ms", fail.retryAfter)
 	}
