--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -24,7 +24,7 @@
 func (fakeHeaders) ReadyPath() string { return "/ready" }
 
 func (fakeHeaders) Call(h http.Header) (Call, error) {
-	c := Call{RequestID: h.Get("Id"), LastEventID: h.Get("Last-Event-Id")}
+	c := Call{RequestID: h.Get("Id"), LastEventID: h.Get("Last-Event-Id"), Resumes: h.Get("Resumes")}
 	c.Key.Model, c.Key.Name, _ = strings.Cut(h.Get("Model"), "/")
 	if v := h.Get("Budget-Ms"); v != "" {
 		d, err := time.ParseDuration(v + "ms")
