route: resumed streams stay with the service that began them

The service was chosen by a hash of the request id with a seed that differed between processes, and a resumption has a new id.

The hash is now the same in all processes, and a resumed request is hashed by the id of the request that began its stream.

--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -55,7 +55,7 @@
 	if x.route == nil {
 		return rejected(http.StatusNotFound, "no route for this host and path")
 	}
-	name := x.route.PickService(call.RequestID)
+	name := x.route.PickService(streamID(&call))
 	x.service = x.table.Service(name)
 	if x.service == nil {
 		return notRun("the service of the route is not configured", retryAfterStart)
@@ -75,6 +75,15 @@
 	return next(ctx, x)
 }
 
+// streamID returns the id of the request that began a resumed stream, or the request's
+// own id if it resumes none.
+func streamID(c *Call) string {
+	if c.LastEventID != "" && c.Resumes != "" {
+		return c.Resumes
+	}
+	return c.RequestID
+}
+
 // timeLimit returns the time limit of a request: the shorter of the caller's limit
 // and the route's timeout.
 func (routeFilter) timeLimit(x *exchange) time.Duration {
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -3,9 +3,10 @@
 package route
 
 import (
-	"hash/maphash"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind is the kind of a route, which determines whether its requests may be repeated.
@@ -171,10 +172,10 @@
 // Service returns the service with the given name, or nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-var splitSeed = maphash.MakeSeed()
-
 // PickService returns the name of the service for a request. It depends on a hash of
-// the request id, so that requests are split by the weights of the services.
+// the request id, so that requests are split by the weights of the services. The hash is
+// the same in all processes: a stream that is resumed at another entry stays with its
+// service.
 func (r *Route) PickService(requestID string) string {
 	if len(r.Services) == 1 {
 		return r.Services[0].Service
@@ -184,7 +185,7 @@
 		total += s.Weight
 	}
 	const steps = 1 << 24
-	point := total * float64(maphash.String(splitSeed, requestID)%steps) / steps
+	point := total * float64(xxhash.Sum64String(requestID)%steps) / steps
 	for _, s := range r.Services {
 		if point < s.Weight {
 			return s.Service
