--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
 
 // Part is one part of a prompt. Parts with the same id are shared between requests.
@@ -200,7 +201,7 @@
 	out := make([]int, len(endpoints))
 	for i, e := range endpoints {
 		out[i] = maxRank
-		hash := mix(key, xxhash.Sum64String(string(e.ID)))
+		hash := ident.MixHashes(key, xxhash.Sum64String(string(e.ID)))
 		place := found
 		for place > 0 && best[place-1].hash < hash {
 			place--
@@ -218,14 +219,6 @@
 	return out
 }
 
-// mix combines two hashes with the finalizer of splitmix64.
-func mix(a, b uint64) uint64 {
-	x := a ^ (b * 0x9e3779b97f4a7c15)
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
-}
-
 // estimate returns the cost of serving the request at one server.
 func (c *Chooser) estimate(r *Request, e *fleet.Endpoint, rank int, source *source) Choice {
 	w := &c.weights
--- a/pkg/locality/locality_test.go
+++ b/pkg/locality/locality_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
 
 var testKey = fleet.AdapterKey{Model: "m", Name: "a1"}
@@ -45,7 +46,7 @@
 		for i, got := range ranks(testKey, list) {
 			want := 0
 			for j := range list {
-				if mix(key, xxhash.Sum64String(string(list[j].ID))) > mix(key, xxhash.Sum64String(string(list[i].ID))) {
+				if ident.MixHashes(key, xxhash.Sum64String(string(list[j].ID))) > ident.MixHashes(key, xxhash.Sum64String(string(list[i].ID))) {
 					want++
 				}
 			}
--- a/pkg/membership/snapshot.go
+++ b/pkg/membership/snapshot.go
@@ -75,20 +75,11 @@
 	return s.Endpoints[i], true
 }
 
-// MixHashes combines two hashes into a uniformly distributed one with the splitmix64
-// finalizer.
-func MixHashes(a, b uint64) uint64 {
-	x := a ^ (b * 0x9e3779b97f4a7c15)
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
-}
-
 // AdapterHash returns a hash of an adapter that is the same in all processes.
 func AdapterHash(a ident.Adapter) uint64 {
 	h := xxhash.Sum64String(string(a.Team))
-	h = MixHashes(h, xxhash.Sum64String(a.Name))
-	return MixHashes(h, xxhash.Sum64String(a.Version))
+	h = ident.MixHashes(h, xxhash.Sum64String(a.Name))
+	return ident.MixHashes(h, xxhash.Sum64String(a.Version))
 }
 
 // EndpointHash returns a hash of an endpoint id that is the same in all processes.
--- a/pkg/placement/affinity.go
+++ b/pkg/placement/affinity.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/membership"
 )
 
@@ -274,7 +275,7 @@
 func (t *topRanks) fill(key uint64, g *membership.Group, k int) {
 	lowest := uint64(0)
 	for i, h := range g.Hashes {
-		v := membership.MixHashes(key, h)
+		v := ident.MixHashes(key, h)
 		if v < lowest {
 			continue
 		}
--- a/pkg/placement/baseline.go
+++ b/pkg/placement/baseline.go
@@ -1,6 +1,9 @@
 package placement
 
-import "github.com/fescuecourse/fescuecourse/pkg/membership"
+import (
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/membership"
+)
 
 // Random is a baseline policy that picks a random eligible endpoint.
 type Random struct{ source source }
@@ -58,7 +61,7 @@
 	key := membership.AdapterHash(r.Adapter)
 	best := 0
 	for i := range in {
-		if membership.MixHashes(key, in[i].Hash) > membership.MixHashes(key, in[best].Hash) {
+		if ident.MixHashes(key, in[i].Hash) > ident.MixHashes(key, in[best].Hash) {
 			best = i
 		}
 	}
--- a/pkg/placement/pickers.go
+++ b/pkg/placement/pickers.go
@@ -3,7 +3,7 @@
 import (
 	"sync/atomic"
 
-	"github.com/fescuecourse/fescuecourse/pkg/membership"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
 
 // BestScore picks the candidate with the highest score, or the first of several.
@@ -83,5 +83,5 @@
 
 // intN returns a number in [0, n).
 func (s *source) intN(n int) int {
-	return int(membership.MixHashes(s.seed, s.next.Add(1)) % uint64(n))
+	return int(ident.MixHashes(s.seed, s.next.Add(1)) % uint64(n))
 }
--- a/pkg/placement/scorers.go
+++ b/pkg/placement/scorers.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
-	"github.com/fescuecourse/fescuecourse/pkg/membership"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
 
 // loadBound is the lowest value of Candidate.LoadBound.
@@ -128,7 +128,7 @@
 	if r.Prefix == 0 {
 		return 0
 	}
-	return unitInterval(membership.MixHashes(r.Prefix, c.Hash)) * overloadFactor(c)
+	return unitInterval(ident.MixHashes(r.Prefix, c.Hash)) * overloadFactor(c)
 }
 
 // unitInterval maps a hash to [0, 1).
