origin: registry of where streams began, and its holders

Registry keeps, for one minute, the service and the software version at which a stream began. Holders chooses up to three servers in different zones whose sidecars keep a record, the same at all entries. Nothing uses them yet.

--- /dev/null
+++ b/pkg/origin/holders.go
@@ -0,0 +1,96 @@
+package origin
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
+)
+
+// maxHolders is the largest number of sidecars that keep the record of a stream.
+const maxHolders = 3
+
+// Holders chooses the servers whose sidecars keep the record of a stream, by rendezvous
+// hashing: entries with the same list agree, and a server that joins or leaves changes
+// few choices. The state of the servers does not count, because entries see it
+// differently. It is immutable.
+type Holders struct {
+	servers []hashedServer
+	zones   int
+}
+
+// hashedServer is a server with the hash of its id and the index of its zone.
+type hashedServer struct {
+	server *fleet.Endpoint
+	hash   uint64
+	zone   int
+}
+
+// NewHolders returns the choice among the given servers.
+func NewHolders(servers []*fleet.Endpoint) *Holders {
+	h := &Holders{servers: make([]hashedServer, len(servers))}
+	zones := map[string]int{}
+	for i, e := range servers {
+		if _, ok := zones[e.Zone]; !ok {
+			zones[e.Zone] = len(zones)
+		}
+		h.servers[i] = hashedServer{server: e, hash: xxhash.Sum64String(string(e.ID)), zone: zones[e.Zone]}
+	}
+	h.zones = len(zones)
+	return h
+}
+
+// scored is a server with its rendezvous score for one stream.
+type scored struct {
+	server *fleet.Endpoint
+	score  uint64
+}
+
+func (a scored) compare(b scored) int {
+	if c := cmp.Compare(b.score, a.score); c != 0 {
+		return c
+	}
+	return strings.Compare(string(a.server.ID), string(b.server.ID))
+}
+
+// Of returns the holders of a stream, at most maxHolders. Each is in another
+// availability zone while there are enough zones.
+func (h *Holders) Of(s StreamID) []*fleet.Endpoint {
+	best := make([]scored, h.zones) // by zone
+	var others []scored             // the best of the other servers
+	for i := range h.servers {
+		c := scored{server: h.servers[i].server, score: ident.MixHashes(uint64(s), h.servers[i].hash)}
+		first := &best[h.servers[i].zone]
+		if first.server == nil {
+			*first = c
+			continue
+		}
+		if c.compare(*first) < 0 {
+			*first, c = c, *first
+		}
+		others = insert(others, c)
+	}
+	slices.SortFunc(best, scored.compare)
+	out := make([]*fleet.Endpoint, 0, maxHolders)
+	for _, c := range append(best, others...) {
+		if len(out) < maxHolders {
+			out = append(out, c.server)
+		}
+	}
+	return out
+}
+
+// insert adds a server to a list in the order of compare and drops the last one beyond
+// maxHolders.
+func insert(list []scored, c scored) []scored {
+	if len(list) == maxHolders && c.score < list[maxHolders-1].score {
+		return list
+	}
+	i, _ := slices.BinarySearchFunc(list, c, scored.compare)
+	list = slices.Insert(list, i, c)
+	return list[:min(len(list), maxHolders)]
+}
--- /dev/null
+++ b/pkg/origin/origin.go
@@ -0,0 +1,107 @@
+// Package origin keeps where resumable streams began. What two software versions of a
+// service write into one stream does not fit together, so a resumed stream may only
+// continue at the version that wrote its first event.
+package origin
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Retention is how long the origin of a stream is kept. Callers resume a stream within
+	// the time that they wait for the whole response, which is 30 s where they set none.
+	Retention = time.Minute
+	// maxRecords limits the records of a Registry, to about 2 MB.
+	maxRecords = 20_000
+)
+
+// StreamID identifies a stream by a hash of the id of the request that began it.
+type StreamID uint64
+
+// ID returns the StreamID of the stream that the request with the given id began.
+func ID(requestID string) StreamID { return StreamID(xxhash.Sum64String(requestID)) }
+
+// Origin is the service and the software version of the server that wrote the first
+// event of a stream.
+type Origin struct {
+	Service         string
+	SoftwareVersion string
+}
+
+// Record is the origin of one stream.
+type Record struct {
+	Stream StreamID
+	Origin Origin
+	At     time.Time
+}
+
+// Registry holds the origins of the streams that began within Retention. It is safe for
+// concurrent use.
+type Registry struct {
+	mu      sync.Mutex
+	origins map[StreamID]Origin
+	// order holds the records of origins, oldest first.
+	order []Record
+	// lastSeen maps each origin to the time of its latest record.
+	lastSeen map[Origin]time.Time
+}
+
+// NewRegistry returns an empty Registry.
+func NewRegistry() *Registry {
+	return &Registry{origins: map[StreamID]Origin{}, lastSeen: map[Origin]time.Time{}}
+}
+
+// Add records the origin of a stream, unless one is known: a stream begins once.
+func (r *Registry) Add(rec Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trim(rec.At)
+	if _, known := r.origins[rec.Stream]; known {
+		return
+	}
+	r.origins[rec.Stream] = rec.Origin
+	r.order = append(r.order, rec)
+	r.lastSeen[rec.Origin] = rec.At
+}
+
+// Find returns the origin of a stream, or false if it is not known.
+func (r *Registry) Find(now time.Time, s StreamID) (Origin, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trim(now)
+	o, ok := r.origins[s]
+	return o, ok
+}
+
+// Versions returns the software versions of a service at which streams have begun within
+// Retention, in order.
+func (r *Registry) Versions(now time.Time, service string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trim(now)
+	var out []string
+	for o := range r.lastSeen {
+		if o.Service == service {
+			out = append(out, o.SoftwareVersion)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// trim drops the records that are older than Retention, and the oldest one while there
+// are maxRecords. The caller holds mu.
+func (r *Registry) trim(now time.Time) {
+	n := 0
+	for n < len(r.order) && (now.Sub(r.order[n].At) > Retention || len(r.order)-n >= maxRecords) {
+		delete(r.origins, r.order[n].Stream)
+		n++
+	}
+	r.order = slices.Delete(r.order, 0, n)
+	maps.DeleteFunc(r.lastSeen, func(_ Origin, at time.Time) bool { return now.Sub(at) > Retention })
+}
