gateway, sidecar: streams continue only at the software version that began them

What two versions write into one stream does not fit together.

Cause: entries ignored the software version of servers and the header Resumes, and no process kept which version had begun a stream. A choice among servers considered only the adapter, the backlog and the cached prompt.

Now the version of the server that sends the first event is settled when this event is forwarded, and never changes: - Within the response, all further attempts are restricted to it. A stream whose version has no other usable server stays with a silent server instead of breaking off. - The entry keeps the origin (service and version) for a minute and sends it within 5 ms to the sidecars of three model servers in different zones, chosen by rendezvous hashing of the id of the request. An entry that resumes a stream of another entry asks them in parallel, for at most 200 ms. A new connection to a sidecar gets the kept origins again. - Without a record, the stream continues only if the service has had a single version, according to the directory (which remembers removed servers for a minute), this entry's streams and the holders that answer, of which there has to be one. Otherwise it is refused as not run. Retry-After is set only if waiting may help.

Holders are chosen among the model servers of all services rather than of the stream's service, because plain servers have no sidecars and a configuration may change the service of a route.

The test gateway gives each model server a fake sidecar: without one, no holder can be asked, which is a case of its own (TestEntryThatReachesNoHolderRefuses).

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -40,6 +40,9 @@
 	// Versions has the newest version of each adapter for which the operator has
 	// announced one above the first.
 	Versions map[AdapterKey]NewestVersion
+	// RemovedSoftware has the software versions of removed servers, with the time of the
+	// last removal.
+	RemovedSoftware map[Software]time.Time
 }
 
 // Entries returns the number of entry processes, which is the highest number that any
@@ -61,9 +64,11 @@
 type Directory struct {
 	endpoints map[ID]*Endpoint
 	// removed holds the endpoints that were removed within the last removedRetention.
-	removed  map[ID]removal
-	versions map[AdapterKey]NewestVersion
-	table    *route.Table
+	removed map[ID]removal
+	// removedSoftware is the field RemovedSoftware of snapshots.
+	removedSoftware map[Software]time.Time
+	versions        map[AdapterKey]NewestVersion
+	table           *route.Table
 }
 
 // removedRetention is how long a removed endpoint is remembered. Copies from which a
@@ -78,7 +83,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{endpoints: map[ID]*Endpoint{}, removed: map[ID]removal{}, versions: map[AdapterKey]NewestVersion{}}
+	return &Directory{endpoints: map[ID]*Endpoint{}, removed: map[ID]removal{}, removedSoftware: map[Software]time.Time{}, versions: map[AdapterKey]NewestVersion{}}
 }
 
 // SetEndpoint adds or updates an endpoint and reports whether anything has changed.
@@ -119,6 +124,7 @@
 		return false
 	}
 	delete(d.endpoints, id)
+	d.softwareRemoved(now, e)
 	maps.DeleteFunc(d.removed, func(_ ID, r removal) bool { return now.Sub(r.at) > removedRetention })
 	d.removed[id] = removal{born: e.Born, at: now}
 	return true
@@ -147,7 +153,7 @@
 
 // Snapshot returns a snapshot of the directory.
 func (d *Directory) Snapshot() *Snapshot {
-	s := &Snapshot{Table: d.table, Services: map[string][]*Endpoint{}, Versions: make(map[AdapterKey]NewestVersion, len(d.versions))}
+	s := &Snapshot{Table: d.table, Services: map[string][]*Endpoint{}, Versions: make(map[AdapterKey]NewestVersion, len(d.versions)), RemovedSoftware: maps.Clone(d.removedSoftware)}
 	for _, e := range d.endpoints {
 		s.Services[e.Service] = append(s.Services[e.Service], e)
 	}
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -40,14 +40,15 @@
 
 func (f endpointFilter) request(x *exchange) *locality.Request {
 	return &locality.Request{
-		Now:          time.Now(),
-		Key:          x.call.Key,
-		Version:      x.version,
-		Prefix:       x.call.Prefix,
-		PromptTokens: x.call.PromptTokens,
-		Priority:     x.route.Priority,
-		Zone:         f.g.set.Zone,
-		Excluded:     x.excluded,
+		Now:             time.Now(),
+		Key:             x.call.Key,
+		Version:         x.version,
+		SoftwareVersion: x.software.Load(),
+		Prefix:          x.call.Prefix,
+		PromptTokens:    x.call.PromptTokens,
+		Priority:        x.route.Priority,
+		Zone:            f.g.set.Zone,
+		Excluded:        x.excluded,
 	}
 }
 
@@ -60,7 +61,7 @@
 		e = locality.ChoosePlain(r, endpoints, f.g.spread.Add(1))
 	}
 	if e == nil {
-		return notRun("no endpoint of the service is available", retryAfterCapacity)
+		return noEndpoint(x, endpoints, "no endpoint of the service is available")
 	}
 	x.endpoint = e
 	f.g.log.For(logging.ComponentPlacement).Info().
@@ -86,7 +87,7 @@
 		x.version = requiredVersion(began, s, x.call.Key)
 		choice, ok := f.g.chooser.Choose(f.request(x), s.Services[x.service.Name])
 		if !ok {
-			return notRun("no model server is available", retryAfterCapacity)
+			return noEndpoint(x, s.Services[x.service.Name], "no model server is available")
 		}
 		if choice.Resident {
 			x.endpoint, x.choice = choice.Endpoint, choice
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -34,7 +34,9 @@
 	ctx      context.Context
 	snapshot atomic.Pointer[fleet.Snapshot]
 	demands  sync.Map // *fleet.Runtime -> *demand
-	synced   atomic.Bool
+	// originLinks has the link to each sidecar that can keep the origins of streams.
+	originLinks sync.Map // *fleet.Runtime -> *originLink
+	synced      atomic.Bool
 	// mirror watches the key-value store. It is set before running is closed and must
 	// not be read earlier.
 	mirror  *mirror.Mirror
@@ -202,6 +204,7 @@
 			l.cancel()
 			delete(c.links, rt)
 			c.demands.Delete(rt)
+			c.originLinks.Delete(rt)
 		}
 	}
 	for rt, e := range wanted {
@@ -218,8 +221,9 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, prefixes: c.prefixes, log: c.log, cancel: cancel}
+	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, prefixes: c.prefixes, origins: newOriginLink(), log: c.log, cancel: cancel}
 	c.links[e.Runtime] = l
+	c.originLinks.Store(e.Runtime, l.origins)
 	go l.run(ctx)
 }
 
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -36,6 +36,9 @@
 	excluded   []fleet.ID
 	// sends is the number of attempts that were started for the request.
 	sends int
+	// software is the software version at which the stream of the request began, or nil if
+	// any may serve the request. It does not change once it is set.
+	software atomic.Pointer[string]
 
 	// State of the current attempt.
 	endpoint *fleet.Endpoint
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -1,19 +1,24 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"google.golang.org/grpc"
 	"gotest.tools/v3/assert"
 
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/origin"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
 )
 
@@ -102,6 +107,15 @@
 	id := fleet.ID(fmt.Sprintf("s%d", w.servers))
 	w.directory.SetEndpoint(fleet.Endpoint{ID: id, Service: service, Address: srv.Listener.Addr().String(), Zone: "z1", Slots: 4, State: fleet.Ready, Born: 1})
 	w.publish()
+	e := w.find(service, id)
+	if service == modelService {
+		w.connect(e, newFakeSidecar())
+	}
+	return e
+}
+
+// find returns an endpoint of the directory.
+func (w *testGateway) find(service string, id fleet.ID) *fleet.Endpoint {
 	for _, e := range w.gateway.control.snapshot.Load().Services[service] {
 		if e.ID == id {
 			return e
@@ -110,6 +124,34 @@
 	return nil
 }
 
+// connect replaces the sidecar of a model server.
+func (w *testGateway) connect(e *fleet.Endpoint, s *fakeSidecar) {
+	l := newOriginLink()
+	l.connected(s)
+	w.gateway.control.originLinks.Store(e.Runtime, l)
+}
+
+// fakeSidecar answers questions for the origins of streams.
+type fakeSidecar struct {
+	fescuev1.ResidencyClient
+	registry *origin.Registry
+	// unreachable makes questions wait until their time ends.
+	unreachable atomic.Bool
+}
+
+func newFakeSidecar() *fakeSidecar { return &fakeSidecar{registry: origin.NewRegistry()} }
+
+func (s *fakeSidecar) FindOrigin(ctx context.Context, q *fescuev1.FindOriginRequest, _ ...grpc.CallOption) (*fescuev1.FindOriginResponse, error) {
+	if s.unreachable.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	now := time.Now()
+	o, found := s.registry.Find(now, origin.StreamID(q.GetStream()))
+	versions := s.registry.Versions(now, q.GetService())
+	return &fescuev1.FindOriginResponse{Found: found, Service: o.Service, SoftwareVersion: o.SoftwareVersion, ServiceVersions: versions}, nil
+}
+
 // setResident makes a model server report the adapter as resident.
 func setResident(e *fleet.Endpoint, k fleet.AdapterKey, version int) {
 	e.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Models: []string{k.Model}, Residents: map[fleet.AdapterKey]int{k: version}, Free: 1})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -53,6 +53,7 @@
 	pool     *upstream.Pool
 	chooser  *locality.Chooser
 	prefixes *locality.PrefixIndex
+	origins  *originTracker
 	metrics  *gatewayMetrics
 	handle   next
 	// spread is the number of choices among plain endpoints so far. Each choice starts
@@ -86,11 +87,12 @@
 		pool:     upstream.NewPool(dialTimeout, ConnectionKeepAlive()),
 		chooser:  locality.New(locality.DefaultWeights(), prefixes),
 		prefixes: prefixes,
+		origins:  newOriginTracker(c, log),
 		metrics:  newMetrics(),
 		callers:  newCallerConns(),
 		budgets:  map[string]*retry.Budget{},
 	}
-	g.handle = chain(routeFilter{g}, bodyFilter{g}, retryFilter{g}, endpointFilter{g}, sendFilter{g})
+	g.handle = chain(routeFilter{g}, bodyFilter{g}, originFilter{g}, retryFilter{g}, endpointFilter{g}, sendFilter{g})
 	return g, nil
 }
 
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -40,6 +40,7 @@
 	demand   *demand
 	loads    loadCount
 	prefixes *locality.PrefixIndex
+	origins  *originLink
 	log      logging.Logger
 	cancel   context.CancelFunc
 }
@@ -87,7 +88,10 @@
 	defer conn.Close()
 	silence := time.AfterFunc(linkTimeout, cancel)
 	defer silence.Stop()
-	stream, err := fescuev1.NewResidencyClient(conn).Sync(ctx)
+	client := fescuev1.NewResidencyClient(conn)
+	l.origins.connected(client)
+	defer l.origins.connected(nil)
+	stream, err := client.Sync(ctx)
 	if err != nil {
 		return errors.Wrap(err, "open stream")
 	}
@@ -142,21 +146,47 @@
 	tick := time.NewTicker(demandInterval)
 	defer tick.Stop()
 	var sent time.Time
+	origins := 0 // position in l.origins
 	for {
 		now := time.Now()
 		m, changed := l.demand.update(now, l.entry, l.endpoint.ID, l.endpoint.Runtime.OwnBacklog())
 		m.LoadsElsewhere = uint32(l.loads.elsewhere())
 		if changed || now.Sub(sent) >= unchangedInterval {
+			m.StreamOrigins, origins = l.origins.since(origins)
 			if err := stream.Send(m); err != nil {
 				return
 			}
 			sent = now
 		}
+		next, ok := l.sendOrigins(ctx, stream, origins, tick.C)
+		if !ok {
+			return
+		}
+		origins = next
+	}
+}
+
+// sendOrigins sends origins of streams that are due until the next update of the demand
+// is. It starts at the given position in l.origins and returns the next one. It reports
+// false if ctx has ended or the stream has failed.
+func (l *link) sendOrigins(ctx context.Context, stream grpc.BidiStreamingClient[fescuev1.DemandUpdate, fescuev1.ServerState], position int, tick <-chan time.Time) (int, bool) {
+	for {
 		select {
 		case <-ctx.Done():
-			return
+			return position, false
 		case <-l.demand.urgent:
-		case <-tick.C:
+			return position, true
+		case <-tick:
+			return position, true
+		case <-l.origins.due:
+		}
+		m := &fescuev1.DemandUpdate{EntryId: l.entry, DemandUnchanged: true}
+		m.StreamOrigins, position = l.origins.since(position)
+		if len(m.StreamOrigins) == 0 {
+			continue // sent with an update of the demand
+		}
+		if err := stream.Send(m); err != nil {
+			return position, false
 		}
 	}
 }
--- /dev/null
+++ b/pkg/gateway/origin.go
@@ -0,0 +1,290 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/locality"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/origin"
+	"github.com/fescuecourse/fescuecourse/pkg/route"
+)
+
+const (
+	// originTimeout limits the questions for the origin of a stream.
+	originTimeout = 200 * time.Millisecond
+	// retryAfterOrigin is the Retry-After value when the sidecars that may know the origin
+	// of a stream did not answer.
+	retryAfterOrigin = 300 * time.Millisecond
+)
+
+// originTracker records where the streams of this entry begin and finds out where those
+// of other entries began.
+type originTracker struct {
+	control  *control
+	log      logging.Logger
+	registry *origin.Registry
+	holders  atomic.Pointer[holderChoice]
+}
+
+// holderChoice is the choice of holders among the model servers of a snapshot.
+type holderChoice struct {
+	snapshot *fleet.Snapshot
+	holders  *origin.Holders
+}
+
+func newOriginTracker(c *control, log logging.Logger) *originTracker {
+	return &originTracker{control: c, log: log.For(logging.ComponentRoute), registry: origin.NewRegistry()}
+}
+
+// holdersOf returns the servers whose sidecars keep the origin of a stream. All model
+// servers are candidates, because plain servers have no sidecars.
+func (t *originTracker) holdersOf(s origin.StreamID) []*fleet.Endpoint {
+	snapshot := t.control.snapshot.Load()
+	choice := t.holders.Load()
+	if choice == nil || choice.snapshot != snapshot {
+		choice = &holderChoice{snapshot: snapshot, holders: origin.NewHolders(modelServers(snapshot))}
+		t.holders.Store(choice)
+	}
+	return choice.holders.Of(s)
+}
+
+// modelServers returns the servers of all services with models.
+func modelServers(s *fleet.Snapshot) []*fleet.Endpoint {
+	var out []*fleet.Endpoint
+	if s.Table == nil {
+		return nil
+	}
+	for name, endpoints := range s.Services {
+		if svc := s.Table.Service(name); svc != nil && svc.Engine != nil {
+			out = append(out, endpoints...)
+		}
+	}
+	return out
+}
+
+// link returns the link to the sidecar of a server, or nil if there is none.
+func (t *originTracker) link(e *fleet.Endpoint) *originLink {
+	l, ok := t.control.originLinks.Load(e.Runtime)
+	if !ok {
+		return nil
+	}
+	return l.(*originLink) //nolint:forcetypeassert // only links are stored
+}
+
+// streamBegins restricts a request to the software version of its server, because the
+// first event of its response is about to be sent. It records the origin of a stream that
+// may be resumed by another request; a resumed stream has its record already.
+func (t *originTracker) streamBegins(x *exchange) {
+	x.software.CompareAndSwap(nil, &x.endpoint.SoftwareVersion)
+	if !x.route.Resumable || x.call.LastEventID != "" {
+		return
+	}
+	r := origin.Record{
+		Stream: origin.ID(x.call.RequestID),
+		Origin: origin.Origin{Service: x.service.Name, SoftwareVersion: x.endpoint.SoftwareVersion},
+		At:     time.Now(),
+	}
+	t.registry.Add(r)
+	for _, e := range t.holdersOf(r.Stream) {
+		if l := t.link(e); l != nil {
+			l.add(r)
+		}
+	}
+}
+
+// originAnswer is what this entry and the holders know of the origin of a stream.
+type originAnswer struct {
+	origin origin.Origin
+	found  bool
+	// source is the holder that knows the origin, or empty if the entry itself does.
+	source fleet.ID
+	// asked and answered are the numbers of holders that were asked and that answered.
+	asked, answered int
+	// versions are the software versions at which the stream may have begun if the origin
+	// is not known: those of the service that servers run or streams began at recently.
+	versions []string
+}
+
+// find looks up the origin of the stream that a request resumes, at this entry and then
+// at all holders in parallel. The first positive answer counts.
+func (t *originTracker) find(ctx context.Context, x *exchange) originAnswer {
+	now := time.Now()
+	stream := origin.ID(streamID(&x.call))
+	service := x.service.Name
+	if o, ok := t.registry.Find(now, stream); ok {
+		return originAnswer{origin: o, found: true}
+	}
+	a := originAnswer{versions: t.registry.Versions(now, service)}
+	a.versions = append(a.versions, t.control.snapshot.Load().SoftwareVersions(now, service)...)
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	holders := t.holdersOf(stream)
+	replies := make(chan holderReply, len(holders))
+	for _, e := range holders {
+		go func() {
+			replies <- t.ask(ctx, e, &fescuev1.FindOriginRequest{Stream: uint64(stream), Service: service})
+		}()
+	}
+	a.asked = len(holders)
+	for range holders {
+		if a.add(<-replies) {
+			break
+		}
+	}
+	slices.Sort(a.versions)
+	a.versions = slices.Compact(a.versions)
+	return a
+}
+
+// holderReply is the reply of one holder, or nil if it did not answer in time.
+type holderReply struct {
+	holder  fleet.ID
+	message *fescuev1.FindOriginResponse
+}
+
+// ask sends a question to the sidecar of one holder.
+func (t *originTracker) ask(ctx context.Context, e *fleet.Endpoint, q *fescuev1.FindOriginRequest) holderReply {
+	var client fescuev1.ResidencyClient
+	if l := t.link(e); l != nil {
+		client = l.connection()
+	}
+	if client == nil {
+		return holderReply{holder: e.ID}
+	}
+	m, err := client.FindOrigin(ctx, q)
+	if err != nil {
+		t.log.Debug().Str("endpoint", string(e.ID)).Err(err).Msg("holder of stream origins did not answer")
+		return holderReply{holder: e.ID}
+	}
+	return holderReply{holder: e.ID, message: m}
+}
+
+// add takes over the reply of a holder and reports whether it has the origin.
+func (a *originAnswer) add(r holderReply) bool {
+	if r.message == nil {
+		return false
+	}
+	a.answered++
+	a.versions = append(a.versions, r.message.GetServiceVersions()...)
+	if !r.message.GetFound() {
+		return false
+	}
+	a.origin = origin.Origin{Service: r.message.GetService(), SoftwareVersion: r.message.GetSoftwareVersion()}
+	a.found, a.source = true, r.holder
+	return true
+}
+
+// outcome returns what is known of the origin, for logs: "unavailable" if it is not known
+// and a holder did not answer.
+func (a *originAnswer) outcome() string {
+	switch {
+	case a.found:
+		return "known"
+	case a.answered < a.asked:
+		return "unavailable"
+	default:
+		return "unknown"
+	}
+}
+
+// onlyVersion returns the software version at which a stream of unknown origin must have
+// begun, if there is only one. An entry that cannot reach any holder does not know of a
+// version that it has not seen itself.
+func (a *originAnswer) onlyVersion() (string, bool) {
+	if len(a.versions) != 1 || a.asked > 0 && a.answered == 0 {
+		return "", false
+	}
+	return a.versions[0], true
+}
+
+// originFilter restricts a request that resumes a stream to servers of the software
+// version that began it, and refuses it if that version is not known.
+type originFilter struct{ g *Gateway }
+
+func (f originFilter) do(ctx context.Context, x *exchange, next next) *failure {
+	if x.route.Kind != route.Streaming || x.call.LastEventID == "" {
+		return next(ctx, x)
+	}
+	began := time.Now()
+	a := f.g.origins.find(ctx, x)
+	fail := f.restrict(x, &a)
+	f.logAnswer(x, &a, time.Since(began), fail)
+	if fail != nil {
+		return fail
+	}
+	return next(ctx, x)
+}
+
+// restrict sets the service and the software version at which a resumed stream continues.
+func (f originFilter) restrict(x *exchange, a *originAnswer) *failure {
+	if !a.found {
+		version, ok := a.onlyVersion()
+		switch {
+		case ok:
+			x.software.Store(&version)
+			return nil
+		case a.answered < a.asked:
+			return notRun("the server that began the stream cannot be determined now", retryAfterOrigin)
+		default:
+			return notRun("the server that began the stream is not known", 0)
+		}
+	}
+	x.software.Store(&a.origin.SoftwareVersion)
+	if a.origin.Service == x.service.Name {
+		return nil
+	}
+	// A configuration has changed the services of the route since the stream began.
+	x.service = x.table.Service(a.origin.Service)
+	if x.service == nil || !x.route.Serves(a.origin.Service) {
+		return notRun("the service that began the stream no longer serves the route", 0)
+	}
+	return nil
+}
+
+func (f originFilter) logAnswer(x *exchange, a *originAnswer, took time.Duration, fail *failure) {
+	f.g.log.For(logging.ComponentRoute).Info().
+		Str("request", x.call.RequestID).
+		Str("resumes", x.call.Resumes).
+		Str("origin", a.outcome()).
+		Str("software_version", a.origin.SoftwareVersion).
+		Str("holder", string(a.source)).
+		Int("holders_asked", a.asked).
+		Int("holders_answered", a.answered).
+		Int("versions", len(a.versions)).
+		Bool("refused", fail != nil).
+		Dur("took_ms", took).
+		Msg("stream resumed")
+}
+
+// noEndpoint returns the failure of a request that no endpoint can take. A stream of a
+// software version of which no server is left cannot continue later either, so its caller
+// is not told when to come back.
+func noEndpoint(x *exchange, endpoints []*fleet.Endpoint, reason string) *failure {
+	version := x.software.Load()
+	if version == nil {
+		return notRun(reason, retryAfterCapacity)
+	}
+	left := slices.ContainsFunc(endpoints, func(e *fleet.Endpoint) bool {
+		return e.State == fleet.Ready && e.SoftwareVersion == *version
+	})
+	if !left {
+		return notRun("no server of the software version that began the stream is left", 0)
+	}
+	return notRun("no server of the software version that began the stream is available", retryAfterCapacity)
+}
+
+// hasAlternative reports whether the stream of a request may continue at another endpoint
+// than the excluded ones.
+func (t *originTracker) hasAlternative(x *exchange, excluded []fleet.ID) bool {
+	version := x.software.Load()
+	if version == nil {
+		return true
+	}
+	r := &locality.Request{Now: time.Now(), SoftwareVersion: version, Excluded: excluded}
+	return locality.AnyUsable(r, t.control.snapshot.Load().Services[x.service.Name])
+}
--- a/pkg/gateway/origin_test.go
+++ b/pkg/gateway/origin_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/origin"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
 )
 
@@ -24,13 +25,9 @@
 	item.SoftwareVersion = version
 	w.directory.SetEndpoint(item)
 	w.publish()
-	for _, e := range w.gateway.control.snapshot.Load().Services[modelService] {
-		if e.ID == item.ID {
-			setResident(e, adapterKey, 1)
-			return e
-		}
-	}
-	return nil
+	e = w.find(modelService, item.ID)
+	setResident(e, adapterKey, 1)
+	return e
 }
 
 // eventAfter responds with the one event that follows Last-Event-Id and ends the
@@ -203,3 +200,101 @@
 		assert.Equal(t, body, "id: 2\n"+began[len("id: 1\n"):])
 	}
 }
+
+// record makes a sidecar keep the origin of the stream that request r1 began.
+func (s *fakeSidecar) record(service, version string) {
+	s.registry.Add(origin.Record{Stream: origin.ID("r1"), Origin: origin.Origin{Service: service, SoftwareVersion: version}, At: time.Now()})
+}
+
+// Guards against refusing or misplacing a stream whose entry is gone although a holder
+// has its record, and against waiting for the holders that do not answer.
+func TestStreamOfAnotherEntryIsResumedAtItsVersion(t *testing.T) {
+	for holder := range 3 {
+		w := newTestGateway(t, streamRoute)
+		endpoints := []*fleet.Endpoint{w.serveVersion("v1", eventAfter("v1")), w.serveVersion("v2", eventAfter("v2")), w.serveVersion("v2", eventAfter("v2"))}
+		for i, e := range endpoints {
+			s := newFakeSidecar()
+			w.connect(e, s)
+			if i == holder {
+				s.record(modelService, "v1")
+			} else {
+				s.unreachable.Store(true)
+			}
+		}
+		for range 3 {
+			endpoints[0].Runtime.RecordFailure(time.Now()) // makes the choice prefer the others
+		}
+		began := time.Now()
+		assert.Equal(t, w.do(http.MethodPost, "/s/x", resumption).body, "id: 2\ndata: v1\n\n")
+		assert.Assert(t, time.Since(began) < originTimeout, "took %s", time.Since(began))
+	}
+}
+
+// Guards against continuing at the only version that an entry knows of while it can reach
+// no holder: it may not have learned of another version yet. The caller may come back.
+func TestEntryThatReachesNoHolderRefuses(t *testing.T) {
+	w := newTestGateway(t, streamRoute)
+	for range 3 {
+		s := newFakeSidecar()
+		s.unreachable.Store(true)
+		w.connect(w.serveVersion("v1", eventAfter("v1")), s)
+	}
+	began := time.Now()
+	resp := w.do(http.MethodPost, "/s/x", resumption)
+	assert.Equal(t, resp.status, http.StatusServiceUnavailable)
+	assert.Equal(t, resp.header.Get("Retry-After"), "0.3")
+	assert.Assert(t, time.Since(began) < 2*originTimeout, "took %s", time.Since(began))
+}
+
+// Guards against taking the only version that an entry knows of for the only one of the
+// service while a holder has seen streams begin at another one.
+func TestVersionThatOnlyAHolderHasSeenCounts(t *testing.T) {
+	w := newTestGateway(t, streamRoute)
+	s := newFakeSidecar()
+	w.connect(w.serveVersion("v1", eventAfter("v1")), s)
+	s.registry.Add(origin.Record{Stream: 1, Origin: origin.Origin{Service: modelService, SoftwareVersion: "v2"}, At: time.Now()})
+	resp := w.do(http.MethodPost, "/s/x", resumption)
+	assert.Equal(t, resp.status, http.StatusServiceUnavailable)
+	assert.Equal(t, resp.header.Get("Retry-After"), "", "no later answer can be another one")
+}
+
+// Guards against continuing a stream at another service after a configuration has
+// changed the weights of its route, and at a service that the route no longer has.
+func TestStreamFollowsItsServiceThroughAConfiguration(t *testing.T) {
+	for split, want := range map[bool]int{true: http.StatusOK, false: http.StatusServiceUnavailable} {
+		r := streamRoute
+		if split {
+			r.Services = append([]route.WeightedService{{Service: plainService, Weight: 0}}, r.Services...)
+		}
+		w := newTestGateway(t, r)
+		s := newFakeSidecar()
+		w.connect(w.serveVersion("v1", eventAfter("v1")), s)
+		w.serve(plainService, eventAfter("plain"))
+		s.record(plainService, "")
+		resp := w.do(http.MethodPost, "/s/x", resumption)
+		assert.Equal(t, resp.status, want)
+		if split {
+			assert.Equal(t, resp.body, "id: 2\ndata: plain\n\n")
+		}
+	}
+}
+
+// Guards against records that no holder gets, and against records of streams that are
+// resumed, whose later resumptions name the first request.
+func TestFirstEventIsRecordedAtTheHolders(t *testing.T) {
+	w := newTestGateway(t, streamRoute)
+	var links []*originLink
+	for range 3 {
+		e := w.serveVersion("v1", eventAfter("v1"))
+		links = append(links, w.gateway.origins.link(e))
+	}
+	assert.Equal(t, w.do(http.MethodPost, "/s/x", forAdapter).status, http.StatusOK)
+	assert.Equal(t, w.do(http.MethodPost, "/s/x", resumption).status, http.StatusOK)
+	for _, l := range links {
+		origins, _ := l.since(0)
+		assert.Equal(t, len(origins), 1)
+		assert.DeepEqual(t, origins[0].GetStreams(), []uint64{uint64(origin.ID("r1"))})
+		assert.Equal(t, origins[0].GetSoftwareVersion(), "v1")
+		assert.Equal(t, origins[0].GetService(), modelService)
+	}
+}
--- /dev/null
+++ b/pkg/gateway/originlink.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/origin"
+)
+
+const (
+	// originDelay is how long a new origin waits for others to the same sidecar. An entry
+	// that ends within it loses the origin.
+	originDelay = 5 * time.Millisecond
+	// maxLinkOrigins limits the origins kept for one sidecar. They are kept for
+	// origin.Retention, so that a sidecar that restarts or was unreachable gets them.
+	maxLinkOrigins = 2000
+)
+
+// originLink holds the origins that one sidecar has to keep for this entry, and the
+// client for questions to it.
+type originLink struct {
+	// due holds a value if new origins have to be sent.
+	due chan struct{}
+
+	mu      sync.Mutex
+	client  fescuev1.ResidencyClient
+	records []origin.Record // oldest first
+	// first is the position of records[0], counted from the creation of the link.
+	first int
+	// scheduled is true while a timer will signal due.
+	scheduled bool
+}
+
+func newOriginLink() *originLink { return &originLink{due: make(chan struct{}, 1)} }
+
+// connected sets the client for questions, or nil when the connection is closed.
+func (l *originLink) connected(c fescuev1.ResidencyClient) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.client = c
+}
+
+// connection returns the client for questions, or nil if there is no connection.
+func (l *originLink) connection() fescuev1.ResidencyClient {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.client
+}
+
+// add keeps an origin and schedules its sending.
+func (l *originLink) add(r origin.Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.trim(r.At)
+	l.records = append(l.records, r)
+	if l.scheduled {
+		return
+	}
+	l.scheduled = true
+	time.AfterFunc(originDelay, l.signalDue)
+}
+
+func (l *originLink) signalDue() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.scheduled = false
+	select {
+	case l.due <- struct{}{}:
+	default:
+	}
+}
+
+// trim drops the origins that are older than origin.Retention, and the oldest one while
+// there are maxLinkOrigins. The caller holds mu.
+func (l *originLink) trim(now time.Time) {
+	n := 0
+	for n < len(l.records) && (now.Sub(l.records[n].At) > origin.Retention || len(l.records)-n >= maxLinkOrigins) {
+		n++
+	}
+	l.records = slices.Delete(l.records, 0, n)
+	l.first += n
+}
+
+// since returns the origins from the given position on, grouped for a message, and the
+// position to continue from. Position 0 is the oldest origin that is kept.
+func (l *originLink) since(position int) (origins []*fescuev1.StreamOrigins, next int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	groups := map[origin.Origin]*fescuev1.StreamOrigins{}
+	for _, r := range l.records[min(max(position-l.first, 0), len(l.records)):] {
+		g := groups[r.Origin]
+		if g == nil {
+			g = &fescuev1.StreamOrigins{Service: r.Origin.Service, SoftwareVersion: r.Origin.SoftwareVersion}
+			groups[r.Origin] = g
+			origins = append(origins, g)
+		}
+		g.Streams = append(g.Streams, uint64(r.Stream))
+	}
+	return origins, l.first + len(l.records)
+}
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -44,7 +45,7 @@
 	counts := f.begin(x)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	if f.canMove(x) {
-		go f.watch(attemptCtx, cancel, x, e)
+		go f.watch(attemptCtx, cancel, x, e, append(slices.Clone(x.excluded), e.ID))
 	}
 	x.result = f.attempt(attemptCtx, x, counts)
 	if attemptCtx.Err() != nil && ctx.Err() == nil {
@@ -84,8 +85,9 @@
 )
 
 // watch cancels an attempt when its server is lost: the server is reported as down,
-// or neither its response nor its status reports arrive any more.
-func (f sendFilter) watch(ctx context.Context, cancel context.CancelFunc, x *exchange, e *fleet.Endpoint) {
+// or neither its response nor its status reports arrive any more. A stream that could not
+// continue at any server but the excluded ones stays with its server.
+func (f sendFilter) watch(ctx context.Context, cancel context.CancelFunc, x *exchange, e *fleet.Endpoint, excluded []fleet.ID) {
 	tick := time.NewTicker(watchInterval)
 	defer tick.Stop()
 	for {
@@ -103,6 +105,9 @@
 		if !st.Down && (age < serverLostAfter || silent < serverLostAfter) {
 			continue
 		}
+		if !f.g.origins.hasAlternative(x, excluded) {
+			continue
+		}
 		f.g.log.For(logging.ComponentRoute).Warn().
 			Str("request", x.call.RequestID).
 			Str("endpoint", string(e.ID)).
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -81,6 +81,7 @@
 
 func (f sendFilter) forward(x *exchange, resp *http.Response, events []byte) error {
 	if !x.headSent {
+		f.g.origins.streamBegins(x)
 		f.writeHead(x, resp)
 		x.w.WriteHeader(resp.StatusCode)
 	}
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,7 +27,10 @@
 	// Version is the lowest version of the adapter that may serve the request, or 0 for
 	// any.
 	Version int
-	Prefix  []Part
+	// SoftwareVersion is the software version of the servers that may take the request, or
+	// nil for any.
+	SoftwareVersion *string
+	Prefix          []Part
 	// PromptTokens is the length of the whole prompt in tokens.
 	PromptTokens int
 	// Priority is the priority of the request; 0 is the most urgent.
@@ -173,10 +177,18 @@
 	return best, best.Endpoint != nil
 }
 
+// AnyUsable reports whether any server may take the request.
+func AnyUsable(r *Request, endpoints []*fleet.Endpoint) bool {
+	return slices.ContainsFunc(endpoints, func(e *fleet.Endpoint) bool { return usable(r, e) })
+}
+
 func usable(r *Request, e *fleet.Endpoint) bool {
 	if e.State != fleet.Ready || e.Runtime.Banned(r.Now) {
 		return false
 	}
+	if r.SoftwareVersion != nil && *r.SoftwareVersion != e.SoftwareVersion {
+		return false
+	}
 	if st := e.Runtime.Status(); st != nil && (st.Down || st.Draining) {
 		return false
 	}
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -10,12 +10,15 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 )
 
 const (
 	// Retention is how long the origin of a stream is kept. Callers resume a stream within
 	// the time that they wait for the whole response, which is 30 s where they set none.
-	Retention = time.Minute
+	// The directory remembers the software versions of removed servers for as long.
+	Retention = fleet.SoftwareRetention
 	// maxRecords limits the records of a Registry, to about 2 MB.
 	maxRecords = 20_000
 )
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -172,6 +173,11 @@
 // Service returns the service with the given name, or nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Serves reports whether a service serves the route.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Services, func(s WeightedService) bool { return s.Service == service })
+}
+
 // PickService returns the name of the service for a request. It depends on a hash of
 // the request id, so that requests are split by the weights of the services. The hash is
 // the same in all processes: a stream that is resumed at another entry stays with its
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -9,6 +9,7 @@
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/origin"
 	"github.com/fescuecourse/fescuecourse/pkg/residency"
 )
 
@@ -46,6 +47,8 @@
 	// parts holds the prompt parts processed by the instance partsInstance.
 	parts         *partLog
 	partsInstance string
+	// origins holds where the streams began of which this sidecar keeps the record.
+	origins *origin.Registry
 }
 
 // peer is one connected entry.
@@ -64,7 +67,7 @@
 }
 
 func newHub(wake chan struct{}) *hub {
-	return &hub{wake: wake, entries: map[*peer]struct{}{}, queriedIDs: map[string]bool{}, parts: newPartLog()}
+	return &hub{wake: wake, entries: map[*peer]struct{}{}, queriedIDs: map[string]bool{}, parts: newPartLog(), origins: origin.NewRegistry()}
 }
 
 // Sync implements fescuev1.ResidencyServer. It returns when the stream ends or
@@ -101,6 +104,10 @@
 // record stores the demand of an entry. It reports whether any of its requests wait
 // for a load.
 func (h *hub) record(p *peer, m *fescuev1.DemandUpdate) bool {
+	h.recordOrigins(time.Now(), m.GetStreamOrigins())
+	if m.GetDemandUnchanged() {
+		return false
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p.update, p.updatedAt = m, time.Now()
--- /dev/null
+++ b/pkg/sidecar/origins_test.go
@@ -0,0 +1,33 @@
+package sidecar
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+)
+
+// Guards against origins that replace the demand of their entry, and against sidecars
+// that cannot say where the streams of an entry that has gone began.
+func TestHubKeepsStreamOrigins(t *testing.T) {
+	h := newHub(make(chan struct{}, 1))
+	p := &peer{arrivals: map[fleet.AdapterKey]int{}, notify: make(chan struct{}, 1)}
+	h.entries[p] = struct{}{}
+	h.record(p, demandOf("i-1", 2, 100))
+	h.record(p, &fescuev1.DemandUpdate{DemandUnchanged: true, StreamOrigins: []*fescuev1.StreamOrigins{
+		{Service: "pool", SoftwareVersion: "v1", Streams: []uint64{7, 8}},
+		{Service: "pool", SoftwareVersion: "v2", Streams: []uint64{9}},
+	}})
+	assert.Assert(t, h.hasWaitingRequests())
+	assert.DeepEqual(t, h.sumBacklog(), []uint64{100, 0, 0, 0})
+	h.leave(p)
+	for stream, version := range map[uint64]string{7: "v1", 8: "v1", 9: "v2", 10: ""} {
+		m, err := h.FindOrigin(t.Context(), &fescuev1.FindOriginRequest{Stream: stream, Service: "pool"})
+		assert.NilError(t, err)
+		assert.Equal(t, m.GetFound(), version != "")
+		assert.Equal(t, m.GetSoftwareVersion(), version)
+		assert.DeepEqual(t, m.GetServiceVersions(), []string{"v1", "v2"})
+	}
+}
