--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -180,7 +180,7 @@
 			return position, true
 		case <-l.origins.due:
 		}
-		m := &fescuev1.DemandUpdate{EntryId: l.entry, DemandUnchanged: true}
+		m := &fescuev1.DemandUpdate{DemandUnchanged: true}
 		m.StreamOrigins, position = l.origins.since(position)
 		if len(m.StreamOrigins) == 0 {
 			continue // sent with an update of the demand
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -247,18 +248,22 @@
 }
 
 func (f originFilter) logAnswer(x *exchange, a *originAnswer, took time.Duration, fail *failure) {
+	version := ""
+	if v := x.software.Load(); v != nil {
+		version = *v
+	}
 	f.g.log.For(logging.ComponentRoute).Info().
 		Str("request", x.call.RequestID).
 		Str("resumes", x.call.Resumes).
 		Str("origin", a.outcome()).
-		Str("software_version", a.origin.SoftwareVersion).
+		Str("software_version", version).
 		Str("holder", string(a.source)).
 		Int("holders_asked", a.asked).
 		Int("holders_answered", a.answered).
-		Int("versions", len(a.versions)).
+		Str("service_versions", strings.Join(a.versions, ",")).
 		Bool("refused", fail != nil).
 		Dur("took_ms", took).
-		Msg("stream resumed")
+		Msg("origin of a resumed stream looked up")
 }
 
 // noEndpoint returns the failure of a request that no endpoint can take. A stream of a
