--- a/pkg/fleet/software.go
+++ b/pkg/fleet/software.go
@@ -31,6 +31,17 @@
 	return slices.Compact(out)
 }
 
+// ServiceNames returns the names of the services that have servers or have had some within
+// SoftwareRetention, in order.
+func (s *Snapshot) ServiceNames() []string {
+	names := slices.Collect(maps.Keys(s.Services))
+	for software := range s.RemovedSoftware {
+		names = append(names, software.Service)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // softwareRemoved records that a server was removed and forgets old removals.
 func (d *Directory) softwareRemoved(now time.Time, e *Endpoint) {
 	maps.DeleteFunc(d.removedSoftware, func(_ Software, at time.Time) bool { return now.Sub(at) > SoftwareRetention })
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -36,7 +36,9 @@
 	demands  sync.Map // *fleet.Runtime -> *demand
 	// originLinks has the link to each sidecar that can keep the origins of streams.
 	originLinks sync.Map // *fleet.Runtime -> *originLink
-	synced      atomic.Bool
+	// software is what the links announce to the sidecars.
+	software atomic.Pointer[softwareList]
+	synced   atomic.Bool
 	// mirror watches the key-value store. It is set before running is closed and must
 	// not be read earlier.
 	mirror  *mirror.Mirror
@@ -180,7 +182,7 @@
 // publish makes the current directory visible to requests and updates the links.
 func (c *control) publish() {
 	s := c.directory.Snapshot()
-	c.snapshot.Store(s)
+	c.show(s)
 	c.reconcile(s)
 }
 
@@ -221,7 +223,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, prefixes: c.prefixes, origins: newOriginLink(), log: c.log, cancel: cancel}
+	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, prefixes: c.prefixes, origins: newOriginLink(), software: &c.software, log: c.log, cancel: cancel}
 	c.links[e.Runtime] = l
 	c.originLinks.Store(e.Runtime, l.origins)
 	go l.run(ctx)
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -96,7 +96,7 @@
 	return w
 }
 
-func (w *testGateway) publish() { w.gateway.control.snapshot.Store(w.directory.Snapshot()) }
+func (w *testGateway) publish() { w.gateway.control.show(w.directory.Snapshot()) }
 
 // serve starts an endpoint with the given handler and adds it to the directory.
 func (w *testGateway) serve(service string, h http.HandlerFunc) *fleet.Endpoint {
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,7 @@
 	loads    loadCount
 	prefixes *locality.PrefixIndex
 	origins  *originLink
+	software *atomic.Pointer[softwareList]
 	log      logging.Logger
 	cancel   context.CancelFunc
 }
@@ -147,12 +149,15 @@
 	defer tick.Stop()
 	var sent time.Time
 	origins := 0 // position in l.origins
+	var announced announcement
 	for {
 		now := time.Now()
 		m, changed := l.demand.update(now, l.entry, l.endpoint.ID, l.endpoint.Runtime.OwnBacklog())
 		m.LoadsElsewhere = uint32(l.loads.elsewhere())
-		if changed || now.Sub(sent) >= unchangedInterval {
+		software, announce := announced.next(now, l.software.Load())
+		if changed || announce || now.Sub(sent) >= unchangedInterval {
 			m.StreamOrigins, origins = l.origins.since(origins)
+			m.StreamOrigins = append(m.StreamOrigins, software...)
 			if err := stream.Send(m); err != nil {
 				return
 			}
--- a/pkg/gateway/origin_bench_test.go
+++ b/pkg/gateway/origin_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -56,7 +57,7 @@
 		defer conn.Close()
 		stream, err := fescuev1.NewResidencyClient(conn).Sync(ctx)
 		assert.NilError(b, err)
-		l := &link{endpoint: &fleet.Endpoint{Runtime: fleet.NewRuntime()}, demand: newDemand(), origins: newOriginLink(), log: logging.Nop()}
+		l := &link{endpoint: &fleet.Endpoint{Runtime: fleet.NewRuntime()}, demand: newDemand(), origins: newOriginLink(), software: &atomic.Pointer[softwareList]{}, log: logging.Nop()}
 		links[i] = l.origins
 		go l.sendOrigins(ctx, stream, 0, nil)
 	}
--- a/pkg/gateway/origin_fleet_test.go
+++ b/pkg/gateway/origin_fleet_test.go
@@ -139,13 +139,13 @@
 func (s *fleetSim) learn(e *fleetEntry, v *fleetServer) {
 	e.directory.SetEndpoint(v.item)
 	snapshot := e.directory.Snapshot()
-	e.gateway.control.snapshot.Store(snapshot)
+	e.gateway.control.show(snapshot)
 	for _, known := range snapshot.Services[modelService] {
 		if known.ID != v.item.ID {
 			continue
 		}
 		known.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Models: []string{adapterKey.Model}, Residents: fleetAdapters()})
-		l := &link{entry: "e", endpoint: known, demand: e.gateway.control.demandOf(known), origins: newOriginLink(), log: logging.Nop()}
+		l := &link{entry: "e", endpoint: known, demand: e.gateway.control.demandOf(known), origins: newOriginLink(), software: &e.gateway.control.software, log: logging.Nop()}
 		l.loads.total = e.gateway.control.serviceLoads(modelService)
 		e.gateway.control.originLinks.Store(known.Runtime, l.origins)
 		s.links.Go(func() { s.runLink(e, l, v) })
@@ -217,6 +217,7 @@
 		return errCutOff // the sidecar has restarted
 	}
 	for _, o := range m.GetStreamOrigins() {
+		c.server.registry.Seen(time.Now(), origin.Origin{Service: o.GetService(), SoftwareVersion: o.GetSoftwareVersion()})
 		for _, id := range o.GetStreams() {
 			c.server.registry.Add(origin.Record{Stream: origin.StreamID(id), Origin: origin.Origin{Service: o.GetService(), SoftwareVersion: o.GetSoftwareVersion()}, At: time.Now()})
 		}
@@ -385,7 +386,7 @@
 
 func (s *fleetSim) forget(e *fleetEntry, v *fleetServer) {
 	e.directory.RemoveEndpoint(time.Now(), v.item.ID)
-	e.gateway.control.snapshot.Store(e.directory.Snapshot())
+	e.gateway.control.show(e.directory.Snapshot())
 }
 
 // restartEntry kills an entry, which loses what it knows, and starts another one.
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -50,7 +50,7 @@
 	origins map[StreamID]Origin
 	// order holds the records of origins, oldest first.
 	order []Record
-	// lastSeen maps each origin to the time of its latest record.
+	// lastSeen maps each origin to the time at which it was last recorded or seen.
 	lastSeen map[Origin]time.Time
 }
 
@@ -72,6 +72,14 @@
 	r.lastSeen[rec.Origin] = rec.At
 }
 
+// Seen records that servers of a service run a software version, although no stream is
+// known to have begun there.
+func (r *Registry) Seen(now time.Time, o Origin) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastSeen[o] = now
+}
+
 // Find returns the origin of a stream, or false if it is not known.
 func (r *Registry) Find(now time.Time, s StreamID) (Origin, bool) {
 	r.mu.Lock()
@@ -81,8 +89,8 @@
 	return o, ok
 }
 
-// Versions returns the software versions of a service at which streams have begun within
-// Retention, in order.
+// Versions returns the software versions of a service at which streams have begun, or
+// which were seen, within Retention, in order.
 func (r *Registry) Versions(now time.Time, service string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/sidecar/origins.go
+++ b/pkg/sidecar/origins.go
@@ -9,9 +9,11 @@
 )
 
 // recordOrigins records the streams that an entry reports as begun. They need not have
-// begun at the server beside this sidecar.
+// begun at the server beside this sidecar. Origins without streams announce software
+// versions.
 func (h *hub) recordOrigins(now time.Time, origins []*fescuev1.StreamOrigins) {
 	for _, o := range origins {
+		h.origins.Seen(now, origin.Origin{Service: o.GetService(), SoftwareVersion: o.GetSoftwareVersion()})
 		for _, stream := range o.GetStreams() {
 			h.origins.Add(origin.Record{
 				Stream: origin.StreamID(stream),
--- a/pkg/sidecar/origins_test.go
+++ b/pkg/sidecar/origins_test.go
@@ -19,6 +19,7 @@
 	h.record(p, &fescuev1.DemandUpdate{DemandUnchanged: true, StreamOrigins: []*fescuev1.StreamOrigins{
 		{Service: "pool", SoftwareVersion: "v1", Streams: []uint64{7, 8}},
 		{Service: "pool", SoftwareVersion: "v2", Streams: []uint64{9}},
+		{Service: "pool", SoftwareVersion: "v3"},
 	}})
 	assert.Assert(t, h.hasWaitingRequests())
 	assert.DeepEqual(t, h.sumBacklog(), []uint64{100, 0, 0, 0})
@@ -28,6 +29,6 @@
 		assert.NilError(t, err)
 		assert.Equal(t, m.GetFound(), version != "")
 		assert.Equal(t, m.GetSoftwareVersion(), version)
-		assert.DeepEqual(t, m.GetServiceVersions(), []string{"v1", "v2"})
+		assert.DeepEqual(t, m.GetServiceVersions(), []string{"v1", "v2", "v3"})
 	}
 }
