--- a/pkg/gateway/software_test.go
+++ b/pkg/gateway/software_test.go
@@ -50,9 +50,11 @@
 		s := &recordedStream{began: time.Now()}
 		go l.send(t.Context(), func() {}, s)
 		time.Sleep(10*time.Second + time.Millisecond)
+		synctest.Wait()
 		assert.Equal(t, len(s.announced), 0)
 		add("i-2", "v2")
 		time.Sleep(softwareInterval + time.Second)
+		synctest.Wait()
 		assert.DeepEqual(t, s.announced, []string{"pool@v1 pool@v2 ", "pool@v1 pool@v2 "})
 		assert.Assert(t, s.at[0] <= 10*time.Second+demandInterval, "announced after %s", s.at[0])
 		assert.Assert(t, s.at[1]-s.at[0] <= softwareInterval+demandInterval)
