gateway: new entries wait for their connections to the holders

TestNewEntryWaitsForItsConnections failed before with "cannot be determined now" and passes; go test -race ./pkg/gateway passes.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -182,8 +182,8 @@
 // publish makes the current directory visible to requests and updates the links.
 func (c *control) publish() {
 	s := c.directory.Snapshot()
+	c.reconcile(s) // first, so that requests find the links of all servers
 	c.show(s)
-	c.reconcile(s)
 }
 
 // reconcile opens a link to the sidecar of each new model server and closes the links
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -152,7 +152,7 @@
 func (t *originTracker) ask(ctx context.Context, e *fleet.Endpoint, q *fescuev1.FindOriginRequest) holderReply {
 	var client fescuev1.ResidencyClient
 	if l := t.link(e); l != nil {
-		client = l.connection()
+		client = l.connection(ctx)
 	}
 	if client == nil {
 		return holderReply{holder: e.ID}
--- a/pkg/gateway/origin_test.go
+++ b/pkg/gateway/origin_test.go
@@ -298,3 +298,17 @@
 		assert.Equal(t, origins[0].GetService(), modelService)
 	}
 }
+
+// Guards against an entry that has just started and refuses resumed streams although its
+// connections to the holders are open a moment later.
+func TestNewEntryWaitsForItsConnections(t *testing.T) {
+	w := newTestGateway(t, streamRoute)
+	e := w.serveVersion("v1", eventAfter("v1"))
+	w.serveVersion("v2", eventAfter("v2"))
+	l := newOriginLink()
+	w.gateway.control.originLinks.Store(e.Runtime, l)
+	s := newFakeSidecar()
+	s.record(modelService, "v1")
+	time.AfterFunc(originTimeout/4, func() { l.connected(s) })
+	assert.Equal(t, w.do(http.MethodPost, "/s/x", resumption).body, "id: 2\ndata: v1\n\n")
+}
--- a/pkg/gateway/originlink.go
+++ b/pkg/gateway/originlink.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,9 @@
 type originLink struct {
 	// due holds a value if new origins have to be sent.
 	due chan struct{}
+	// opened is closed when the first connection is opened.
+	opened chan struct{}
+	open   sync.Once
 
 	mu      sync.Mutex
 	client  fescuev1.ResidencyClient
@@ -33,17 +37,27 @@
 	scheduled bool
 }
 
-func newOriginLink() *originLink { return &originLink{due: make(chan struct{}, 1)} }
+func newOriginLink() *originLink {
+	return &originLink{due: make(chan struct{}, 1), opened: make(chan struct{})}
+}
 
 // connected sets the client for questions, or nil when the connection is closed.
 func (l *originLink) connected(c fescuev1.ResidencyClient) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.client = c
+	l.open.Do(func() { close(l.opened) })
 }
 
-// connection returns the client for questions, or nil if there is no connection.
-func (l *originLink) connection() fescuev1.ResidencyClient {
+// connection returns the client for questions, or nil if there is no connection. It waits
+// for the first one, which an entry opens a few milliseconds after it has learned of the
+// server, until ctx ends.
+func (l *originLink) connection(ctx context.Context) fescuev1.ResidencyClient {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-l.opened:
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.client
