gateway, sidecar: log the versions of weights that placements and responses name

Sidecars now report the version of each base model (ServerState.model_versions), `placed` has weights, adapter_version, source_weights and source_adapter_version, and the closing line has ran_weights, the version that the response carries. No decision uses them yet.

--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -73,8 +73,9 @@
 	// in the key-value store may change later, or not at all while the store is
 	// unavailable.
 	Draining bool
-	// Models lists the base models that the server has loaded.
-	Models []string
+	// Models maps each base model that the server has loaded to the version of its
+	// weights, or to 0 if the version is not known.
+	Models map[string]int
 	// Residents maps each adapter that the server has loaded to its version.
 	Residents map[AdapterKey]int
 	// Free is the number of adapters that the server can load without an eviction.
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -55,6 +55,9 @@
 	// Instance is the id of the endpoint that sent the response, or empty if the headers
 	// do not say.
 	Instance fleet.ID
+	// WeightsVersion is the version of the base model's weights that the response names,
+	// or 0 if it names none.
+	WeightsVersion int
 }
 
 // Headers parses and writes the platform's HTTP headers.
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -124,7 +124,11 @@
 		Int("candidates", c.Candidates).
 		Int("prompt_tokens", x.call.PromptTokens).
 		Int("cached_tokens", c.CachedTokens).
+		Int("weights", heldVersions(c.Endpoint, x.call.Key).model).
+		Int("adapter_version", heldVersions(c.Endpoint, x.call.Key).adapter).
 		Str("fetch_from", fetchFrom(c)).
+		Int("source_weights", heldVersions(c.Source, x.call.Key).model).
+		Int("source_adapter_version", heldVersions(c.Source, x.call.Key).adapter).
 		Uint("backlog_tokens", uint64(max(c.BacklogTokens, 0))).
 		Dur("cost_ms", c.Cost).
 		Dur("status_age_ms", c.StatusAge).
@@ -132,6 +136,22 @@
 		Msg("placed")
 }
 
+// versions are the version of the weights of a base model and that of an adapter.
+type versions struct{ model, adapter int }
+
+// heldVersions returns the versions that a server reports for an adapter and its base
+// model, or zeros if it does not hold them or e is nil.
+func heldVersions(e *fleet.Endpoint, k fleet.AdapterKey) versions {
+	if e == nil {
+		return versions{}
+	}
+	st := e.Runtime.Status()
+	if st == nil {
+		return versions{}
+	}
+	return versions{model: st.Models[k.Model], adapter: st.Residents[k]}
+}
+
 // fetchFrom returns the id of the server from which cached prompt parts are fetched,
 // or an empty string.
 func fetchFrom(c *locality.Choice) string {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -42,6 +42,9 @@
 	choice   locality.Choice
 	version  int
 	result   result
+	// weightsVersion is the version of the base model's weights that the response names,
+	// or 0 if it names none.
+	weightsVersion int
 
 	// lastByte is when the last byte of a streamed response arrived, in nanoseconds
 	// since started.
@@ -155,7 +158,8 @@
 		Str("outcome", outcome.String()).
 		Dur("took_ms", time.Since(x.started)).
 		Dur("first_byte_ms", x.firstByte).
-		Int("sends", x.sends)
+		Int("sends", x.sends).
+		Int("ran_weights", x.weightsVersion)
 	if x.route != nil {
 		ev = ev.Str("route", x.route.Name).Uint("config", uint64(x.table.Version))
 	}
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -112,7 +112,7 @@
 
 // setResident makes a model server report the adapter as resident.
 func setResident(e *fleet.Endpoint, k fleet.AdapterKey, version int) {
-	e.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Models: []string{k.Model}, Residents: map[fleet.AdapterKey]int{k: version}, Free: 1})
+	e.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Models: map[string]int{k.Model: 1}, Residents: map[fleet.AdapterKey]int{k: version}, Free: 1})
 }
 
 type response struct {
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -161,13 +161,27 @@
 	}
 }
 
+// modelVersions returns the base models of a status report with the versions of their
+// weights.
+func modelVersions(m *fescuev1.ServerState) map[string]int {
+	versions := m.GetModelVersions()
+	models := make(map[string]int, len(m.GetModels()))
+	for i, name := range m.GetModels() {
+		models[name] = 0
+		if i < len(versions) {
+			models[name] = int(versions[i])
+		}
+	}
+	return models
+}
+
 // status converts a status report that was received at the given time.
 func status(now time.Time, m *fescuev1.ServerState) *fleet.Status {
 	s := &fleet.Status{
 		ReceivedAt:   now,
 		Down:         m.GetDown(),
 		Draining:     m.GetDraining(),
-		Models:       m.GetModels(),
+		Models:       modelVersions(m),
 		Residents:    make(map[fleet.AdapterKey]int, len(m.GetResidents())),
 		Free:         int(m.GetFree()),
 		Evictable:    int(m.GetEvictable()),
--- a/pkg/gateway/refusal_test.go
+++ b/pkg/gateway/refusal_test.go
@@ -23,7 +23,7 @@
 	defer close(stop)
 	go func() {
 		for {
-			e.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Models: []string{"m"}, PendingLoads: 21, LoadTime: 250 * time.Millisecond, Free: 4})
+			e.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Models: map[string]int{"m": 1}, PendingLoads: 21, LoadTime: 250 * time.Millisecond, Free: 4})
 			select {
 			case <-stop:
 				return
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -258,6 +258,7 @@
 func (f sendFilter) receive(ctx context.Context, x *exchange, conn *upstream.Conn, ex *upstream.Exchange, c *attemptCounts) result {
 	status := ex.Response.StatusCode
 	reply := f.g.headers.Reply(status, ex.Response.Header)
+	x.weightsVersion = reply.WeightsVersion
 	switch {
 	case reply.NotRun:
 		return f.refused(x, conn, ex, reply)
--- a/pkg/locality/fleet_test.go
+++ b/pkg/locality/fleet_test.go
@@ -352,7 +352,7 @@
 func (v *simServer) state(s *sim) *fleet.Status {
 	in := v.input(s)
 	st := &fleet.Status{
-		ReceivedAt: s.now, Models: []string{"m"}, Residents: map[fleet.AdapterKey]int{}, Loading: map[fleet.AdapterKey]int{},
+		ReceivedAt: s.now, Models: map[string]int{"m": 1}, Residents: map[fleet.AdapterKey]int{}, Loading: map[fleet.AdapterKey]int{},
 		Free: residency.Free(v.report, s.engine), Evictable: v.planner.Evictable(in),
 		WarmCopies: v.planner.WarmCopies(),
 		Backlog:    v.endpoint.Runtime.OwnBacklog(),
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -268,12 +268,8 @@
 		return false
 	}
 	if r.Key.Name == "" {
-		for _, m := range st.Models {
-			if m == r.Key.Model {
-				return true
-			}
-		}
-		return false
+		_, ok := st.Models[r.Key.Model]
+		return ok
 	}
 	version, ok := st.Residents[r.Key]
 	return ok && version >= r.Version
--- a/pkg/locality/locality_test.go
+++ b/pkg/locality/locality_test.go
@@ -17,7 +17,7 @@
 	out := make([]*fleet.Endpoint, n)
 	for i := range out {
 		out[i] = &fleet.Endpoint{ID: fleet.ID(fmt.Sprintf("i-%d", i)), State: fleet.Ready, Slots: 64, Runtime: fleet.NewRuntime()}
-		out[i].Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Free: 1, LoadLimit: 1, Models: []string{"m"}})
+		out[i].Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Free: 1, LoadLimit: 1, Models: map[string]int{"m": 1}})
 	}
 	return out
 }
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -381,8 +381,9 @@
 	for k, version := range r.Loading {
 		m.Coming = append(m.Coming, &fescuev1.ResidentAdapter{Model: k.Model, Adapter: k.Name, Version: uint32(version)})
 	}
-	for name := range r.Models {
+	for name, version := range r.Models {
 		m.Models = append(m.Models, name)
+		m.ModelVersions = append(m.ModelVersions, uint32(version))
 	}
 	for k, version := range r.Residents {
 		if k == s.replacing {
--- a/pkg/sidecar/state.go
+++ b/pkg/sidecar/state.go
@@ -9,7 +9,7 @@
 )
 
 // holdingsKeyOf returns a string that changes whenever the server's holdings change:
-// its instance id, its models, its resident and loading adapters with their
+// its instance id, its models, its resident and loading adapters, all with their
 // versions, and whether it is down or draining.
 func holdingsKeyOf(m *fescuev1.ServerState) string {
 	names := make([]string, 0, len(m.GetResidents())+len(m.GetModels()))
@@ -19,7 +19,13 @@
 	for _, a := range m.GetComing() {
 		names = append(names, fmt.Sprintf("+%s/%s@%d", a.GetModel(), a.GetAdapter(), a.GetVersion()))
 	}
-	names = append(names, m.GetModels()...)
+	for i, name := range m.GetModels() {
+		version := uint32(0)
+		if i < len(m.GetModelVersions()) {
+			version = m.GetModelVersions()[i]
+		}
+		names = append(names, fmt.Sprintf("%s@%d", name, version))
+	}
 	slices.Sort(names)
 	if m.GetDown() {
 		return m.GetInstanceId() + " down"
