locality, gateway: identify cached prompt parts by the versions they were made with

Cause: a cached prompt part was identified by the adapter's name and the part's id, and a source was compared by the adapter's version only. The version of the base model's weights was known nowhere. A server that starts after new weights were announced loads these while the others keep theirs, so entries had it fetch parts of other weights. The servers do not check it. The class: cached data identified by less than it was computed from.

The fix: locality.Scope names the adapter and the versions of it and of the weights. It is part of the hash of every recorded part, which entries also exchange, and sources are kept for each scope, so a server fetches from its own scope or not at all; an unknown version is no scope. A request that fetches names the exact version to the server. A response that carries other weights than the scope is not delivered; the request is repeated without a source if it may be. Repeated requests have no source, since a refused one would otherwise name the same version again before the next status report.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -89,6 +89,9 @@
 		}
 		if choice.Resident {
 			x.endpoint, x.choice = choice.Endpoint, choice
+			if x.sends > 0 {
+				x.choice.Source = nil // a repeated request depends on one server only
+			}
 			f.placed(x, began)
 			return nil
 		}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -68,6 +68,23 @@
 	return x.deadline
 }
 
+// ranScope returns the scope in which the server ran the current attempt: the one of the
+// choice, with the weights that the response names.
+func (x *exchange) ranScope() locality.Scope {
+	scope := x.choice.Scope
+	if x.weightsVersion > 0 {
+		scope.Weights = x.weightsVersion
+	}
+	return scope
+}
+
+// ranOnOtherWeights reports whether the server was told to fetch prompt parts and then
+// ran the request with other weights than those that the parts were processed with. It
+// may have loaded them since its last status report.
+func (x *exchange) ranOnOtherWeights() bool {
+	return x.choice.Source != nil && x.ranScope() != x.choice.Scope
+}
+
 // repeatable reports whether the request may be sent again although an earlier
 // attempt may have run.
 func (x *exchange) repeatable() bool {
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -229,6 +229,7 @@
 	}
 	if x.forModelServer() && x.choice.Source != nil {
 		a.FetchFrom = x.choice.Source.Address
+		a.Version = x.choice.Scope.Version()
 	}
 	if a.LastEventID == "" {
 		a.LastEventID = x.call.LastEventID
@@ -269,6 +270,10 @@
 		ex.Abort()
 		return result{end: retry.Unknown, status: status, detail: "the response is not from a server"}
 	}
+	if status < http.StatusMultipleChoices && x.ranOnOtherWeights() {
+		ex.Abort()
+		return result{end: retry.Unknown, status: status, detail: "the server ran the request on prompt parts of other weights"}
+	}
 	if x.route.Kind == route.Streaming && status == http.StatusOK {
 		return f.relayStream(ctx, x, conn, ex, c)
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -75,8 +75,12 @@
 	if c.demand == nil || x.headSent || x.lastEventID != "" {
 		return
 	}
-	f.g.prefixes.RecordPrompt(time.Now(), x.endpoint, x.call.Key, x.call.Prefix)
-	c.demand.addProcessedParts(locality.SharedParts(x.call.Key, x.call.Prefix))
+	scope := x.ranScope()
+	if !scope.Known() {
+		return
+	}
+	f.g.prefixes.RecordPrompt(time.Now(), x.endpoint.Runtime, scope, x.call.Prefix)
+	c.demand.addProcessedParts(locality.SharedParts(scope, x.call.Prefix))
 }
 
 func (f sendFilter) forward(x *exchange, resp *http.Response, events []byte) error {
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -41,6 +41,8 @@
 	// Resident is true if the server has the adapter loaded in a version that may serve
 	// the request.
 	Resident bool
+	// Scope is the scope in which the server runs the request, if Resident is true.
+	Scope Scope
 	// Cost is the estimated time to the first event, including penalties.
 	Cost time.Duration
 	// CachedTokens is the number of prompt tokens that the server is expected to have in
@@ -48,7 +50,8 @@
 	CachedTokens  int
 	BacklogTokens int64
 	Candidates    int
-	// Source is the server to fetch cached parts of the prompt from, or nil.
+	// Source is the server to fetch cached parts of the prompt from, or nil. If Resident
+	// is true, these parts were processed in Scope.
 	Source *fleet.Endpoint
 	// StatusAge is the age of the status report that the choice is based on.
 	StatusAge time.Duration
@@ -156,14 +159,14 @@
 func (c *Chooser) Choose(r *Request, endpoints []*fleet.Endpoint) (Choice, bool) {
 	best := Choice{Cost: math.MaxInt64}
 	order := ranks(r.Key, endpoints)
-	source := c.source(r, endpoints)
+	sources := c.sources(r, endpoints)
 	candidates := 0
 	for i, e := range endpoints {
 		if !usable(r, e) {
 			continue
 		}
 		candidates++
-		choice := c.estimate(r, e, order[i], &source)
+		choice := c.estimate(r, e, order[i], sources)
 		if choice.Cost < best.Cost {
 			best = choice
 		}
@@ -227,20 +230,24 @@
 }
 
 // estimate returns the cost of serving the request at one server.
-func (c *Chooser) estimate(r *Request, e *fleet.Endpoint, rank int, source *source) Choice {
+func (c *Chooser) estimate(r *Request, e *fleet.Endpoint, rank int, sources sources) Choice {
 	w := &c.weights
 	choice := Choice{Endpoint: e}
 	st := e.Runtime.Status()
 	choice.Resident = holds(st, r)
 	choice.BacklogTokens = backlogAhead(r, st, e)
 	cost := c.PromptTime(int(choice.BacklogTokens))
+	var from *source
 	if choice.Resident {
-		choice.CachedTokens = c.prefixes.CachedTokens(r.Now, e, r.Key, r.Prefix)
+		choice.Scope = scopeAt(st, r.Key)
+		choice.CachedTokens = c.prefixes.CachedTokens(r.Now, e.Runtime, choice.Scope, r.Prefix)
+		from = sources.find(e, choice.Scope, choice.CachedTokens)
 	} else {
 		cost += c.loadCost(r, e, st)
+		from = sources.findNewest(e, weightsAt(st, r.Key.Model))
 	}
-	if source.worthFetching(r, e, choice.CachedTokens) {
-		choice.Source, choice.CachedTokens = source.endpoint, source.tokens
+	if from != nil {
+		choice.Source, choice.CachedTokens = from.endpoint, from.tokens
 		cost += w.PrefixFetchTime
 	}
 	cost += c.PromptTime(r.PromptTokens - choice.CachedTokens)
--- a/pkg/locality/locality_test.go
+++ b/pkg/locality/locality_test.go
@@ -11,7 +11,10 @@
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 )
 
-var testKey = fleet.AdapterKey{Model: "m", Name: "a1"}
+var (
+	testKey   = fleet.AdapterKey{Model: "m", Name: "a1"}
+	testScope = Scope{Key: testKey, Weights: 1, Adapter: 1}
+)
 
 func endpoints(n int) []*fleet.Endpoint {
 	out := make([]*fleet.Endpoint, n)
@@ -104,16 +107,23 @@
 	parts := []Part{{ID: "a", Tokens: 2500}, {ID: "b", Tokens: 3800}, {ID: "own", Tokens: 2890}}
 	now := time.Now()
 	last := list[5]
-	prefixes.RecordPrompt(now, last, testKey, parts)
+	prefixes.RecordPrompt(now, last.Runtime, testScope, parts)
 	c, ok := New(DefaultWeights(), prefixes).Choose(&Request{Now: now, Key: testKey, Prefix: []Part{parts[0], {ID: "c", Tokens: 3800}}, PromptTokens: 6300}, []*fleet.Endpoint{list[5]})
 	assert.Assert(t, ok)
 	assert.Equal(t, c.CachedTokens, 2500)
-	assert.Equal(t, prefixes.CachedTokens(now.Add(2*fleet.PrefixCacheTTL), last, testKey, parts), 0)
-	assert.Equal(t, prefixes.CachedTokens(now, list[0], testKey, parts), 0)
+	assert.Equal(t, prefixes.CachedTokens(now.Add(2*fleet.PrefixCacheTTL), last.Runtime, testScope, parts), 0)
+	assert.Equal(t, prefixes.CachedTokens(now, list[0].Runtime, testScope, parts), 0)
 	other := NewPrefixIndex()
-	other.RecordParts(now, last.Runtime, SharedParts(testKey, parts))
-	assert.Equal(t, other.CachedTokens(now, last, testKey, parts), 6300, "parts read for another entry")
-	assert.Equal(t, other.CachedTokens(now, last, fleet.AdapterKey{Model: "m", Name: "a2"}, parts), 0)
+	other.RecordParts(now, last.Runtime, SharedParts(testScope, parts))
+	assert.Equal(t, other.CachedTokens(now, last.Runtime, testScope, parts), 6300, "parts read for another entry")
+	for _, scope := range []Scope{
+		{Key: fleet.AdapterKey{Model: "m", Name: "a2"}, Weights: 1, Adapter: 1},
+		{Key: testKey, Weights: 2, Adapter: 1},
+		{Key: testKey, Weights: 1, Adapter: 2},
+		{Key: testKey, Adapter: 1},
+	} {
+		assert.Equal(t, other.CachedTokens(now, last.Runtime, scope, parts), 0, "%v", scope)
+	}
 }
 
 // Guards against processing a long shared prompt part again although another server
@@ -130,7 +140,7 @@
 		setResident(idle, 1)
 		busy.Runtime.Backlog[0].Store(40_000)
 		prefixes := NewPrefixIndex()
-		prefixes.RecordParts(now, busy.Runtime, SharedParts(testKey, parts))
+		prefixes.RecordParts(now, busy.Runtime, SharedParts(testScope, parts))
 		change(busy)
 		c, ok := New(DefaultWeights(), prefixes).Choose(&Request{Now: now, Key: testKey, Prefix: parts, PromptTokens: 9190}, list)
 		assert.Assert(t, ok)
--- a/pkg/locality/prefixes.go
+++ b/pkg/locality/prefixes.go
@@ -4,40 +4,19 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 )
 
 // maxPrefixes limits the number of records, and so the memory of the index.
 const maxPrefixes = 50_000
 
-// prefixKey identifies a prompt part that a server has processed for an adapter. The
-// pointer distinguishes the lifetimes of a server.
+// prefixKey identifies a prompt part that a server has processed. The pointer
+// distinguishes the lifetimes of a server, and the hash includes the scope.
 type prefixKey struct {
 	runtime *fleet.Runtime
 	part    uint64
 }
 
-// PartHash returns the hash that identifies a prompt part processed for an adapter.
-func PartHash(key fleet.AdapterKey, id string) uint64 {
-	return xxhash.Sum64String(key.Model + "/" + key.Name + "/" + id)
-}
-
-// SharedParts returns the hashes of the prompt parts that other requests may share.
-// These are all but the last part, which belongs to the request itself or to its
-// session.
-func SharedParts(key fleet.AdapterKey, parts []Part) []uint64 {
-	if len(parts) < 2 {
-		return nil
-	}
-	out := make([]uint64, 0, len(parts)-1)
-	for _, part := range parts[:len(parts)-1] {
-		out = append(out, PartHash(key, part.ID))
-	}
-	return out
-}
-
 // PrefixIndex records which servers have processed which shared prompt parts. It is
 // safe for concurrent use.
 type PrefixIndex struct {
@@ -48,14 +27,17 @@
 // NewPrefixIndex returns an empty index.
 func NewPrefixIndex() *PrefixIndex { return &PrefixIndex{seen: map[prefixKey]time.Time{}} }
 
-// CachedTokens returns the number of leading prompt tokens that the server is
-// expected to have in its cache.
-func (p *PrefixIndex) CachedTokens(now time.Time, e *fleet.Endpoint, key fleet.AdapterKey, parts []Part) int {
+// CachedTokens returns the number of leading prompt tokens that the server is expected to
+// have in its cache for use in a scope.
+func (p *PrefixIndex) CachedTokens(now time.Time, runtime *fleet.Runtime, scope Scope, parts []Part) int {
+	if !scope.Known() {
+		return 0
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	tokens := 0
 	for _, part := range parts {
-		at, ok := p.seen[prefixKey{runtime: e.Runtime, part: PartHash(key, part.ID)}]
+		at, ok := p.seen[prefixKey{runtime: runtime, part: PartHash(scope, part.ID)}]
 		if !ok || now.Sub(at) > fleet.PrefixCacheTTL {
 			break
 		}
@@ -64,13 +46,16 @@
 	return tokens
 }
 
-// RecordPrompt records that a server has processed a prompt.
-func (p *PrefixIndex) RecordPrompt(now time.Time, e *fleet.Endpoint, key fleet.AdapterKey, parts []Part) {
+// RecordPrompt records that a server has processed a prompt in a scope.
+func (p *PrefixIndex) RecordPrompt(now time.Time, runtime *fleet.Runtime, scope Scope, parts []Part) {
+	if !scope.Known() {
+		return
+	}
 	hashes := make([]uint64, len(parts))
 	for i, part := range parts {
-		hashes[i] = PartHash(key, part.ID)
+		hashes[i] = PartHash(scope, part.ID)
 	}
-	p.RecordParts(now, e.Runtime, hashes)
+	p.RecordParts(now, runtime, hashes)
 }
 
 // RecordParts records the hashes of the prompt parts that a server has processed in
--- a/pkg/locality/source.go
+++ b/pkg/locality/source.go
@@ -9,39 +9,71 @@
 // 50 ms.
 const minFetchTokens = 2000
 
-// source is the server that has the longest cached prefix of a prompt.
+// source is a server that has a cached prefix of a prompt, the longest in its scope.
 type source struct {
 	endpoint *fleet.Endpoint
 	tokens   int
-	// version is the version of the adapter for which the prompt was processed.
-	version int
+	scope    Scope
 }
 
-// source returns the server that has the adapter loaded and the longest prefix of the
-// prompt in its cache. It considers only servers with a recent status report and no
+// sources holds the source of each scope in which a prompt has been processed. Nearly
+// always it has at most two elements, while versions change.
+type sources []source
+
+// sources returns the servers that have the adapter loaded and the longest prefix of the
+// prompt in their caches. It considers only servers with a recent status report and no
 // recent failures, because a server that fetches from another one waits for it.
-func (c *Chooser) source(r *Request, endpoints []*fleet.Endpoint) source {
-	var best source
+func (c *Chooser) sources(r *Request, endpoints []*fleet.Endpoint) sources {
+	var out sources
 	for _, e := range endpoints {
 		st := e.Runtime.Status()
-		if !holds(st, r) || !usable(r, e) || r.Now.Sub(st.ReceivedAt) > lateStatusAge || e.Runtime.Failures(r.Now) > 0 {
+		scope := scopeAt(st, r.Key)
+		if !scope.Known() || !usable(r, e) || r.Now.Sub(st.ReceivedAt) > lateStatusAge || e.Runtime.Failures(r.Now) > 0 {
 			continue
 		}
-		if tokens := c.prefixes.CachedTokens(r.Now, e, r.Key, r.Prefix); tokens > best.tokens {
-			best = source{endpoint: e, tokens: tokens, version: st.Residents[r.Key]}
+		if tokens := c.prefixes.CachedTokens(r.Now, e.Runtime, scope, r.Prefix); tokens >= minFetchTokens {
+			out = out.add(source{endpoint: e, tokens: tokens, scope: scope})
 		}
 	}
-	return best
+	return out
+}
+
+// add adds a source unless there is one of its scope with as many tokens.
+func (s sources) add(candidate source) sources {
+	for i := range s {
+		if s[i].scope != candidate.scope {
+			continue
+		}
+		if candidate.tokens > s[i].tokens {
+			s[i] = candidate
+		}
+		return s
+	}
+	return append(s, candidate)
 }
 
-// worthFetching reports whether a server should fetch from the source, where cached
-// is the number of prompt tokens in the server's own cache. Data cached for one
-// version of an adapter cannot be used for another version. A server that does not
-// have the adapter yet will load the newest version.
-func (s *source) worthFetching(r *Request, e *fleet.Endpoint, cached int) bool {
-	if s.endpoint == nil || s.endpoint == e || s.tokens-cached < minFetchTokens {
-		return false
+// find returns the source from which a server should fetch, or nil, where scope is that
+// of the server and cached is the number of prompt tokens in its own cache.
+func (s sources) find(e *fleet.Endpoint, scope Scope, cached int) *source {
+	for i := range s {
+		if s[i].scope == scope && s[i].endpoint != e && s[i].tokens-cached >= minFetchTokens {
+			return &s[i]
+		}
+	}
+	return nil
+}
+
+// findNewest returns the source from which a server without the adapter could fetch once
+// it has loaded the newest version, or nil. It serves only to estimate the cost.
+func (s sources) findNewest(e *fleet.Endpoint, weights int) *source {
+	var best *source
+	for i := range s {
+		if s[i].scope.Weights != weights || s[i].endpoint == e {
+			continue
+		}
+		if best == nil || s[i].scope.Adapter > best.scope.Adapter {
+			best = &s[i]
+		}
 	}
-	st := e.Runtime.Status()
-	return !holds(st, r) || st.Residents[r.Key] == s.version
+	return best
 }
