standin/platform: software versions, weights versions and prompt memory

The fakes had one software version, one version of the base model's weights and no prompt memory, so no test could see a request that runs on memory of other weights or a stream that goes on at another software version.

- Registrations carry the configured software version, events of a stream carry it in their data, and a run records it together with Last-Event-Id and Resumes.
- Servers load the newest weights at their start or when ordered, and report their version.
Replacements of weights and adapters wait for the running requests.
- Servers keep processed prompt parts for each version of weights, adapter and software.
A fetch takes over whatever the other server keeps, and a run records the memory that does not fit it.
Only an unload or a restart drops memory.

--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -66,7 +66,8 @@
 	headers := platform.ClientRequest{ID: rec.id, Host: hostName, Timeout: callerTimeout}
 	if r.service == modelService {
 		rec.adapter = adapterName(c.rng)
-		headers.Model, headers.Adapter, headers.UniqueSegment = modelName, rec.adapter, c.count
+		headers.Model, headers.Adapter = modelName, rec.adapter
+		headers.Prompt = []platform.PromptPart{{ID: "aa", Tokens: 300}, {ID: fmt.Sprintf("%x", c.count), Tokens: 200}}
 	}
 	headers.Apply(req)
 	resp, err := c.client.Do(req)
--- a/pkg/soak/history.go
+++ b/pkg/soak/history.go
@@ -142,7 +142,7 @@
 func checkStream(r *requestRecord) []string {
 	var want strings.Builder
 	for i := 1; i <= streamEvents; i++ {
-		fmt.Fprintf(&want, "id: %d\ndata: %s-%d\n\n", i, r.id, i)
+		want.WriteString(platform.EventText(r.id, i, softwareVersion))
 	}
 	if r.body != want.String() {
 		return []string{fmt.Sprintf("a stream that ended as complete is not: %q", r.body)}
--- a/pkg/soak/history_test.go
+++ b/pkg/soak/history_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -17,7 +16,7 @@
 func completeStreamRecord() *requestRecord {
 	r := &requestRecord{id: "c1-1", route: testRoutes[0], adapter: "a1", status: http.StatusOK, hasServerStamp: true, complete: true}
 	for i := 1; i <= streamEvents; i++ {
-		r.body += fmt.Sprintf("id: %d\ndata: %s-%d\n\n", i, r.id, i)
+		r.body += platform.EventText(r.id, i, softwareVersion)
 	}
 	return r
 }
--- a/pkg/soak/testbed.go
+++ b/pkg/soak/testbed.go
@@ -28,6 +28,8 @@
 	grace         = 4 * time.Second
 	hostName      = "h.example"
 	zoneName      = "a"
+	// softwareVersion is the version of the software of all fake servers.
+	softwareVersion = "v1"
 )
 
 // testbed is the system under test and the fake servers around it.
@@ -154,7 +156,7 @@
 	startNumber := tb.startNumber
 	tb.mu.Unlock()
 	s, err := platform.NewServer(platform.ServerConfig{
-		ID: fmt.Sprintf("i-%d", startNumber), Service: service, Zone: zoneName, Address: address, PublicAddress: public, Model: model,
+		ID: fmt.Sprintf("i-%d", startNumber), Version: softwareVersion, Service: service, Zone: zoneName, Address: address, PublicAddress: public, Model: model,
 		MaxAdapters: maxAdapters, LoadTime: adapterLoad, Events: streamEvents, EventGap: eventInterval, Born: startNumber,
 	})
 	if err != nil {
--- a/standin/platform/client.go
+++ b/standin/platform/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,18 +21,23 @@
 	// Model and Adapter are empty for plain services.
 	Model   string
 	Adapter string
-	// UniqueSegment is the ID of the last segment of the prompt. The first segment is
-	// the same for all requests.
-	UniqueSegment int
+	// Prompt lists the parts of the prompt in order. The last one belongs to the request
+	// itself.
+	Prompt []PromptPart
+	// LastEventID is the last event that the client has of a stream that it resumes, and
+	// Resumes the id of the client attempt that brought the stream's first event.
+	LastEventID string
+	Resumes     string
 }
 
-// Token counts that clients announce, of the two segments of the prompt and of the
-// response.
-const (
-	sharedTokens = 300
-	uniqueTokens = 200
-	answerTokens = 48
-)
+// PromptPart is one part of a prompt. Requests with the same ID share it.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// answerTokens is the number of output tokens that clients announce.
+const answerTokens = 48
 
 // Apply sets the host and the headers of r.
 func (c *ClientRequest) Apply(r *http.Request) {
@@ -41,9 +47,27 @@
 	if c.Model == "" {
 		return
 	}
-	r.Header.Set("X-Fescuecourse-Model", c.Model+"/"+c.Adapter)
-	r.Header.Set("X-Fescuecourse-Token-Count", fmt.Sprintf("%d,%d", sharedTokens+uniqueTokens, answerTokens))
-	r.Header.Set("X-Fescuecourse-Prompt-Prefix", fmt.Sprintf("aa:%d,%x:%d", sharedTokens, c.UniqueSegment, uniqueTokens))
+	model := c.Model
+	if c.Adapter != "" {
+		model += "/" + c.Adapter
+	}
+	r.Header.Set("X-Fescuecourse-Model", model)
+	c.applyPrompt(r.Header)
+	if c.LastEventID != "" {
+		r.Header.Set("Last-Event-Id", c.LastEventID)
+		r.Header.Set("Resumes", c.Resumes)
+	}
+}
+
+func (c *ClientRequest) applyPrompt(h http.Header) {
+	tokens := 0
+	var parts []string
+	for _, p := range c.Prompt {
+		tokens += p.Tokens
+		parts = append(parts, fmt.Sprintf("%s:%d", p.ID, p.Tokens))
+	}
+	h.Set("X-Fescuecourse-Token-Count", fmt.Sprintf("%d,%d", tokens, answerTokens))
+	h.Set("X-Fescuecourse-Prompt-Prefix", strings.Join(parts, ","))
 }
 
 // HasServerStamp reports whether a response header has the stamp that servers
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -54,6 +54,11 @@
 	s.Put("op/version/"+model+"."+adapter, fmt.Sprintf(`{"model":%q,"adapter":%q,"version":%d}`, model, adapter, version))
 }
 
+// PutWeightsVersion stores the current version of the weights of a base model.
+func (s *Store) PutWeightsVersion(model string, version int) {
+	s.Put("op/version/"+model, fmt.Sprintf(`{"model":%q,"version":%d}`, model, version))
+}
+
 // PutMalformedServer stores a server registration with an address of a wrong type
 // and returns its key.
 func (s *Store) PutMalformedServer(n int) string {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -1,13 +1,9 @@
 package platform
 
 import (
-	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -25,8 +21,13 @@
 	// PublicAddress is the address in the server's registration. If it is empty,
 	// the listen address is used.
 	PublicAddress string
+	// Version is the version of the server's software. If it is empty, it is "v1".
+	Version string
 	// Model is the base model of a model server. It is empty for a plain server.
 	Model string
+	// WeightsVersion is the version of the base model's weights that the server loads at
+	// its start. Zero means 1.
+	WeightsVersion int
 	// MaxAdapters is the number of adapters that a model server can hold.
 	MaxAdapters int
 	// LoadTime is the time that it takes to load an adapter.
@@ -38,6 +39,13 @@
 	Born int64
 }
 
+func (c *ServerConfig) software() string {
+	if c.Version == "" {
+		return "v1"
+	}
+	return c.Version
+}
+
 // ServerFaults are the injected faults of a server. The zero value has none.
 type ServerFaults struct {
 	// Refuse makes the server reject all requests with 503 and mark them as not run.
@@ -55,30 +63,33 @@
 	LoseOrders bool
 }
 
-// Run is one execution of a request.
-type Run struct {
-	RequestID string
-	Adapter   string
-	Version   int
-}
-
 // Server is a fake model server or plain HTTP server.
 type Server struct {
-	cfg ServerConfig
-	lis net.Listener
-	srv *http.Server
-
-	mu           sync.Mutex
-	faults       ServerFaults
-	adapters     map[string]int // resident adapters, name to version
-	loading      map[string]int
-	latest       map[string]int
-	running      map[string]int // number of running requests by adapter
-	sequence     int64
-	runs         []Run
-	orderSenders map[string]bool
-	crashReason  string
-	draining     bool
+	cfg   ServerConfig
+	lis   net.Listener
+	srv   *http.Server
+	peers *http.Client // reads the prompt memory of other servers
+
+	mu     sync.Mutex
+	faults ServerFaults
+	// weights is the version of the base model's weights, or 0 without a model.
+	// loadedWeights has been loaded and waits for the end of the running requests.
+	weights       int
+	loadedWeights int
+	latestWeights int
+	// busy is set while the server loads a model.
+	busy           bool
+	adapters       map[string]int // resident adapters, name to version
+	loading        map[string]int
+	loadedAdapters map[string]int // adapters in loading that wait for running requests
+	latest         map[string]int
+	memory         *promptMemory
+	running        map[string]int // number of running requests by adapter
+	sequence       int64
+	runs           []*Run
+	orderSenders   map[string]bool
+	crashReason    string
+	draining       bool
 }
 
 // NewServer starts a server. A model server starts with its base model and no
@@ -93,18 +104,26 @@
 		return nil, errors.Wrap(err, "listen for the fake server")
 	}
 	s := &Server{
-		cfg:          cfg,
-		lis:          lis,
-		adapters:     map[string]int{},
-		loading:      map[string]int{},
-		latest:       map[string]int{},
-		running:      map[string]int{},
-		orderSenders: map[string]bool{},
+		cfg:            cfg,
+		lis:            lis,
+		peers:          &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		latestWeights:  max(cfg.WeightsVersion, 1),
+		adapters:       map[string]int{},
+		loading:        map[string]int{},
+		loadedAdapters: map[string]int{},
+		latest:         map[string]int{},
+		memory:         newPromptMemory(),
+		running:        map[string]int{},
+		orderSenders:   map[string]bool{},
+	}
+	if cfg.Model != "" {
+		s.weights = s.latestWeights
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", s.health)
 	mux.HandleFunc("GET /api/report", s.report)
 	mux.HandleFunc("POST /api/order", s.order)
+	mux.HandleFunc("GET "+memoryPath, s.serveMemory)
 	mux.HandleFunc("/", s.request)
 	s.srv = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = s.srv.Serve(lis) }() // Close ends it
@@ -131,8 +150,8 @@
 // Registration returns the value of the server's registration in the store, with
 // the given state.
 func (s *Server) Registration(state string) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":%q,"coldRemainingMs":0,"sequence":1,"born":%d}`,
-		s.cfg.Service, s.PublicAddress(), s.cfg.Zone, state, s.cfg.Born)
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":8,"state":%q,"coldRemainingMs":0,"sequence":1,"born":%d}`,
+		s.cfg.Service, s.PublicAddress(), s.cfg.Zone, s.cfg.software(), state, s.cfg.Born)
 }
 
 // SetFaults replaces the injected faults.
@@ -157,11 +176,26 @@
 	s.latest[adapter] = version
 }
 
+// SetLatestWeights sets the version of the base model's weights that the server loads
+// when it is ordered to load the model.
+func (s *Server) SetLatestWeights(version int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latestWeights = version
+}
+
+// Version returns the version of the server's software.
+func (s *Server) Version() string { return s.cfg.software() }
+
 // Runs returns the executions of requests so far.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.runs)
+	out := make([]Run, 0, len(s.runs))
+	for _, run := range s.runs {
+		out = append(out, *run)
+	}
+	return out
 }
 
 // OrderSenders returns the number of processes from which the server accepted orders.
@@ -182,204 +216,3 @@
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("X-Fescuecourse-Instance-Id", s.cfg.ID)
 }
-
-type loadedModel struct {
-	Name     string   `json:"name"`
-	Version  int      `json:"version"`
-	Adapters []string `json:"adapters"`
-}
-
-type reportBody struct {
-	Born     int64         `json:"born"`
-	Models   []loadedModel `json:"models"`
-	Busy     bool          `json:"busy"`
-	Sequence int64         `json:"sequence"`
-	Queued   int           `json:"queued"`
-	InFlight int           `json:"inFlight"`
-	KVUsed   int64         `json:"kvUsed"`
-	KVTotal  int64         `json:"kvTotal"`
-	Coming   []string      `json:"coming"`
-	State    string        `json:"state"`
-}
-
-func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r := reportBody{Born: s.cfg.Born, Sequence: s.sequence, KVTotal: 1 << 18, State: "ready", Coming: []string{}}
-	if s.draining {
-		r.State = "draining"
-	}
-	if s.cfg.Model != "" {
-		m := loadedModel{Name: s.cfg.Model, Version: 1, Adapters: []string{}}
-		for name, version := range s.adapters {
-			m.Adapters = append(m.Adapters, fmt.Sprintf("%s@%d", name, version))
-		}
-		r.Models = []loadedModel{m}
-	}
-	for name, version := range s.loading {
-		r.Coming = append(r.Coming, fmt.Sprintf("%s/%s@%d", s.cfg.Model, name, version))
-	}
-	for _, n := range s.running {
-		r.InFlight += n
-	}
-	reply(w, http.StatusOK, r)
-}
-
-type orderBody struct {
-	Operation string `json:"operation"`
-	Model     string `json:"model"`
-	Adapter   string `json:"adapter"`
-	Version   int    `json:"version"`
-	Expected  *int64 `json:"expected"`
-	Holder    string `json:"holder"`
-	Token     uint64 `json:"fencingToken"`
-}
-
-func (s *Server) order(w http.ResponseWriter, r *http.Request) {
-	var o orderBody
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.Token == 0 {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	lost := s.faults.LoseOrders
-	status := http.StatusAccepted
-	switch {
-	case lost:
-	case r.Header.Get("X-Fescuecourse-Expect-Instance") != s.cfg.ID:
-		status = http.StatusMisdirectedRequest
-	case o.Expected != nil && *o.Expected != s.sequence:
-		status = http.StatusConflict
-	default:
-		s.orderSenders[o.Holder] = true
-		status = s.executeOrder(&o)
-	}
-	s.mu.Unlock()
-	if lost {
-		<-r.Context().Done()
-		return
-	}
-	w.WriteHeader(status)
-}
-
-// executeOrder starts a load or unloads an adapter, and returns the response status.
-// The caller holds mu.
-func (s *Server) executeOrder(o *orderBody) int {
-	if o.Operation == "unload" {
-		if s.running[o.Adapter] > 0 {
-			return http.StatusConflict
-		}
-		delete(s.adapters, o.Adapter)
-		s.sequence++
-		return http.StatusOK
-	}
-	_, replacement := s.adapters[o.Adapter]
-	if !replacement && len(s.adapters)+len(s.loading) >= s.cfg.MaxAdapters {
-		s.crashReason = "ordered to hold more adapters than it can"
-	}
-	version := o.Version
-	if version == 0 {
-		version = max(s.latest[o.Adapter], 1)
-	}
-	s.sequence++
-	s.loading[o.Adapter] = version
-	time.AfterFunc(s.cfg.LoadTime, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.loading, o.Adapter)
-		s.adapters[o.Adapter] = version
-	})
-	return http.StatusAccepted
-}
-
-func (s *Server) request(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	id := r.Header.Get("X-Fescuecourse-Request-Id")
-	w.Header().Set("X-Fescuecourse-Request-Id", id)
-	adapter, status := s.admit(r, id)
-	if status != 0 {
-		w.Header().Set("X-Fescuecourse-Instance-Id", s.cfg.ID)
-		if status != http.StatusMisdirectedRequest {
-			w.Header().Set("X-Fescuecourse-Not-Run", "1")
-		}
-		w.WriteHeader(status)
-		return
-	}
-	defer s.finish(adapter)
-	s.mu.Lock()
-	f := s.faults
-	s.mu.Unlock()
-	w.Header().Set("X-Fescuecourse-Server-Stamp", s.cfg.ID+".stamp")
-	switch {
-	case f.LoseAnswers:
-		panic(http.ErrAbortHandler)
-	case f.Error:
-		w.WriteHeader(http.StatusInternalServerError)
-	case s.cfg.Model != "":
-		s.stream(w, r, f.CutAfterEvents)
-	default:
-		fmt.Fprintf(w, "%s %s %s %d bytes", s.cfg.ID, r.Method, r.RequestURI, len(body))
-	}
-}
-
-// admit records a run. It returns the adapter and 0, or the status with which the
-// request is rejected.
-func (s *Server) admit(r *http.Request, id string) (adapter string, status int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if want := r.Header.Get("X-Fescuecourse-Expect-Instance"); want != "" && want != s.cfg.ID {
-		return "", http.StatusMisdirectedRequest
-	}
-	if s.faults.Refuse {
-		return "", http.StatusServiceUnavailable
-	}
-	version := 0
-	if s.cfg.Model != "" {
-		_, adapter, _ = strings.Cut(r.Header.Get("X-Fescuecourse-Model"), "/")
-		version = s.adapters[adapter]
-		want := r.Header.Get("X-Fescuecourse-Expect-Version")
-		if adapter != "" && (version == 0 || want != "" && want != fmt.Sprint(version)) {
-			return "", http.StatusMisdirectedRequest
-		}
-	}
-	s.running[adapter]++
-	s.runs = append(s.runs, Run{RequestID: id, Adapter: adapter, Version: version})
-	return adapter, 0
-}
-
-func (s *Server) finish(adapter string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.running[adapter]--
-}
-
-// stream sends the events that follow the one in the Last-Event-Id header.
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, cutAfter int) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	first := 1
-	if last := r.Header.Get("Last-Event-Id"); last != "" {
-		if _, err := fmt.Sscan(last, &first); err != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		first++
-	}
-	flusher, _ := w.(http.Flusher)
-	for i := first; i <= s.cfg.Events; i++ {
-		if cutAfter > 0 && i > cutAfter {
-			fmt.Fprintf(w, "id: %d\nda", i)
-			flusher.Flush()
-			panic(http.ErrAbortHandler)
-		}
-		fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i, r.Header.Get("X-Fescuecourse-Request-Id"), i)
-		flusher.Flush()
-		select {
-		case <-r.Context().Done():
-			return
-		case <-time.After(s.cfg.EventGap):
-		}
-	}
-}
