gateway, locality: take no refused or uncertain version for the server's

- A request for a base model whose source held older weights named these instead of the required version, and was run on them (TestSourceDoesNotLowerTheRequiredVersion: "1", want "7").
The version named is now never below the required one, and a source below it is not used.
- Without a source the request named no version, so a run on another version than the choice assumed was recorded under the wrong one.
Every request names the version of its choice now.
A report that a refusal has shown to be outdated no longer counts until the server reports again (TestRefusedVersionWaitsForTheNextStatus).
A request after such a refusal has no source.
- Repeats for other reasons lost their source after the choice had counted on it, so the backlog was too low.
They keep it.
- Servers fetched, or were fetched from, while the adapter was being replaced, and fetched on the ground of a late status (TestUncertainServersDoNotFetch and two cases more of TestKeptPartsAreFetchedFromAnotherHolder).
- A server that reports no weights version lost the credit for its own cache.
- A response of other weights counted as a failure of the server.

The hashes of a prompt are computed once for each scope.

--- a/pkg/gateway/cached_parts_test.go
+++ b/pkg/gateway/cached_parts_test.go
@@ -32,7 +32,7 @@
 
 func newFetchTest(t *testing.T) *fetchTest {
 	t.Helper()
-	s := &fetchTest{testGateway: newTestGateway(t, streamRoute), weights: 1}
+	s := &fetchTest{testGateway: newTestGateway(t, streamRoute, onceRoute), weights: 1}
 	answer := func(rw http.ResponseWriter, r *http.Request) {
 		markFromPlatform(rw, r)
 		rw.Header().Set("Weights", fmt.Sprint(s.weights))
@@ -73,7 +73,7 @@
 // askTarget sends the next prompt to target, because source has too much to do.
 func (s *fetchTest) askTarget(model string) response {
 	s.t.Helper()
-	s.source.Runtime.Backlog[0].Add(1_000_000)
+	s.source.Runtime.Backlog[0].Add(40_000)
 	return s.ask(model, nextPrompt)
 }
 
@@ -128,15 +128,59 @@
 	assert.DeepEqual(t, s.versions, []string{"1"})
 }
 
-// Guards against delivering a response for which a server used fetched memory and whose
-// weights are not those of the source.
+// Guards against a response that a server ran on fetched parts of other weights. The
+// request is sent again without a source if it may be, and fails otherwise; it has run, so
+// the failure must not say that it has not.
 func TestResponseOfOtherWeightsThanTheSourceIsNotDelivered(t *testing.T) {
+	for prefix, want := range map[string]int{"/s/": http.StatusOK, "/o/": http.StatusBadGateway} {
+		s := newFetchTest(t)
+		s.hold(s.source, 1, 1)
+		s.processAtSource("m/a1")
+		s.hold(s.target, 1, 1)
+		s.weights = 7 // the target has loaded them since its last status
+		s.source.Runtime.Backlog[0].Add(40_000)
+		resp := s.do(http.MethodPost, prefix+"x", map[string]string{"Model": "m/a1", "Prompt": nextPrompt, "Budget-Ms": "2000"})
+		assert.Equal(t, resp.status, want, prefix)
+		assert.DeepEqual(t, s.fetches, []string{s.source.Address})
+		assert.Assert(t, !strings.Contains(resp.body, s.source.Address), resp.body)
+		assert.Equal(t, s.target.Runtime.Failures(time.Now()), 0.0, "an outdated choice is no failure of the server")
+	}
+}
+
+// Guards against a source that lowers the version that a request must have: base model
+// requests were then run with weights that were replaced long ago.
+func TestSourceDoesNotLowerTheRequiredVersion(t *testing.T) {
 	s := newFetchTest(t)
 	s.hold(s.source, 1, 1)
-	s.processAtSource("m/a1")
+	s.processAtSource("m")
 	s.hold(s.target, 1, 1)
-	s.weights = 7 // the target has loaded them since its last status
-	resp := s.askTarget("m/a1")
-	assert.Equal(t, len(s.fetches), 1)
-	assert.Assert(t, !strings.Contains(resp.body, s.source.Address), resp.body)
+	s.directory.SetVersion(time.Now().Add(-time.Minute), fleet.AdapterVersion{Model: "m", Version: 7})
+	s.publish()
+	s.askTarget("m")
+	for _, version := range s.versions {
+		assert.Equal(t, version, "7")
+	}
+	assert.Equal(t, len(s.fetches), 0)
+}
+
+// Guards against sending a request again at once to a server that has refused it for its
+// version: until the server reports again, the entry knows no better than before.
+func TestRefusedVersionWaitsForTheNextStatus(t *testing.T) {
+	w := newTestGateway(t, streamRoute)
+	versions := make(chan string, 10)
+	e := w.serve(modelService, func(rw http.ResponseWriter, r *http.Request) {
+		markFromPlatform(rw, r)
+		versions <- r.Header.Get("Version")
+		if r.Header.Get("Version") != "2" {
+			rw.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		rw.Write([]byte("id: 1\n\n"))
+	})
+	setResident(e, adapterKey, 1)
+	time.AfterFunc(200*time.Millisecond, func() { setResident(e, adapterKey, 2) })
+	assert.Equal(t, w.do(http.MethodPost, "/s/x", forAdapter).status, http.StatusOK)
+	assert.Equal(t, <-versions, "1")
+	assert.Equal(t, <-versions, "2")
+	assert.Equal(t, len(versions), 0)
 }
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -35,8 +35,7 @@
 	// Remaining is the time left for the endpoint to respond.
 	Remaining time.Duration
 	// Version is the version of the adapter, or of the base model's weights for a request
-	// without an adapter, that must serve the request, or 0 for any. It is set if
-	// FetchFrom is, because the fetched parts fit one version only.
+	// without an adapter, that must serve the request, or 0 for any.
 	Version int
 	// Priority is the priority of a model request; 0 is the most urgent.
 	Priority int
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -48,6 +48,8 @@
 		Priority:     x.route.Priority,
 		Zone:         f.g.set.Zone,
 		Excluded:     x.excluded,
+		Outdated:     x.outdated,
+		NoSource:     len(x.outdated) > 0,
 	}
 }
 
@@ -89,9 +91,6 @@
 		}
 		if choice.Resident {
 			x.endpoint, x.choice = choice.Endpoint, choice
-			if x.sends > 0 {
-				x.choice.Source = nil // a repeated request depends on one server only
-			}
 			f.placed(x, began)
 			return nil
 		}
@@ -127,11 +126,11 @@
 		Int("candidates", c.Candidates).
 		Int("prompt_tokens", x.call.PromptTokens).
 		Int("cached_tokens", c.CachedTokens).
-		Int("weights", heldVersions(c.Endpoint, x.call.Key).model).
-		Int("adapter_version", heldVersions(c.Endpoint, x.call.Key).adapter).
+		Int("weights", c.Scope.Weights).
+		Int("adapter_version", c.Scope.Adapter).
 		Str("fetch_from", fetchFrom(c)).
-		Int("source_weights", heldVersions(c.Source, x.call.Key).model).
-		Int("source_adapter_version", heldVersions(c.Source, x.call.Key).adapter).
+		Int("source_weights", c.SourceScope.Weights).
+		Int("source_adapter_version", c.SourceScope.Adapter).
 		Uint("backlog_tokens", uint64(max(c.BacklogTokens, 0))).
 		Dur("cost_ms", c.Cost).
 		Dur("status_age_ms", c.StatusAge).
@@ -139,22 +138,6 @@
 		Msg("placed")
 }
 
-// versions are the version of the weights of a base model and that of an adapter.
-type versions struct{ model, adapter int }
-
-// heldVersions returns the versions that a server reports for an adapter and its base
-// model, or zeros if it does not hold them or e is nil.
-func heldVersions(e *fleet.Endpoint, k fleet.AdapterKey) versions {
-	if e == nil {
-		return versions{}
-	}
-	st := e.Runtime.Status()
-	if st == nil {
-		return versions{}
-	}
-	return versions{model: st.Models[k.Model], adapter: st.Residents[k]}
-}
-
 // fetchFrom returns the id of the server from which cached prompt parts are fetched,
 // or an empty string.
 func fetchFrom(c *locality.Choice) string {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -34,6 +34,8 @@
 	settlement *settle.Settlement
 	history    retry.History
 	excluded   []fleet.ID
+	// outdated lists the status reports that attempts have shown to be outdated.
+	outdated []*fleet.Status
 	// sends is the number of attempts that were started for the request.
 	sends int
 
@@ -68,21 +70,22 @@
 	return x.deadline
 }
 
-// ranScope returns the scope in which the server ran the current attempt: the one of the
-// choice, with the weights that the response names.
-func (x *exchange) ranScope() locality.Scope {
-	scope := x.choice.Scope
-	if x.weightsVersion > 0 {
-		scope.Weights = x.weightsVersion
+// avoid keeps further attempts away from the endpoint of a failed attempt: until its next
+// status report if only the last one was outdated, else for the rest of the request.
+func (x *exchange) avoid(e *fleet.Endpoint) {
+	if x.result.outdated {
+		x.outdated = append(x.outdated, x.choice.Status)
+		return
 	}
-	return scope
+	x.excluded = append(x.excluded, e.ID)
 }
 
-// ranOnOtherWeights reports whether the server was told to fetch prompt parts and then
-// ran the request with other weights than those that the parts were processed with. It
-// may have loaded them since its last status report.
-func (x *exchange) ranOnOtherWeights() bool {
-	return x.choice.Source != nil && x.ranScope() != x.choice.Scope
+// ranInChosenScope reports whether the response names the weights that the choice of the
+// server was based on, as far as either is known. The server may have loaded others since
+// its last status report. The request itself names the adapter's version to the server.
+func (x *exchange) ranInChosenScope() bool {
+	chosen := x.choice.Scope.Weights
+	return chosen == 0 || x.weightsVersion == 0 || chosen == x.weightsVersion
 }
 
 // repeatable reports whether the request may be sent again although an earlier
@@ -97,8 +100,9 @@
 	detail string
 	// status is the HTTP status of the endpoint's response, or 0 if there was none.
 	status int
-	// adapterMissing means that the server does not have the adapter loaded.
-	adapterMissing bool
+	// outdated means that the server did not hold the versions that the choice was based
+	// on, which is no failure of the server.
+	outdated bool
 }
 
 // failure is the error response to a request for which no endpoint's response is
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -40,6 +41,7 @@
 	e := x.endpoint
 	began := time.Now()
 	x.sends++
+	x.weightsVersion = 0
 	e.Runtime.InFlight.Add(1)
 	counts := f.begin(x)
 	attemptCtx, cancel := context.WithCancel(ctx)
@@ -124,13 +126,11 @@
 	switch {
 	case x.result.end == retry.Answered && x.result.status < http.StatusInternalServerError:
 		e.Runtime.RecordSuccess(now.Sub(began))
-	case x.result.end != retry.CallerGone && !x.result.adapterMissing:
+	case x.result.end != retry.CallerGone && !x.result.outdated:
 		e.Runtime.RecordFailure(now)
 	}
 	if x.result.end == retry.NotRun || x.result.end == retry.Unknown {
-		if !x.result.adapterMissing {
-			x.excluded = append(x.excluded, e.ID)
-		}
+		x.avoid(e)
 		f.g.log.For(logging.ComponentRoute).Warn().
 			Str("request", x.call.RequestID).
 			Str("endpoint", string(e.ID)).
@@ -223,13 +223,12 @@
 	a := &Attempt{
 		Endpoint:    x.endpoint.ID,
 		Remaining:   time.Until(x.deadline),
-		Version:     x.version,
+		Version:     max(x.version, x.choice.Scope.Version()),
 		Priority:    x.route.Priority,
 		LastEventID: x.lastEventID,
 	}
 	if x.forModelServer() && x.choice.Source != nil {
 		a.FetchFrom = x.choice.Source.Address
-		a.Version = x.choice.Scope.Version()
 	}
 	if a.LastEventID == "" {
 		a.LastEventID = x.call.LastEventID
@@ -270,9 +269,9 @@
 		ex.Abort()
 		return result{end: retry.Unknown, status: status, detail: "the response is not from a server"}
 	}
-	if status < http.StatusMultipleChoices && x.ranOnOtherWeights() {
+	if status < http.StatusMultipleChoices && x.choice.Source != nil && !x.ranInChosenScope() {
 		ex.Abort()
-		return result{end: retry.Unknown, status: status, detail: "the server ran the request on prompt parts of other weights"}
+		return result{end: retry.Unknown, status: status, outdated: true, detail: otherWeights(x)}
 	}
 	if x.route.Kind == route.Streaming && status == http.StatusOK {
 		return f.relayStream(ctx, x, conn, ex, c)
@@ -286,6 +285,12 @@
 	return f.relayBuffered(ctx, x, conn, ex)
 }
 
+// otherWeights describes a response whose server fetched prompt parts that were processed
+// with other weights than those that it ran.
+func otherWeights(x *exchange) string {
+	return fmt.Sprintf("the prompt parts were processed with weights %d, the response with %d", x.choice.Scope.Weights, x.weightsVersion)
+}
+
 // refused handles a response that proves that the request did not run.
 func (f sendFilter) refused(x *exchange, conn *upstream.Conn, ex *upstream.Exchange, reply Reply) result {
 	status := ex.Response.StatusCode
@@ -303,7 +308,7 @@
 		r.detail = "the address belongs to another endpoint"
 		return r
 	}
-	r.adapterMissing = x.forModelServer()
+	r.outdated = x.forModelServer()
 	r.detail = "the server does not hold the adapter"
 	return r
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -72,15 +72,14 @@
 // prompt the server has processed, so none of them are recorded.
 func (f sendFilter) recordPromptProcessed(x *exchange, c *attemptCounts) {
 	c.promptDone()
-	if c.demand == nil || x.headSent || x.lastEventID != "" {
+	if c.demand == nil || x.headSent || x.lastEventID != "" || x.call.LastEventID != "" {
 		return
 	}
-	scope := x.ranScope()
-	if !scope.Known() {
+	if !x.ranInChosenScope() {
 		return
 	}
-	f.g.prefixes.RecordPrompt(time.Now(), x.endpoint.Runtime, scope, x.call.Prefix)
-	c.demand.addProcessedParts(locality.SharedParts(scope, x.call.Prefix))
+	f.g.prefixes.RecordPrompt(time.Now(), x.endpoint.Runtime, x.choice.Scope, x.call.Prefix)
+	c.demand.addProcessedParts(locality.SharedParts(x.choice.Scope, x.call.Prefix))
 }
 
 func (f sendFilter) forward(x *exchange, resp *http.Response, events []byte) error {
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,6 +34,12 @@
 	Zone     string
 	// Excluded lists the endpoints that failed or refused this request.
 	Excluded []fleet.ID
+	// Outdated lists the status reports that a server's refusal of this request has shown
+	// to be outdated. Such a server does not count as holding the adapter until it reports
+	// again.
+	Outdated []*fleet.Status
+	// NoSource means that no cached parts of the prompt are fetched for this request.
+	NoSource bool
 }
 
 // Choice is the chosen server, with the values that led to the choice for logging.
@@ -41,8 +48,10 @@
 	// Resident is true if the server has the adapter loaded in a version that may serve
 	// the request.
 	Resident bool
-	// Scope is the scope in which the server runs the request, if Resident is true.
-	Scope Scope
+	// Scope is the scope in which the server runs the request, and Status the report that
+	// says so, if Resident is true.
+	Scope  Scope
+	Status *fleet.Status
 	// Cost is the estimated time to the first event, including penalties.
 	Cost time.Duration
 	// CachedTokens is the number of prompt tokens that the server is expected to have in
@@ -50,9 +59,10 @@
 	CachedTokens  int
 	BacklogTokens int64
 	Candidates    int
-	// Source is the server to fetch cached parts of the prompt from, or nil. If Resident
-	// is true, these parts were processed in Scope.
-	Source *fleet.Endpoint
+	// Source is the server to fetch cached parts of the prompt from, or nil. They were
+	// processed in SourceScope, which equals Scope if Resident is true.
+	Source      *fleet.Endpoint
+	SourceScope Scope
 	// StatusAge is the age of the status report that the choice is based on.
 	StatusAge time.Duration
 }
@@ -159,14 +169,15 @@
 func (c *Chooser) Choose(r *Request, endpoints []*fleet.Endpoint) (Choice, bool) {
 	best := Choice{Cost: math.MaxInt64}
 	order := ranks(r.Key, endpoints)
-	sources := c.sources(r, endpoints)
+	prompt := &promptHashes{parts: r.Prefix}
+	sources := c.sources(r, endpoints, prompt)
 	candidates := 0
 	for i, e := range endpoints {
 		if !usable(r, e) {
 			continue
 		}
 		candidates++
-		choice := c.estimate(r, e, order[i], sources)
+		choice := c.estimate(r, e, order[i], sources, prompt)
 		if choice.Cost < best.Cost {
 			best = choice
 		}
@@ -230,7 +241,7 @@
 }
 
 // estimate returns the cost of serving the request at one server.
-func (c *Chooser) estimate(r *Request, e *fleet.Endpoint, rank int, sources sources) Choice {
+func (c *Chooser) estimate(r *Request, e *fleet.Endpoint, rank int, sources sources, prompt *promptHashes) Choice {
 	w := &c.weights
 	choice := Choice{Endpoint: e}
 	st := e.Runtime.Status()
@@ -239,15 +250,17 @@
 	cost := c.PromptTime(int(choice.BacklogTokens))
 	var from *source
 	if choice.Resident {
-		choice.Scope = scopeAt(st, r.Key)
-		choice.CachedTokens = c.prefixes.CachedTokens(r.Now, e.Runtime, choice.Scope, r.Prefix)
-		from = sources.find(e, choice.Scope, choice.CachedTokens)
+		choice.Scope, choice.Status = scopeAt(st, r.Key), st
+		choice.CachedTokens = c.prefixes.cachedTokens(r.Now, e.Runtime, r.Prefix, prompt.in(choice.Scope))
+		if settled(st, r) {
+			from = sources.find(choice.Scope, choice.CachedTokens)
+		}
 	} else {
 		cost += c.loadCost(r, e, st)
 		from = sources.findNewest(e, weightsAt(st, r.Key.Model))
 	}
 	if from != nil {
-		choice.Source, choice.CachedTokens = from.endpoint, from.tokens
+		choice.Source, choice.SourceScope, choice.CachedTokens = from.endpoint, from.scope, from.tokens
 		cost += w.PrefixFetchTime
 	}
 	cost += c.PromptTime(r.PromptTokens - choice.CachedTokens)
@@ -271,7 +284,7 @@
 // holds reports whether the server has the adapter, or the base model if no adapter
 // is requested, loaded in a version that may serve the request.
 func holds(st *fleet.Status, r *Request) bool {
-	if st == nil {
+	if st == nil || slices.Contains(r.Outdated, st) {
 		return false
 	}
 	if r.Key.Name == "" {
--- a/pkg/locality/locality_test.go
+++ b/pkg/locality/locality_test.go
@@ -26,8 +26,12 @@
 }
 
 func setResident(e *fleet.Endpoint, version int) {
+	changeStatus(e, func(st *fleet.Status) { st.Residents = map[fleet.AdapterKey]int{testKey: version} })
+}
+
+func changeStatus(e *fleet.Endpoint, change func(*fleet.Status)) {
 	st := *e.Runtime.Status()
-	st.Residents = map[fleet.AdapterKey]int{testKey: version}
+	change(&st)
 	e.Runtime.SetStatus(&st)
 }
 
@@ -152,15 +156,69 @@
 	assert.Equal(t, c.CachedTokens, 6300)
 	for name, change := range map[string]func(*fleet.Endpoint){
 		"another version": func(e *fleet.Endpoint) { setResident(e, 2) },
-		"failing":         func(e *fleet.Endpoint) { e.Runtime.RecordFailure(now) },
-		"draining":        func(e *fleet.Endpoint) { e.State = fleet.Draining },
-		"silent":          func(e *fleet.Endpoint) { e.Runtime.AgeStatus(2 * lateStatusAge) },
+		"other weights": func(e *fleet.Endpoint) {
+			changeStatus(e, func(st *fleet.Status) { st.Models = map[string]int{"m": 2} })
+		},
+		"no weights": func(e *fleet.Endpoint) {
+			changeStatus(e, func(st *fleet.Status) { st.Models = map[string]int{"m": 0} })
+		},
+		"being replaced": func(e *fleet.Endpoint) {
+			changeStatus(e, func(st *fleet.Status) { st.Loading = map[fleet.AdapterKey]int{testKey: 2} })
+		},
+		"failing":  func(e *fleet.Endpoint) { e.Runtime.RecordFailure(now) },
+		"draining": func(e *fleet.Endpoint) { e.State = fleet.Draining },
+		"silent":   func(e *fleet.Endpoint) { e.Runtime.AgeStatus(2 * lateStatusAge) },
 	} {
 		c := choose(change)
 		assert.Assert(t, c.Source == nil && c.CachedTokens == 0, name)
 	}
 }
 
+// Guards against a server that is told to fetch parts although its own versions are not
+// certain: its status is late, it is replacing the adapter, or it reports no weights. The
+// case is one server without the parts beside one that has them.
+func TestUncertainServersDoNotFetch(t *testing.T) {
+	parts := []Part{{ID: "a", Tokens: 6000}, {ID: "own", Tokens: 200}}
+	now := time.Now()
+	for name, change := range map[string]func(*fleet.Endpoint){
+		"silent": func(e *fleet.Endpoint) { e.Runtime.AgeStatus(2 * lateStatusAge) },
+		"being replaced": func(e *fleet.Endpoint) {
+			changeStatus(e, func(st *fleet.Status) { st.Loading = map[fleet.AdapterKey]int{testKey: 2} })
+		},
+		"no weights": func(e *fleet.Endpoint) {
+			changeStatus(e, func(st *fleet.Status) { st.Models = map[string]int{"m": 0} })
+		},
+	} {
+		list := endpoints(2)
+		holder, target := list[0], list[1]
+		setResident(holder, 1)
+		setResident(target, 1)
+		holder.Runtime.Backlog[0].Store(1_000_000)
+		change(target)
+		prefixes := NewPrefixIndex()
+		prefixes.RecordParts(now, holder.Runtime, SharedParts(testScope, parts))
+		c, ok := New(DefaultWeights(), prefixes).Choose(&Request{Now: now, Key: testKey, Prefix: parts, PromptTokens: 6200}, list)
+		assert.Assert(t, ok && c.Endpoint == target && c.Resident, name)
+		assert.Assert(t, c.Source == nil, name)
+	}
+}
+
+// Guards against a server whose own cache is ignored because it does not report the
+// version of its weights, as servers of an earlier release do not.
+func TestOwnCacheCountsWithoutWeights(t *testing.T) {
+	parts := []Part{{ID: "a", Tokens: 6000}, {ID: "own", Tokens: 200}}
+	list := endpoints(1)
+	setResident(list[0], 1)
+	changeStatus(list[0], func(st *fleet.Status) { st.Models = map[string]int{"m": 0} })
+	prefixes := NewPrefixIndex()
+	now := time.Now()
+	r := &Request{Now: now, Key: testKey, Prefix: parts, PromptTokens: 6200}
+	first, _ := New(DefaultWeights(), prefixes).Choose(r, list)
+	prefixes.RecordPrompt(now, list[0].Runtime, first.Scope, parts)
+	second, _ := New(DefaultWeights(), prefixes).Choose(r, list)
+	assert.Equal(t, second.CachedTokens, 6200)
+}
+
 // Guards against refusing a request that a server could still serve, and against
 // letting one wait for loads that take longer than its caller waits.
 func TestLoadBacklog(t *testing.T) {
--- a/pkg/locality/prefixes.go
+++ b/pkg/locality/prefixes.go
@@ -30,14 +30,16 @@
 // CachedTokens returns the number of leading prompt tokens that the server is expected to
 // have in its cache for use in a scope.
 func (p *PrefixIndex) CachedTokens(now time.Time, runtime *fleet.Runtime, scope Scope, parts []Part) int {
-	if !scope.Known() {
-		return 0
-	}
+	return p.cachedTokens(now, runtime, parts, partHashes(scope, parts))
+}
+
+// cachedTokens is CachedTokens for parts whose hashes are known.
+func (p *PrefixIndex) cachedTokens(now time.Time, runtime *fleet.Runtime, parts []Part, hashes []uint64) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	tokens := 0
-	for _, part := range parts {
-		at, ok := p.seen[prefixKey{runtime: runtime, part: PartHash(scope, part.ID)}]
+	for i, part := range parts {
+		at, ok := p.seen[prefixKey{runtime: runtime, part: hashes[i]}]
 		if !ok || now.Sub(at) > fleet.PrefixCacheTTL {
 			break
 		}
@@ -48,14 +50,7 @@
 
 // RecordPrompt records that a server has processed a prompt in a scope.
 func (p *PrefixIndex) RecordPrompt(now time.Time, runtime *fleet.Runtime, scope Scope, parts []Part) {
-	if !scope.Known() {
-		return
-	}
-	hashes := make([]uint64, len(parts))
-	for i, part := range parts {
-		hashes[i] = PartHash(scope, part.ID)
-	}
-	p.RecordParts(now, runtime, hashes)
+	p.RecordParts(now, runtime, partHashes(scope, parts))
 }
 
 // RecordParts records the hashes of the prompt parts that a server has processed in
--- a/pkg/locality/scope.go
+++ b/pkg/locality/scope.go
@@ -28,22 +28,19 @@
 	return s.Adapter
 }
 
-// Known reports whether the versions of the scope are known. No record of cached data is
-// kept or used otherwise.
-func (s Scope) Known() bool { return s.Weights > 0 }
+// known reports whether all versions of the scope are known. Cached data of other scopes is
+// not fetched from another server.
+func (s Scope) known() bool {
+	return s.Weights > 0 && (s.Key.Name == "" || s.Adapter > 0)
+}
 
 // scopeAt returns the scope in which a server with the given status runs requests for an
-// adapter or base model. It is not known if the server does not hold it, or does not
-// report the version of its weights.
+// adapter or base model. Versions that the server does not hold or report are 0.
 func scopeAt(st *fleet.Status, k fleet.AdapterKey) Scope {
 	if st == nil {
-		return Scope{}
-	}
-	adapter, resident := st.Residents[k]
-	if k.Name != "" && !resident {
-		return Scope{}
+		return Scope{Key: k}
 	}
-	return Scope{Key: k, Weights: weightsAt(st, k.Model), Adapter: adapter}
+	return Scope{Key: k, Weights: weightsAt(st, k.Model), Adapter: st.Residents[k]}
 }
 
 // weightsAt returns the version of a base model's weights at a server with the given
@@ -61,6 +58,15 @@
 	return xxhash.Sum64String(s.Key.Model + "@" + weights + "/" + s.Key.Name + "@" + adapter + "/" + id)
 }
 
+// partHashes returns the hashes of all parts of a prompt processed in a scope.
+func partHashes(s Scope, parts []Part) []uint64 {
+	out := make([]uint64, len(parts))
+	for i, part := range parts {
+		out[i] = PartHash(s, part.ID)
+	}
+	return out
+}
+
 // SharedParts returns the hashes of the prompt parts that other requests may share.
 // These are all but the last part, which belongs to the request itself or to its
 // session.
@@ -68,9 +74,29 @@
 	if len(parts) < 2 {
 		return nil
 	}
-	out := make([]uint64, 0, len(parts)-1)
-	for _, part := range parts[:len(parts)-1] {
-		out = append(out, PartHash(s, part.ID))
+	return partHashes(s, parts[:len(parts)-1])
+}
+
+// promptHashes caches the hashes of the parts of one prompt, because few scopes are in
+// use among the many servers that are considered for it.
+type promptHashes struct {
+	parts   []Part
+	byScope []scopeHashes
+}
+
+type scopeHashes struct {
+	scope  Scope
+	hashes []uint64
+}
+
+// in returns the hashes of the prompt's parts processed in a scope.
+func (p *promptHashes) in(s Scope) []uint64 {
+	for i := range p.byScope {
+		if p.byScope[i].scope == s {
+			return p.byScope[i].hashes
+		}
 	}
-	return out
+	hashes := partHashes(s, p.parts)
+	p.byScope = append(p.byScope, scopeHashes{scope: s, hashes: hashes})
+	return hashes
 }
--- a/pkg/locality/source.go
+++ b/pkg/locality/source.go
@@ -16,28 +16,40 @@
 	scope    Scope
 }
 
-// sources holds the source of each scope in which a prompt has been processed. Nearly
-// always it has at most two elements, while versions change.
+// sources holds the source of each scope in which servers have cached a prompt.
 type sources []source
 
 // sources returns the servers that have the adapter loaded and the longest prefix of the
-// prompt in their caches. It considers only servers with a recent status report and no
-// recent failures, because a server that fetches from another one waits for it.
-func (c *Chooser) sources(r *Request, endpoints []*fleet.Endpoint) sources {
+// prompt in their caches. It considers only servers without recent failures, because a
+// server that fetches from another one waits for it.
+func (c *Chooser) sources(r *Request, endpoints []*fleet.Endpoint, prompt *promptHashes) sources {
 	var out sources
+	if r.NoSource {
+		return out
+	}
 	for _, e := range endpoints {
 		st := e.Runtime.Status()
+		if !holds(st, r) || !settled(st, r) || !usable(r, e) || e.Runtime.Failures(r.Now) > 0 {
+			continue
+		}
 		scope := scopeAt(st, r.Key)
-		if !scope.Known() || !usable(r, e) || r.Now.Sub(st.ReceivedAt) > lateStatusAge || e.Runtime.Failures(r.Now) > 0 {
+		if !scope.known() || scope.Version() < r.Version {
 			continue
 		}
-		if tokens := c.prefixes.CachedTokens(r.Now, e.Runtime, scope, r.Prefix); tokens >= minFetchTokens {
+		if tokens := c.prefixes.cachedTokens(r.Now, e.Runtime, r.Prefix, prompt.in(scope)); tokens >= minFetchTokens {
 			out = out.add(source{endpoint: e, tokens: tokens, scope: scope})
 		}
 	}
 	return out
 }
 
+// settled reports whether the versions that a server holds of an adapter can be relied on:
+// its status is recent, and no load is about to replace the adapter.
+func settled(st *fleet.Status, r *Request) bool {
+	_, loading := st.Loading[r.Key]
+	return !loading && r.Now.Sub(st.ReceivedAt) <= lateStatusAge
+}
+
 // add adds a source unless there is one of its scope with as many tokens.
 func (s sources) add(candidate source) sources {
 	for i := range s {
@@ -53,10 +65,11 @@
 }
 
 // find returns the source from which a server should fetch, or nil, where scope is that
-// of the server and cached is the number of prompt tokens in its own cache.
-func (s sources) find(e *fleet.Endpoint, scope Scope, cached int) *source {
+// of the server and cached is the number of prompt tokens in its own cache. A server that
+// is a source itself has at least as many tokens as any other of its scope.
+func (s sources) find(scope Scope, cached int) *source {
 	for i := range s {
-		if s[i].scope == scope && s[i].endpoint != e && s[i].tokens-cached >= minFetchTokens {
+		if s[i].scope == scope && s[i].tokens-cached >= minFetchTokens {
 			return &s[i]
 		}
 	}
