--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -38,6 +38,9 @@
 	outdated []*fleet.Status
 	// sends is the number of attempts that were started for the request.
 	sends int
+	// software is the software version at which the stream of the request began, or nil if
+	// any may serve the request. It does not change once it is set.
+	software atomic.Pointer[string]
 
 	// State of the current attempt.
 	endpoint *fleet.Endpoint
@@ -184,6 +187,9 @@
 	if x.route != nil {
 		ev = ev.Str("route", x.route.Name).Uint("config", uint64(x.table.Version))
 	}
+	if x.call.LastEventID != "" {
+		ev = ev.Str("resumes", x.call.Resumes).Str("after_event", x.call.LastEventID)
+	}
 	if fail != nil {
 		ev = ev.Int("status", fail.status).Str("reason", fail.reason).Dur("retry_after_ms", fail.retryAfter)
 	}
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
 
 // Part is one part of a prompt. Parts with the same id are shared between requests.
@@ -26,7 +27,10 @@
 	// Version is the lowest version of the adapter that may serve the request, or 0 for
 	// any.
 	Version int
-	Prefix  []Part
+	// SoftwareVersion is the software version of the servers that may take the request, or
+	// nil for any.
+	SoftwareVersion *string
+	Prefix          []Part
 	// PromptTokens is the length of the whole prompt in tokens.
 	PromptTokens int
 	// Priority is the priority of the request; 0 is the most urgent.
@@ -186,10 +190,18 @@
 	return best, best.Endpoint != nil
 }
 
+// AnyUsable reports whether any server may take the request.
+func AnyUsable(r *Request, endpoints []*fleet.Endpoint) bool {
+	return slices.ContainsFunc(endpoints, func(e *fleet.Endpoint) bool { return usable(r, e) })
+}
+
 func usable(r *Request, e *fleet.Endpoint) bool {
 	if e.State != fleet.Ready || e.Runtime.Banned(r.Now) {
 		return false
 	}
+	if r.SoftwareVersion != nil && *r.SoftwareVersion != e.SoftwareVersion {
+		return false
+	}
 	if st := e.Runtime.Status(); st != nil && (st.Down || st.Draining) {
 		return false
 	}
@@ -214,7 +226,7 @@
 	out := make([]int, len(endpoints))
 	for i, e := range endpoints {
 		out[i] = maxRank
-		hash := mix(key, xxhash.Sum64String(string(e.ID)))
+		hash := ident.MixHashes(key, xxhash.Sum64String(string(e.ID)))
 		place := found
 		for place > 0 && best[place-1].hash < hash {
 			place--
@@ -232,14 +244,6 @@
 	return out
 }
 
-// mix combines two hashes with the finalizer of splitmix64.
-func mix(a, b uint64) uint64 {
-	x := a ^ (b * 0x9e3779b97f4a7c15)
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
-}
-
 // estimate returns the cost of serving the request at one server.
 func (c *Chooser) estimate(r *Request, e *fleet.Endpoint, rank int, sources sources, prompt *promptHashes) Choice {
 	w := &c.weights
