gateway: add failing tests for cut streams that look complete

Two causes that end a stream before its attempt returns make the gateway send the final chunk, and a request abandoned before its response begins gets an empty response with status 200. Requests that are cut off at the end of a shutdown write no closing log line.

The tests hold the handler back until both causes have taken effect, as a suspension of the process does.

--- /dev/null
+++ b/pkg/gateway/cause_test.go
@@ -0,0 +1,239 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+)
+
+const (
+	// cutTestBudget is the time limit of the requests that end at their deadline.
+	cutTestBudget = time.Second
+	// callerExitTime is the time in which the gateway notices that a caller has closed
+	// its side of the connection.
+	callerExitTime = 100 * time.Millisecond
+	statusInterval = 100 * time.Millisecond
+	firstEvent     = "id: 1\ndata: x\n\n"
+	secondEvent    = "id: 2\ndata: y\n\n"
+)
+
+// gatedWriter blocks the second write of a handler until gate is closed. All that
+// happens meanwhile has happened before the handler continues, as after a suspension
+// of the process.
+type gatedWriter struct {
+	http.ResponseWriter
+	writes  int
+	blocked chan struct{}
+	gate    chan struct{}
+}
+
+func (w *gatedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *gatedWriter) Write(p []byte) (int, error) {
+	w.writes++
+	if w.writes == 2 {
+		close(w.blocked)
+		<-w.gate
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// cutStream is a stream whose handler is blocked after its first event has reached
+// the caller.
+type cutStream struct {
+	conn     *net.TCPConn
+	body     *http.Response
+	stop     context.CancelCauseFunc
+	lost     atomic.Bool
+	began    time.Time
+	released chan struct{}
+}
+
+// startCutStream starts a gateway with one model server and a stream from it.
+func startCutStream(t *testing.T, budget time.Duration) *cutStream {
+	t.Helper()
+	w := newTestGateway(t, streamRoute)
+	s := &cutStream{began: time.Now(), released: make(chan struct{})}
+	delivered := make(chan struct{})
+	e := w.serve(modelService, func(rw http.ResponseWriter, r *http.Request) {
+		markFromPlatform(rw, r)
+		io.WriteString(rw, firstEvent)
+		rw.(http.Flusher).Flush()
+		<-delivered
+		io.WriteString(rw, secondEvent)
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	s.reportStatus(t, e)
+	blocked := make(chan struct{})
+	front := httptest.NewUnstartedServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.gateway.serve(&gatedWriter{ResponseWriter: rw, blocked: blocked, gate: s.released}, r)
+	}))
+	base, stop := context.WithCancelCause(context.Background())
+	s.stop = stop
+	front.Config.BaseContext = func(net.Listener) context.Context { return base }
+	front.Start()
+	t.Cleanup(front.Close)
+	s.conn, s.body = openRequest(t, front.Listener.Addr().String(), "/s/x", budget)
+	event := make([]byte, len(firstEvent))
+	_, err := io.ReadFull(s.body.Body, event)
+	assert.NilError(t, err)
+	close(delivered)
+	<-blocked
+	return s
+}
+
+// reportStatus keeps the status of the server current until the test ends.
+func (s *cutStream) reportStatus(t *testing.T, e *fleet.Endpoint) {
+	report := func() {
+		e.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Down: s.lost.Load(), Models: []string{adapterKey.Model}, Residents: map[fleet.AdapterKey]int{adapterKey: 1}, Free: 1})
+	}
+	report()
+	var wg sync.WaitGroup
+	end := make(chan struct{})
+	wg.Go(func() {
+		tick := time.NewTicker(statusInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-end:
+				return
+			case <-tick.C:
+				report()
+			}
+		}
+	})
+	t.Cleanup(func() { close(end); wg.Wait() })
+}
+
+// openRequest sends a request and returns its connection and its response, whose body
+// has not been read.
+func openRequest(t *testing.T, address, path string, budget time.Duration) (*net.TCPConn, *http.Response) {
+	t.Helper()
+	conn := dialRequest(t, address, path, budget)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	return conn, resp
+}
+
+func dialRequest(t *testing.T, address, path string, budget time.Duration) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close() })
+	conn, ok := c.(*net.TCPConn)
+	assert.Assert(t, ok)
+	fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h.example\r\nId: r1\r\nModel: m/a1\r\nBudget-Ms: %d\r\n\r\n", path, budget.Milliseconds())
+	return conn
+}
+
+// cutCause is a way in which a stream ends before its response is complete. fire
+// returns after it has taken effect.
+type cutCause struct {
+	name   string
+	budget time.Duration
+	fire   func(s *cutStream)
+}
+
+var (
+	// callerCloses closes only the sending side, so that the test still sees what the
+	// gateway sends.
+	callerCloses = cutCause{"caller", 10 * time.Second, func(s *cutStream) {
+		_ = s.conn.CloseWrite() // fails only on a closed connection
+		time.Sleep(callerExitTime)
+	}}
+	watchFires = cutCause{"watch", 10 * time.Second, func(s *cutStream) {
+		s.lost.Store(true)
+		time.Sleep(statusInterval + 2*watchInterval)
+	}}
+	stallTimerFires = cutCause{"stall timer", 10 * time.Second, func(s *cutStream) {
+		time.Sleep(time.Until(s.began.Add(minStallLimit + callerExitTime)))
+	}}
+	deadlinePasses = cutCause{"deadline", cutTestBudget, func(s *cutStream) {
+		time.Sleep(time.Until(s.began.Add(cutTestBudget + callerExitTime)))
+	}}
+	entryStops = cutCause{"stop", 10 * time.Second, func(s *cutStream) { s.stop(errors.New("stop")) }}
+)
+
+// Guards against a cut stream that looks complete to its caller when two causes end
+// it before the attempt returns, as after a suspension of the process.
+func TestCutStreamNeverLooksComplete(t *testing.T) {
+	for _, pair := range [][2]cutCause{
+		{callerCloses, watchFires},
+		{watchFires, stallTimerFires},
+		{watchFires, deadlinePasses},
+		{entryStops, callerCloses},
+	} {
+		for _, order := range [][2]cutCause{pair, {pair[1], pair[0]}} {
+			t.Run(order[0].name+" then "+order[1].name, func(t *testing.T) {
+				t.Parallel()
+				s := startCutStream(t, min(order[0].budget, order[1].budget))
+				order[0].fire(s)
+				order[1].fire(s)
+				close(s.released)
+				rest, err := io.ReadAll(s.body.Body)
+				assert.Assert(t, err != nil, "the stream looks complete after %q", firstEvent+string(rest))
+			})
+		}
+	}
+}
+
+// Guards against a complete empty response to a request that was abandoned before its
+// response began. A caller that has closed only its sending side reads it.
+func TestAbandonedRequestGetsNoResponse(t *testing.T) {
+	for _, path := range []string{"/p/x", "/u/x", "/s/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			w := newTestGateway(t, plainRoute, unsafeRoute, streamRoute)
+			begun := make(chan struct{})
+			handler := func(rw http.ResponseWriter, r *http.Request) {
+				markFromPlatform(rw, r)
+				rw.Header().Set("Content-Length", "100")
+				io.WriteString(rw, "part")
+				rw.(http.Flusher).Flush()
+				close(begun)
+				<-r.Context().Done()
+			}
+			w.serve(plainService, handler)
+			setResident(w.serve(modelService, handler), adapterKey, 1)
+			conn := dialRequest(t, w.front.Listener.Addr().String(), path, 10*time.Second)
+			<-begun
+			assert.NilError(t, conn.CloseWrite())
+			got, _ := io.ReadAll(conn) // a reset is as good as an end
+			assert.Equal(t, string(got), "")
+		})
+	}
+}
+
+// Guards against requests that are cut off at the end of a shutdown without a closing
+// log line.
+func TestStopEndsRunningRequests(t *testing.T) {
+	w := newTestGateway(t, onceRoute)
+	setResident(w.serve(modelService, func(rw http.ResponseWriter, r *http.Request) {
+		markFromPlatform(rw, r)
+		io.WriteString(rw, firstEvent)
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}), adapterKey, 1)
+	log := recordLog(w)
+	_, resp := openRequest(t, w.front.Listener.Addr().String(), "/o/x", 10*time.Second)
+	assert.NilError(t, w.gateway.drain(w.front.Config))
+	assert.Assert(t, strings.Contains(log.String(), "request ended"), "log: %s", log)
+	_, err := io.ReadAll(resp.Body)
+	assert.Assert(t, err != nil, "the stream looks complete")
+}
