gateway: close the connection of every response that was cut

Cause: watch cancelled the context of an attempt, which looked like a caller that had left. The result was corrected only while the context of the request was still alive. After a suspension the stall timer or the deadline is due at the same time, so the result stayed CallerGone, the handler returned, and net/http ended the response.

Fix: each way to end an attempt or a request early has an endCause, which is the cause of the cancellation of its context; the first one counts. serve returns normally only after a complete response of a server or a complete error response, and aborts the connection in all other cases. 'request ended' and 'attempt failed' log the cause. A request whose next attempt could not be sent keeps the cause and the detail of the attempt before it.

TestGivenUpKeepsEarlierEnds tested a function that is gone. Its replacement, TestCauseKeepsEarlierEnds, checks the same for all causes and not only for a lost server.

--- a/pkg/gateway/cause_test.go
+++ b/pkg/gateway/cause_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -58,6 +57,7 @@
 	conn     *net.TCPConn
 	body     *http.Response
 	stop     context.CancelCauseFunc
+	log      *logRecorder
 	lost     atomic.Bool
 	began    time.Time
 	released chan struct{}
@@ -67,7 +67,7 @@
 func startCutStream(t *testing.T, budget time.Duration) *cutStream {
 	t.Helper()
 	w := newTestGateway(t, streamRoute)
-	s := &cutStream{began: time.Now(), released: make(chan struct{})}
+	s := &cutStream{began: time.Now(), log: recordLog(w), released: make(chan struct{})}
 	delivered := make(chan struct{})
 	e := w.serve(modelService, func(rw http.ResponseWriter, r *http.Request) {
 		markFromPlatform(rw, r)
@@ -146,6 +146,7 @@
 // returns after it has taken effect.
 type cutCause struct {
 	name   string
+	cause  endCause
 	budget time.Duration
 	fire   func(s *cutStream)
 }
@@ -153,25 +154,26 @@
 var (
 	// callerCloses closes only the sending side, so that the test still sees what the
 	// gateway sends.
-	callerCloses = cutCause{"caller", 10 * time.Second, func(s *cutStream) {
+	callerCloses = cutCause{"caller", causeCallerGone, 10 * time.Second, func(s *cutStream) {
 		_ = s.conn.CloseWrite() // fails only on a closed connection
 		time.Sleep(callerExitTime)
 	}}
-	watchFires = cutCause{"watch", 10 * time.Second, func(s *cutStream) {
+	watchFires = cutCause{"watch", causeServerLost, 10 * time.Second, func(s *cutStream) {
 		s.lost.Store(true)
 		time.Sleep(statusInterval + 2*watchInterval)
 	}}
-	stallTimerFires = cutCause{"stall timer", 10 * time.Second, func(s *cutStream) {
+	stallTimerFires = cutCause{"stall timer", causeStalled, 10 * time.Second, func(s *cutStream) {
 		time.Sleep(time.Until(s.began.Add(minStallLimit + callerExitTime)))
 	}}
-	deadlinePasses = cutCause{"deadline", cutTestBudget, func(s *cutStream) {
+	deadlinePasses = cutCause{"deadline", causeDeadline, cutTestBudget, func(s *cutStream) {
 		time.Sleep(time.Until(s.began.Add(cutTestBudget + callerExitTime)))
 	}}
-	entryStops = cutCause{"stop", 10 * time.Second, func(s *cutStream) { s.stop(errors.New("stop")) }}
+	entryStops = cutCause{"stop", causeStopped, 10 * time.Second, func(s *cutStream) { s.stop(causeStopped) }}
 )
 
 // Guards against a cut stream that looks complete to its caller when two causes end
-// it before the attempt returns, as after a suspension of the process.
+// it before the attempt returns, as after a suspension of the process, and against a
+// closing log line without the first of them.
 func TestCutStreamNeverLooksComplete(t *testing.T) {
 	for _, pair := range [][2]cutCause{
 		{callerCloses, watchFires},
@@ -188,11 +190,25 @@
 				close(s.released)
 				rest, err := io.ReadAll(s.body.Body)
 				assert.Assert(t, err != nil, "the stream looks complete after %q", firstEvent+string(rest))
+				s.assertClosingLine(t, order[0].cause)
 			})
 		}
 	}
 }
 
+// assertClosingLine fails the test unless the request has one closing log line, with
+// this cause.
+func (s *cutStream) assertClosingLine(t *testing.T, want endCause) {
+	t.Helper()
+	var causes []string
+	for _, line := range s.log.fields(t) {
+		if line["message"] == "entry: request ended" {
+			causes = append(causes, fmt.Sprint(line["cause"]))
+		}
+	}
+	assert.DeepEqual(t, causes, []string{want.String()})
+}
+
 // Guards against a complete empty response to a request that was abandoned before its
 // response began. A caller that has closed only its sending side reads it.
 func TestAbandonedRequestGetsNoResponse(t *testing.T) {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -48,9 +48,13 @@
 	lastByte atomic.Int64
 	// State of the response.
 	headSent bool
+	// complete is set once the end of a server's response has been relayed.
+	complete bool
 	// firstByte is the time from started to the start of the response, or 0 before it.
 	firstByte   time.Duration
 	lastEventID string
+	// cause is why the request ended before its response was complete.
+	cause endCause
 }
 
 // forModelServer reports whether the request goes to a service of model servers.
@@ -75,6 +79,9 @@
 type result struct {
 	end    retry.Result
 	detail string
+	// cause is why the attempt was cancelled before it got a complete response, or
+	// causeNone.
+	cause endCause
 	// status is the HTTP status of the endpoint's response, or 0 if there was none.
 	status int
 	// adapterMissing means that the server does not have the adapter loaded.
@@ -87,9 +94,6 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
-	// abort closes the caller's connection, because part of a response has already been
-	// sent.
-	abort bool
 }
 
 // next runs the remaining filters of the chain.
@@ -110,7 +114,8 @@
 	return n
 }
 
-// serve handles one HTTP request of a caller.
+// serve handles one HTTP request of a caller. The caller gets the complete response of
+// a server, a complete error response, or a connection that is closed.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{w: w, r: r, started: time.Now()}
 	g.metrics.requests.Inc(1)
@@ -119,10 +124,11 @@
 	}
 	fail := g.handle(r.Context(), x)
 	g.settle(x, fail)
-	if fail == nil {
+	if x.complete {
 		return
 	}
-	if fail.abort || x.headSent {
+	if fail == nil || x.headSent {
+		// Returning would make net/http end the response as if it were complete.
 		panic(http.ErrAbortHandler)
 	}
 	if fail.retryAfter > 0 {
@@ -133,6 +139,18 @@
 	_, _ = w.Write([]byte(fail.reason + "\n")) // the caller may be gone
 }
 
+// recordCause records why the request ended before its response was complete. The
+// cause of the last attempt is at least as early as that of the request.
+func (x *exchange) recordCause(ctx context.Context) {
+	switch {
+	case x.complete:
+	case x.result.cause != causeNone:
+		x.cause = x.result.cause
+	default:
+		x.cause = causeOf(ctx)
+	}
+}
+
 // settle records the outcome of a request in metrics and writes its closing log line.
 func (g *Gateway) settle(x *exchange, fail *failure) {
 	outcome := x.history.Outcome()
@@ -155,7 +173,8 @@
 		Str("outcome", outcome.String()).
 		Dur("took_ms", time.Since(x.started)).
 		Dur("first_byte_ms", x.firstByte).
-		Int("sends", x.sends)
+		Int("sends", x.sends).
+		Str("cause", x.cause.String())
 	if x.route != nil {
 		ev = ev.Str("route", x.route.Name).Uint("config", uint64(x.table.Version))
 	}
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -66,13 +66,15 @@
 	x.settlement = settle.New(ident.RequestID(call.RequestID))
 	x.history.Idempotent = x.repeatable()
 	x.deadline = x.started.Add(f.timeLimit(x))
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, causeDeadline)
 	defer cancel()
 	if x.route.Kind == route.Streaming {
 		ctx, x.stall = startStallTimer(ctx, x.route, x.started)
 		defer x.stall.stop()
 	}
-	return next(ctx, x)
+	fail := next(ctx, x)
+	x.recordCause(ctx)
+	return fail
 }
 
 // timeLimit returns the time limit of a request: the shorter of the caller's limit
@@ -120,12 +122,13 @@
 	budget := f.g.budget(x.service.Name)
 	budget.RecordRequest(time.Now())
 	for {
+		last := x.result
 		x.result = result{}
 		if fail := next(ctx, x); fail != nil {
-			return f.interrupted(ctx, x, fail)
+			return f.interrupted(ctx, x, last, fail)
 		}
 		x.history.Record(x.result.end)
-		x.history.Expired = ctx.Err() != nil
+		x.history.Expired = causeOf(ctx) != causeNone
 		if x.result.end == retry.Answered || x.result.end == retry.CallerGone {
 			return nil
 		}
@@ -161,8 +164,12 @@
 }
 
 // interrupted returns the failure of a request whose next attempt could not be sent.
-func (f retryFilter) interrupted(ctx context.Context, x *exchange, fail *failure) *failure {
+// last is the result of the attempt before it. If that one may have run, its cause
+// remains the cause of the failure.
+func (f retryFilter) interrupted(ctx context.Context, x *exchange, last result, fail *failure) *failure {
 	if x.history.Uncertain || x.headSent {
+		x.result = last
+		x.result.detail += "; " + fail.reason
 		return f.failure(ctx, x)
 	}
 	x.history.Last = retry.NotRun
@@ -173,10 +180,10 @@
 func (f retryFilter) failure(ctx context.Context, x *exchange) *failure {
 	switch {
 	case x.headSent:
-		return &failure{status: http.StatusBadGateway, reason: "the response broke off: " + x.result.detail, abort: true}
+		return &failure{status: http.StatusBadGateway, reason: "the response broke off: " + x.result.detail}
 	case x.history.Outcome() == ident.NotRun:
 		return notRun("the request was not run: "+x.result.detail, retryAfterCapacity)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded) || stalled(ctx):
+	case causeOf(ctx).isTimeout():
 		return rejected(http.StatusGatewayTimeout, "no response in time, the result is not known")
 	default:
 		return rejected(http.StatusBadGateway, "the result is not known: "+x.result.detail)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -227,12 +228,22 @@
 }
 
 // Guards against running a stream again that ended at the moment at which its server
-// was abandoned as lost.
-func TestGivenUpKeepsEarlierEnds(t *testing.T) {
-	for _, end := range []retry.Result{retry.Answered, retry.NotRun, retry.Unknown} {
-		assert.Equal(t, abandonedResult(result{end: end}).end, end)
+// was abandoned as lost, and against taking any other cause for a caller that is gone.
+func TestCauseKeepsEarlierEnds(t *testing.T) {
+	for _, cause := range []endCause{causeServerLost, causeStalled, causeDeadline, causeStopped} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		cancel(cause)
+		cancel(causeCallerGone)
+		for _, end := range []retry.Result{retry.Answered, retry.NotRun, retry.Unknown} {
+			got := interrupted(ctx, result{end: end})
+			assert.Equal(t, got.end, end)
+			assert.Equal(t, got.cause, cause)
+		}
 	}
-	assert.Equal(t, abandonedResult(result{end: retry.CallerGone}).end, retry.Unknown)
+	ctx, cancel := context.WithCancel(t.Context())
+	assert.Equal(t, interrupted(ctx, result{end: retry.Unknown}).end, retry.Unknown)
+	cancel()
+	assert.Equal(t, interrupted(ctx, result{end: retry.Unknown}).end, retry.CallerGone)
 }
 
 // Guards against callers that disconnect before the final response while a server on
--- a/pkg/gateway/log_test.go
+++ b/pkg/gateway/log_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"strings"
 	"sync"
+	"testing"
 
 	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 )
@@ -34,3 +38,15 @@
 	defer l.mu.Unlock()
 	return l.lines.String()
 }
+
+// fields returns the fields of each line.
+func (l *logRecorder) fields(t *testing.T) []map[string]any {
+	t.Helper()
+	var out []map[string]any
+	for line := range strings.Lines(l.String()) {
+		fields := map[string]any{}
+		assert.NilError(t, json.Unmarshal([]byte(line), &fields))
+		out = append(out, fields)
+	}
+	return out
+}
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -42,32 +42,18 @@
 	x.sends++
 	e.Runtime.InFlight.Add(1)
 	counts := f.begin(x)
-	attemptCtx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
 	if f.canMove(x) {
 		go f.watch(attemptCtx, cancel, x, e)
 	}
 	x.result = f.attempt(attemptCtx, x, counts)
-	if attemptCtx.Err() != nil && ctx.Err() == nil {
-		x.result = abandonedResult(x.result)
-	}
-	cancel()
+	cancel(nil)
 	counts.end()
 	e.Runtime.InFlight.Add(-1)
 	f.recordResult(ctx, x, began)
 	return nil
 }
 
-// abandonedResult returns the result of an attempt that watch cancelled because its
-// server is lost. Such a cancellation looks as if the caller had left, so it is
-// changed to an unknown result. An attempt that ended in another way before the
-// cancellation keeps its result.
-func abandonedResult(r result) result {
-	if r.end != retry.CallerGone {
-		return r
-	}
-	return result{end: retry.Unknown, status: r.status, detail: "the server does not answer"}
-}
-
 // canMove reports whether the request may be sent to another server if its current
 // server is lost.
 func (f sendFilter) canMove(x *exchange) bool {
@@ -83,9 +69,9 @@
 	serverLostAfter = 1500 * time.Millisecond
 )
 
-// watch cancels an attempt when its server is lost: the server is reported as down,
-// or neither its response nor its status reports arrive any more.
-func (f sendFilter) watch(ctx context.Context, cancel context.CancelFunc, x *exchange, e *fleet.Endpoint) {
+// watch cancels an attempt with causeServerLost when its server is lost: the server is
+// reported as down, or neither its response nor its status reports arrive any more.
+func (f sendFilter) watch(ctx context.Context, cancel context.CancelCauseFunc, x *exchange, e *fleet.Endpoint) {
 	tick := time.NewTicker(watchInterval)
 	defer tick.Stop()
 	for {
@@ -103,6 +89,10 @@
 		if !st.Down && (age < serverLostAfter || silent < serverLostAfter) {
 			continue
 		}
+		cancel(causeServerLost)
+		if causeOf(ctx) != causeServerLost {
+			return // the attempt had ended already
+		}
 		f.g.log.For(logging.ComponentRoute).Warn().
 			Str("request", x.call.RequestID).
 			Str("endpoint", string(e.ID)).
@@ -110,7 +100,6 @@
 			Dur("status_age_ms", age).
 			Dur("silent_ms", silent).
 			Msg("server lost, request moves")
-		cancel()
 		return
 	}
 }
@@ -138,7 +127,8 @@
 			Int("status", x.result.status).
 			Str("detail", x.result.detail).
 			Dur("took_ms", now.Sub(began)).
-			Bool("expired", ctx.Err() != nil).
+			Str("cause", x.result.cause.String()).
+			Bool("expired", causeOf(ctx) != causeNone).
 			Msg("attempt failed")
 	}
 }
@@ -194,10 +184,10 @@
 	e := x.endpoint
 	conn, err := f.g.pool.Get(ctx, poolKey(e), e.Address)
 	if err != nil {
-		if ctx.Err() == nil {
+		if causeOf(ctx) == causeNone {
 			e.Runtime.Ban(time.Now().Add(unreachableBan))
 		}
-		return f.ended(ctx, result{end: retry.NotRun, detail: "no connection to the endpoint"})
+		return interrupted(ctx, result{end: retry.NotRun, detail: "no connection to the endpoint"})
 	}
 	x.settlement.MarkSent()
 	ex, err := conn.Send(ctx, f.request(x))
@@ -206,15 +196,21 @@
 		if errors.Is(err, upstream.ErrNotSent) {
 			end = retry.NotRun
 		}
-		return f.ended(ctx, result{end: end, detail: err.Error()})
+		return interrupted(ctx, result{end: end, detail: err.Error()})
 	}
 	return f.receive(ctx, x, conn, ex, c)
 }
 
-// ended changes the result of an attempt to CallerGone if the request was cancelled.
-func (f sendFilter) ended(ctx context.Context, r result) result {
-	if cancelledByCaller(ctx) {
+// interrupted adds the cause to the result of an attempt that got no complete
+// response, if ctx has ended. Only a caller that is gone changes the result. After any
+// other cause the request is as uncertain as if the connection had failed.
+func interrupted(ctx context.Context, r result) result {
+	r.cause = causeOf(ctx)
+	switch r.cause {
+	case causeCallerGone:
 		r.end = retry.CallerGone
+	case causeServerLost:
+		r.detail = "the server does not answer"
 	}
 	return r
 }
@@ -309,7 +305,7 @@
 	body, err := io.ReadAll(io.LimitReader(ex.Response.Body, maxBufferedBytes))
 	if err != nil {
 		ex.Abort()
-		return f.ended(ctx, result{end: retry.Unknown, status: status, detail: "the response broke off: " + err.Error()})
+		return interrupted(ctx, result{end: retry.Unknown, status: status, detail: "the response broke off: " + err.Error()})
 	}
 	if ex.Finish() {
 		f.g.pool.Put(poolKey(x.endpoint), conn)
@@ -320,7 +316,8 @@
 	f.writeHead(x, ex.Response)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(status)
-	_, _ = x.w.Write(body) // the caller may be gone
+	_, err = x.w.Write(body)
+	x.complete = err == nil // after an error the caller is gone
 	return result{end: retry.Answered, status: status}
 }
 
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/fescuecourse/fescuecourse/pkg/route"
 )
 
@@ -18,10 +16,6 @@
 	stallGapFactor    = 8
 )
 
-// errStalled is the cause of the cancellation of a stream whose next event did not
-// arrive before the caller would have disconnected.
-var errStalled = errors.New("the stream stalled")
-
 // stallLimit returns how long callers wait for the first event of a stream, and for
 // each further one, before they disconnect.
 func stallLimit(r *route.Route) time.Duration {
@@ -37,13 +31,13 @@
 	expiry time.Time
 }
 
-// startStallTimer returns a context that is cancelled with the cause errStalled when
-// no event has arrived within the limit of the route, counted from began.
+// startStallTimer returns a context that is cancelled with causeStalled when no
+// event has arrived within the limit of the route, counted from began.
 func startStallTimer(ctx context.Context, r *route.Route, began time.Time) (context.Context, *stallTimer) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	s := &stallTimer{limit: withReplyMargin(stallLimit(r))}
 	s.expiry = began.Add(s.limit)
-	s.timer = time.AfterFunc(time.Until(s.expiry), func() { cancel(errStalled) })
+	s.timer = time.AfterFunc(time.Until(s.expiry), func() { cancel(causeStalled) })
 	return ctx, s
 }
 
@@ -63,12 +57,3 @@
 func withReplyMargin(limit time.Duration) time.Duration {
 	return limit - min(replyMargin, limit/replyMarginShare)
 }
-
-// stalled reports whether a stream was cancelled by its stallTimer.
-func stalled(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStalled) }
-
-// cancelledByCaller reports whether a request was cancelled for another reason than
-// the end of its time.
-func cancelledByCaller(ctx context.Context) bool {
-	return errors.Is(ctx.Err(), context.Canceled) && !stalled(ctx)
-}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -39,7 +39,7 @@
 			f.recordPromptProcessed(x, c)
 			if werr := f.forward(x, ex.Response, buffered[:end]); werr != nil {
 				ex.Abort()
-				return result{end: retry.CallerGone, status: status, detail: "the caller is gone"}
+				return result{end: retry.CallerGone, cause: causeCallerGone, status: status, detail: "the caller is gone"}
 			}
 			x.stall.eventSent()
 			buffered = append(buffered[:0], buffered[end:]...)
@@ -49,7 +49,7 @@
 			return f.finish(x, conn, ex)
 		case err != nil || len(buffered) > maxEventBytes:
 			ex.Abort()
-			return f.ended(ctx, result{end: retry.Unknown, status: status, detail: "the stream broke off"})
+			return interrupted(ctx, result{end: retry.Unknown, status: status, detail: "the stream broke off"})
 		}
 	}
 }
@@ -112,5 +112,6 @@
 		f.writeHead(x, ex.Response)
 		x.w.WriteHeader(ex.Response.StatusCode)
 	}
+	x.complete = true
 	return result{end: retry.Answered, status: ex.Response.StatusCode}
 }
--- a/pkg/soak/suspend_test.go
+++ b/pkg/soak/suspend_test.go
@@ -2,18 +2,22 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/fescuecourse/fescuecourse/pkg/wait"
 	"github.com/fescuecourse/fescuecourse/standin/platform"
@@ -117,8 +121,43 @@
 	undo()
 }
 
+// closingCauses returns the cause in the closing log line of each request, keyed by
+// request ID.
+func (s *suspendTest) closingCauses() map[string]string {
+	s.t.Helper()
+	text, err := os.ReadFile(s.tb.o.logPath(s.tb.entries[0].name))
+	assert.NilError(s.t, err)
+	out := map[string]string{}
+	for line := range strings.Lines(string(text)) {
+		var fields struct{ Message, Request, Cause string }
+		if json.Unmarshal([]byte(line), &fields) == nil && fields.Message == "entry: request ended" {
+			out[fields.Request] = fields.Cause
+		}
+	}
+	return out
+}
+
+// assertClosingLines fails the test unless each stream has a closing log line, which
+// gives a cause if the stream was cut.
+func (s *suspendTest) assertClosingLines() {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		causes := s.closingCauses()
+		for _, r := range s.h.records {
+			cause, logged := causes[r.id]
+			if !logged {
+				return poll.Continue("no closing line for %s", r.id)
+			}
+			if r.status == http.StatusOK && !r.complete && (cause == "" || cause == "none") {
+				return poll.Error(fmt.Errorf("no cause for %s, which was cut", r.id))
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(warmupTime))
+}
+
 // Guards against a cut stream that looks complete to its caller after the entry was
-// suspended: the check for lost servers, the stall timer and the status reports are
+// suspended, and against requests that end without a closing log line: the check for lost servers, the stall timer and the status reports are
 // then all late at once.
 func TestSuspendedEntryNeverCompletesCutStreams(t *testing.T) {
 	s := newSuspendTest(t)
@@ -139,4 +178,5 @@
 	t.Logf("%d answered, %d refused, %d unknown", r.Answered, r.Refused, r.Unknown)
 	assert.Assert(t, r.Answered < suspendStreams, "no stream was running when the entry was suspended")
 	assert.Equal(t, len(r.Violations), 0, "%q", r.Violations)
+	s.assertClosingLines()
 }
