gateway: end the requests that still run at the end of a shutdown

Callers of requests that still ran at 0.97 of the grace period saw their connections break when the process exited. These requests wrote no closing log line, and callers without a response head got none.

Cause: drain stopped waiting and the process exited; nothing ended the requests.

Evidence: TestStopEndsRunningRequests failed, the log had no 'request ended'.

Fix: the contexts of all requests are derived from one that drain cancels with causeStopped. The handlers then end as after any other cause, and drain waits for them until 0.99 of the grace period.

The test now uses a grace period of 5 s instead of 1 s, which leaves 100 ms instead of 20 ms for the log lines, and a server that keeps sending, because the stall timer would end a silent stream first.

--- a/pkg/gateway/cause_test.go
+++ b/pkg/gateway/cause_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,8 +25,10 @@
 	// its side of the connection.
 	callerExitTime = 100 * time.Millisecond
 	statusInterval = 100 * time.Millisecond
-	firstEvent     = "id: 1\ndata: x\n\n"
-	secondEvent    = "id: 2\ndata: y\n\n"
+	// cutTestGrace leaves 100 ms for the closing log lines of a shutdown.
+	cutTestGrace = 5 * time.Second
+	firstEvent   = "id: 1\ndata: x\n\n"
+	secondEvent  = "id: 2\ndata: y\n\n"
 )
 
 // gatedWriter blocks the second write of a handler until gate is closed. All that
@@ -190,25 +191,12 @@
 				close(s.released)
 				rest, err := io.ReadAll(s.body.Body)
 				assert.Assert(t, err != nil, "the stream looks complete after %q", firstEvent+string(rest))
-				s.assertClosingLine(t, order[0].cause)
+				assert.DeepEqual(t, s.log.closingCauses(t), []string{order[0].cause.String()})
 			})
 		}
 	}
 }
 
-// assertClosingLine fails the test unless the request has one closing log line, with
-// this cause.
-func (s *cutStream) assertClosingLine(t *testing.T, want endCause) {
-	t.Helper()
-	var causes []string
-	for _, line := range s.log.fields(t) {
-		if line["message"] == "entry: request ended" {
-			causes = append(causes, fmt.Sprint(line["cause"]))
-		}
-	}
-	assert.DeepEqual(t, causes, []string{want.String()})
-}
-
 // Guards against a complete empty response to a request that was abandoned before its
 // response began. A caller that has closed only its sending side reads it.
 func TestAbandonedRequestGetsNoResponse(t *testing.T) {
@@ -239,17 +227,26 @@
 // Guards against requests that are cut off at the end of a shutdown without a closing
 // log line.
 func TestStopEndsRunningRequests(t *testing.T) {
+	t.Parallel()
 	w := newTestGateway(t, onceRoute)
+	w.gateway.set.Grace = cutTestGrace
 	setResident(w.serve(modelService, func(rw http.ResponseWriter, r *http.Request) {
 		markFromPlatform(rw, r)
-		io.WriteString(rw, firstEvent)
-		rw.(http.Flusher).Flush()
-		<-r.Context().Done()
+		for r.Context().Err() == nil {
+			io.WriteString(rw, firstEvent)
+			rw.(http.Flusher).Flush()
+			time.Sleep(statusInterval)
+		}
 	}), adapterKey, 1)
 	log := recordLog(w)
-	_, resp := openRequest(t, w.front.Listener.Addr().String(), "/o/x", 10*time.Second)
-	assert.NilError(t, w.gateway.drain(w.front.Config))
-	assert.Assert(t, strings.Contains(log.String(), "request ended"), "log: %s", log)
+	requests, endRequests := context.WithCancelCause(context.Background())
+	front := httptest.NewUnstartedServer(nil)
+	front.Config = w.gateway.newServer(requests)
+	front.Start()
+	t.Cleanup(front.Close)
+	_, resp := openRequest(t, front.Listener.Addr().String(), "/o/x", 2*cutTestGrace)
+	assert.NilError(t, w.gateway.drain(front.Config, endRequests))
+	assert.DeepEqual(t, log.closingCauses(t), []string{causeStopped.String()})
 	_, err := io.ReadAll(resp.Body)
 	assert.Assert(t, err != nil, "the stream looks complete")
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -128,7 +128,9 @@
 	ready := &http.Server{Handler: g.readyRoutes(), ReadHeaderTimeout: headerTimeout}
 	defer ready.Close()
 	go func() { _ = ready.Serve(readyLis) }() // returns after Close
-	srv := &http.Server{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: g.callers.track}
+	requests, endRequests := context.WithCancelCause(context.Background())
+	defer endRequests(causeStopped)
+	srv := g.newServer(requests)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(lis) }()
 	g.log.For(logging.ComponentEntry).Info().Str("address", lis.Addr().String()).Msg("listening")
@@ -137,7 +139,19 @@
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
-	return g.drain(srv)
+	return g.drain(srv, endRequests)
+}
+
+// newServer returns the HTTP server for callers. The contexts of its requests are
+// derived from requests.
+func (g *Gateway) newServer(requests context.Context) *http.Server {
+	return &http.Server{
+		Handler:           http.HandlerFunc(g.serve),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ConnState:         g.callers.track,
+		BaseContext:       func(net.Listener) context.Context { return requests },
+	}
 }
 
 // Phases of a shutdown, as fractions of the grace period.
@@ -150,12 +164,16 @@
 	acceptShare = 0.5
 	// finishShare is when requests that still run are cut off.
 	finishShare = 0.97
+	// exitShare is until when requests that were cut off may write their closing log
+	// lines.
+	exitShare = 0.99
 )
 
 // drain shuts down in phases. It reports not ready, keeps serving until the load
 // balancer has noticed, and then waits for running requests to finish. New streams
-// are refused once they might not finish in time.
-func (g *Gateway) drain(srv *http.Server) error {
+// are refused once they might not finish in time. Requests that still run at the end
+// are cancelled by endRequests.
+func (g *Gateway) drain(srv *http.Server, endRequests context.CancelCauseFunc) error {
 	log := g.log.For(logging.ComponentEntry)
 	began := time.Now()
 	share := func(s float64) time.Time { return began.Add(time.Duration(s * float64(g.set.Grace))) }
@@ -166,9 +184,12 @@
 	g.callers.closeIdle()
 	log.Info().Msg("closed idle connections; refusing new streams")
 	wait.For(context.Background(), time.Until(share(acceptShare)))
-	ctx, cancel := context.WithDeadline(context.Background(), share(finishShare))
-	defer cancel()
-	err := srv.Shutdown(ctx)
+	err := shutdown(srv, share(finishShare))
+	if errors.Is(err, context.DeadlineExceeded) {
+		log.Warn().Msg("cutting off the requests that still run")
+		endRequests(causeStopped)
+		err = shutdown(srv, share(exitShare))
+	}
 	log.Info().Err(err).Msg("stopped")
 	if errors.Is(err, context.DeadlineExceeded) {
 		return nil
@@ -176,6 +197,14 @@
 	return errors.Wrap(err, "shut down")
 }
 
+// shutdown stops accepting connections and waits until the running requests have
+// ended, at most until the deadline.
+func shutdown(srv *http.Server, deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return srv.Shutdown(ctx)
+}
+
 // checkClock detects a suspension of the VM, during which the clock stands still. It
 // then closes the pooled connections and corrects the ages of the status reports.
 func (g *Gateway) checkClock(clock *suspend.Detector) {
--- a/pkg/gateway/log_test.go
+++ b/pkg/gateway/log_test.go
@@ -39,14 +39,16 @@
 	return l.lines.String()
 }
 
-// fields returns the fields of each line.
-func (l *logRecorder) fields(t *testing.T) []map[string]any {
+// closingCauses returns the cause in each closing line of a request.
+func (l *logRecorder) closingCauses(t *testing.T) []string {
 	t.Helper()
-	var out []map[string]any
+	var out []string
 	for line := range strings.Lines(l.String()) {
-		fields := map[string]any{}
+		var fields struct{ Message, Cause string }
 		assert.NilError(t, json.Unmarshal([]byte(line), &fields))
-		out = append(out, fields)
+		if fields.Message == "entry: request ended" {
+			out = append(out, fields.Cause)
+		}
 	}
 	return out
 }
