entry: add failing tests for cut responses that look complete

pkg/entry has the same fault as pkg/gateway: after a caller has closed its sending side, a stream ends with the final chunk, and a request without a response head gets an empty response with status 200.

--- /dev/null
+++ b/pkg/entry/cause_test.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"google.golang.org/grpc"
+	"gotest.tools/v3/assert"
+
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+)
+
+// sendRaw sends a request over its own connection, so that the test can close one
+// side of it.
+func (b *testBed) sendRaw(t *testing.T, path, body string) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", b.http.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close() })
+	conn, ok := c.(*net.TCPConn)
+	assert.Assert(t, ok)
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", path, testKey, len(body), body)
+	return conn
+}
+
+// Guards against a cut stream whose HTTP body looks complete after the caller has
+// closed its sending side.
+func TestAbandonedStreamNeverLooksComplete(t *testing.T) {
+	b := newTestBed(t, modelKind, []script{answer(1, false, silent)})
+	conn := b.sendRaw(t, completions, streamBody)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	first := make([]byte, len(streamText(1)))
+	_, err = io.ReadFull(resp.Body, first)
+	assert.NilError(t, err)
+	assert.NilError(t, conn.CloseWrite())
+	rest, err := io.ReadAll(resp.Body)
+	assert.Assert(t, err != nil, "the stream looks complete after %q", string(first)+string(rest))
+}
+
+// Guards against a complete empty response to a request that was abandoned before its
+// response began.
+func TestAbandonedRequestGetsNoResponse(t *testing.T) {
+	for _, c := range []struct {
+		kind       fescuev1.EndpointKind
+		path, body string
+	}{
+		{modelKind, completions, streamBody},
+		{modelKind, completions, plainBody},
+		{serviceKind, handoff, "call"},
+	} {
+		begun := make(chan struct{})
+		hold := func(f *fakeEndpoint, req *fescuev1.RunRequest, stream grpc.ServerStreamingServer[fescuev1.RunFrame]) error {
+			close(begun)
+			return silent(f, req, stream)
+		}
+		b := newTestBed(t, c.kind, []script{hold})
+		conn := b.sendRaw(t, c.path, c.body)
+		<-begun
+		assert.NilError(t, conn.CloseWrite())
+		got, _ := io.ReadAll(conn) // a reset is as good as an end
+		assert.Equal(t, string(got), "")
+	}
+}
