--- a/pkg/gateway/cause_test.go
+++ b/pkg/gateway/cause_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 )
 
@@ -147,7 +148,7 @@
 // returns after it has taken effect.
 type cutCause struct {
 	name   string
-	cause  endCause
+	cause  endcause.Cause
 	budget time.Duration
 	fire   func(s *cutStream)
 }
@@ -155,21 +156,21 @@
 var (
 	// callerCloses closes only the sending side, so that the test still sees what the
 	// gateway sends.
-	callerCloses = cutCause{"caller", causeCallerGone, 10 * time.Second, func(s *cutStream) {
+	callerCloses = cutCause{"caller", endcause.CallerGone, 10 * time.Second, func(s *cutStream) {
 		_ = s.conn.CloseWrite() // fails only on a closed connection
 		time.Sleep(callerExitTime)
 	}}
-	watchFires = cutCause{"watch", causeServerLost, 10 * time.Second, func(s *cutStream) {
+	watchFires = cutCause{"watch", endcause.ServerLost, 10 * time.Second, func(s *cutStream) {
 		s.lost.Store(true)
 		time.Sleep(statusInterval + 2*watchInterval)
 	}}
-	stallTimerFires = cutCause{"stall timer", causeStalled, 10 * time.Second, func(s *cutStream) {
+	stallTimerFires = cutCause{"stall timer", endcause.Stalled, 10 * time.Second, func(s *cutStream) {
 		time.Sleep(time.Until(s.began.Add(minStallLimit + callerExitTime)))
 	}}
-	deadlinePasses = cutCause{"deadline", causeDeadline, cutTestBudget, func(s *cutStream) {
+	deadlinePasses = cutCause{"deadline", endcause.Deadline, cutTestBudget, func(s *cutStream) {
 		time.Sleep(time.Until(s.began.Add(cutTestBudget + callerExitTime)))
 	}}
-	entryStops = cutCause{"stop", causeStopped, 10 * time.Second, func(s *cutStream) { s.stop(causeStopped) }}
+	entryStops = cutCause{"stop", endcause.Stopped, 10 * time.Second, func(s *cutStream) { s.stop(endcause.Stopped) }}
 )
 
 // Guards against a cut stream that looks complete to its caller when two causes end
@@ -246,7 +247,7 @@
 	t.Cleanup(front.Close)
 	_, resp := openRequest(t, front.Listener.Addr().String(), "/o/x", 2*cutTestGrace)
 	assert.NilError(t, w.gateway.drain(front.Config, endRequests))
-	assert.DeepEqual(t, log.closingCauses(t), []string{causeStopped.String()})
+	assert.DeepEqual(t, log.closingCauses(t), []string{endcause.Stopped.String()})
 	_, err := io.ReadAll(resp.Body)
 	assert.Assert(t, err != nil, "the stream looks complete")
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
@@ -54,7 +55,7 @@
 	firstByte   time.Duration
 	lastEventID string
 	// cause is why the request ended before its response was complete.
-	cause endCause
+	cause endcause.Cause
 }
 
 // forModelServer reports whether the request goes to a service of model servers.
@@ -80,8 +81,8 @@
 	end    retry.Result
 	detail string
 	// cause is why the attempt was cancelled before it got a complete response, or
-	// causeNone.
-	cause endCause
+	// endcause.None.
+	cause endcause.Cause
 	// status is the HTTP status of the endpoint's response, or 0 if there was none.
 	status int
 	// adapterMissing means that the server does not have the adapter loaded.
@@ -144,10 +145,10 @@
 func (x *exchange) recordCause(ctx context.Context) {
 	switch {
 	case x.complete:
-	case x.result.cause != causeNone:
+	case x.result.cause != endcause.None:
 		x.cause = x.result.cause
 	default:
-		x.cause = causeOf(ctx)
+		x.cause = endcause.Of(ctx)
 	}
 }
 
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
@@ -66,7 +67,7 @@
 	x.settlement = settle.New(ident.RequestID(call.RequestID))
 	x.history.Idempotent = x.repeatable()
 	x.deadline = x.started.Add(f.timeLimit(x))
-	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, causeDeadline)
+	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, endcause.Deadline)
 	defer cancel()
 	if x.route.Kind == route.Streaming {
 		ctx, x.stall = startStallTimer(ctx, x.route, x.started)
@@ -128,7 +129,7 @@
 			return f.interrupted(ctx, x, last, fail)
 		}
 		x.history.Record(x.result.end)
-		x.history.Expired = causeOf(ctx) != causeNone
+		x.history.Expired = endcause.Of(ctx) != endcause.None
 		if x.result.end == retry.Answered || x.result.end == retry.CallerGone {
 			return nil
 		}
@@ -183,7 +184,7 @@
 		return &failure{status: http.StatusBadGateway, reason: "the response broke off: " + x.result.detail}
 	case x.history.Outcome() == ident.NotRun:
 		return notRun("the request was not run: "+x.result.detail, retryAfterCapacity)
-	case causeOf(ctx).isTimeout():
+	case endcause.Of(ctx).IsTimeout():
 		return rejected(http.StatusGatewayTimeout, "no response in time, the result is not known")
 	default:
 		return rejected(http.StatusBadGateway, "the result is not known: "+x.result.detail)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
@@ -129,7 +130,7 @@
 	defer ready.Close()
 	go func() { _ = ready.Serve(readyLis) }() // returns after Close
 	requests, endRequests := context.WithCancelCause(context.Background())
-	defer endRequests(causeStopped)
+	defer endRequests(endcause.Stopped)
 	srv := g.newServer(requests)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(lis) }()
@@ -187,7 +188,7 @@
 	err := shutdown(srv, share(finishShare))
 	if errors.Is(err, context.DeadlineExceeded) {
 		log.Warn().Msg("cutting off the requests that still run")
-		endRequests(causeStopped)
+		endRequests(endcause.Stopped)
 		err = shutdown(srv, share(exitShare))
 	}
 	log.Info().Err(err).Msg("stopped")
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
@@ -230,10 +231,10 @@
 // Guards against running a stream again that ended at the moment at which its server
 // was abandoned as lost, and against taking any other cause for a caller that is gone.
 func TestCauseKeepsEarlierEnds(t *testing.T) {
-	for _, cause := range []endCause{causeServerLost, causeStalled, causeDeadline, causeStopped} {
+	for _, cause := range []endcause.Cause{endcause.ServerLost, endcause.Stalled, endcause.Deadline, endcause.Stopped} {
 		ctx, cancel := context.WithCancelCause(t.Context())
 		cancel(cause)
-		cancel(causeCallerGone)
+		cancel(endcause.CallerGone)
 		for _, end := range []retry.Result{retry.Answered, retry.NotRun, retry.Unknown} {
 			got := interrupted(ctx, result{end: end})
 			assert.Equal(t, got.end, end)
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
@@ -69,7 +70,7 @@
 	serverLostAfter = 1500 * time.Millisecond
 )
 
-// watch cancels an attempt with causeServerLost when its server is lost: the server is
+// watch cancels an attempt with endcause.ServerLost when its server is lost: the server is
 // reported as down, or neither its response nor its status reports arrive any more.
 func (f sendFilter) watch(ctx context.Context, cancel context.CancelCauseFunc, x *exchange, e *fleet.Endpoint) {
 	tick := time.NewTicker(watchInterval)
@@ -89,8 +90,8 @@
 		if !st.Down && (age < serverLostAfter || silent < serverLostAfter) {
 			continue
 		}
-		cancel(causeServerLost)
-		if causeOf(ctx) != causeServerLost {
+		cancel(endcause.ServerLost)
+		if endcause.Of(ctx) != endcause.ServerLost {
 			return // the attempt had ended already
 		}
 		f.g.log.For(logging.ComponentRoute).Warn().
@@ -128,7 +129,7 @@
 			Str("detail", x.result.detail).
 			Dur("took_ms", now.Sub(began)).
 			Str("cause", x.result.cause.String()).
-			Bool("expired", causeOf(ctx) != causeNone).
+			Bool("expired", endcause.Of(ctx) != endcause.None).
 			Msg("attempt failed")
 	}
 }
@@ -184,7 +185,7 @@
 	e := x.endpoint
 	conn, err := f.g.pool.Get(ctx, poolKey(e), e.Address)
 	if err != nil {
-		if causeOf(ctx) == causeNone {
+		if endcause.Of(ctx) == endcause.None {
 			e.Runtime.Ban(time.Now().Add(unreachableBan))
 		}
 		return interrupted(ctx, result{end: retry.NotRun, detail: "no connection to the endpoint"})
@@ -205,11 +206,11 @@
 // response, if ctx has ended. Only a caller that is gone changes the result. After any
 // other cause the request is as uncertain as if the connection had failed.
 func interrupted(ctx context.Context, r result) result {
-	r.cause = causeOf(ctx)
+	r.cause = endcause.Of(ctx)
 	switch r.cause {
-	case causeCallerGone:
+	case endcause.CallerGone:
 		r.end = retry.CallerGone
-	case causeServerLost:
+	case endcause.ServerLost:
 		r.detail = "the server does not answer"
 	}
 	return r
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
 )
 
@@ -31,13 +32,13 @@
 	expiry time.Time
 }
 
-// startStallTimer returns a context that is cancelled with causeStalled when no
+// startStallTimer returns a context that is cancelled with endcause.Stalled when no
 // event has arrived within the limit of the route, counted from began.
 func startStallTimer(ctx context.Context, r *route.Route, began time.Time) (context.Context, *stallTimer) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	s := &stallTimer{limit: withReplyMargin(stallLimit(r))}
 	s.expiry = began.Add(s.limit)
-	s.timer = time.AfterFunc(time.Until(s.expiry), func() { cancel(causeStalled) })
+	s.timer = time.AfterFunc(time.Until(s.expiry), func() { cancel(endcause.Stalled) })
 	return ctx, s
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
 	"github.com/fescuecourse/fescuecourse/pkg/upstream"
@@ -39,7 +40,7 @@
 			f.recordPromptProcessed(x, c)
 			if werr := f.forward(x, ex.Response, buffered[:end]); werr != nil {
 				ex.Abort()
-				return result{end: retry.CallerGone, cause: causeCallerGone, status: status, detail: "the caller is gone"}
+				return result{end: retry.CallerGone, cause: endcause.CallerGone, status: status, detail: "the caller is gone"}
 			}
 			x.stall.eventSent()
 			buffered = append(buffered[:0], buffered[end:]...)
