entry: close the connection of every response that was cut

Callers that had closed only their sending side saw a cut stream whose HTTP body looked complete, or a complete empty response with status 200.

Cause: as in pkg/gateway, a request that ended without a failure returned from its handler, and net/http ended the response. Whether the caller was gone was derived from the state of the request's context after the attempt.

Fix: serve returns normally only after a complete response of an endpoint or a complete error response, and aborts the connection otherwise. The contexts of attempts and requests are cancelled with an endcause.Cause, the first one counts, and 'request ended' logs it. A stream that fails still ends with an error event and the outcome trailer, which the API defines as its end.

The tests that called the handler directly now check that it aborts exactly when the caller is gone. The log recorder of the gateway tests moves to internal/logrecorder, because both packages use it.

--- a/pkg/entry/cause_test.go
+++ b/pkg/entry/cause_test.go
@@ -12,6 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/internal/logrecorder"
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 )
 
 // sendRaw sends a request over its own connection, so that the test can close one
@@ -28,9 +30,11 @@
 }
 
 // Guards against a cut stream whose HTTP body looks complete after the caller has
-// closed its sending side.
+// closed its sending side, and against a closing log line without this cause.
 func TestAbandonedStreamNeverLooksComplete(t *testing.T) {
 	b := newTestBed(t, modelKind, []script{answer(1, false, silent)})
+	log := &logrecorder.Recorder{}
+	b.e.log = log.Logger()
 	conn := b.sendRaw(t, completions, streamBody)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	assert.NilError(t, err)
@@ -40,6 +44,7 @@
 	assert.NilError(t, conn.CloseWrite())
 	rest, err := io.ReadAll(resp.Body)
 	assert.Assert(t, err != nil, "the stream looks complete after %q", string(first)+string(rest))
+	assert.DeepEqual(t, log.ClosingCauses(t), []string{endcause.CallerGone.String()})
 }
 
 // Guards against a complete empty response to a request that was abandoned before its
--- a/pkg/entry/chain_test.go
+++ b/pkg/entry/chain_test.go
@@ -42,12 +42,26 @@
 	x.result = attemptResult{end: end, reason: reason, timeout: rapid.IntRange(0, 9).Draw(d.t, "timeout") == 0}
 	if end == retry.Answered {
 		x.response.header(&fescuev1.Header{Status: 200})
-		x.response.end()
+		x.endResponse()
 	}
 	d.ends, d.sent = append(d.ends, end), append(d.sent, sent)
 	return nil
 }
 
+// aborts reports whether a handler aborts the response, which makes net/http close the
+// connection.
+func aborts(handler func()) (aborted bool) {
+	defer func() {
+		p := recover()
+		if p != nil && p != http.ErrAbortHandler { //nolint:errorlint // net/http compares in the same way
+			panic(p)
+		}
+		aborted = p != nil
+	}()
+	handler()
+	return false
+}
+
 // Runs the whole chain with random results of attempts and missing endpoints. Guards
 // against a non-idempotent request that is sent again after an attempt that may have
 // run, and against an outcome that the results of the attempts do not support.
@@ -63,7 +77,7 @@
 		req.Header.Set("Authorization", "Bearer "+testKey)
 		req.Header.Set(headerIdempotent, idempotent)
 		rec := httptest.NewRecorder()
-		b.e.routes().ServeHTTP(rec, req)
+		aborted := aborts(func() { b.e.routes().ServeHTTP(rec, req) })
 
 		mayHaveRun, answered := 0, false
 		for _, end := range d.ends {
@@ -81,7 +95,9 @@
 		if answered {
 			want = ident.Answered
 		}
-		if d.ends[len(d.ends)-1] != retry.CallerGone { // nobody reads this response
+		gone := d.ends[len(d.ends)-1] == retry.CallerGone
+		assert.Equal(t, aborted, gone, "%v", d.ends)
+		if !gone { // nobody reads this response
 			assert.Equal(t, rec.Header().Get(headerOutcome), want.String(), "%v", d.ends)
 		}
 		assert.Equal(t, b.e.limiter.InFlight("tokachi"), 0)
@@ -285,7 +301,7 @@
 	x.kind, x.route = modelKind, "completions"
 	settled := make(chan struct{})
 	go func() {
-		b.e.serve(x)
+		assert.Check(t, aborts(func() { b.e.serve(x) }), "the response looks complete")
 		close(settled)
 	}()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -4,19 +4,16 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
 )
 
-// errSilent reports that no frame has arrived within the progress timeout.
-var errSilent = errors.New("no frame from the endpoint")
-
 // dispatch is the filter that sends an attempt to its endpoint and relays the
 // response.
 type dispatch struct{ e *Entry }
@@ -44,7 +41,7 @@
 // attempt performs one attempt and returns its result. If the stream is lost, it
 // asks the endpoint for the result.
 func (f dispatch) attempt(x *Exchange, l *link) attemptResult {
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline.Add(f.e.timing.deadlineGrace))
+	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline.Add(f.e.timing.deadlineGrace), endcause.Deadline)
 	defer cancel()
 	r := newRelay(f.e, x, x.ref())
 	res, settled := f.run(ctx, r, l)
@@ -52,18 +49,20 @@
 	if settled {
 		return res
 	}
-	if x.r.Context().Err() != nil {
-		return attemptResult{end: retry.CallerGone, detail: "caller is gone"}
-	}
 	return f.queryLostAttempt(r, l, res)
 }
 
+// callerGone returns the result of an attempt that ended because its caller is gone.
+func callerGone() attemptResult {
+	return attemptResult{end: retry.CallerGone, cause: endcause.CallerGone, detail: errCallerGone.Error()}
+}
+
 // run sends the request of an attempt and handles the frames of the response. It
 // returns false if the result of the attempt is not known.
 func (f dispatch) run(ctx context.Context, r *relay, l *link) (attemptResult, bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(f.e.timing.progressTimeout, func() { cancel(errSilent) })
+	watchdog := time.AfterFunc(f.e.timing.progressTimeout, func() { cancel(endcause.ServerLost) })
 	defer watchdog.Stop()
 	suspicion := time.AfterFunc(f.e.timing.suspicion, func() { l.suspected.Store(true) })
 	defer suspicion.Stop()
@@ -74,8 +73,8 @@
 		// The endpoint cannot have run the attempt, because the request has not been
 		// sent.
 		f.replaceFailedConn(l, conn, ctx, err)
-		if r.x.r.Context().Err() != nil {
-			return attemptResult{end: retry.CallerGone, detail: "caller is gone"}, true
+		if endcause.Of(ctx) == endcause.CallerGone {
+			return callerGone(), true
 		}
 		return notSent(err.Error()), true
 	}
@@ -85,7 +84,11 @@
 		return r.result, true
 	}
 	f.replaceFailedConn(l, conn, ctx, err)
-	return r.lostResult(context.Cause(ctx), err), false
+	cause := endcause.Of(ctx)
+	if cause == endcause.CallerGone {
+		return callerGone(), true
+	}
+	return r.lostResult(cause, err), false
 }
 
 // runStreamIndex is the index of Run in the stream descriptors of the gRPC service.
@@ -122,7 +125,7 @@
 // failure. After silence, it also cancels the control stream if no reports arrive on
 // it either.
 func (f dispatch) replaceFailedConn(l *link, conn *sharedConn, ctx context.Context, err error) { //nolint:revive // ctx is only inspected for its cause
-	silent := errors.Is(context.Cause(ctx), errSilent)
+	silent := endcause.Of(ctx) == endcause.ServerLost
 	if !silent && status.Code(err) != codes.Unavailable {
 		return
 	}
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"crypto/sha256"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/membership"
 	"github.com/fescuecourse/fescuecourse/pkg/placement"
@@ -57,7 +59,30 @@
 	started       time.Time
 	firstDataSeen bool
 	sent          bool
-	settlement    *settle.Settlement
+	// complete is set once a complete response of an endpoint or a complete error
+	// response was sent.
+	complete bool
+	// cause is why the request ended before an endpoint's response was complete.
+	cause      endcause.Cause
+	settlement *settle.Settlement
+}
+
+// endResponse completes the response after an endpoint has sent all of it.
+func (x *Exchange) endResponse() {
+	x.response.end()
+	x.complete = true
+}
+
+// recordCause records why the request ended before an endpoint's response was
+// complete. The cause of the last attempt is at least as early as that of the request.
+func (x *Exchange) recordCause(ctx context.Context) {
+	switch {
+	case x.complete:
+	case x.result.cause != endcause.None:
+		x.cause = x.result.cause
+	default:
+		x.cause = endcause.Of(ctx)
+	}
 }
 
 // prefixHashBytes is the number of bytes at the start of a prompt that are hashed.
--- a/pkg/entry/filter.go
+++ b/pkg/entry/filter.go
@@ -13,6 +13,7 @@
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 )
 
 // Handler processes a request with one or more filters. It returns nil if the
@@ -83,9 +84,11 @@
 	if fail := f.idempotency(x); fail != nil {
 		return fail
 	}
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, endcause.Deadline)
 	defer cancel()
-	return next(ctx, x)
+	fail := next(ctx, x)
+	x.recordCause(ctx)
+	return fail
 }
 
 func (f resolve) headers(x *Exchange) *Failure {
--- a/pkg/entry/http.go
+++ b/pkg/entry/http.go
@@ -119,9 +119,19 @@
 	e.serve(x)
 }
 
-// serve runs the filters, settles the request with exactly one outcome and sends the
-// error response of a failed request.
+// serve handles a request. The caller gets the complete response of an endpoint, a
+// complete error response, or a connection that is closed.
 func (e *Entry) serve(x *Exchange) {
+	e.process(x)
+	if !x.complete {
+		// Returning would make net/http end the response as if it were complete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// process runs the filters, settles the request with exactly one outcome and sends the
+// error response of a failed request.
+func (e *Entry) process(x *Exchange) {
 	x.w.Header().Set(headerRequestID, string(x.ID))
 	e.metrics.inFlight.Inc(1)
 	defer e.metrics.inFlight.Dec(1)
@@ -152,12 +162,12 @@
 
 func (e *Entry) settle(x *Exchange, outcome ident.Outcome) {
 	x.settlement.Settle(outcome)
-	e.log.For(logging.ComponentRoute).Info().Str("request", string(x.ID)).Str("team", string(x.team.Team)).Str("outcome", outcome.String()).Int("attempts", int(x.attempt)).Msg("request ended")
+	e.log.For(logging.ComponentRoute).Info().Str("request", string(x.ID)).Str("team", string(x.team.Team)).Str("outcome", outcome.String()).Int("attempts", int(x.attempt)).Str("cause", x.cause.String()).Msg("request ended")
 }
 
 // recoverPanic ends a request whose handler panicked. The outcome is unknown if the
 // request was sent, else not run. If the outcome was already settled, the connection
-// is aborted.
+// is closed.
 func (e *Entry) recoverPanic(x *Exchange) {
 	p := recover()
 	if p == nil {
@@ -165,7 +175,8 @@
 	}
 	e.log.For(logging.ComponentRoute).Error().Str("request", string(x.ID)).Str("panic", fmt.Sprint(p)).Str("stack", string(debug.Stack())).Msg("panic in request")
 	if x.settlement.Outcome() != ident.Pending {
-		panic(http.ErrAbortHandler)
+		x.complete = false
+		return
 	}
 	fail := unknownResult(http.StatusBadGateway, "internal_error", "the entry failed while it handled the request")
 	if !x.sent {
@@ -176,6 +187,7 @@
 }
 
 func (e *Entry) fail(x *Exchange, f *Failure) {
+	x.complete = true
 	if x.response == nil {
 		f.write(x.w)
 		return
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/invariant"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
@@ -41,13 +42,13 @@
 }
 
 // lostResult returns the result of an attempt whose stream ended with err. cause is
-// the cancellation cause of its context.
-func (r *relay) lostResult(cause, err error) attemptResult {
+// why its context ended, if it did.
+func (r *relay) lostResult(cause endcause.Cause, err error) attemptResult {
 	detail := err.Error()
-	if errors.Is(cause, errSilent) {
-		detail = cause.Error()
+	if cause == endcause.ServerLost {
+		detail = "no frame from the endpoint"
 	}
-	return attemptResult{end: retry.Unknown, detail: detail, timeout: !time.Now().Before(r.x.deadline)}
+	return attemptResult{end: retry.Unknown, cause: cause, detail: detail, timeout: !time.Now().Before(r.x.deadline)}
 }
 
 // handleFrame handles one frame. It returns true at the end of the attempt, and an
@@ -109,7 +110,7 @@
 	r.x.recordFirstData(r.e)
 	err := r.x.response.data(d.GetPayload())
 	if errors.Is(err, errCallerGone) {
-		r.result = attemptResult{end: retry.CallerGone, detail: err.Error()}
+		r.result = callerGone()
 		return true, nil
 	}
 	r.nextOffset = r.x.response.received()
@@ -123,7 +124,7 @@
 	if e.GetTotal() != r.nextOffset {
 		return errIncomplete
 	}
-	r.x.response.end()
+	r.x.endResponse()
 	if r.x.group != nil {
 		r.x.group.ServiceTime.Observe(max(time.Since(r.start)-r.queueTime, 0))
 	}
--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
@@ -15,6 +16,9 @@
 type attemptResult struct {
 	end    retry.Result
 	reason fescuev1.NotRunReason
+	// cause is why the attempt was cancelled before it got a complete response, or
+	// endcause.None.
+	cause  endcause.Cause
 	detail string
 	// timeout is true if the attempt ended because of the deadline or after it.
 	timeout bool
@@ -39,7 +43,7 @@
 			return f.interrupted(x, fail)
 		}
 		x.history.Record(x.result.end)
-		x.history.Expired = x.result.timeout || ctx.Err() != nil
+		x.history.Expired = x.result.timeout || endcause.Of(ctx) != endcause.None
 		if x.history.Last == retry.Answered || x.history.Last == retry.CallerGone {
 			return nil
 		}
--- a/pkg/entry/revoke.go
+++ b/pkg/entry/revoke.go
@@ -54,7 +54,7 @@
 	defer wait.Stop()
 	select {
 	case <-x.r.Context().Done():
-		return attemptResult{end: retry.CallerGone, detail: lost.detail}, false
+		return callerGone(), false
 	case <-wait.C:
 		return lost, true
 	}
--- a/pkg/gateway/cause_test.go
+++ b/pkg/gateway/cause_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fescuecourse/fescuecourse/internal/logrecorder"
 	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 )
@@ -59,7 +60,7 @@
 	conn     *net.TCPConn
 	body     *http.Response
 	stop     context.CancelCauseFunc
-	log      *logRecorder
+	log      *logrecorder.Recorder
 	lost     atomic.Bool
 	began    time.Time
 	released chan struct{}
@@ -69,7 +70,8 @@
 func startCutStream(t *testing.T, budget time.Duration) *cutStream {
 	t.Helper()
 	w := newTestGateway(t, streamRoute)
-	s := &cutStream{began: time.Now(), log: recordLog(w), released: make(chan struct{})}
+	s := &cutStream{began: time.Now(), log: &logrecorder.Recorder{}, released: make(chan struct{})}
+	w.gateway.log = s.log.Logger()
 	delivered := make(chan struct{})
 	e := w.serve(modelService, func(rw http.ResponseWriter, r *http.Request) {
 		markFromPlatform(rw, r)
@@ -192,7 +194,7 @@
 				close(s.released)
 				rest, err := io.ReadAll(s.body.Body)
 				assert.Assert(t, err != nil, "the stream looks complete after %q", firstEvent+string(rest))
-				assert.DeepEqual(t, s.log.closingCauses(t), []string{order[0].cause.String()})
+				assert.DeepEqual(t, s.log.ClosingCauses(t), []string{order[0].cause.String()})
 			})
 		}
 	}
@@ -239,7 +241,8 @@
 			time.Sleep(statusInterval)
 		}
 	}), adapterKey, 1)
-	log := recordLog(w)
+	log := &logrecorder.Recorder{}
+	w.gateway.log = log.Logger()
 	requests, endRequests := context.WithCancelCause(context.Background())
 	front := httptest.NewUnstartedServer(nil)
 	front.Config = w.gateway.newServer(requests)
@@ -247,7 +250,7 @@
 	t.Cleanup(front.Close)
 	_, resp := openRequest(t, front.Listener.Addr().String(), "/o/x", 2*cutTestGrace)
 	assert.NilError(t, w.gateway.drain(front.Config, endRequests))
-	assert.DeepEqual(t, log.closingCauses(t), []string{endcause.Stopped.String()})
+	assert.DeepEqual(t, log.ClosingCauses(t), []string{endcause.Stopped.String()})
 	_, err := io.ReadAll(resp.Body)
 	assert.Assert(t, err != nil, "the stream looks complete")
 }
