--- a/pkg/entry/cause_test.go
+++ b/pkg/entry/cause_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"google.golang.org/grpc"
 	"gotest.tools/v3/assert"
@@ -71,3 +73,20 @@
 		assert.Equal(t, string(got), "")
 	}
 }
+
+// Guards against requests that are cut off at the end of a shutdown without a closing
+// log line.
+func TestStopEndsRunningRequests(t *testing.T) {
+	b := newTestBed(t, modelKind, []script{answer(1, false, silent)})
+	b.e.timing.progressTimeout = time.Minute
+	b.e.settings.DrainTimeout = 100 * time.Millisecond
+	log := &logrecorder.Recorder{}
+	b.e.log = log.Logger()
+	conn := b.sendRaw(t, completions, streamBody)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Assert(t, b.e.drain(b.http.Config) != nil)
+	assert.DeepEqual(t, log.ClosingCauses(t), []string{endcause.Stopped.String()})
+	rest, _ := io.ReadAll(resp.Body)
+	assert.Assert(t, !strings.Contains(string(rest), "[DONE]"), "the stream looks complete: %q", rest)
+}
