entry: end the requests that still run when the drain timeout ends

Callers of such requests saw their connections break when the process exited, and the requests wrote no closing log line.

Cause: drain returned and nothing ended the requests.

Evidence: TestStopEndsRunningRequests failed, the log had no 'request ended'.

Fix: as in pkg/gateway, the contexts of all requests are derived from one that drain cancels with endcause.Stopped. It then waits up to 500 ms for the handlers.

--- a/pkg/entry/cause_test.go
+++ b/pkg/entry/cause_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -82,10 +84,15 @@
 	b.e.settings.DrainTimeout = 100 * time.Millisecond
 	log := &logrecorder.Recorder{}
 	b.e.log = log.Logger()
+	requests, endRequests := context.WithCancelCause(context.Background())
+	b.http = httptest.NewUnstartedServer(nil)
+	b.http.Config = b.e.newServer(requests)
+	b.http.Start()
+	t.Cleanup(b.http.Close)
 	conn := b.sendRaw(t, completions, streamBody)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	assert.NilError(t, err)
-	assert.Assert(t, b.e.drain(b.http.Config) != nil)
+	assert.Assert(t, b.e.drain(b.http.Config, endRequests) != nil)
 	assert.DeepEqual(t, log.ClosingCauses(t), []string{endcause.Stopped.String()})
 	rest, _ := io.ReadAll(resp.Body)
 	assert.Assert(t, !strings.Contains(string(rest), "[DONE]"), "the stream looks complete: %q", rest)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
 	"github.com/fescuecourse/fescuecourse/pkg/bus"
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/limits"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
@@ -145,7 +146,9 @@
 	<-e.bus.Running()
 	wg.Go(func() { e.connector.run(background) })
 	wg.Go(func() { e.bundleSyncer.run(background) })
-	srv := &http.Server{Handler: e.routes(), ReadHeaderTimeout: readHeaderTimeout}
+	requests, endRequests := context.WithCancelCause(context.Background())
+	defer endRequests(endcause.Stopped)
+	srv := e.newServer(requests)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(lis) }()
 	close(e.ready)
@@ -157,22 +160,47 @@
 		return abort(srv)
 	case <-ctx.Done():
 	}
-	return e.drain(srv)
+	return e.drain(srv, endRequests)
 }
 
+// newServer returns the HTTP server for callers. The contexts of its requests are
+// derived from requests.
+func (e *Entry) newServer(requests context.Context) *http.Server {
+	return &http.Server{
+		Handler:           e.routes(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		BaseContext:       func(net.Listener) context.Context { return requests },
+	}
+}
+
+// cutoffTime is how long requests that were cut off by a shutdown may take to write
+// their closing log lines.
+const cutoffTime = 500 * time.Millisecond
+
 // drain waits for the unready delay, then shuts the HTTP server down. Running
-// requests may finish within the drain timeout.
-func (e *Entry) drain(srv *http.Server) error {
+// requests may finish within the drain timeout. Those that have not are cancelled by
+// endRequests.
+func (e *Entry) drain(srv *http.Server, endRequests context.CancelCauseFunc) error {
 	e.stopping.Store(true)
 	e.log.For(logging.ComponentEntry).Info().Msg("shutting down; reporting not ready")
 	time.Sleep(e.settings.UnreadyDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout)
-	defer cancel()
-	err := srv.Shutdown(ctx)
+	err := shutdown(srv, e.settings.DrainTimeout)
+	if errors.Is(err, context.DeadlineExceeded) {
+		endRequests(endcause.Stopped)
+		_ = shutdown(srv, cutoffTime) // the drain has failed in any case
+	}
 	e.log.For(logging.ComponentEntry).Info().Msg("stopped")
 	return errors.Wrap(err, "drain")
 }
 
+// shutdown stops accepting connections and waits until the running requests have
+// ended, at most for the given time.
+func shutdown(srv *http.Server, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return srv.Shutdown(ctx)
+}
+
 // newExchange returns the state of a new request and assigns the request ID.
 func newExchange(w http.ResponseWriter, r *http.Request) *Exchange {
 	id := ident.NewRequestID()
