--- a/pkg/endcause/endcause.go
+++ b/pkg/endcause/endcause.go
@@ -8,23 +8,22 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Cause is why an attempt or a request ended before its response was complete. It
-// is the cancellation cause of its context, so the first cause counts if several
-// occur. In particular, all timers that are due fire together after a suspension of
-// the process.
+// Cause is why an attempt or a request ended before its response was complete. It is
+// the cancellation cause of its context, so the first one counts. Several often occur
+// at once, because all timers that are due fire together after a suspension of the
+// process.
 type Cause uint8
 
 // Causes. None is the zero value.
 const (
 	// None means that nothing has ended the attempt or the request early.
 	None Cause = iota
-	// CallerGone means that the caller has closed the connection or its sending
-	// side.
+	// CallerGone means that the caller has closed the connection or its sending side.
 	CallerGone
 	// ServerLost means that the server is down or has been silent for too long.
 	ServerLost
-	// Stalled means that the next event of a stream did not arrive before the
-	// caller would have disconnected.
+	// Stalled means that the next event of a stream did not arrive before the caller
+	// would have disconnected.
 	Stalled
 	// Deadline means that the time limit of the request has passed.
 	Deadline
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -236,15 +236,15 @@
 		cancel(cause)
 		cancel(endcause.CallerGone)
 		for _, end := range []retry.Result{retry.Answered, retry.NotRun, retry.Unknown} {
-			got := interrupted(ctx, result{end: end})
+			got := withCause(ctx, result{end: end})
 			assert.Equal(t, got.end, end)
 			assert.Equal(t, got.cause, cause)
 		}
 	}
 	ctx, cancel := context.WithCancel(t.Context())
-	assert.Equal(t, interrupted(ctx, result{end: retry.Unknown}).end, retry.Unknown)
+	assert.Equal(t, withCause(ctx, result{end: retry.Unknown}).end, retry.Unknown)
 	cancel()
-	assert.Equal(t, interrupted(ctx, result{end: retry.Unknown}).end, retry.CallerGone)
+	assert.Equal(t, withCause(ctx, result{end: retry.Unknown}).end, retry.CallerGone)
 }
 
 // Guards against callers that disconnect before the final response while a server on
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -70,8 +70,8 @@
 	serverLostAfter = 1500 * time.Millisecond
 )
 
-// watch cancels an attempt with endcause.ServerLost when its server is lost: the server is
-// reported as down, or neither its response nor its status reports arrive any more.
+// watch cancels an attempt with endcause.ServerLost when its server is lost: the server
+// is reported as down, or neither its response nor its status reports arrive any more.
 func (f sendFilter) watch(ctx context.Context, cancel context.CancelCauseFunc, x *exchange, e *fleet.Endpoint) {
 	tick := time.NewTicker(watchInterval)
 	defer tick.Stop()
@@ -188,7 +188,7 @@
 		if endcause.Of(ctx) == endcause.None {
 			e.Runtime.Ban(time.Now().Add(unreachableBan))
 		}
-		return interrupted(ctx, result{end: retry.NotRun, detail: "no connection to the endpoint"})
+		return withCause(ctx, result{end: retry.NotRun, detail: "no connection to the endpoint"})
 	}
 	x.settlement.MarkSent()
 	ex, err := conn.Send(ctx, f.request(x))
@@ -197,15 +197,15 @@
 		if errors.Is(err, upstream.ErrNotSent) {
 			end = retry.NotRun
 		}
-		return interrupted(ctx, result{end: end, detail: err.Error()})
+		return withCause(ctx, result{end: end, detail: err.Error()})
 	}
 	return f.receive(ctx, x, conn, ex, c)
 }
 
-// interrupted adds the cause to the result of an attempt that got no complete
+// withCause adds the cause to the result of an attempt that got no complete
 // response, if ctx has ended. Only a caller that is gone changes the result. After any
 // other cause the request is as uncertain as if the connection had failed.
-func interrupted(ctx context.Context, r result) result {
+func withCause(ctx context.Context, r result) result {
 	r.cause = endcause.Of(ctx)
 	switch r.cause {
 	case endcause.CallerGone:
@@ -306,7 +306,7 @@
 	body, err := io.ReadAll(io.LimitReader(ex.Response.Body, maxBufferedBytes))
 	if err != nil {
 		ex.Abort()
-		return interrupted(ctx, result{end: retry.Unknown, status: status, detail: "the response broke off: " + err.Error()})
+		return withCause(ctx, result{end: retry.Unknown, status: status, detail: "the response broke off: " + err.Error()})
 	}
 	if ex.Finish() {
 		f.g.pool.Put(poolKey(x.endpoint), conn)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -50,7 +50,7 @@
 			return f.finish(x, conn, ex)
 		case err != nil || len(buffered) > maxEventBytes:
 			ex.Abort()
-			return interrupted(ctx, result{end: retry.Unknown, status: status, detail: "the stream broke off"})
+			return withCause(ctx, result{end: retry.Unknown, status: status, detail: "the stream broke off"})
 		}
 	}
 }
