--- a/pkg/soak/suspend_test.go
+++ b/pkg/soak/suspend_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	_ "github.com/fescuecourse/fescuecourse/pkg/daemon" // part of the tested program; a change must invalidate cached results
 	"github.com/fescuecourse/fescuecourse/pkg/wait"
 	"github.com/fescuecourse/fescuecourse/standin/platform"
 )
