--- a/internal/knownred/events.go
+++ b/internal/knownred/events.go
@@ -169,8 +169,8 @@
 		t.output.Reset()
 	case "fail":
 		t.Result = failed
-		if parent, ok := id.parent(); ok {
-			p.test(parent).Failures++
+		if parent := p.parent(id); parent != nil {
+			parent.Failures++
 		}
 	}
 }
@@ -185,6 +185,22 @@
 	return t
 }
 
+// parent returns the test of which id is a subtest, or nil. The name of a subtest may
+// contain slashes itself, so not every prefix is a test.
+func (p *packageRun) parent(id testID) *testRun {
+	name := id.Name
+	for {
+		i := strings.LastIndexByte(name, '/')
+		if i < 0 {
+			return nil
+		}
+		name = name[:i]
+		if t, ok := p.Tests[testID{id.Package, name}]; ok {
+			return t
+		}
+	}
+}
+
 func (t *testRun) addOutput(line string) {
 	t.output.WriteString(line)
 	if !isFraming(line) {
--- a/internal/knownred/list.go
+++ b/internal/knownred/list.go
@@ -22,15 +22,6 @@
 	return t.Package + " " + t.Name
 }
 
-// parent returns the test of which t is a subtest.
-func (t testID) parent() (testID, bool) {
-	i := strings.LastIndexByte(t.Name, '/')
-	if i < 0 {
-		return testID{}, false
-	}
-	return testID{t.Package, t.Name[:i]}, true
-}
-
 // entry is one known failure: the tests that show it and a description.
 type entry struct {
 	Tests []testID
--- a/internal/knownred/verdict_test.go
+++ b/internal/knownred/verdict_test.go
@@ -126,6 +126,10 @@
 				"./pkg/sub TestTable/bad_one: failed and is not listed",
 			},
 		},
+		"subtest with a slash in its name, listed": {
+			streams: []string{"slash"},
+			list:    list("./pkg/slash TestTable/a/b@1"),
+		},
 		"no packages": {
 			problems: []string{"go test reported no package"},
 		},
