--- a/pkg/entry/fake_test.go
+++ b/pkg/entry/fake_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -35,10 +36,16 @@
 )
 
 func testBundle(t *testing.T, version int, limits string) *bundle.Bundle {
+	t.Helper()
+	return versionsBundle(t, version, limits, "1, 2", strconv.Itoa(min(version, 2)))
+}
+
+// versionsBundle returns a bundle with the given versions of the adapter.
+func versionsBundle(t *testing.T, version int, limits, versions, current string) *bundle.Bundle {
 	t.Helper()
 	sum := sha256.Sum256([]byte(testKey))
 	text := fmt.Sprintf("[bundle]\nversion = %d\n[deployment]\nname = test\nretry_budget = 1\n[team \"tokachi\"]\nkey_sha256 = %s\nweight = 1\npriority = high\n%s\n"+
-		"[adapter \"tokachi/summary\"]\nbase_model = kuma-7b\nversions = 1, 2\ncurrent = %d\n[service \"desk\"]\n", version, hex.EncodeToString(sum[:]), limits, min(version, 2))
+		"[adapter \"tokachi/summary\"]\nbase_model = kuma-7b\nversions = %s\ncurrent = %s\n[service \"desk\"]\n", version, hex.EncodeToString(sum[:]), limits, versions, current)
 	b, found := bundle.Parse("test", text)
 	assert.NilError(t, found.Err())
 	return b
@@ -212,6 +219,7 @@
 	outcome    string
 	body       string
 	retryAfter string
+	headers    http.Header
 }
 
 func (b *testBed) post(t *testing.T, path, body string, headers ...string) reply {
@@ -228,7 +236,7 @@
 	var text bytes.Buffer
 	_, err = text.ReadFrom(res.Body)
 	assert.NilError(t, err)
-	r := reply{status: res.StatusCode, outcome: res.Header.Get(headerOutcome), body: text.String(), retryAfter: res.Header.Get("Retry-After")}
+	r := reply{status: res.StatusCode, outcome: res.Header.Get(headerOutcome), body: text.String(), retryAfter: res.Header.Get("Retry-After"), headers: res.Header}
 	if r.outcome == "" {
 		r.outcome = res.Trailer.Get(headerOutcome)
 	}
