entry: replay stored responses across versions of their adapter

What callers saw: a non-idempotent request with an idempotency key that names its adapter without a version was answered; a bundle then made another version current. The repeated request got 409 result_unknown for the rest of the retention, although the endpoint had stored the response. The same held for a request that names its version once a bundle had dropped it. Each case also counted a violation of the right-adapter invariant.

Cause: the replay compared the stored frames with the adapter to which the active bundle resolves the repeated request, not with the one to which the first request was resolved.

Fix: the response is identified by the claim record (request, attempt, incarnation and the hash of the body), so the entry takes the served adapter from the stored frames if the model of the request names it, with or without a version, and the response names the version that ran. A response of another adapter or of a version that the request does not name is still refused.

--- a/pkg/entry/claim.go
+++ b/pkg/entry/claim.go
@@ -228,6 +228,7 @@
 	if e, ok := f.e.directory.Load().Find(stored.Endpoint); ok {
 		x.endpoint = e
 	}
+	f.useServedAdapter(x, stored, frames)
 	res := replay(newRelay(f.e, x, stored.ref()), frames, attemptResult{end: retry.Unknown})
 	if res.end == retry.Answered || res.end == retry.CallerGone {
 		x.markSent()
@@ -238,6 +239,35 @@
 	return f.unknown(x, "result_unknown", "the request with this idempotency key has run and its answer is not kept")
 }
 
+// useServedAdapter sets the adapter of a repeated request to the one that produced the
+// stored response, if the request names it. The active bundle may resolve the name to
+// another version, or no longer have the version that ran.
+func (f claim) useServedAdapter(x *Exchange, stored ClaimRecord, frames []*fescuev1.RunFrame) {
+	for _, fr := range frames {
+		h := fr.GetHeader()
+		if h == nil {
+			continue
+		}
+		served, err := ident.ParseAdapter(h.GetServedAdapter())
+		if err != nil || !x.names(served) {
+			return
+		}
+		f.e.log.For(logging.ComponentRoute).Info().Str("request", string(x.ID)).Str("claimed_by", string(stored.Request)).Str("resolved", x.adapter.String()).Str("served", served.String()).Msg("stored response of the served adapter is used")
+		x.adapter = served
+		return
+	}
+}
+
+// names reports whether the model of the request names the adapter, with or without
+// its version.
+func (x *Exchange) names(a ident.Adapter) bool {
+	if a.Team != x.team.Team || a.Version == "" {
+		return false
+	}
+	unversioned := ident.Adapter{Team: a.Team, Name: a.Name}
+	return x.model == a.String() || x.model == unversioned.String()
+}
+
 // unknown returns the Failure of a request whose key is claimed by a request that
 // may have run.
 func (claim) unknown(x *Exchange, code, message string) *Failure {
