engine: report the versions of software and base weights

The engine interface named neither the version of the inference software nor that of the base model's weights, so nothing in this family of roles could tell whether two engines of one base model generate the same events. The status has software_version and weights_version, a generation the response headers X-Engine-Version and X-Weights-Version; both default to empty, which counts as one version. Endpoints pass the version on in reports (first of a stream and on change) and in the header frame. The fake engine's output depends on its version.

No decision uses the version yet. TestDeltaReports covers the new field; go test -race passes for pkg/endpoint, pkg/membership, pkg/engine, pkg/entry and standin/engine.

--- a/pkg/endpoint/control.go
+++ b/pkg/endpoint/control.go
@@ -75,6 +75,8 @@
 	sched *scheduler.Scheduler
 	// waiters holds the channels for the decisions on submitted attempts.
 	waiters map[ident.AttemptID]chan decision
+	// engineVersion is the version in the last status of the engine.
+	engineVersion ident.EngineVersion
 	// bootID is the boot id of the engine, empty until known.
 	bootID string
 	// synced is true once the state of the engine is known.
@@ -109,6 +111,8 @@
 	canLoad bool
 	leaving bool
 	bundle  ident.BundleVersion
+	// engineVersion is the version in the last status of the engine.
+	engineVersion ident.EngineVersion
 	// revision and epoch are saved when a status poll begins. They tell later whether
 	// the scheduler's state and the authority have changed during the poll.
 	revision scheduler.Revision
@@ -121,7 +125,7 @@
 // entries at once. Changes of queue lengths and used positions wait for the next
 // periodic report.
 func (s *snapshot) needsImmediateReport(next *snapshot) bool {
-	if s.ready != next.ready || s.canLoad != next.canLoad || s.leaving != next.leaving || s.bundle != next.bundle {
+	if s.engineVersion != next.engineVersion || s.ready != next.ready || s.canLoad != next.canLoad || s.leaving != next.leaving || s.bundle != next.bundle {
 		return true
 	}
 	return !slices.Equal(s.stats.Residents, next.stats.Residents) || !slices.Equal(s.stats.Loading, next.stats.Loading)
@@ -178,7 +182,7 @@
 // publish stores a new snapshot, wakes the control streams and the engine poller if
 // needed, and closes the channels of idle if all work has ended.
 func (c *control) publish() {
-	s := &snapshot{limits: c.limits, ready: c.ready(), canLoad: c.mayLoad && c.use == scheduler.AdaptersUsable, leaving: c.e.leaving.Load(), bundle: c.e.bundles.Version(), epoch: c.gate.epoch}
+	s := &snapshot{limits: c.limits, ready: c.ready(), canLoad: c.mayLoad && c.use == scheduler.AdaptersUsable, leaving: c.e.leaving.Load(), bundle: c.e.bundles.Version(), epoch: c.gate.epoch, engineVersion: c.engineVersion}
 	pending := false
 	if c.sched != nil {
 		s.stats = c.sched.Stats()
--- a/pkg/endpoint/endpoint_test.go
+++ b/pkg/endpoint/endpoint_test.go
@@ -45,6 +45,7 @@
 				SlotsTotal:       rapid.Uint32Range(0, 9).Draw(t, "slots"),
 				ConnectedEntries: rapid.Uint32Range(1, 3).Draw(t, "entries"),
 				CanLoad:          rapid.Bool().Draw(t, "canLoad"),
+				EngineVersion:    &fescuev1.EngineVersion{Software: rapid.SampledFrom([]string{"", "v1", "v2"}).Draw(t, "software"), Weights: rapid.SampledFrom([]string{"", "3"}).Draw(t, "weights")},
 				ResidentsChanged: true,
 				Residents:        adapters.Draw(t, "residents"),
 				Loading:          adapters.Draw(t, "loading"),
--- a/pkg/endpoint/poll.go
+++ b/pkg/endpoint/poll.go
@@ -63,6 +63,7 @@
 }
 
 func (ev engineStatusEvent) apply(c *control, now time.Time) {
+	ev.updateVersion(c)
 	if ev.status.BootID != c.bootID {
 		ev.restarted(c, now)
 	} else {
@@ -74,6 +75,16 @@
 	c.updateGate(now)
 }
 
+// updateVersion stores the version of the engine.
+func (ev engineStatusEvent) updateVersion(c *control) {
+	v := ev.status.Version()
+	if v == c.engineVersion {
+		return
+	}
+	c.e.log.For(logging.ComponentEndpoint).Info().Str("before", c.engineVersion.String()).Str("engine_version", v.String()).Str("boot", ev.status.BootID).Msg("engine version changed")
+	c.engineVersion = v
+}
+
 // restarted replaces the known state when the boot id of the engine is new. It ends
 // the runs of the previous boot and clears the accepted token, because a started
 // engine knows no fencing token.
--- a/pkg/endpoint/report.go
+++ b/pkg/endpoint/report.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
@@ -33,9 +35,14 @@
 		ConnectedEntries: uint32(e.hub.connected()),
 		CanLoad:          s.canLoad,
 		QueueCapacity:    uint32(e.set.MaxQueued),
+		EngineVersion:    versionMessage(s.engineVersion),
 	}
 }
 
+func versionMessage(v ident.EngineVersion) *fescuev1.EngineVersion {
+	return &fescuev1.EngineVersion{Software: v.Software, Weights: v.Weights}
+}
+
 func (e *Endpoint) state(s *snapshot) fescuev1.EndpointState {
 	switch {
 	case e.leaving.Load():
@@ -56,14 +63,18 @@
 	return out
 }
 
-// reportDue reports whether next must be sent now: either the state, the resident
-// set, the bundle version or the ability to load has changed, or the last report is
+// reportDue reports whether next must be sent now: either the state, the version of
+// the engine, the resident set, the bundle version or the ability to load has changed, or the last report is
 // older than the report interval. Other changes wait for the interval.
 func reportDue(last, next *fescuev1.Report, age time.Duration) bool {
 	if last.State != next.State || last.BundleVersion != next.BundleVersion || last.CanLoad != next.CanLoad {
 		return true
 	}
-	return residentsChanged(last, next) || age >= reportInterval
+	return versionChanged(last, next) || residentsChanged(last, next) || age >= reportInterval
+}
+
+func versionChanged(last, next *fescuev1.Report) bool {
+	return !proto.Equal(last.EngineVersion, next.EngineVersion)
 }
 
 func residentsChanged(last, next *fescuev1.Report) bool {
@@ -72,7 +83,7 @@
 
 // delta returns next without the fields that entries keep from earlier reports on
 // the same stream: those that never change and, if unchanged since last, the
-// resident and loading adapters.
+// engine version and the resident and loading adapters.
 func delta(last, next *fescuev1.Report) *fescuev1.Report {
 	d := &fescuev1.Report{
 		EndpointId:       next.EndpointId,
@@ -91,6 +102,9 @@
 		ConnectedEntries: next.ConnectedEntries,
 		CanLoad:          next.CanLoad,
 	}
+	if versionChanged(last, next) {
+		d.EngineVersion = next.EngineVersion
+	}
 	if residentsChanged(last, next) {
 		d.ResidentsChanged = true
 		d.Residents = next.Residents
--- a/pkg/endpoint/run.go
+++ b/pkg/endpoint/run.go
@@ -78,6 +78,8 @@
 	out    *frameWriter
 	stall  time.Duration
 	queued time.Duration
+	// engineVersion is the version of the engine that answers.
+	engineVersion ident.EngineVersion
 	// notStarted is true if the attempt ended before the engine began to process it.
 	notStarted bool
 }
@@ -122,6 +124,7 @@
 		ServedAdapter: adapter,
 		LoadStallUs:   uint64(r.stall.Microseconds()),
 		QueueUs:       uint64(r.queued.Microseconds()),
+		EngineVersion: versionMessage(r.engineVersion),
 	}}})
 }
 
@@ -172,9 +175,19 @@
 		return r.failWith(ctx, err)
 	}
 	defer st.Close()
+	r.engineVersion = r.versionOf(st)
 	return r.relayEvents(ctx, st, want, m.GetResumeEvents())
 }
 
+// versionOf returns the version of the engine that runs a generation. For an engine that
+// names it only in its status, this is the version in the last status.
+func (r *run) versionOf(st *engine.Stream) ident.EngineVersion {
+	if v := st.Version(); v != (ident.EngineVersion{}) {
+		return v
+	}
+	return r.e.control.snapshot.Load().engineVersion
+}
+
 // servedName returns the name by which the engine knows the requested adapter, or the
 // base model if the call names none.
 func (r *run) servedName(m *fescuev1.ModelCall) string {
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -26,6 +26,11 @@
 	HeaderPriority        = "X-Priority"
 	HeaderResumeOffset    = "X-Resume-Offset"
 	HeaderBootID          = "X-Boot-Id"
+	// HeaderSoftware and HeaderWeights are response headers of a generation with the
+	// versions of the engine's software and of its base model's weights. They are equal
+	// to those in the status, but never late.
+	HeaderSoftware = "X-Engine-Version"
+	HeaderWeights  = "X-Weights-Version"
 )
 
 // maxEventBytes limits the size of one server-sent event.
@@ -56,13 +61,22 @@
 // Status is the state of an engine. Residents are the names of the loaded adapters.
 type Status struct {
 	// BootID changes with every cold start of the engine.
-	BootID         string   `json:"boot_id"`
-	BaseModel      string   `json:"base_model"`
-	SlotsTotal     int      `json:"slots_total"`
-	PositionsTotal int      `json:"positions_total"`
-	PositionsUsed  int      `json:"positions_used"`
-	Residents      []string `json:"residents"`
-	Running        []Run    `json:"running"`
+	BootID    string `json:"boot_id"`
+	BaseModel string `json:"base_model"`
+	// SoftwareVersion and WeightsVersion are the versions of the inference software and
+	// of the base model's weights, empty if the engine does not report them.
+	SoftwareVersion string   `json:"software_version,omitempty"`
+	WeightsVersion  string   `json:"weights_version,omitempty"`
+	SlotsTotal      int      `json:"slots_total"`
+	PositionsTotal  int      `json:"positions_total"`
+	PositionsUsed   int      `json:"positions_used"`
+	Residents       []string `json:"residents"`
+	Running         []Run    `json:"running"`
+}
+
+// Version returns the version that the status names.
+func (s Status) Version() ident.EngineVersion {
+	return ident.EngineVersion{Software: s.SoftwareVersion, Weights: s.WeightsVersion}
 }
 
 // Command is a command to load or unload an adapter.
@@ -216,7 +230,8 @@
 	}
 	sc := bufio.NewScanner(resp.Body)
 	sc.Buffer(make([]byte, 0, 4096), maxEventBytes)
-	return &Stream{body: resp.Body, scanner: sc}, nil
+	version := ident.EngineVersion{Software: resp.Header.Get(HeaderSoftware), Weights: resp.Header.Get(HeaderWeights)}
+	return &Stream{body: resp.Body, scanner: sc, version: version}, nil
 }
 
 // Event is one server-sent event of a generation.
@@ -232,6 +247,7 @@
 type Stream struct {
 	body    io.ReadCloser
 	scanner *bufio.Scanner
+	version ident.EngineVersion
 	// model is the Model of the previous event, so that parseEvent can reuse the string.
 	model string
 }
@@ -260,5 +276,9 @@
 	return Event{}, errors.Mark(errors.New("engine stream ended early"), ErrResultUnknown)
 }
 
+// Version returns the version of the engine that runs the generation. It is zero if the
+// engine names no version in its response.
+func (s *Stream) Version() ident.EngineVersion { return s.version }
+
 // Close cancels the generation if it is still running.
 func (s *Stream) Close() error { return s.body.Close() }
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -3,6 +3,7 @@
 package ident
 
 import (
+	"cmp"
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
@@ -34,6 +35,21 @@
 // BundleVersion is the version of a configuration bundle. Versions start at 1.
 type BundleVersion uint64
 
+// EngineVersion identifies what, beside the adapter and the request, determines the
+// output of an engine. Fields that an engine does not report are empty. Values are
+// compared with ==, so engines that report nothing count as one version.
+type EngineVersion struct {
+	// Software is the version of the inference software.
+	Software string
+	// Weights is the version of the base model's weights.
+	Weights string
+}
+
+// String returns software/weights, with "-" for a field that is empty.
+func (v EngineVersion) String() string {
+	return cmp.Or(v.Software, "-") + "/" + cmp.Or(v.Weights, "-")
+}
+
 // ErrMalformedModel means that a model name is not team/adapter or
 // team/adapter@version.
 var ErrMalformedModel = errors.New("model name must be team/adapter or team/adapter@version")
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -29,7 +29,9 @@
 	Zone        ident.AvailabilityZone
 	Kind        fescuev1.EndpointKind
 	// Backend is the name of the base model or of the service.
-	Backend       string
+	Backend string
+	// EngineVersion is the version of the engine, zero if it is not known.
+	EngineVersion ident.EngineVersion
 	State         fescuev1.EndpointState
 	BundleVersion ident.BundleVersion
 	// ClockMS is the monotonic clock of the endpoint, in milliseconds, when it sent
@@ -96,8 +98,8 @@
 }
 
 // Apply records a report. The first report of an incarnation carries all fields.
-// Later reports may leave out the zone, kind and backend, and they leave out the
-// adapters unless residents_changed is set. A report of an unknown incarnation
+// Later reports may leave out the zone, kind, backend and engine version, and they leave
+// out the adapters unless residents_changed is set. A report of an unknown incarnation
 // without these fields is ignored.
 func (d *Directory) Apply(now time.Time, r *fescuev1.Report) {
 	id := ident.EndpointID(r.GetEndpointId())
@@ -146,14 +148,23 @@
 		CanLoad:          r.GetCanLoad(),
 		ConnectedEntries: int(r.GetConnectedEntries()),
 		ReportedAt:       now,
+		EngineVersion:    EngineVersion(r.GetEngineVersion()),
 	}
 }
 
+// EngineVersion converts the version in a message. The version of nil is zero.
+func EngineVersion(m *fescuev1.EngineVersion) ident.EngineVersion {
+	return ident.EngineVersion{Software: m.GetSoftware(), Weights: m.GetWeights()}
+}
+
 // inherit copies the fields that a report leaves out from the previous report.
 func (e *Endpoint) inherit(prev *Endpoint, r *fescuev1.Report) {
 	if !r.GetResidentsChanged() {
 		e.Residents, e.Loading = prev.Residents, prev.Loading
 	}
+	if r.GetEngineVersion() == nil {
+		e.EngineVersion = prev.EngineVersion
+	}
 	if r.GetZone() == "" {
 		e.Zone, e.Kind, e.Backend = prev.Zone, prev.Kind, prev.Backend
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -32,6 +32,9 @@
 // Options configure a fake engine.
 type Options struct {
 	BaseModel string
+	// Version is the version that the engine reports in its status and its responses.
+	// The output depends on it.
+	Version ident.EngineVersion
 	// Slots is the number of adapters that can be resident at the same time.
 	Slots int
 	// Positions is the number of batch positions, which bounds concurrent requests.
@@ -151,11 +154,13 @@
 
 func (s *Server) currentStatus() engine.Status {
 	st := engine.Status{
-		BootID:         strconv.Itoa(s.bootID),
-		BaseModel:      s.opts.BaseModel,
-		SlotsTotal:     s.opts.Slots,
-		PositionsTotal: s.opts.Positions,
-		PositionsUsed:  len(s.running),
+		BootID:          strconv.Itoa(s.bootID),
+		BaseModel:       s.opts.BaseModel,
+		SoftwareVersion: s.opts.Version.Software,
+		WeightsVersion:  s.opts.Version.Weights,
+		SlotsTotal:      s.opts.Slots,
+		PositionsTotal:  s.opts.Positions,
+		PositionsUsed:   len(s.running),
 	}
 	for a, loaded := range s.residents {
 		if loaded {
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/engine"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/wait"
 	"github.com/fescuecourse/fescuecourse/standin/fault"
 )
@@ -108,6 +109,7 @@
 		reportedModel = "other/adapter@1"
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	setVersion(w.Header(), s.opts.Version)
 	chat := r.URL.Path == "/v1/chat/completions"
 	if !wait.For(ctx, s.prefill()) {
 		return false
@@ -120,7 +122,7 @@
 			return false
 		}
 		last := i == req.MaxTokens-1
-		fmt.Fprintf(w, "data: %s\n\n", event(chat, reportedModel, OutputToken(reportedModel, req.content(), i), last))
+		fmt.Fprintf(w, "data: %s\n\n", event(chat, reportedModel, s.outputToken(reportedModel, req.content(), i), last))
 		if http.NewResponseController(w).Flush() != nil {
 			return false
 		}
@@ -138,8 +140,27 @@
 	return s.opts.Timing.Prefill
 }
 
+// setVersion sets the response headers for the fields of a version that are not empty.
+func setVersion(h http.Header, v ident.EngineVersion) {
+	if v.Software != "" {
+		h.Set(engine.HeaderSoftware, v.Software)
+	}
+	if v.Weights != "" {
+		h.Set(engine.HeaderWeights, v.Weights)
+	}
+}
+
+// outputToken returns token i of the text that this version of the engine generates.
+func (s *Server) outputToken(model, prompt string, i int) string {
+	if s.opts.Version != (ident.EngineVersion{}) {
+		model += "|" + s.opts.Version.String()
+	}
+	return OutputToken(model, prompt, i)
+}
+
 // OutputToken returns token i of the text that a model generates for a prompt. It
-// depends on the model, so that tests can check which model ran the request.
+// depends on the model, so that tests can check which model ran the request. An engine
+// whose version is set generates other text.
 func OutputToken(model, prompt string, i int) string {
 	sum := sha256.Sum256([]byte(model + "|" + prompt + "|" + strconv.Itoa(i)))
 	return fmt.Sprintf("%x ", sum[:2])
