entry, endpoint: test that a response keeps the version of its engine

A response that began at an engine of version v1 continues at one of v2 and ends as complete:

0:v1/ 1:v1/ 2:v2/ 3:v2/ 4:v2/ [DONE]

--- a/pkg/endpoint/engine_test.go
+++ b/pkg/endpoint/engine_test.go
@@ -46,6 +46,11 @@
 	violations            []string
 	// staleStatus, if set, is returned to status polls until a generation is refused.
 	staleStatus *engine.Status
+	// software is the version of the engine's software. statusSoftware is the one in its
+	// status, which may be late.
+	software, statusSoftware string
+	// started counts the generations that began.
+	started int
 }
 
 func newSharedEngine(residents ...string) *sharedEngine {
@@ -79,7 +84,7 @@
 }
 
 func (s *sharedEngine) current() engine.Status {
-	st := engine.Status{BootID: strconv.Itoa(s.boot), SlotsTotal: s.slots, PositionsTotal: 4}
+	st := engine.Status{BootID: strconv.Itoa(s.boot), SlotsTotal: s.slots, PositionsTotal: 4, SoftwareVersion: s.statusSoftware}
 	for a := range s.residents {
 		st.Residents = append(st.Residents, a)
 	}
@@ -147,6 +152,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	s.withLock(func() { w.Header().Set(engine.HeaderSoftware, s.software) })
 	event := fmt.Sprintf("data: {\"model\":%q}\n\n", body.Model)
 	fmt.Fprint(w, event)
 	w.(http.Flusher).Flush()
@@ -166,6 +172,7 @@
 	if s.checksTokens && s.token == 0 && model != "base" {
 		s.violations = append(s.violations, id+" started before the fence")
 	}
+	s.started++
 	done := make(chan struct{})
 	s.running[id], s.finish[id] = model, done
 	return done
@@ -315,7 +322,14 @@
 // adapter is empty.
 func (h *harness) startModelRun(t *testing.T, id, adapter string) grpc.ServerStreamingClient[fescuev1.RunFrame] {
 	t.Helper()
-	call := &fescuev1.ModelCall{Path: "/v1/completions", BaseModel: "base", Adapter: adapter, Body: []byte(`{"prompt":"x"}`)}
+	return h.startResumedRun(t, id, adapter, 0, nil)
+}
+
+// startResumedRun sends an attempt that continues after a number of events of an engine
+// with the given version.
+func (h *harness) startResumedRun(t *testing.T, id, adapter string, events uint64, version *fescuev1.EngineVersion) grpc.ServerStreamingClient[fescuev1.RunFrame] {
+	t.Helper()
+	call := &fescuev1.ModelCall{Path: "/v1/completions", BaseModel: "base", Adapter: adapter, Body: []byte(`{"prompt":"x"}`), ResumeEvents: events, ResumeVersion: version}
 	if adapter != "" {
 		call.Version = "1"
 	}
--- a/pkg/entry/fake_test.go
+++ b/pkg/entry/fake_test.go
@@ -58,7 +58,8 @@
 // script; the last one is repeated.
 type fakeEndpoint struct {
 	fescuev1.UnimplementedEndpointServer
-	id string
+	id     string
+	server *grpc.Server
 
 	mu      sync.Mutex
 	scripts []script
@@ -170,6 +171,26 @@
 	http *httptest.Server
 	fake []*fakeEndpoint
 	b    *rollout.Holder
+	d    *membership.Directory
+}
+
+// setEngineVersions makes the endpoints report the versions of their engines.
+func (b *testBed) setEngineVersions(versions []*fescuev1.EngineVersion) {
+	for i, v := range versions {
+		b.d.Apply(time.Now().Add(time.Hour), &fescuev1.Report{EndpointId: b.fake[i].id, Incarnation: 7, State: fescuev1.EndpointState_ENDPOINT_STATE_READY, PositionsTotal: 4, CanLoad: true, EngineVersion: v})
+	}
+	b.e.directory.Store(b.d.Snapshot())
+}
+
+// close closes the connections and servers of the test bed before the end of the test.
+func (b *testBed) close() {
+	b.http.Close()
+	for _, l := range b.e.connector.links {
+		l.close()
+	}
+	for _, f := range b.fake {
+		f.server.Stop()
+	}
 }
 
 // newTestBed starts an entry with one fake endpoint for each list of scripts.
@@ -181,8 +202,8 @@
 	e, err := New(set, h, logging.Nop())
 	assert.NilError(t, err)
 	e.timing = timing{progressTimeout: 400 * time.Millisecond, suspicion: 100 * time.Millisecond, revoke: 5 * time.Second, revokeIdempotent: 5 * time.Second, pollInterval: time.Millisecond, deadlineGrace: 20 * time.Millisecond, bundleWait: 5 * time.Second, bundlePollInterval: time.Millisecond}
-	out := &testBed{e: e, b: h}
 	d := membership.New()
+	out := &testBed{e: e, b: h, d: d}
 	for i, s := range scripts {
 		out.fake = append(out.fake, startFake(t, e, d, fmt.Sprintf("endpoint-%d", i), kind, s))
 	}
@@ -194,10 +215,10 @@
 
 func startFake(t *testing.T, e *Entry, d *membership.Directory, id string, kind fescuev1.EndpointKind, s []script) *fakeEndpoint {
 	t.Helper()
-	f := &fakeEndpoint{id: id, scripts: s}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	srv := grpc.NewServer()
+	f := &fakeEndpoint{id: id, server: srv, scripts: s}
 	fescuev1.RegisterEndpointServer(srv, f)
 	go func() { _ = srv.Serve(lis) }()
 	t.Cleanup(srv.Stop)
