entry: adopt the bundle after the refusal in TestOldBundleIsResolvedAgain

The test adopted the next bundle 20 ms after it had started the servers, by the wall clock. On a busy machine the request was authenticated later than that, so it was resolved under the new bundle, the fake endpoint's answer named another adapter version, and the refusal made the entry wait for a third bundle: seen once in go test -race of five packages, and each time with the bundle adopted before the request. The timer now starts when the endpoint refuses, so the entry always has to wait, as the test means it. The assertions are unchanged.

--- a/pkg/entry/dispatch_test.go
+++ b/pkg/entry/dispatch_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/grpc"
 	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
@@ -161,11 +162,15 @@
 // endpoint has a newer one, and against a stream that switches to another adapter
 // version after the bundle has changed.
 func TestOldBundleIsResolvedAgain(t *testing.T) {
-	old := refuse(fescuev1.NotRunReason_NOT_RUN_REASON_OLD_BUNDLE, 2)
-	b := newTestBed(t, modelKind, []script{answer(2, false, broken), old, answer(4, true, nil)})
-	b.e.policy = keepEndpoint{}
+	var b *testBed
 	next := testBundle(t, 2, "")
-	time.AfterFunc(20*time.Millisecond, func() { b.b.Adopt(next) })
+	// The entry gets the new bundle after the refusal, so that it has to wait for it.
+	old := func(f *fakeEndpoint, req *fescuev1.RunRequest, stream grpc.ServerStreamingServer[fescuev1.RunFrame]) error {
+		time.AfterFunc(20*time.Millisecond, func() { b.b.Adopt(next) })
+		return refuse(fescuev1.NotRunReason_NOT_RUN_REASON_OLD_BUNDLE, 2)(f, req, stream)
+	}
+	b = newTestBed(t, modelKind, []script{answer(2, false, broken), old, answer(4, true, nil)})
+	b.e.policy = keepEndpoint{}
 	got := b.post(t, completions, strings.Replace(streamBody, "@1", "", 1))
 	assert.Equal(t, got.body, streamText(4)+"data: [DONE]\n\n")
 	last := b.fake[0].got[2]
