entry, endpoint: continue a response only at an engine of its version

What callers saw: a stream whose endpoint was lost continued at another endpoint whose engine ran other software or held other weights of the base model, and ended as complete. Buffered responses were joined from two versions in the same way.

Cause: a resumed attempt was identified by adapter, version and event offset alone. Neither the placement nor the endpoint knew which engine version had produced the earlier events.

Fix: the entry keeps the version of the header frame that began the response. Placement of a later attempt drops engines of other versions (EngineVersionFilter, also in the scan), the attempt names the version, and the endpoint refuses it as not run by the engine's status or fails it by the engine's response, before any event is sent. The entry refuses a header of another version after the first event, so a late report or status cannot mix versions.

--- a/pkg/endpoint/run.go
+++ b/pkg/endpoint/run.go
@@ -14,6 +14,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/engine"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/invariant"
+	"github.com/fescuecourse/fescuecourse/pkg/membership"
 	"github.com/fescuecourse/fescuecourse/pkg/service"
 )
 
@@ -160,6 +161,9 @@
 	if m.GetAdapter() != "" && !r.e.authority.Exclusive() {
 		return r.notRun(fescuev1.NotRunReason_NOT_RUN_REASON_NOT_READY, "another process commands the engine")
 	}
+	if v := r.e.control.snapshot.Load().engineVersion; !continues(m, v) {
+		return r.notRun(fescuev1.NotRunReason_NOT_RUN_REASON_ENGINE_VERSION, "engine has version "+v.String())
+	}
 	body, err := setModel(m.GetBody(), want)
 	if err != nil {
 		return r.fail(fescuev1.FailedReason_FAILED_REASON_BACKEND_LOST, err.Error())
@@ -176,9 +180,21 @@
 	}
 	defer st.Close()
 	r.engineVersion = r.versionOf(st)
+	if !continues(m, r.engineVersion) {
+		// The version in the status was late.
+		r.e.control.pollNow()
+		return r.fail(fescuev1.FailedReason_FAILED_REASON_ENGINE_VERSION, "engine has version "+r.engineVersion.String())
+	}
 	return r.relayEvents(ctx, st, want, m.GetResumeEvents())
 }
 
+// continues reports whether an engine of version v can continue the events that the call
+// resumes after. A call that names no version, from an entry of an earlier release, is
+// not checked.
+func continues(m *fescuev1.ModelCall, v ident.EngineVersion) bool {
+	return m.GetResumeVersion() == nil || membership.EngineVersion(m.GetResumeVersion()) == v
+}
+
 // versionOf returns the version of the engine that runs a generation. For an engine that
 // names it only in its status, this is the version in the last status.
 func (r *run) versionOf(st *engine.Stream) ident.EngineVersion {
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -52,6 +52,9 @@
 	// idempotency key was sent to the caller.
 	replayed bool
 
+	// engineVersion is the version of the engine that produced the received events.
+	engineVersion ident.EngineVersion
+
 	prefix        uint64
 	history       retry.History
 	started       time.Time
@@ -128,6 +131,8 @@
 		Zone:     zone,
 		Excluded: x.excluded,
 		Prefix:   x.prefix,
+		// Engines of another version may generate other events.
+		EngineVersion: x.resumeVersion(),
 		// Remaining must be positive even if the deadline has passed.
 		Remaining: max(x.deadline.Sub(now), 1),
 	}
@@ -149,12 +154,13 @@
 	}
 	if x.kind == fescuev1.EndpointKind_ENDPOINT_KIND_MODEL {
 		req.Work = &fescuev1.RunRequest_Model{Model: &fescuev1.ModelCall{
-			Adapter:      x.adapter.Name,
-			Version:      x.adapter.Version,
-			BaseModel:    x.backend,
-			Path:         x.r.URL.Path,
-			Body:         x.body,
-			ResumeEvents: x.response.received(),
+			Adapter:       x.adapter.Name,
+			Version:       x.adapter.Version,
+			BaseModel:     x.backend,
+			Path:          x.r.URL.Path,
+			Body:          x.body,
+			ResumeEvents:  x.response.received(),
+			ResumeVersion: versionMessage(x.resumeVersion()),
 		}}
 		return req
 	}
@@ -168,6 +174,22 @@
 	return req
 }
 
+// resumeVersion returns the version of the engine whose events the next attempt of a
+// model call continues, or nil if no event has arrived.
+func (x *Exchange) resumeVersion() *ident.EngineVersion {
+	if x.kind != fescuev1.EndpointKind_ENDPOINT_KIND_MODEL || x.response.received() == 0 {
+		return nil
+	}
+	return &x.engineVersion
+}
+
+func versionMessage(v *ident.EngineVersion) *fescuev1.EngineVersion {
+	if v == nil {
+		return nil
+	}
+	return &fescuev1.EngineVersion{Software: v.Software, Weights: v.Weights}
+}
+
 func (x *Exchange) ref() *fescuev1.AttemptRef {
 	return &fescuev1.AttemptRef{RequestId: string(x.ID), Attempt: x.attempt}
 }
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -8,6 +8,8 @@
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/invariant"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/membership"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
 )
 
@@ -16,6 +18,7 @@
 var (
 	errOtherAttempt = errors.New("frame of another attempt")
 	errWrongAdapter = errors.New("answer of another adapter")
+	errWrongVersion = errors.New("answer of an engine of another version")
 	errNoHeader     = errors.New("answer without header")
 	errGap          = errors.New("gap in the answer")
 	errIncomplete   = errors.New("answer is incomplete")
@@ -85,6 +88,9 @@
 	if !invariant.Check(h.GetServedAdapter() == want, invariant.RightAdapter, "served %q, request names %q", h.GetServedAdapter(), want) {
 		return errWrongAdapter
 	}
+	if err := r.checkVersion(membership.EngineVersion(h.GetEngineVersion())); err != nil {
+		return err
+	}
 	if r.header {
 		return nil
 	}
@@ -95,6 +101,22 @@
 	return nil
 }
 
+// checkVersion returns an error if the engine has another version than the one whose
+// events the attempt continues. It stores the version of an attempt that begins the
+// response.
+func (r *relay) checkVersion(v ident.EngineVersion) error {
+	want := r.x.resumeVersion()
+	if want == nil {
+		r.x.engineVersion = v
+		return nil
+	}
+	if v == *want {
+		return nil
+	}
+	r.e.log.For(logging.ComponentRoute).Warn().Str("request", string(r.x.ID)).Str("endpoint", string(r.x.endpoint.ID)).Str("engine_version", v.String()).Str("began_with", want.String()).Msg("answer refused, engine of another version")
+	return errWrongVersion
+}
+
 // onData passes on new data and ignores data that has already arrived, such as that
 // of a duplicate frame. It returns true if the caller has disconnected.
 func (r *relay) onData(d *fescuev1.Data) (bool, error) {
--- a/pkg/entry/respond.go
+++ b/pkg/entry/respond.go
@@ -19,6 +19,9 @@
 type responder interface {
 	// beginAttempt prepares for the frames of another attempt.
 	beginAttempt()
+	// restart discards the events or bytes that have arrived. It returns false and keeps
+	// them if the caller has received a part of them.
+	restart() bool
 	// received returns how many events or, for services, bytes of the response have
 	// arrived. A resumed attempt continues from there.
 	received() uint64
@@ -73,6 +76,7 @@
 }
 
 func (s *streamResponder) beginAttempt()    {}
+func (s *streamResponder) restart() bool    { return s.events == 0 }
 func (s *streamResponder) received() uint64 { return s.events }
 
 func (s *streamResponder) header(f *fescuev1.Header) {
@@ -182,6 +186,13 @@
 func (c *completionResponder) received() uint64          { return c.events }
 func (c *completionResponder) header(f *fescuev1.Header) { setWaitHeaders(c.x, f) }
 
+// restart discards all events, because the caller receives them only at the end.
+func (c *completionResponder) restart() bool {
+	c.events, c.last = 0, completionChunk{}
+	c.text.Reset()
+	return true
+}
+
 func (c *completionResponder) data(payload []byte) error {
 	var chunk completionChunk
 	if err := json.Unmarshal(payload, &chunk); err != nil {
@@ -242,7 +253,12 @@
 }
 
 // beginAttempt discards a partial body, because service calls are not resumed.
-func (s *serviceResponder) beginAttempt()    { s.body = nil }
+func (s *serviceResponder) beginAttempt() { s.body = nil }
+func (s *serviceResponder) restart() bool {
+	s.body = nil
+	return true
+}
+
 func (s *serviceResponder) received() uint64 { return uint64(len(s.body)) }
 
 func (s *serviceResponder) header(h *fescuev1.Header) {
--- a/pkg/placement/filters.go
+++ b/pkg/placement/filters.go
@@ -66,6 +66,21 @@
 	return retain(in, func(c *Candidate) bool { return !slices.Contains(r.Excluded, c.ID) })
 }
 
+// EngineVersionFilter drops endpoints whose engine has another version than the request
+// needs.
+type EngineVersionFilter struct{}
+
+// Name implements Filter.
+func (EngineVersionFilter) Name() string { return "engine version" }
+
+// Filter implements Filter.
+func (EngineVersionFilter) Filter(r *Request, in []Candidate) []Candidate {
+	if r.EngineVersion == nil {
+		return in
+	}
+	return retain(in, func(c *Candidate) bool { return c.EngineVersion == *r.EngineVersion })
+}
+
 // AdapterFilter drops endpoints on which the adapter is not resident and that may
 // not load it.
 type AdapterFilter struct{}
@@ -120,6 +135,7 @@
 	{StateFilter{}, ErrNoEndpoint},
 	{StaleFilter{}, ErrNoEndpoint},
 	{ExcludedFilter{}, ErrNoEndpoint},
+	{EngineVersionFilter{}, ErrNoEndpoint},
 	{AdapterFilter{}, ErrNoEndpoint},
 	{QueueFilter{}, ErrQueueFull},
 	{DeadlineFilter{}, ErrDeadline},
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -40,6 +40,8 @@
 	Excluded []ident.EndpointID
 	// Prefix is a hash of the first part of the prompt, or 0 if there is none.
 	Prefix uint64
+	// EngineVersion is the version that the engine must have, or nil if any will do.
+	EngineVersion *ident.EngineVersion
 	// Remaining is the time until the deadline, or 0 if there is no deadline.
 	Remaining time.Duration
 }
--- a/pkg/placement/scan.go
+++ b/pkg/placement/scan.go
@@ -15,6 +15,7 @@
 	rejectedByState = iota + 1
 	rejectedByStale
 	rejectedByExcluded
+	rejectedByEngineVersion
 	rejectedByAdapter
 	rejectedByQueue
 	rejectedByDeadline
@@ -52,6 +53,8 @@
 		return rejectedByStale
 	case len(r.Excluded) > 0 && slices.Contains(r.Excluded, e.ID):
 		return rejectedByExcluded
+	case r.EngineVersion != nil && e.EngineVersion != *r.EngineVersion:
+		return rejectedByEngineVersion
 	case !e.CanLoad && !r.Adapter.IsZero() && !e.Holds(r.Adapter):
 		return rejectedByAdapter
 	case e.QueueCapacity > 0 && e.Queued >= e.QueueCapacity:
--- a/pkg/placement/scan_test.go
+++ b/pkg/placement/scan_test.go
@@ -18,6 +18,7 @@
 func TestScanEqualsFilters(t *testing.T) {
 	now := time.Unix(100, 0)
 	adapters := []string{"t/a@1", "t/b@1", "t/c@1"}
+	versions := rapid.SampledFrom([]string{"", "v1", "v2"})
 	rapid.Check(t, func(t *rapid.T) {
 		d := membership.New()
 		for i := range rapid.IntRange(1, 8).Draw(t, "endpoints") {
@@ -29,6 +30,7 @@
 				Queued:         rapid.Uint32Range(0, 4).Draw(t, "queued"),
 				QueueCapacity:  rapid.Uint32Range(0, 4).Draw(t, "capacity"),
 				CanLoad:        rapid.Bool().Draw(t, "can load"),
+				EngineVersion:  &fescuev1.EngineVersion{Software: versions.Draw(t, "engine version")},
 				Residents:      rapid.SliceOfNDistinct(rapid.SampledFrom(adapters), 0, 2, rapid.ID[string]).Draw(t, "residents"),
 			})
 		}
@@ -40,6 +42,9 @@
 		if rapid.Bool().Draw(t, "needs adapter") {
 			r.Adapter, _ = ident.ParseAdapter(rapid.SampledFrom(adapters).Draw(t, "adapter"))
 		}
+		if rapid.Bool().Draw(t, "needs engine version") {
+			r.EngineVersion = &ident.EngineVersion{Software: versions.Draw(t, "needed version")}
+		}
 		for _, i := range rapid.SliceOfN(rapid.IntRange(0, 7), 0, 3).Draw(t, "excluded") {
 			r.Excluded = append(r.Excluded, ident.EndpointID(fmt.Sprint(i)))
 		}
