--- a/pkg/entry/version_test.go
+++ b/pkg/entry/version_test.go
@@ -140,3 +140,29 @@
 	assert.Equal(t, resumed.GetResumeEvents(), uint64(2))
 	assert.Equal(t, resumed.GetResumeVersion().GetSoftware(), "v1")
 }
+
+// An attempt is lost after its header and before its first event, and the next endpoint
+// has a bundle with another current version of the adapter. Guards against a response
+// whose headers name another adapter version than the one that produced its events.
+func TestHeadersNameServedAdapter(t *testing.T) {
+	for _, body := range []string{streamBody, plainBody} {
+		next := testBundle(t, 2, "")
+		var b *testBed
+		old := func(f *fakeEndpoint, req *fescuev1.RunRequest, stream grpc.ServerStreamingServer[fescuev1.RunFrame]) error {
+			b.b.Adopt(next)
+			return refuse(fescuev1.NotRunReason_NOT_RUN_REASON_OLD_BUNDLE, 2)(f, req, stream)
+		}
+		serve := func(f *fakeEndpoint, req *fescuev1.RunRequest, stream grpc.ServerStreamingServer[fescuev1.RunFrame]) error {
+			return answer(4, true, nil, func(in []*fescuev1.RunFrame) []*fescuev1.RunFrame {
+				in[0].GetHeader().ServedAdapter = "tokachi/summary@" + req.GetModel().GetVersion()
+				return in
+			})(f, req, stream)
+		}
+		b = newTestBed(t, modelKind, []script{answer(0, false, broken), old, serve})
+		b.e.policy = keepEndpoint{}
+		got := b.post(t, completions, strings.Replace(body, "@1", "", 1))
+		assert.Equal(t, got.outcome, ident.Answered.String(), got.body)
+		assert.Equal(t, got.headers.Get(headerAdapter), "tokachi/summary@"+b.fake[0].got[2].GetModel().GetVersion(), body)
+		assert.Equal(t, got.headers.Get(headerBundleVersion), fmt.Sprint(b.fake[0].got[2].GetBundleVersion()), body)
+	}
+}
