entry: send the headers of a stream with its first event

What callers saw: Fescue-Adapter, Fescue-Endpoint and Fescue-Bundle-Version of a stream could name another adapter version, endpoint and bundle than those that produced its events.

Cause: the headers were sent with the header frame of the first attempt. If that attempt was lost before its first event and the next endpoint had a newer bundle, the request was resolved anew, because no event had arrived yet.

Evidence: TestHeadersNameServedAdapter got tokachi/summary@1 for events of version 2.

Fix: the stream sends its headers with its first event or its end; from the first event on the adapter and engine version are fixed. A request that fails before that gets an error response with its status in place of an error event in a stream with status 200.

After: the test and go test -race ./pkg/entry pass.

--- a/pkg/entry/respond.go
+++ b/pkg/entry/respond.go
@@ -79,13 +79,22 @@
 func (s *streamResponder) restart() bool    { return s.events == 0 }
 func (s *streamResponder) received() uint64 { return s.events }
 
+// header sets the headers of the response. They are sent with the first event, because
+// an attempt that is lost before it may be followed by one with another adapter version.
 func (s *streamResponder) header(f *fescuev1.Header) {
 	if s.started {
 		return
 	}
-	s.started = true
 	setWaitHeaders(s.x, f)
 	setResponseHeaders(s.x)
+}
+
+// start sends the headers.
+func (s *streamResponder) start() {
+	if s.started {
+		return
+	}
+	s.started = true
 	h := s.x.w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-store")
@@ -94,6 +103,7 @@
 }
 
 func (s *streamResponder) data(payload []byte) error {
+	s.start()
 	s.events++
 	return s.event(payload)
 }
@@ -112,7 +122,7 @@
 }
 
 func (s *streamResponder) end() {
-	s.header(nil)
+	s.start()
 	s.x.w.Header().Set(headerOutcome, ident.Answered.String())
 	_ = s.event([]byte("[DONE]")) // the caller may have disconnected
 }
