--- a/pkg/demo/options.go
+++ b/pkg/demo/options.go
@@ -42,6 +42,9 @@
 	// Residents are the adapters that are resident at the start. They are
 	// distributed over the engines, up to the number of their slots.
 	Residents []ident.Adapter
+	// EngineVersions are the versions of the engines, in turn. All engines report no
+	// version if there are none.
+	EngineVersions []ident.EngineVersion
 	// VMListLag is the delay until changes appear on the VM list.
 	VMListLag time.Duration
 	// LeaseTTL is the time to live of engine leases.
--- a/pkg/demo/server.go
+++ b/pkg/demo/server.go
@@ -59,7 +59,7 @@
 		s.settings.Fencing = endpoint.FencingChecked
 	}
 	s.Engine = fakeengine.New(fakeengine.Options{
-		BaseModel: BaseModel, Slots: c.Opts.Slots, Positions: c.Opts.Positions,
+		BaseModel: BaseModel, Version: c.versionOf(i), Slots: c.Opts.Slots, Positions: c.Opts.Positions,
 		Timing:  fakeengine.Timing{Prefill: c.Opts.Prefill, Decode: c.Opts.Decode},
 		Weights: c.Weights, Faults: s.Faults, Residents: c.residentsOf(i), ChecksFencing: checksFencing,
 	})
@@ -70,6 +70,14 @@
 	return c.addServer(s, addr)
 }
 
+// versionOf returns the version of the i-th engine.
+func (c *Cluster) versionOf(i int) ident.EngineVersion {
+	if len(c.Opts.EngineVersions) == 0 {
+		return ident.EngineVersion{}
+	}
+	return c.Opts.EngineVersions[i%len(c.Opts.EngineVersions)]
+}
+
 // residentsOf returns the adapters that are resident on the i-th engine at the
 // start.
 func (c *Cluster) residentsOf(i int) []ident.Adapter {
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -122,7 +122,7 @@
 			return false
 		}
 		last := i == req.MaxTokens-1
-		fmt.Fprintf(w, "data: %s\n\n", event(chat, reportedModel, s.outputToken(reportedModel, req.content(), i), last))
+		fmt.Fprintf(w, "data: %s\n\n", event(chat, reportedModel, VersionToken(s.opts.Version, reportedModel, req.content(), i), last))
 		if http.NewResponseController(w).Flush() != nil {
 			return false
 		}
@@ -150,17 +150,18 @@
 	}
 }
 
-// outputToken returns token i of the text that this version of the engine generates.
-func (s *Server) outputToken(model, prompt string, i int) string {
-	if s.opts.Version != (ident.EngineVersion{}) {
-		model += "|" + s.opts.Version.String()
+// VersionToken returns token i of the text that a version of the engine generates. For
+// the zero version it is OutputToken.
+func VersionToken(v ident.EngineVersion, model, prompt string, i int) string {
+	if v != (ident.EngineVersion{}) {
+		model += "|" + v.String()
 	}
 	return OutputToken(model, prompt, i)
 }
 
 // OutputToken returns token i of the text that a model generates for a prompt. It
 // depends on the model, so that tests can check which model ran the request. An engine
-// whose version is set generates other text.
+// whose version is set generates the tokens of VersionToken.
 func OutputToken(model, prompt string, i int) string {
 	sum := sha256.Sum256([]byte(model + "|" + prompt + "|" + strconv.Itoa(i)))
 	return fmt.Sprintf("%x ", sum[:2])
