--- a/pkg/endpoint/engine_test.go
+++ b/pkg/endpoint/engine_test.go
@@ -49,6 +49,8 @@
 	// software is the version of the engine's software. statusSoftware is the one in its
 	// status, which may be late.
 	software, statusSoftware string
+	// baseModel is the base model that the status names.
+	baseModel string
 	// started counts the generations that began.
 	started int
 }
@@ -84,7 +86,7 @@
 }
 
 func (s *sharedEngine) current() engine.Status {
-	st := engine.Status{BootID: strconv.Itoa(s.boot), SlotsTotal: s.slots, PositionsTotal: 4, SoftwareVersion: s.statusSoftware}
+	st := engine.Status{BootID: strconv.Itoa(s.boot), SlotsTotal: s.slots, PositionsTotal: 4, SoftwareVersion: s.statusSoftware, BaseModel: s.baseModel}
 	for a := range s.residents {
 		st.Residents = append(st.Residents, a)
 	}
--- a/pkg/endpoint/version_test.go
+++ b/pkg/endpoint/version_test.go
@@ -63,3 +63,31 @@
 	assert.Equal(t, last(t, st).GetEnd().GetTotal(), uint64(3))
 	h.stopAndCheck(t, eng)
 }
+
+// The engine restarts with another base model than the endpoint is configured for, and
+// later with the right one. Guards against adapters that are loaded or run on a base
+// model that they were not made for, and against an endpoint that stays unready.
+func TestOtherBaseModel(t *testing.T) {
+	eng := newSharedEngine("a/x@1")
+	h := startHarness(t, eng, newFakeAuthority(1, true), nil)
+	for _, model := range []string{"", "other", "base"} {
+		eng.withLock(func() {
+			eng.boot++
+			eng.baseModel, eng.started = model, 0
+		})
+		eng.awaitStatusReads(3) // the last of them begins after the second was applied
+		if model != "other" {
+			h.finishRun(t, eng, "run-"+model, h.startModelRun(t, "run-"+model, "x"))
+			continue
+		}
+		for _, adapter := range []string{"x", "y"} {
+			f := firstDecision(t, h.startModelRun(t, "refused-"+adapter, adapter))
+			assert.Equal(t, f.GetNotRun().GetReason(), notReady, adapter)
+		}
+		eng.withLock(func() {
+			assert.Equal(t, eng.started, 0)
+			assert.Equal(t, len(eng.commands), 0)
+		})
+	}
+	h.stopAndCheck(t, eng)
+}
