endpoint: use no adapters on an engine with another base model

What callers saw: if the engine beside an endpoint restarts with another base model, requests with adapters are answered by adapters on weights that they were not made for.

Cause: the endpoint is identified by the base model of its settings; the base_model of the engine's status was read and never compared.

Fix: while the status names another base model, the gate refuses the use of adapters, so the endpoint reports STARTING, refuses such attempts as not run and sends no loads. A status without a base model is not checked.

Requests for the base model itself are refused by the engine by name, as before.

--- a/pkg/endpoint/control.go
+++ b/pkg/endpoint/control.go
@@ -77,6 +77,9 @@
 	waiters map[ident.AttemptID]chan decision
 	// engineVersion is the version in the last status of the engine.
 	engineVersion ident.EngineVersion
+	// otherModel is true if the last status of the engine names another base model than
+	// the settings.
+	otherModel bool
 	// bootID is the boot id of the engine, empty until known.
 	bootID string
 	// synced is true once the state of the engine is known.
--- a/pkg/endpoint/gate.go
+++ b/pkg/endpoint/gate.go
@@ -78,11 +78,12 @@
 // adapterUse returns how runs may use the engine's adapters. An engine that checks
 // tokens accepts commands of an earlier lease holder until it has received a higher
 // token. So if no token of this process has been accepted, Exclusive is not enough:
-// it may be true only because of the time since this process started.
+// it may be true only because of the time since this process started. Adapters are made
+// for one base model, so an engine with another one must not use them.
 func (c *control) adapterUse(allowed bool) scheduler.AdapterUse {
 	g := &c.gate
 	switch {
-	case !g.exclusive:
+	case !g.exclusive, c.otherModel:
 		return scheduler.AdaptersRefused
 	case c.checksTokens() && !allowed && g.acceptedToken == 0:
 		return scheduler.AdaptersRefused
--- a/pkg/endpoint/poll.go
+++ b/pkg/endpoint/poll.go
@@ -63,6 +63,7 @@
 }
 
 func (ev engineStatusEvent) apply(c *control, now time.Time) {
+	ev.updateModel(c)
 	ev.updateVersion(c)
 	if ev.status.BootID != c.bootID {
 		ev.restarted(c, now)
@@ -75,6 +76,18 @@
 	c.updateGate(now)
 }
 
+// updateModel stores whether the engine has another base model than the settings name. An
+// engine that names none is not checked.
+func (ev engineStatusEvent) updateModel(c *control) {
+	model, want := ev.status.BaseModel, c.e.set.Backend
+	other := model != "" && model != want
+	if other == c.otherModel {
+		return
+	}
+	c.e.log.For(logging.ComponentEndpoint).Warn().Str("base_model", model).Str("configured", want).Bool("other", other).Msg("base model of the engine changed")
+	c.otherModel = other
+}
+
 // updateVersion stores the version of the engine.
 func (ev engineStatusEvent) updateVersion(c *control) {
 	v := ev.status.Version()
