entry, endpoint: keep the conversion of engine versions in one place

The refusal of an answer logs the attempt in place of the endpoint, which is not known when a stored response is replayed and its endpoint has left the directory.

go test -race passes for pkg/entry, pkg/endpoint and pkg/membership.

--- a/pkg/endpoint/report.go
+++ b/pkg/endpoint/report.go
@@ -8,6 +8,7 @@
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/membership"
 )
 
 // report returns a complete report of the endpoint's state.
@@ -35,14 +36,10 @@
 		ConnectedEntries: uint32(e.hub.connected()),
 		CanLoad:          s.canLoad,
 		QueueCapacity:    uint32(e.set.MaxQueued),
-		EngineVersion:    versionMessage(s.engineVersion),
+		EngineVersion:    membership.EngineVersionMessage(s.engineVersion),
 	}
 }
 
-func versionMessage(v ident.EngineVersion) *fescuev1.EngineVersion {
-	return &fescuev1.EngineVersion{Software: v.Software, Weights: v.Weights}
-}
-
 func (e *Endpoint) state(s *snapshot) fescuev1.EndpointState {
 	switch {
 	case e.leaving.Load():
--- a/pkg/endpoint/run.go
+++ b/pkg/endpoint/run.go
@@ -125,7 +125,7 @@
 		ServedAdapter: adapter,
 		LoadStallUs:   uint64(r.stall.Microseconds()),
 		QueueUs:       uint64(r.queued.Microseconds()),
-		EngineVersion: versionMessage(r.engineVersion),
+		EngineVersion: membership.EngineVersionMessage(r.engineVersion),
 	}}})
 }
 
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -160,7 +160,7 @@
 			Path:          x.r.URL.Path,
 			Body:          x.body,
 			ResumeEvents:  x.response.received(),
-			ResumeVersion: versionMessage(x.resumeVersion()),
+			ResumeVersion: x.resumeVersionMessage(),
 		}}
 		return req
 	}
@@ -183,11 +183,12 @@
 	return &x.engineVersion
 }
 
-func versionMessage(v *ident.EngineVersion) *fescuev1.EngineVersion {
+func (x *Exchange) resumeVersionMessage() *fescuev1.EngineVersion {
+	v := x.resumeVersion()
 	if v == nil {
 		return nil
 	}
-	return &fescuev1.EngineVersion{Software: v.Software, Weights: v.Weights}
+	return membership.EngineVersionMessage(*v)
 }
 
 func (x *Exchange) ref() *fescuev1.AttemptRef {
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -113,7 +113,7 @@
 	if v == *want {
 		return nil
 	}
-	r.e.log.For(logging.ComponentRoute).Warn().Str("request", string(r.x.ID)).Str("endpoint", string(r.x.endpoint.ID)).Str("engine_version", v.String()).Str("began_with", want.String()).Msg("answer refused, engine of another version")
+	r.e.log.For(logging.ComponentRoute).Warn().Str("request", string(r.x.ID)).Int("attempt", int(r.ref.GetAttempt())).Str("engine_version", v.String()).Str("began_with", want.String()).Msg("answer refused, engine of another version")
 	return errWrongVersion
 }
 
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -157,6 +157,11 @@
 	return ident.EngineVersion{Software: m.GetSoftware(), Weights: m.GetWeights()}
 }
 
+// EngineVersionMessage converts a version to a message.
+func EngineVersionMessage(v ident.EngineVersion) *fescuev1.EngineVersion {
+	return &fescuev1.EngineVersion{Software: v.Software, Weights: v.Weights}
+}
+
 // inherit copies the fields that a report leaves out from the previous report.
 func (e *Endpoint) inherit(prev *Endpoint, r *fescuev1.Report) {
 	if !r.GetResidentsChanged() {
