locality: cached prompt parts belong to the software version of their server

Servers of several software versions may serve side by side, and what two versions write does not fit together. A server fetched cached parts from one of another version, as the software version was not part of locality.Scope. TestPartsOfAnotherSoftwareVersionAreNotFetched failed before (one fetch, want none).

--- a/pkg/gateway/cached_parts_test.go
+++ b/pkg/gateway/cached_parts_test.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// Guards against cached parts that another software version of the servers has made: what
+// two software versions write does not fit together.
+func TestPartsOfAnotherSoftwareVersionAreNotFetched(t *testing.T) {
+	s := newFetchTest(t)
+	s.hold(s.source, 1, 1)
+	s.processAtSource("m/a1")
+	s.hold(s.target, 1, 1)
+	other := *s.target
+	other.SoftwareVersion = "v2"
+	s.directory.SetEndpoint(other)
+	s.publish()
+	assert.Equal(t, s.askTarget("m/a1").status, http.StatusOK)
+	assert.Equal(t, len(s.fetches), 0)
+}
+
 // Guards against prompt memory of an earlier adapter version: the source has processed
 // the prompt before its copy of the adapter was replaced.
 func TestPartsOfAReplacedAdapterAreNotFetched(t *testing.T) {
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -254,7 +254,7 @@
 	cost := c.PromptTime(int(choice.BacklogTokens))
 	var from *source
 	if choice.Resident {
-		choice.Scope, choice.Status = scopeAt(st, r.Key), st
+		choice.Scope, choice.Status = scopeAt(e, st, r.Key), st
 		choice.CachedTokens = c.prefixes.cachedTokens(r.Now, e.Runtime, r.Prefix, prompt.in(choice.Scope))
 		if settled(st, r) {
 			from = sources.find(choice.Scope, choice.CachedTokens)
--- a/pkg/locality/scope.go
+++ b/pkg/locality/scope.go
@@ -13,6 +13,8 @@
 // every record of cached data and every choice of a source names the scope.
 type Scope struct {
 	Key fleet.AdapterKey
+	// Software is the software version of the server.
+	Software string
 	// Weights is the version of the base model's weights.
 	Weights int
 	// Adapter is the version of the adapter, or 0 for the base model itself.
@@ -36,11 +38,11 @@
 
 // scopeAt returns the scope in which a server with the given status runs requests for an
 // adapter or base model. Versions that the server does not hold or report are 0.
-func scopeAt(st *fleet.Status, k fleet.AdapterKey) Scope {
+func scopeAt(e *fleet.Endpoint, st *fleet.Status, k fleet.AdapterKey) Scope {
 	if st == nil {
-		return Scope{Key: k}
+		return Scope{Key: k, Software: e.SoftwareVersion}
 	}
-	return Scope{Key: k, Weights: weightsAt(st, k.Model), Adapter: st.Residents[k]}
+	return Scope{Key: k, Software: e.SoftwareVersion, Weights: weightsAt(st, k.Model), Adapter: st.Residents[k]}
 }
 
 // weightsAt returns the version of a base model's weights at a server with the given
@@ -55,7 +57,7 @@
 // PartHash returns the hash that identifies a prompt part processed in a scope.
 func PartHash(s Scope, id string) uint64 {
 	weights, adapter := strconv.Itoa(s.Weights), strconv.Itoa(s.Adapter)
-	return xxhash.Sum64String(s.Key.Model + "@" + weights + "/" + s.Key.Name + "@" + adapter + "/" + id)
+	return xxhash.Sum64String(s.Software + "/" + s.Key.Model + "@" + weights + "/" + s.Key.Name + "@" + adapter + "/" + id)
 }
 
 // partHashes returns the hashes of all parts of a prompt processed in a scope.
--- a/pkg/locality/source.go
+++ b/pkg/locality/source.go
@@ -32,7 +32,7 @@
 		if !holds(st, r) || !settled(st, r) || !usable(r, e) || e.Runtime.Failures(r.Now) > 0 {
 			continue
 		}
-		scope := scopeAt(st, r.Key)
+		scope := scopeAt(e, st, r.Key)
 		if !scope.known() || scope.Version() < r.Version {
 			continue
 		}
@@ -81,7 +81,7 @@
 func (s sources) findNewest(e *fleet.Endpoint, weights int) *source {
 	var best *source
 	for i := range s {
-		if s[i].scope.Weights != weights || s[i].endpoint == e {
+		if s[i].scope.Weights != weights || s[i].scope.Software != e.SoftwareVersion || s[i].endpoint == e {
 			continue
 		}
 		if best == nil || s[i].scope.Adapter > best.scope.Adapter {
