--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -6,8 +6,11 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/invariant"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/membership"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
 )
 
@@ -16,6 +19,7 @@
 var (
 	errOtherAttempt = errors.New("frame of another attempt")
 	errWrongAdapter = errors.New("answer of another adapter")
+	errWrongVersion = errors.New("answer of an engine of another version")
 	errNoHeader     = errors.New("answer without header")
 	errGap          = errors.New("gap in the answer")
 	errIncomplete   = errors.New("answer is incomplete")
@@ -41,13 +45,13 @@
 }
 
 // lostResult returns the result of an attempt whose stream ended with err. cause is
-// the cancellation cause of its context.
-func (r *relay) lostResult(cause, err error) attemptResult {
+// why its context ended, if it did.
+func (r *relay) lostResult(cause endcause.Cause, err error) attemptResult {
 	detail := err.Error()
-	if errors.Is(cause, errSilent) {
-		detail = cause.Error()
+	if cause == endcause.ServerLost {
+		detail = "no frame from the endpoint"
 	}
-	return attemptResult{end: retry.Unknown, detail: detail, timeout: !time.Now().Before(r.x.deadline)}
+	return attemptResult{end: retry.Unknown, cause: cause, detail: detail, timeout: !time.Now().Before(r.x.deadline)}
 }
 
 // handleFrame handles one frame. It returns true at the end of the attempt, and an
@@ -85,6 +89,9 @@
 	if !invariant.Check(h.GetServedAdapter() == want, invariant.RightAdapter, "served %q, request names %q", h.GetServedAdapter(), want) {
 		return errWrongAdapter
 	}
+	if err := r.checkVersion(membership.EngineVersion(h.GetEngineVersion())); err != nil {
+		return err
+	}
 	if r.header {
 		return nil
 	}
@@ -95,6 +102,22 @@
 	return nil
 }
 
+// checkVersion returns an error if the engine has another version than the one whose
+// events the attempt continues. It stores the version of an attempt that begins the
+// response.
+func (r *relay) checkVersion(v ident.EngineVersion) error {
+	want := r.x.resumeVersion()
+	if want == nil {
+		r.x.engineVersion = v
+		return nil
+	}
+	if v == *want {
+		return nil
+	}
+	r.e.log.For(logging.ComponentRoute).Warn().Str("request", string(r.x.ID)).Int("attempt", int(r.ref.GetAttempt())).Str("engine_version", v.String()).Str("began_with", want.String()).Msg("answer refused, engine of another version")
+	return errWrongVersion
+}
+
 // onData passes on new data and ignores data that has already arrived, such as that
 // of a duplicate frame. It returns true if the caller has disconnected.
 func (r *relay) onData(d *fescuev1.Data) (bool, error) {
@@ -109,7 +132,7 @@
 	r.x.recordFirstData(r.e)
 	err := r.x.response.data(d.GetPayload())
 	if errors.Is(err, errCallerGone) {
-		r.result = attemptResult{end: retry.CallerGone, detail: err.Error()}
+		r.result = callerGone()
 		return true, nil
 	}
 	r.nextOffset = r.x.response.received()
@@ -123,7 +146,7 @@
 	if e.GetTotal() != r.nextOffset {
 		return errIncomplete
 	}
-	r.x.response.end()
+	r.x.endResponse()
 	if r.x.group != nil {
 		r.x.group.ServiceTime.Observe(max(time.Since(r.start)-r.queueTime, 0))
 	}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -37,7 +37,8 @@
 	Endpoint fleet.ID
 	// Remaining is the time left for the endpoint to respond.
 	Remaining time.Duration
-	// Version is the version of the adapter that must serve the request, or 0 for any.
+	// Version is the version of the adapter, or of the base model's weights for a request
+	// without an adapter, that must serve the request, or 0 for any.
 	Version int
 	// Priority is the priority of a model request; 0 is the most urgent.
 	Priority int
@@ -58,6 +59,9 @@
 	// Instance is the id of the endpoint that sent the response, or empty if the headers
 	// do not say.
 	Instance fleet.ID
+	// WeightsVersion is the version of the base model's weights that the response names,
+	// or 0 if it names none.
+	WeightsVersion int
 }
 
 // Headers parses and writes the platform's HTTP headers.
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -49,6 +49,8 @@
 		Priority:        x.route.Priority,
 		Zone:            f.g.set.Zone,
 		Excluded:        x.excluded,
+		Outdated:        x.outdated,
+		NoSource:        len(x.outdated) > 0,
 	}
 }
 
@@ -127,7 +129,11 @@
 		Int("candidates", c.Candidates).
 		Int("prompt_tokens", x.call.PromptTokens).
 		Int("cached_tokens", c.CachedTokens).
+		Int("weights", c.Scope.Weights).
+		Int("adapter_version", c.Scope.Adapter).
 		Str("fetch_from", fetchFrom(c)).
+		Int("source_weights", c.SourceScope.Weights).
+		Int("source_adapter_version", c.SourceScope.Adapter).
 		Uint("backlog_tokens", uint64(max(c.BacklogTokens, 0))).
 		Dur("cost_ms", c.Cost).
 		Dur("status_age_ms", c.StatusAge).
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
@@ -34,6 +35,8 @@
 	settlement *settle.Settlement
 	history    retry.History
 	excluded   []fleet.ID
+	// outdated lists the status reports that attempts have shown to be outdated.
+	outdated []*fleet.Status
 	// sends is the number of attempts that were started for the request.
 	sends int
 	// software is the software version at which the stream of the request began, or nil if
@@ -45,15 +48,22 @@
 	choice   locality.Choice
 	version  int
 	result   result
+	// weightsVersion is the version of the base model's weights that the response names,
+	// or 0 if it names none.
+	weightsVersion int
 
 	// lastByte is when the last byte of a streamed response arrived, in nanoseconds
 	// since started.
 	lastByte atomic.Int64
 	// State of the response.
 	headSent bool
+	// complete is set once the end of a server's response has been relayed.
+	complete bool
 	// firstByte is the time from started to the start of the response, or 0 before it.
 	firstByte   time.Duration
 	lastEventID string
+	// cause is why the request ended before its response was complete.
+	cause endcause.Cause
 }
 
 // forModelServer reports whether the request goes to a service of model servers.
@@ -68,6 +78,24 @@
 	return x.deadline
 }
 
+// avoid keeps further attempts away from the endpoint of a failed attempt: until its next
+// status report if only the last one was outdated, else for the rest of the request.
+func (x *exchange) avoid(e *fleet.Endpoint) {
+	if x.result.outdated {
+		x.outdated = append(x.outdated, x.choice.Status)
+		return
+	}
+	x.excluded = append(x.excluded, e.ID)
+}
+
+// ranInChosenScope reports whether the response names the weights that the choice of the
+// server was based on, as far as either is known. The server may have loaded others since
+// its last status report. The request itself names the adapter's version to the server.
+func (x *exchange) ranInChosenScope() bool {
+	chosen := x.choice.Scope.Weights
+	return chosen == 0 || x.weightsVersion == 0 || chosen == x.weightsVersion
+}
+
 // repeatable reports whether the request may be sent again although an earlier
 // attempt may have run.
 func (x *exchange) repeatable() bool {
@@ -78,10 +106,14 @@
 type result struct {
 	end    retry.Result
 	detail string
+	// cause is why the attempt was cancelled before it got a complete response, or
+	// endcause.None.
+	cause endcause.Cause
 	// status is the HTTP status of the endpoint's response, or 0 if there was none.
 	status int
-	// adapterMissing means that the server does not have the adapter loaded.
-	adapterMissing bool
+	// outdated means that the server did not hold the versions that the choice was based
+	// on, which is no failure of the server.
+	outdated bool
 }
 
 // failure is the error response to a request for which no endpoint's response is
@@ -90,9 +122,6 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
-	// abort closes the caller's connection, because part of a response has already been
-	// sent.
-	abort bool
 }
 
 // next runs the remaining filters of the chain.
@@ -113,7 +142,8 @@
 	return n
 }
 
-// serve handles one HTTP request of a caller.
+// serve handles one HTTP request of a caller. The caller gets the complete response of
+// a server, a complete error response, or a connection that is closed.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{w: w, r: r, started: time.Now()}
 	g.metrics.requests.Inc(1)
@@ -122,10 +152,11 @@
 	}
 	fail := g.handle(r.Context(), x)
 	g.settle(x, fail)
-	if fail == nil {
+	if x.complete {
 		return
 	}
-	if fail.abort || x.headSent {
+	if fail == nil || x.headSent {
+		// Returning would make net/http end the response as if it were complete.
 		panic(http.ErrAbortHandler)
 	}
 	if fail.retryAfter > 0 {
@@ -136,6 +167,18 @@
 	_, _ = w.Write([]byte(fail.reason + "\n")) // the caller may be gone
 }
 
+// recordCause records why the request ended before its response was complete. The
+// cause of the last attempt is at least as early as that of the request.
+func (x *exchange) recordCause(ctx context.Context) {
+	switch {
+	case x.complete:
+	case x.result.cause != endcause.None:
+		x.cause = x.result.cause
+	default:
+		x.cause = endcause.Of(ctx)
+	}
+}
+
 // settle records the outcome of a request in metrics and writes its closing log line.
 func (g *Gateway) settle(x *exchange, fail *failure) {
 	outcome := x.history.Outcome()
@@ -158,7 +201,9 @@
 		Str("outcome", outcome.String()).
 		Dur("took_ms", time.Since(x.started)).
 		Dur("first_byte_ms", x.firstByte).
-		Int("sends", x.sends)
+		Int("sends", x.sends).
+		Int("ran_weights", x.weightsVersion).
+		Str("cause", x.cause.String())
 	if x.route != nil {
 		ev = ev.Str("route", x.route.Name).Uint("config", uint64(x.table.Version))
 	}
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -17,13 +18,15 @@
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
+	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/origin"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
 )
 
-// fakeHeaders is a minimal header format: Id, Budget-Ms and Model in requests, and
-// Not-Run, Stamp and Instance in responses.
+// fakeHeaders is a minimal header format: Id, Budget-Ms, Model and Prompt (a list of
+// ID:TOKENS pairs) in requests, Version and Fetch in those to endpoints, and Not-Run,
+// Stamp, Instance and Weights in responses.
 type fakeHeaders struct{}
 
 func (fakeHeaders) ReadyPath() string { return "/ready" }
@@ -38,6 +41,17 @@
 		}
 		c.MaxWait = d
 	}
+	if v := h.Get("Prompt"); v != "" {
+		for field := range strings.SplitSeq(v, ",") {
+			id, count, _ := strings.Cut(field, ":")
+			tokens, err := strconv.Atoi(count)
+			if err != nil {
+				return c, err
+			}
+			c.Prefix = append(c.Prefix, locality.Part{ID: id, Tokens: tokens})
+			c.PromptTokens += tokens
+		}
+	}
 	return c, nil
 }
 
@@ -49,13 +63,25 @@
 		out.Set("Last-Event-Id", a.LastEventID)
 	}
 	out.Set("Version", fmt.Sprint(a.Version))
+	if a.FetchFrom != "" {
+		out.Set("Fetch", a.FetchFrom)
+	}
 	return out
 }
 
 func (fakeHeaders) Mine(h http.Header, id string) bool { return h.Get("Id") == "" || h.Get("Id") == id }
 
 func (fakeHeaders) Reply(status int, h http.Header) Reply {
-	return Reply{NotRun: h.Get("Not-Run") != "" || status == 421, FromPlatform: h.Get("Stamp") != "", Instance: fleet.ID(h.Get("Instance"))}
+	weights, err := strconv.Atoi(h.Get("Weights"))
+	if err != nil {
+		weights = 0
+	}
+	return Reply{
+		NotRun:         h.Get("Not-Run") != "" || status == 421,
+		FromPlatform:   h.Get("Stamp") != "",
+		Instance:       fleet.ID(h.Get("Instance")),
+		WeightsVersion: weights,
+	}
 }
 
 // fakeCatalog has no methods of its own and is never called: tests set the snapshot
@@ -154,7 +180,7 @@
 
 // setResident makes a model server report the adapter as resident.
 func setResident(e *fleet.Endpoint, k fleet.AdapterKey, version int) {
-	e.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Models: []string{k.Model}, Residents: map[fleet.AdapterKey]int{k: version}, Free: 1})
+	e.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Models: map[string]int{k.Model: 1}, Residents: map[fleet.AdapterKey]int{k: version}, Free: 1})
 }
 
 type response struct {
--- a/pkg/gateway/origin_fleet_test.go
+++ b/pkg/gateway/origin_fleet_test.go
@@ -144,7 +144,7 @@
 		if known.ID != v.item.ID {
 			continue
 		}
-		known.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Models: []string{adapterKey.Model}, Residents: fleetAdapters()})
+		known.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Models: map[string]int{adapterKey.Model: 1}, Residents: fleetAdapters()})
 		l := &link{entry: "e", endpoint: known, demand: e.gateway.control.demandOf(known), origins: newOriginLink(), software: &e.gateway.control.software, log: logging.Nop()}
 		l.loads.total = e.gateway.control.serviceLoads(modelService)
 		e.gateway.control.originLinks.Store(known.Runtime, l.origins)
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -10,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
@@ -41,34 +43,21 @@
 	e := x.endpoint
 	began := time.Now()
 	x.sends++
+	x.weightsVersion = 0
 	e.Runtime.InFlight.Add(1)
 	counts := f.begin(x)
-	attemptCtx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
 	if f.canMove(x) {
 		go f.watch(attemptCtx, cancel, x, e, append(slices.Clone(x.excluded), e.ID))
 	}
 	x.result = f.attempt(attemptCtx, x, counts)
-	if attemptCtx.Err() != nil && ctx.Err() == nil {
-		x.result = abandonedResult(x.result)
-	}
-	cancel()
+	cancel(nil)
 	counts.end()
 	e.Runtime.InFlight.Add(-1)
 	f.recordResult(ctx, x, began)
 	return nil
 }
 
-// abandonedResult returns the result of an attempt that watch cancelled because its
-// server is lost. Such a cancellation looks as if the caller had left, so it is
-// changed to an unknown result. An attempt that ended in another way before the
-// cancellation keeps its result.
-func abandonedResult(r result) result {
-	if r.end != retry.CallerGone {
-		return r
-	}
-	return result{end: retry.Unknown, status: r.status, detail: "the server does not answer"}
-}
-
 // canMove reports whether the request may be sent to another server if its current
 // server is lost.
 func (f sendFilter) canMove(x *exchange) bool {
@@ -84,10 +73,11 @@
 	serverLostAfter = 1500 * time.Millisecond
 )
 
-// watch cancels an attempt when its server is lost: the server is reported as down,
-// or neither its response nor its status reports arrive any more. A stream that could not
-// continue at any server but the excluded ones stays with its server.
-func (f sendFilter) watch(ctx context.Context, cancel context.CancelFunc, x *exchange, e *fleet.Endpoint, excluded []fleet.ID) {
+// watch cancels an attempt with endcause.ServerLost when its server is lost: the server
+// is reported as down, or neither its response nor its status reports arrive any more. A
+// stream that could not continue at any server but the excluded ones stays with its
+// server.
+func (f sendFilter) watch(ctx context.Context, cancel context.CancelCauseFunc, x *exchange, e *fleet.Endpoint, excluded []fleet.ID) {
 	tick := time.NewTicker(watchInterval)
 	defer tick.Stop()
 	for {
@@ -108,6 +98,10 @@
 		if !f.g.origins.hasAlternative(x, excluded) {
 			continue
 		}
+		cancel(endcause.ServerLost)
+		if endcause.Of(ctx) != endcause.ServerLost {
+			return // the attempt had ended already
+		}
 		f.g.log.For(logging.ComponentRoute).Warn().
 			Str("request", x.call.RequestID).
 			Str("endpoint", string(e.ID)).
@@ -115,7 +109,6 @@
 			Dur("status_age_ms", age).
 			Dur("silent_ms", silent).
 			Msg("server lost, request moves")
-		cancel()
 		return
 	}
 }
@@ -129,13 +122,11 @@
 	switch {
 	case x.result.end == retry.Answered && x.result.status < http.StatusInternalServerError:
 		e.Runtime.RecordSuccess(now.Sub(began))
-	case x.result.end != retry.CallerGone && !x.result.adapterMissing:
+	case x.result.end != retry.CallerGone && !x.result.outdated:
 		e.Runtime.RecordFailure(now)
 	}
 	if x.result.end == retry.NotRun || x.result.end == retry.Unknown {
-		if !x.result.adapterMissing {
-			x.excluded = append(x.excluded, e.ID)
-		}
+		x.avoid(e)
 		f.g.log.For(logging.ComponentRoute).Warn().
 			Str("request", x.call.RequestID).
 			Str("endpoint", string(e.ID)).
@@ -143,7 +134,8 @@
 			Int("status", x.result.status).
 			Str("detail", x.result.detail).
 			Dur("took_ms", now.Sub(began)).
-			Bool("expired", ctx.Err() != nil).
+			Str("cause", x.result.cause.String()).
+			Bool("expired", endcause.Of(ctx) != endcause.None).
 			Msg("attempt failed")
 	}
 }
@@ -199,10 +191,10 @@
 	e := x.endpoint
 	conn, err := f.g.pool.Get(ctx, poolKey(e), e.Address)
 	if err != nil {
-		if ctx.Err() == nil {
+		if endcause.Of(ctx) == endcause.None {
 			e.Runtime.Ban(time.Now().Add(unreachableBan))
 		}
-		return f.ended(ctx, result{end: retry.NotRun, detail: "no connection to the endpoint"})
+		return withCause(ctx, result{end: retry.NotRun, detail: "no connection to the endpoint"})
 	}
 	x.settlement.MarkSent()
 	ex, err := conn.Send(ctx, f.request(x))
@@ -211,15 +203,21 @@
 		if errors.Is(err, upstream.ErrNotSent) {
 			end = retry.NotRun
 		}
-		return f.ended(ctx, result{end: end, detail: err.Error()})
+		return withCause(ctx, result{end: end, detail: err.Error()})
 	}
 	return f.receive(ctx, x, conn, ex, c)
 }
 
-// ended changes the result of an attempt to CallerGone if the request was cancelled.
-func (f sendFilter) ended(ctx context.Context, r result) result {
-	if cancelledByCaller(ctx) {
+// withCause adds the cause to the result of an attempt that got no complete
+// response, if ctx has ended. Only a caller that is gone changes the result. After any
+// other cause the request is as uncertain as if the connection had failed.
+func withCause(ctx context.Context, r result) result {
+	r.cause = endcause.Of(ctx)
+	switch r.cause {
+	case endcause.CallerGone:
 		r.end = retry.CallerGone
+	case endcause.ServerLost:
+		r.detail = "the server does not answer"
 	}
 	return r
 }
@@ -228,7 +226,7 @@
 	a := &Attempt{
 		Endpoint:    x.endpoint.ID,
 		Remaining:   time.Until(x.deadline),
-		Version:     x.version,
+		Version:     max(x.version, x.choice.Scope.Version()),
 		Priority:    x.route.Priority,
 		LastEventID: x.lastEventID,
 	}
@@ -263,6 +261,7 @@
 func (f sendFilter) receive(ctx context.Context, x *exchange, conn *upstream.Conn, ex *upstream.Exchange, c *attemptCounts) result {
 	status := ex.Response.StatusCode
 	reply := f.g.headers.Reply(status, ex.Response.Header)
+	x.weightsVersion = reply.WeightsVersion
 	switch {
 	case reply.NotRun:
 		return f.refused(x, conn, ex, reply)
@@ -273,6 +272,10 @@
 		ex.Abort()
 		return result{end: retry.Unknown, status: status, detail: "the response is not from a server"}
 	}
+	if status < http.StatusMultipleChoices && x.choice.Source != nil && !x.ranInChosenScope() {
+		ex.Abort()
+		return result{end: retry.Unknown, status: status, outdated: true, detail: otherWeights(x)}
+	}
 	if x.route.Kind == route.Streaming && status == http.StatusOK {
 		return f.relayStream(ctx, x, conn, ex, c)
 	}
@@ -285,6 +288,12 @@
 	return f.relayBuffered(ctx, x, conn, ex)
 }
 
+// otherWeights describes a response whose server fetched prompt parts that were processed
+// with other weights than those that it ran.
+func otherWeights(x *exchange) string {
+	return fmt.Sprintf("the prompt parts were processed with weights %d, the response with %d", x.choice.Scope.Weights, x.weightsVersion)
+}
+
 // refused handles a response that proves that the request did not run.
 func (f sendFilter) refused(x *exchange, conn *upstream.Conn, ex *upstream.Exchange, reply Reply) result {
 	status := ex.Response.StatusCode
@@ -302,7 +311,7 @@
 		r.detail = "the address belongs to another endpoint"
 		return r
 	}
-	r.adapterMissing = x.forModelServer()
+	r.outdated = x.forModelServer()
 	r.detail = "the server does not hold the adapter"
 	return r
 }
@@ -314,7 +323,7 @@
 	body, err := io.ReadAll(io.LimitReader(ex.Response.Body, maxBufferedBytes))
 	if err != nil {
 		ex.Abort()
-		return f.ended(ctx, result{end: retry.Unknown, status: status, detail: "the response broke off: " + err.Error()})
+		return withCause(ctx, result{end: retry.Unknown, status: status, detail: "the response broke off: " + err.Error()})
 	}
 	if ex.Finish() {
 		f.g.pool.Put(poolKey(x.endpoint), conn)
@@ -325,7 +334,8 @@
 	f.writeHead(x, ex.Response)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(status)
-	_, _ = x.w.Write(body) // the caller may be gone
+	_, err = x.w.Write(body)
+	x.complete = err == nil // after an error the caller is gone
 	return result{end: retry.Answered, status: status}
 }
 
