soak: several software versions, resumed streams, weights and prompt memory

- Model servers of two or three software versions serve side by side.
A release adds a server of the newest version, or of a new one, and drains one of the oldest.
- Callers share the first parts of their prompts, some ask for the base model itself, and they resume a broken stream at another entry with Last-Event-Id and Resumes.
They wait beyond the longest fault, so that they see how a response of a stopped entry ends.
- New weights are announced, and adapters renewed five times in a row.
- Entries are killed and stopped in series, and stopped by a signal for 2 to 4 s, also together with silent links.
Faults of entries, other faults and changes have their own schedules and overlap.
- New checks: a stream holds events of one software version; no run uses memory made under other versions; the events of a response follow each other, also if it breaks off; resumed streams go on at least half as often as new ones begin, over one run and over all seeds, counting only processes that were undisturbed for 3 s.

A run has about four such resumed streams, so the last check needs several seeds.

--- a/pkg/soak/command.go
+++ b/pkg/soak/command.go
@@ -51,10 +51,12 @@
 	return runSeeds(ctx, o, seeds, stdout, stderr)
 }
 
-// runSeeds runs one soak test for each seed, starting with the seed of o. It stops at
-// the first run that cannot be carried out.
+// runSeeds runs one soak test for each seed, starting with the seed of o, and checks the
+// shares of streams over all of them. It stops at the first run that cannot be carried
+// out.
 func runSeeds(ctx context.Context, o Options, seeds int, stdout, stderr io.Writer) int {
 	code := exitOK
+	var begun, resumed Share
 	for range seeds {
 		r, err := Run(ctx, o)
 		if err != nil {
@@ -65,8 +67,15 @@
 		if len(r.Violations) > 0 {
 			code = exitFailure
 		}
+		begun.add(r.Begun)
+		resumed.add(r.Resumed)
 		o.Seed++
 	}
+	fmt.Fprintf(stdout, "all seeds: streams begun %s, resumed %s\n", &begun, &resumed)
+	for _, v := range CheckShares(begun, resumed) {
+		fmt.Fprintln(stdout, "  violation:", v)
+		code = exitFailure
+	}
 	return code
 }
 
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -5,54 +5,112 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/wait"
-	"github.com/fescuecourse/fescuecourse/standin/fault"
 	"github.com/fescuecourse/fescuecourse/standin/platform"
 )
 
-// faultAction is a kind of fault. apply injects it and returns a function that ends
-// it, or nil if it needs none.
-type faultAction struct {
+// action is a kind of fault or planned change. apply starts it and returns a function
+// that ends it, or nil if it needs none.
+type action struct {
 	name  string
 	apply func(tb *testbed, rng *rand.Rand) (undo func())
 }
 
-// maxFaultDuration bounds the duration of a fault that is ended by an undo function.
-const maxFaultDuration = 3 * time.Second
+const (
+	// maxFaultDuration bounds the duration of a fault that is ended by an undo function.
+	maxFaultDuration = 4 * time.Second
+	// stallLimit is the gap in a stream after which entries end it: four times the
+	// target latency of the routes.
+	stallLimit = 4 * routeTargetMS * time.Millisecond
+	// seriesStep and seriesSteps are the interval and the number of the steps of a fault
+	// that comes in a series, seriesDuration the time until the last one.
+	seriesStep     = 600 * time.Millisecond
+	seriesSteps    = 5
+	seriesDuration = (seriesSteps - 1) * seriesStep
+	// turnTime is how long most faults of entries hit the same half of the entries, and
+	// anyEntryShare the fraction of the faults that hit any entry.
+	turnTime      = 7 * time.Second
+	anyEntryShare = 0.15
+	// silentLinks is the number of links that a fault of several links silences.
+	silentLinks = 3
+)
+
+// entryFaults are the faults of entries. They are injected beside the other faults,
+// because only they break streams that callers then resume.
+var entryFaults = []action{
+	{"kill entry", func(tb *testbed, rng *rand.Rand) func() { tb.entryToHit(rng).signal(syscall.SIGKILL); return nil }},
+	{"kill entries in a row", func(tb *testbed, rng *rand.Rand) func() { tb.signalInRow(rng, syscall.SIGKILL); return nil }},
+	{"stop entry", func(tb *testbed, rng *rand.Rand) func() { tb.entryToHit(rng).signal(syscall.SIGTERM); return nil }},
+	{"stop entries in a row", func(tb *testbed, rng *rand.Rand) func() { tb.signalInRow(rng, syscall.SIGTERM); return nil }},
+	{"hang up entry", func(tb *testbed, rng *rand.Rand) func() { tb.entryToHit(rng).signal(syscall.SIGHUP); return nil }},
+	{"freeze entry", func(tb *testbed, rng *rand.Rand) func() { return freeze(tb.entryToHit(rng).process) }},
+	{"freeze entry beyond the stall limit", func(tb *testbed, rng *rand.Rand) func() {
+		tb.freezeLong(rng)
+		return nil
+	}},
+	// The machines of an entry and of a server stand still together: neither data of
+	// the stream nor status reports wait for the entry when it goes on.
+	{"freeze entry and links beyond the stall limit", func(tb *testbed, rng *rand.Rand) func() {
+		tb.freezeLong(rng)
+		for range silentLinks {
+			tb.randomLink(rng).blackhole()
+		}
+		return nil
+	}},
+}
 
-var faultActions = []faultAction{
-	{"kill entry", func(tb *testbed, rng *rand.Rand) func() { tb.randomEntry(rng).signal(syscall.SIGKILL); return nil }},
-	{"stop entry", func(tb *testbed, rng *rand.Rand) func() { tb.randomEntry(rng).signal(syscall.SIGTERM); return nil }},
-	{"hang up entry", func(tb *testbed, rng *rand.Rand) func() { tb.randomEntry(rng).signal(syscall.SIGHUP); return nil }},
-	{"freeze entry", func(tb *testbed, rng *rand.Rand) func() { return freeze(tb.randomEntry(rng).process) }},
-	{"kill side", func(tb *testbed, rng *rand.Rand) func() { tb.randomSidecar(rng).signal(syscall.SIGKILL); return nil }},
-	{"stop side", func(tb *testbed, rng *rand.Rand) func() { tb.randomSidecar(rng).signal(syscall.SIGTERM); return nil }},
-	{"freeze side", func(tb *testbed, rng *rand.Rand) func() { return freeze(tb.randomSidecar(rng)) }},
+// changes are planned changes: releases, versions and configurations.
+var changes = []action{
+	{"release", func(tb *testbed, rng *rand.Rand) func() { tb.release(rng); return nil }},
+	{"release", func(tb *testbed, rng *rand.Rand) func() { tb.release(rng); return nil }},
+	{"weights version", func(tb *testbed, _ *rand.Rand) func() { tb.publishWeights(); return nil }},
+	{"configuration", func(tb *testbed, _ *rand.Rand) func() { tb.writeConfig(); return nil }},
+	{"adapter version", func(tb *testbed, rng *rand.Rand) func() { tb.publishVersion(adapterName(rng)); return nil }},
+	{"adapter versions in a row", func(tb *testbed, rng *rand.Rand) func() {
+		adapter := adapterName(rng)
+		tb.inRow(func(int) { tb.publishVersion(adapter) })
+		return nil
+	}},
+}
+
+// otherFaults are the faults of servers, sidecars, links and the store.
+var otherFaults = []action{
+	{"kill side", func(tb *testbed, rng *rand.Rand) func() {
+		tb.randomModelServer(rng).sidecar.signal(syscall.SIGKILL)
+		return nil
+	}},
+	{"stop side", func(tb *testbed, rng *rand.Rand) func() {
+		tb.randomModelServer(rng).sidecar.signal(syscall.SIGTERM)
+		return nil
+	}},
+	{"freeze side", func(tb *testbed, rng *rand.Rand) func() { return freeze(tb.randomModelServer(rng).sidecar) }},
 	{"restart model server", func(tb *testbed, rng *rand.Rand) func() {
-		_ = tb.restartServer(tb.modelServers, rng.IntN(len(tb.modelServers))) // its address may still be in use
+		tb.restartModelServer(tb.randomModelServer(rng).host)
 		return nil
 	}},
 	{"restart plain server", func(tb *testbed, rng *rand.Rand) func() {
-		_ = tb.restartServer(tb.plainServers, rng.IntN(len(tb.plainServers))) // its address may still be in use
+		tb.restartPlainServer(rng.IntN(len(tb.plainServers)))
 		return nil
 	}},
 	{"model server cuts streams", func(tb *testbed, rng *rand.Rand) func() {
-		return tb.injectServerFaults(tb.modelServers, rng, platform.ServerFaults{CutAfterEvents: 1 + rng.IntN(streamEvents)})
+		return tb.injectModelServerFaults(rng, platform.ServerFaults{CutAfterEvents: 1 + rng.IntN(streamEvents)})
 	}},
 	{"model server loses orders", func(tb *testbed, rng *rand.Rand) func() {
-		return tb.injectServerFaults(tb.modelServers, rng, platform.ServerFaults{LoseOrders: true})
+		return tb.injectModelServerFaults(rng, platform.ServerFaults{LoseOrders: true})
 	}},
 	{"server refuses", func(tb *testbed, rng *rand.Rand) func() {
-		return tb.injectServerFaults(tb.plainServers, rng, platform.ServerFaults{Refuse: true})
+		return tb.injectPlainServerFaults(rng, platform.ServerFaults{Refuse: true})
 	}},
 	{"server loses answers", func(tb *testbed, rng *rand.Rand) func() {
-		return tb.injectServerFaults(tb.plainServers, rng, platform.ServerFaults{LoseAnswers: true})
+		return tb.injectPlainServerFaults(rng, platform.ServerFaults{LoseAnswers: true})
 	}},
 	{"server fails", func(tb *testbed, rng *rand.Rand) func() {
-		return tb.injectServerFaults(tb.plainServers, rng, platform.ServerFaults{Error: true})
+		return tb.injectPlainServerFaults(rng, platform.ServerFaults{Error: true})
 	}},
 	{"store silent", func(tb *testbed, _ *rand.Rand) func() {
 		return tb.injectStoreFaults(platform.StoreFaults{FailStatus: -1})
@@ -68,7 +126,10 @@
 	}},
 	{"store returns to a copy", func(tb *testbed, _ *rand.Rand) func() {
 		early := tb.store.Memory().Copy()
-		return func() { tb.restoreStore(early) }
+		return func() {
+			tb.restoreStore(early)
+			tb.prolongDisturbances()
+		}
 	}},
 	{"store connections cut", func(tb *testbed, _ *rand.Rand) func() { tb.storeRelay.CloseConnections(); return nil }},
 	{"store connections silent", func(tb *testbed, _ *rand.Rand) func() { tb.storeRelay.Blackhole(); return nil }},
@@ -76,16 +137,10 @@
 		tb.storeRelay.SetDelay(200 * time.Millisecond)
 		return func() { tb.storeRelay.SetDelay(0) }
 	}},
-	{"link reset", func(tb *testbed, rng *rand.Rand) func() { tb.randomServerRelay(rng).CloseConnections(); return nil }},
-	{"link silent", func(tb *testbed, rng *rand.Rand) func() { tb.randomServerRelay(rng).Blackhole(); return nil }},
-	{"link one way", func(tb *testbed, rng *rand.Rand) func() { tb.randomServerRelay(rng).BlackholeResponses(); return nil }},
-	{"link slow", func(tb *testbed, rng *rand.Rand) func() {
-		l := tb.randomServerRelay(rng)
-		l.SetDelay(150 * time.Millisecond)
-		return func() { l.SetDelay(0) }
-	}},
-	{"configuration", func(tb *testbed, _ *rand.Rand) func() { tb.writeConfig(); return nil }},
-	{"adapter version", func(tb *testbed, rng *rand.Rand) func() { tb.publishVersion(adapterName(rng)); return nil }},
+	{"link reset", func(tb *testbed, rng *rand.Rand) func() { tb.randomLink(rng).reset(); return nil }},
+	{"link silent", func(tb *testbed, rng *rand.Rand) func() { tb.randomLink(rng).blackhole(); return nil }},
+	{"link one way", func(tb *testbed, rng *rand.Rand) func() { tb.randomLink(rng).blackholeResponses(); return nil }},
+	{"link slow", func(tb *testbed, rng *rand.Rand) func() { return tb.randomLink(rng).slow(150 * time.Millisecond) }},
 	// Another writer stores a malformed server registration.
 	{"foreign entry", func(tb *testbed, rng *rand.Rand) func() {
 		key := tb.store.PutMalformedServer(rng.IntN(9))
@@ -97,25 +152,78 @@
 	return tb.entries[rng.IntN(len(tb.entries))]
 }
 
-func (tb *testbed) randomServerRelay(rng *rand.Rand) *fault.Relay {
-	return tb.serverRelays[rng.IntN(len(tb.serverRelays))]
+// otherEntry returns a random entry that is not e, if there is one.
+func (tb *testbed) otherEntry(rng *rand.Rand, e *entryProcess) *entryProcess {
+	other := slices.DeleteFunc(slices.Clone(tb.entries), func(o *entryProcess) bool { return o == e })
+	if len(other) == 0 {
+		return e
+	}
+	return other[rng.IntN(len(other))]
 }
 
-func (tb *testbed) randomSidecar(rng *rand.Rand) *process {
-	return tb.sidecars[rng.IntN(len(tb.sidecars))]
-}
+func (tb *testbed) randomLink(rng *rand.Rand) link { return tb.links[rng.IntN(len(tb.links))] }
 
 // freeze stops a process with SIGSTOP and returns a function that continues it.
 func freeze(p *process) func() {
+	end := p.begin()
 	p.signal(syscall.SIGSTOP)
-	return func() { p.signal(syscall.SIGCONT) }
+	return func() {
+		p.signal(syscall.SIGCONT)
+		end()
+	}
+}
+
+// freezeLong freezes an entry for longer than the stall limit.
+func (tb *testbed) freezeLong(rng *rand.Rand) {
+	d := stallLimit + time.Duration(rng.Int64N(int64(maxFaultDuration-stallLimit)))
+	tb.later(d, freeze(tb.entryToHit(rng).process))
 }
 
-// injectServerFaults sets the faults of a random server of the list and returns a
+// inRow calls f with 0, 1, 2 and so on, once each seriesStep.
+func (tb *testbed) inRow(f func(i int)) {
+	f(0)
+	for i := 1; i < seriesSteps; i++ {
+		tb.later(time.Duration(i)*seriesStep, func() { f(i) })
+	}
+}
+
+// entryToHit returns the entry for the next fault. For turnTime, most faults hit the same
+// half of the entries, so that the other half is undisturbed and streams can go on there.
+func (tb *testbed) entryToHit(rng *rand.Rand) *entryProcess {
+	half := len(tb.entries) / 2
+	if half == 0 || rng.Float64() < anyEntryShare {
+		return tb.randomEntry(rng)
+	}
+	turn := int(time.Since(tb.started) / turnTime)
+	return tb.entries[(turn%2*half+rng.IntN(half))%len(tb.entries)]
+}
+
+// signalInRow sends a signal to one entry after the other, again and again.
+func (tb *testbed) signalInRow(rng *rand.Rand, sig syscall.Signal) {
+	var hit [seriesSteps]*entryProcess
+	for i := range hit {
+		hit[i] = tb.entryToHit(rng)
+	}
+	tb.inRow(func(i int) { hit[i].signal(sig) })
+}
+
+// injectModelServerFaults sets the faults of a random model server and returns a
+// function that clears them.
+func (tb *testbed) injectModelServerFaults(rng *rand.Rand, f platform.ServerFaults) func() {
+	r := tb.randomModelServer(rng)
+	end := r.host.begin()
+	r.server.SetFaults(f)
+	return func() {
+		r.server.SetFaults(platform.ServerFaults{})
+		end()
+	}
+}
+
+// injectPlainServerFaults sets the faults of a random plain server and returns a
 // function that clears them.
-func (tb *testbed) injectServerFaults(list []*platform.Server, rng *rand.Rand, f platform.ServerFaults) func() {
+func (tb *testbed) injectPlainServerFaults(rng *rand.Rand, f platform.ServerFaults) func() {
 	tb.mu.Lock()
-	s := list[rng.IntN(len(list))]
+	s := tb.plainServers[rng.IntN(len(tb.plainServers))]
 	tb.mu.Unlock()
 	s.SetFaults(f)
 	return func() { s.SetFaults(platform.ServerFaults{}) }
@@ -128,21 +236,62 @@
 	return func() {
 		tb.store.SetFaults(platform.StoreFaults{})
 		tb.store.CloseConnections()
+		tb.prolongDisturbances()
 	}
 }
 
-// inject injects random faults for the duration d and returns their number.
-func (tb *testbed) inject(ctx context.Context, rng *rand.Rand, d time.Duration) int {
+// schedule is a list of actions that are drawn at random times, beside the other
+// schedules.
+type schedule struct {
+	actions []action
+	// meanInterval is the mean time between the starts of two actions.
+	meanInterval time.Duration
+}
+
+var schedules = []schedule{
+	{actions: otherFaults, meanInterval: 700 * time.Millisecond},
+	{actions: entryFaults, meanInterval: 2500 * time.Millisecond},
+	{actions: changes, meanInterval: 500 * time.Millisecond},
+}
+
+// injectAll runs all schedules for the duration d and returns the number of actions.
+func (tb *testbed) injectAll(ctx context.Context, seed uint64, d time.Duration) int {
+	counts := make([]int, len(schedules))
+	var wg sync.WaitGroup
+	for i, s := range schedules {
+		wg.Go(func() { counts[i] = tb.inject(ctx, &s, rand.New(rand.NewPCG(seed, scheduleStream+uint64(i))), d) })
+	}
+	wg.Wait()
+	sum := 0
+	for _, n := range counts {
+		sum += n
+	}
+	return sum
+}
+
+// scheduleStream is the first random stream of the schedules. Lower ones belong to the
+// callers.
+const scheduleStream = 1 << 32
+
+// printf writes to the output of the test. The schedules share it.
+func (tb *testbed) printf(format string, args ...any) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	fmt.Fprintf(tb.o.Out, format, args...)
+}
+
+// inject runs one schedule for the duration d and returns the number of its actions.
+func (tb *testbed) inject(ctx context.Context, s *schedule, rng *rand.Rand, d time.Duration) int {
 	end := time.Now().Add(d)
 	n := 0
 	for time.Now().Before(end) && ctx.Err() == nil {
-		a := faultActions[rng.IntN(len(faultActions))]
-		fmt.Fprintf(tb.o.Out, "fault %d: %s\n", n, a.name)
+		a := s.actions[rng.IntN(len(s.actions))]
+		tb.printf("%s %s\n", time.Now().Format(time.StampMilli), a.name)
 		if undo := a.apply(tb, rng); undo != nil {
-			time.AfterFunc(time.Duration(rng.Int64N(int64(maxFaultDuration))), undo)
+			tb.later(time.Duration(rng.Int64N(int64(maxFaultDuration))), undo)
 		}
 		n++
-		wait.For(ctx, time.Duration(rng.ExpFloat64()*float64(meanFaultInterval)))
+		wait.For(ctx, time.Duration(rng.ExpFloat64()*float64(s.meanInterval)))
 	}
 	return n
 }
@@ -151,17 +300,17 @@
 // because keep-alive probes do not detect a blackholed connection on loopback.
 func (tb *testbed) clearFaults() {
 	time.Sleep(maxFaultDuration)
-	for _, l := range tb.serverRelays {
+	for _, l := range tb.links {
 		l.SetDelay(0)
-		l.CloseConnections()
+		l.reset()
 	}
 	tb.storeRelay.SetDelay(0)
 	tb.store.SetFaults(platform.StoreFaults{})
 	for _, e := range tb.entries {
 		e.signal(syscall.SIGCONT)
 	}
-	for _, p := range tb.sidecars {
-		p.signal(syscall.SIGCONT)
+	for _, r := range tb.runningServers() {
+		r.sidecar.signal(syscall.SIGCONT)
 	}
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
--- a/pkg/soak/history.go
+++ b/pkg/soak/history.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +24,18 @@
 	body           string
 	// complete is set if the response body was read without an error.
 	complete bool
+	// lastEvent is the number of the event after which the request goes on with a
+	// stream, or 0 for a new stream. events are the complete events of the response.
+	lastEvent int
+	events    []event
+	// undisturbed is set if the entry, and two servers of the stream's software version,
+	// had no faults from undisturbedTime before the request to its end.
+	undisturbed bool
+}
+
+// denied reports whether the status is an error that a repetition does not change.
+func (r *requestRecord) denied() bool {
+	return r.status == http.StatusNotFound || r.status == http.StatusBadRequest
 }
 
 // reportedNotRun reports whether the status states that the request did not run.
@@ -40,6 +54,7 @@
 type history struct {
 	mu      sync.Mutex
 	records []*requestRecord
+	streams []*streamRecord
 	// recoveryStart is the start of the recovery phase; zero before it.
 	recoveryStart time.Time
 }
@@ -53,6 +68,13 @@
 	h.records = append(h.records, r)
 }
 
+// addStream adds a request that is a stream, with all its attempts.
+func (h *history) addStream(s *streamRecord) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.streams = append(h.streams, s)
+}
+
 func (h *history) beginRecovery() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -71,6 +93,12 @@
 			out.Violations = append(out.Violations, r.id+" "+r.route.prefix+": "+v)
 		}
 	}
+	for _, s := range h.streams {
+		out.Violations = append(out.Violations, s.check()...)
+	}
+	out.Begun, out.Resumed = streamShares(h.streams)
+	out.Violations = append(out.Violations, CheckShares(out.Begun, out.Resumed)...)
+	out.addRuns(runs)
 	out.Violations = append(out.Violations, tb.violations()...)
 	if float64(out.RecoveryAnswered) < minRecoveryShare*float64(out.RecoveryRequests) {
 		out.Violations = append(out.Violations, fmt.Sprintf("only %d of %d requests were answered after the faults", out.RecoveryAnswered, out.RecoveryRequests))
@@ -78,6 +106,26 @@
 	return out
 }
 
+// addRuns counts the runs with fetched prompt memory, and adds a violation for each run
+// that used memory made under other versions.
+func (out *Report) addRuns(runs map[string][]platform.Run) {
+	for _, id := range slices.Sorted(maps.Keys(runs)) {
+		for _, run := range runs[id] {
+			if run.Fetched {
+				out.Fetches++
+			}
+			if len(run.StaleMemory) > 0 {
+				out.Violations = append(out.Violations, staleMemoryText(id, &run))
+			}
+		}
+	}
+}
+
+func staleMemoryText(id string, run *platform.Run) string {
+	return fmt.Sprintf("%s: used memory made under %+v, runs under %+v", id, run.StaleMemory[0],
+		platform.MemoryVersion{Weights: run.Weights, Adapter: run.Version, Software: run.Software})
+}
+
 func (out *Report) count(r *requestRecord) {
 	switch {
 	case r.answered():
@@ -107,9 +155,12 @@
 	if !idempotent && r.reportedNotRun() && len(runs) > 0 {
 		out = append(out, fmt.Sprintf("answered %d although it ran", r.status))
 	}
-	if r.status == http.StatusNotFound || r.status == http.StatusBadRequest {
+	if r.denied() {
 		out = append(out, fmt.Sprintf("denied with %d", r.status))
 	}
+	if r.route.service == modelService && r.status == http.StatusOK {
+		out = append(out, checkStream(r)...)
+	}
 	if !r.answered() {
 		return out
 	}
@@ -123,33 +174,19 @@
 		if run.Adapter != r.adapter {
 			out = append(out, "ran with adapter "+run.Adapter+", asked for "+r.adapter)
 		}
-		// The recovery phase begins maxFaultDuration and settleTime, together 7 s,
-		// after the last version was published. An older version may serve requests
-		// for 5 s after that publication.
+		// The recovery phase begins at least maxFaultDuration-seriesDuration and
+		// settleTime, together 5.5 s, after the last version was published. An older
+		// version may serve requests for 5 s after that publication.
 		if r.inRecovery && run.Version < latestVersion {
 			out = append(out, fmt.Sprintf("ran with version %d of %s, %d is named", run.Version, r.adapter, latestVersion))
 		}
 	}
-	if r.route.service == modelService {
-		out = append(out, checkStream(r)...)
-	} else if !strings.HasSuffix(r.body, " bytes") || !strings.Contains(r.body, r.route.prefix+"x?n=1") {
+	if r.route.service == plainService && (!strings.HasSuffix(r.body, " bytes") || !strings.Contains(r.body, r.route.prefix+"x?n=1")) {
 		out = append(out, fmt.Sprintf("body %q", r.body))
 	}
 	return out
 }
 
-// checkStream compares a complete stream with the one that a server sends.
-func checkStream(r *requestRecord) []string {
-	var want strings.Builder
-	for i := 1; i <= streamEvents; i++ {
-		want.WriteString(platform.EventText(r.id, i, softwareVersion))
-	}
-	if r.body != want.String() {
-		return []string{fmt.Sprintf("a stream that ended as complete is not: %q", r.body)}
-	}
-	return nil
-}
-
 // latestVersion returns the latest published version of an adapter, or 0.
 func (tb *testbed) latestVersion(adapter string) int {
 	tb.mu.Lock()
--- a/pkg/soak/history_test.go
+++ b/pkg/soak/history_test.go
@@ -16,7 +16,7 @@
 func completeStreamRecord() *requestRecord {
 	r := &requestRecord{id: "c1-1", route: testRoutes[0], adapter: "a1", status: http.StatusOK, hasServerStamp: true, complete: true}
 	for i := 1; i <= streamEvents; i++ {
-		r.body += platform.EventText(r.id, i, softwareVersion)
+		r.body += platform.EventText(r.id, i, "v1")
 	}
 	return r
 }
--- a/pkg/soak/process.go
+++ b/pkg/soak/process.go
@@ -17,6 +17,8 @@
 
 // process is a fescued process that is restarted whenever it exits.
 type process struct {
+	disturbance
+
 	o       *Options
 	name    string
 	args    []string
@@ -55,6 +57,7 @@
 	p.mu.Lock()
 	p.cmd, p.exited, p.exitExpected = cmd, exited, false
 	p.mu.Unlock()
+	p.mark()
 	go func() {
 		_ = cmd.Wait() // exitExpected tells whether a fault caused the exit
 		log.Close()
@@ -85,6 +88,7 @@
 
 // signal sends a signal. After SIGKILL or SIGTERM an exit counts as expected.
 func (p *process) signal(sig syscall.Signal) {
+	p.mark()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.exitExpected = p.exitExpected || sig == syscall.SIGKILL || sig == syscall.SIGTERM
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -1,14 +1,14 @@
 // Package soak runs fescued processes on one host against fake platform servers,
 // injects faults from outside the processes and checks the guarantees of the system
-// from what clients and servers observe. The faults are drawn from a seed; they
-// occur one after another and may overlap.
+// from what clients and servers observe. Faults of entries, faults of everything else and
+// planned changes (releases, versions, configurations) are drawn from a seed, each kind
+// on its own schedule; they come in series and overlap. Callers resume broken streams.
 package soak
 
 import (
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"sync"
@@ -27,8 +27,8 @@
 	Duration time.Duration
 	// Entries is the number of routed-entry processes.
 	Entries int
-	// Servers is the number of model servers. A routed-endpoint process runs as a
-	// sidecar of each of them.
+	// Servers is the number of model servers at the start, with two software versions.
+	// A routed-endpoint process runs as a sidecar of each of them.
 	Servers int
 	// Binary is the path of the fescued program.
 	Binary string
@@ -40,14 +40,12 @@
 
 const (
 	plainServerCount = 2
-	callerCount      = 12
+	callerCount      = 20
 	// settleTime is the time without faults before the recovery phase, and the
 	// length of the recovery phase at the end of a run.
 	settleTime = 4 * time.Second
 	// startTime bounds the wait for all entries to become ready.
 	startTime = 20 * time.Second
-	// meanFaultInterval is the mean time between the starts of two faults.
-	meanFaultInterval = 700 * time.Millisecond
 	// minRecoveryShare is the fraction of the requests of the recovery phase that
 	// must be answered.
 	minRecoveryShare = 0.9
@@ -67,6 +65,11 @@
 	// phase, after all faults have ended, and the answered ones among them.
 	RecoveryRequests int
 	RecoveryAnswered int
+	// Begun and Resumed count the new and the resumed streams at undisturbed processes,
+	// and Fetches the runs with prompt memory of another server.
+	Begun   Share
+	Resumed Share
+	Fetches int
 	// Violations describes each guarantee that was found broken.
 	Violations []string
 }
@@ -91,7 +94,7 @@
 	for i := range callerCount {
 		wg.Go(func() { newCaller(tb, h, o.Seed, i).run(callCtx) })
 	}
-	faults := tb.inject(ctx, rand.New(rand.NewPCG(o.Seed, 0)), o.Duration)
+	faults := tb.injectAll(ctx, o.Seed, o.Duration)
 	tb.clearFaults()
 	wait.For(ctx, settleTime)
 	h.beginRecovery()
@@ -103,8 +106,9 @@
 
 // Print writes a human-readable report.
 func (r *Report) Print(w io.Writer) {
-	fmt.Fprintf(w, "seed %d: %d requests, %d answered, %d refused, %d unknown, %d faults, calm %d of %d, %d violations\n",
-		r.Seed, r.Requests, r.Answered, r.Refused, r.Unknown, r.Faults, r.RecoveryAnswered, r.RecoveryRequests, len(r.Violations))
+	fmt.Fprintf(w, "seed %d: %d requests, %d answered, %d refused, %d unknown, %d faults, calm %d of %d, streams begun %s, resumed %s, %d fetches, %d violations\n",
+		r.Seed, r.Requests, r.Answered, r.Refused, r.Unknown, r.Faults, r.RecoveryAnswered, r.RecoveryRequests,
+		&r.Begun, &r.Resumed, r.Fetches, len(r.Violations))
 	for _, v := range r.Violations {
 		fmt.Fprintln(w, "  violation:", v)
 	}
--- a/pkg/soak/testbed.go
+++ b/pkg/soak/testbed.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -22,35 +24,40 @@
 	plainService  = "desk"
 	adapters      = 40
 	maxAdapters   = 5
-	streamEvents  = 12
-	eventInterval = 15 * time.Millisecond
+	streamEvents  = 24
+	eventInterval = 25 * time.Millisecond
 	adapterLoad   = 60 * time.Millisecond
 	grace         = 4 * time.Second
 	hostName      = "h.example"
 	zoneName      = "a"
-	// softwareVersion is the version of the software of all fake servers.
-	softwareVersion = "v1"
 )
 
 // testbed is the system under test and the fake servers around it.
 type testbed struct {
 	o          *Options
+	started    time.Time
 	store      *platform.Store
 	storeRelay *fault.Relay // between the processes and the metadata store
-	// serverRelays are between the entries and the servers and their sidecars.
-	serverRelays []*fault.Relay
-	entries      []*entryProcess
-	sidecars     []*process
-	port         int
+	// links are between the entries and the servers and their sidecars.
+	links   []link
+	entries []*entryProcess
+	hosts   []*modelHost
+	port    int
+	// newestSoftware is the number of the newest software version of the model servers.
+	newestSoftware int
+	delayed
+	// placement is held while model servers are added, drained or restarted.
+	placement sync.Mutex
 
 	mu            sync.Mutex
-	modelServers  []*platform.Server
+	sidecars      []*process // including stopped ones
 	plainServers  []*platform.Server
 	allServers    []*platform.Server // including stopped ones
 	stopped       map[*platform.Server]bool
 	startNumber   int64
 	configVersion int64
-	versions      map[string]int
+	versions      map[string]int // of the adapters
+	weights       int            // version of the base model's weights
 }
 
 type entryProcess struct {
@@ -60,18 +67,23 @@
 }
 
 func newTestbed(o *Options) (*testbed, error) {
-	tb := &testbed{o: o, store: platform.NewStore(), versions: map[string]int{}, stopped: map[*platform.Server]bool{}}
+	tb := &testbed{o: o, started: time.Now(), store: platform.NewStore(), versions: map[string]int{}, stopped: map[*platform.Server]bool{}, newestSoftware: 2, weights: 1}
 	storeRelay, err := fault.NewRelay(tb.store.Address())
 	if err != nil {
 		return nil, err
 	}
 	tb.storeRelay = storeRelay
-	if tb.port, err = sharedPort(o.Servers); err != nil {
+	if tb.port, err = sharedPort(o.Servers + spareHosts); err != nil {
 		return nil, err
 	}
 	tb.writeConfig()
+	for i := range o.Servers + spareHosts {
+		if err := tb.addHost(i); err != nil {
+			return tb, err
+		}
+	}
 	for i := range o.Servers {
-		if err := tb.addModelServer(i); err != nil {
+		if err := tb.startModelServer(tb.hosts[i], softwareVersion(1+i%2)); err != nil {
 			return tb, err
 		}
 	}
@@ -103,13 +115,13 @@
 }
 
 // addServerRelay starts a relay that listens on an address and forwards to a
-// target. It returns the relay's address.
-func (tb *testbed) addServerRelay(address, target string) (string, error) {
+// target. Its faults are recorded in d. It returns the relay's address.
+func (tb *testbed) addServerRelay(address, target string, d *disturbance) (string, error) {
 	r, err := fault.NewRelayAt(address, target)
 	if err != nil {
 		return "", err
 	}
-	tb.serverRelays = append(tb.serverRelays, r)
+	tb.links = append(tb.links, link{Relay: r, disturbance: d})
 	return r.Addr(), nil
 }
 
@@ -134,7 +146,7 @@
 
 func portFreeOnAll(port, servers int) bool {
 	for i := range servers {
-		for _, host := range []string{modelHost(i), relayHost(i)} {
+		for _, host := range []string{modelHostName(i), relayHost(i)} {
 			lis, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
 			if err != nil {
 				return false
@@ -145,25 +157,18 @@
 	return true
 }
 
-func modelHost(i int) string { return fmt.Sprintf("127.0.1.%d", i+1) }
-
-func relayHost(i int) string { return fmt.Sprintf("127.0.4.%d", i+1) }
-
 // newServer starts a server and registers it in the store with its public address.
-func (tb *testbed) newServer(address, public, service, model string) (*platform.Server, error) {
+func (tb *testbed) newServer(cfg platform.ServerConfig) (*platform.Server, error) {
 	tb.mu.Lock()
+	defer tb.mu.Unlock()
 	tb.startNumber++
-	startNumber := tb.startNumber
-	tb.mu.Unlock()
-	s, err := platform.NewServer(platform.ServerConfig{
-		ID: fmt.Sprintf("i-%d", startNumber), Version: softwareVersion, Service: service, Zone: zoneName, Address: address, PublicAddress: public, Model: model,
-		MaxAdapters: maxAdapters, LoadTime: adapterLoad, Events: streamEvents, EventGap: eventInterval, Born: startNumber,
-	})
+	cfg.ID, cfg.Born, cfg.Zone = fmt.Sprintf("i-%d", tb.startNumber), tb.startNumber, zoneName
+	cfg.MaxAdapters, cfg.LoadTime, cfg.Events, cfg.EventGap = maxAdapters, adapterLoad, streamEvents, eventInterval
+	cfg.WeightsVersion = tb.weights
+	s, err := platform.NewServer(cfg)
 	if err != nil {
 		return nil, err
 	}
-	tb.mu.Lock()
-	defer tb.mu.Unlock()
 	for adapter, version := range tb.versions {
 		s.SetLatestVersion(adapter, version)
 	}
@@ -184,11 +189,11 @@
 	if err != nil {
 		return err
 	}
-	public, err := tb.addServerRelay(fmt.Sprintf("127.0.5.%d:0", i+1), own)
+	public, err := tb.addServerRelay(fmt.Sprintf("127.0.5.%d:0", i+1), own, &disturbance{})
 	if err != nil {
 		return err
 	}
-	s, err := tb.newServer(own, public, plainService, "")
+	s, err := tb.newServer(platform.ServerConfig{Address: own, PublicAddress: public, Service: plainService})
 	if err != nil {
 		return err
 	}
@@ -196,37 +201,6 @@
 	return nil
 }
 
-// addModelServer starts a model server and its sidecar. Both are behind relays on one
-// other host, because entries find the sidecar by the host of the server.
-func (tb *testbed) addModelServer(i int) error {
-	host, publicHost := modelHost(i), relayHost(i)
-	if _, err := tb.addServerRelay(fmt.Sprintf("%s:%d", publicHost, tb.port), fmt.Sprintf("%s:%d", host, tb.port)); err != nil {
-		return err
-	}
-	own, err := address(host)
-	if err != nil {
-		return err
-	}
-	public, err := tb.addServerRelay(publicHost+":0", own)
-	if err != nil {
-		return err
-	}
-	s, err := tb.newServer(own, public, modelService, modelName)
-	if err != nil {
-		return err
-	}
-	tb.modelServers = append(tb.modelServers, s)
-	p, err := newProcess(tb.o, fmt.Sprintf("side-%d", i+1), "routed-endpoint",
-		fmt.Sprintf("id = side-%d", i+1),
-		fmt.Sprintf("listen = %s:%d", host, tb.port),
-		"kv = "+tb.storeRelay.Addr(), "server = "+s.Address(), "service = "+modelService)
-	if err != nil {
-		return err
-	}
-	tb.sidecars = append(tb.sidecars, p)
-	return nil
-}
-
 func (tb *testbed) addEntry(i int) error {
 	host := fmt.Sprintf("127.0.3.%d", i+1)
 	listen, err := freePort(host)
@@ -280,13 +254,24 @@
 	service   string
 	attempts  int
 	resumable bool
+	// weight is the share of the route in the requests, relative to the other routes.
+	weight int
 }
 
 var testRoutes = []testRoute{
-	{prefix: "/once/", kind: "streaming", service: modelService, attempts: 1},
-	{prefix: "/resume/", kind: "streaming", service: modelService, attempts: 3, resumable: true},
-	{prefix: "/sale/", kind: "non_idempotent", service: plainService, attempts: 1},
-	{prefix: "/look/", kind: "idempotent", service: plainService, attempts: 2},
+	{prefix: "/once/", kind: "streaming", service: modelService, attempts: 1, weight: 1},
+	{prefix: "/resume/", kind: "streaming", service: modelService, attempts: 3, resumable: true, weight: 3},
+	{prefix: "/sale/", kind: "non_idempotent", service: plainService, attempts: 1, weight: 1},
+	{prefix: "/look/", kind: "idempotent", service: plainService, attempts: 2, weight: 1},
+}
+
+// randomRoute draws a route by the weights.
+func randomRoute(rng *rand.Rand) testRoute {
+	var weighted []testRoute
+	for _, r := range testRoutes {
+		weighted = append(weighted, slices.Repeat([]testRoute{r}, r.weight)...)
+	}
+	return weighted[rng.IntN(len(weighted))]
 }
 
 // publishVersion makes a new version of an adapter the current one.
@@ -300,6 +285,17 @@
 	tb.store.PutVersion(modelName, adapter, tb.versions[adapter])
 }
 
+// publishWeights makes a new version of the base model's weights the current one.
+func (tb *testbed) publishWeights() {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.weights++
+	for _, s := range tb.allServers {
+		s.SetLatestWeights(tb.weights)
+	}
+	tb.store.PutWeightsVersion(modelName, tb.weights)
+}
+
 // rewriteDelay is the time in which the operator and the servers write their items
 // again after the store has returned to a copy.
 const rewriteDelay = 300 * time.Millisecond
@@ -315,35 +311,34 @@
 	for adapter, version := range tb.versions {
 		tb.store.PutVersion(modelName, adapter, version)
 	}
+	if tb.weights > 1 {
+		tb.store.PutWeightsVersion(modelName, tb.weights)
+	}
 	for _, s := range tb.allServers {
 		if tb.stopped[s] {
 			tb.store.Remove(s.Key())
 			continue
 		}
-		tb.store.Put(s.Key(), s.Registration("ready"))
+		tb.store.Put(s.Key(), s.Registration(s.State()))
 	}
 }
 
-// restartServer stops a server abruptly and starts a new instance on its address.
-func (tb *testbed) restartServer(list []*platform.Server, i int) error {
+// restartPlainServer stops a plain server abruptly and starts a new instance on its
+// address.
+func (tb *testbed) restartPlainServer(i int) {
 	tb.mu.Lock()
-	old := list[i]
-	tb.stopped[old] = true
+	old := tb.plainServers[i]
 	tb.mu.Unlock()
+	tb.markStopped(old)
 	old.Close()
 	tb.store.Remove(old.Key())
-	service, model := plainService, ""
-	if len(tb.modelServers) > 0 && &list[0] == &tb.modelServers[0] {
-		service, model = modelService, modelName
-	}
-	s, err := tb.newServer(old.Address(), old.PublicAddress(), service, model)
+	s, err := tb.newServer(platform.ServerConfig{Address: old.Address(), PublicAddress: old.PublicAddress(), Service: plainService})
 	if err != nil {
-		return err
+		return // its address may still be in use
 	}
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	list[i] = s
-	return nil
+	tb.plainServers[i] = s
 }
 
 // awaitReady waits until every entry reports that it is ready.
@@ -367,6 +362,7 @@
 
 // close stops all processes, servers and relays of the test.
 func (tb *testbed) close() {
+	tb.wg.Wait()
 	for _, e := range tb.entries {
 		e.stop()
 	}
@@ -376,7 +372,7 @@
 	for _, s := range tb.allServers {
 		s.Close()
 	}
-	for _, l := range tb.serverRelays {
+	for _, l := range tb.links {
 		l.Close()
 	}
 	tb.storeRelay.Close()
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -184,6 +184,21 @@
 	s.latestWeights = version
 }
 
+// State returns the state for the server's registration, "ready" or "draining".
+func (s *Server) State() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state()
+}
+
+// state is State for callers that hold mu.
+func (s *Server) state() string {
+	if s.draining {
+		return "draining"
+	}
+	return "ready"
+}
+
 // Version returns the version of the server's software.
 func (s *Server) Version() string { return s.cfg.software() }
 
