soak: extend a disturbance only over the store fault that it occurred in

Each end of a store fault marked every process whose last fault was less than 7 s ago as disturbed again, and the mark counted as a fault itself. Store faults end more often than that, so no process was ever undisturbed again and the share of resumed streams was hardly checked.

--- a/pkg/soak/disturbance.go
+++ b/pkg/soak/disturbance.go
@@ -13,7 +13,10 @@
 type disturbance struct {
 	mu     sync.Mutex
 	active int
-	last   time.Time
+	// last is the time of the last fault, or of its end. effectUntil is later if the
+	// effect of the fault lasted longer.
+	last        time.Time
+	effectUntil time.Time
 }
 
 // mark records a fault that has no duration.
@@ -42,16 +45,20 @@
 func (d *disturbance) undisturbedAt(t time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.active == 0 && d.last.Before(t.Add(-undisturbedTime))
+	limit := t.Add(-undisturbedTime)
+	return d.active == 0 && d.last.Before(limit) && d.effectUntil.Before(limit)
 }
 
-// prolong marks the process again if its last fault is recent. It is called at the end
-// of a fault of the store, because a process that starts without the store is not
-// known to the others before the store is back.
-func (d *disturbance) prolong() {
+// startupTime is the time in which a process that starts reads the store.
+const startupTime = time.Second
+
+// prolong extends a fault that occurred during a fault of the store, which began at
+// began, to now. A process that starts without the store is not known to the others
+// before the store is back.
+func (d *disturbance) prolong(began time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if time.Since(d.last) < maxFaultDuration+undisturbedTime {
-		d.last = time.Now()
+	if d.last.After(began.Add(-startupTime)) {
+		d.effectUntil = time.Now()
 	}
 }
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -125,10 +125,11 @@
 		return tb.injectStoreFaults(platform.StoreFaults{CompactedRevision: tb.store.Memory().Revision()})
 	}},
 	{"store returns to a copy", func(tb *testbed, _ *rand.Rand) func() {
+		began := time.Now()
 		early := tb.store.Memory().Copy()
 		return func() {
 			tb.restoreStore(early)
-			tb.prolongDisturbances()
+			tb.prolongDisturbances(began)
 		}
 	}},
 	{"store connections cut", func(tb *testbed, _ *rand.Rand) func() { tb.storeRelay.CloseConnections(); return nil }},
@@ -232,11 +233,12 @@
 // injectStoreFaults sets the faults of the store. The returned function clears them
 // and closes the store's connections, which ends calls that hang.
 func (tb *testbed) injectStoreFaults(f platform.StoreFaults) func() {
+	began := time.Now()
 	tb.store.SetFaults(f)
 	return func() {
 		tb.store.SetFaults(platform.StoreFaults{})
 		tb.store.CloseConnections()
-		tb.prolongDisturbances()
+		tb.prolongDisturbances(began)
 	}
 }
 
--- a/pkg/soak/servers.go
+++ b/pkg/soak/servers.go
@@ -263,14 +263,15 @@
 	return n >= 2
 }
 
-// prolongDisturbances marks all processes that had a fault during a fault of the store.
-func (tb *testbed) prolongDisturbances() {
+// prolongDisturbances extends to now the faults of all processes that occurred during a
+// fault of the store.
+func (tb *testbed) prolongDisturbances(began time.Time) {
 	for _, e := range tb.entries {
-		e.prolong()
+		e.prolong(began)
 	}
 	for _, r := range tb.runningServers() {
-		r.host.prolong()
-		r.sidecar.prolong()
+		r.host.prolong(began)
+		r.sidecar.prolong(began)
 	}
 }
 
--- a/pkg/soak/streams_test.go
+++ b/pkg/soak/streams_test.go
@@ -103,7 +103,9 @@
 	assert.Equal(t, len(CheckShares(streamShares(streams))), 0)
 }
 
-// Guards against a process that counts as undisturbed during a fault or soon after it.
+// Guards against a process that counts as undisturbed during a fault, soon after it, or
+// soon after a fault of the store that it began in, and against one that never does
+// because faults of the store end often.
 func TestDisturbances(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var d disturbance
@@ -118,7 +120,11 @@
 		assert.Assert(t, !d.undisturbedAt(time.Now()))
 		time.Sleep(undisturbedTime + time.Millisecond)
 		assert.Assert(t, d.undisturbedAt(time.Now()))
-		d.prolong()
+		d.prolong(time.Now().Add(-undisturbedTime / 2))
+		assert.Assert(t, d.undisturbedAt(time.Now()))
+		d.prolong(time.Now().Add(-2 * undisturbedTime))
 		assert.Assert(t, !d.undisturbedAt(time.Now()))
+		time.Sleep(undisturbedTime + time.Millisecond)
+		assert.Assert(t, d.undisturbedAt(time.Now()))
 	})
 }
