--- a/pkg/entry/fake_test.go
+++ b/pkg/entry/fake_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -35,10 +36,16 @@
 )
 
 func testBundle(t *testing.T, version int, limits string) *bundle.Bundle {
+	t.Helper()
+	return versionsBundle(t, version, limits, "1, 2", strconv.Itoa(min(version, 2)))
+}
+
+// versionsBundle returns a bundle with the given versions of the adapter.
+func versionsBundle(t *testing.T, version int, limits, versions, current string) *bundle.Bundle {
 	t.Helper()
 	sum := sha256.Sum256([]byte(testKey))
 	text := fmt.Sprintf("[bundle]\nversion = %d\n[deployment]\nname = test\nretry_budget = 1\n[team \"tokachi\"]\nkey_sha256 = %s\nweight = 1\npriority = high\n%s\n"+
-		"[adapter \"tokachi/summary\"]\nbase_model = kuma-7b\nversions = 1, 2\ncurrent = %d\n[service \"desk\"]\n", version, hex.EncodeToString(sum[:]), limits, min(version, 2))
+		"[adapter \"tokachi/summary\"]\nbase_model = kuma-7b\nversions = %s\ncurrent = %s\n[service \"desk\"]\n", version, hex.EncodeToString(sum[:]), limits, versions, current)
 	b, found := bundle.Parse("test", text)
 	assert.NilError(t, found.Err())
 	return b
@@ -51,7 +58,8 @@
 // script; the last one is repeated.
 type fakeEndpoint struct {
 	fescuev1.UnimplementedEndpointServer
-	id string
+	id     string
+	server *grpc.Server
 
 	mu      sync.Mutex
 	scripts []script
@@ -163,6 +171,26 @@
 	http *httptest.Server
 	fake []*fakeEndpoint
 	b    *rollout.Holder
+	d    *membership.Directory
+}
+
+// setEngineVersions makes the endpoints report the versions of their engines.
+func (b *testBed) setEngineVersions(versions []*fescuev1.EngineVersion) {
+	for i, v := range versions {
+		b.d.Apply(time.Now().Add(time.Hour), &fescuev1.Report{EndpointId: b.fake[i].id, Incarnation: 7, State: fescuev1.EndpointState_ENDPOINT_STATE_READY, PositionsTotal: 4, CanLoad: true, EngineVersion: v})
+	}
+	b.e.directory.Store(b.d.Snapshot())
+}
+
+// close closes the connections and servers of the test bed before the end of the test.
+func (b *testBed) close() {
+	b.http.Close()
+	for _, l := range b.e.connector.links {
+		l.close()
+	}
+	for _, f := range b.fake {
+		f.server.Stop()
+	}
 }
 
 // newTestBed starts an entry with one fake endpoint for each list of scripts.
@@ -174,8 +202,8 @@
 	e, err := New(set, h, logging.Nop())
 	assert.NilError(t, err)
 	e.timing = timing{progressTimeout: 400 * time.Millisecond, suspicion: 100 * time.Millisecond, revoke: 5 * time.Second, revokeIdempotent: 5 * time.Second, pollInterval: time.Millisecond, deadlineGrace: 20 * time.Millisecond, bundleWait: 5 * time.Second, bundlePollInterval: time.Millisecond}
-	out := &testBed{e: e, b: h}
 	d := membership.New()
+	out := &testBed{e: e, b: h, d: d}
 	for i, s := range scripts {
 		out.fake = append(out.fake, startFake(t, e, d, fmt.Sprintf("endpoint-%d", i), kind, s))
 	}
@@ -187,10 +215,10 @@
 
 func startFake(t *testing.T, e *Entry, d *membership.Directory, id string, kind fescuev1.EndpointKind, s []script) *fakeEndpoint {
 	t.Helper()
-	f := &fakeEndpoint{id: id, scripts: s}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	srv := grpc.NewServer()
+	f := &fakeEndpoint{id: id, server: srv, scripts: s}
 	fescuev1.RegisterEndpointServer(srv, f)
 	go func() { _ = srv.Serve(lis) }()
 	t.Cleanup(srv.Stop)
@@ -212,6 +240,7 @@
 	outcome    string
 	body       string
 	retryAfter string
+	headers    http.Header
 }
 
 func (b *testBed) post(t *testing.T, path, body string, headers ...string) reply {
@@ -228,7 +257,7 @@
 	var text bytes.Buffer
 	_, err = text.ReadFrom(res.Body)
 	assert.NilError(t, err)
-	r := reply{status: res.StatusCode, outcome: res.Header.Get(headerOutcome), body: text.String(), retryAfter: res.Header.Get("Retry-After")}
+	r := reply{status: res.StatusCode, outcome: res.Header.Get(headerOutcome), body: text.String(), retryAfter: res.Header.Get("Retry-After"), headers: res.Header}
 	if r.outcome == "" {
 		r.outcome = res.Trailer.Get(headerOutcome)
 	}
--- a/pkg/entry/respond.go
+++ b/pkg/entry/respond.go
@@ -19,6 +19,9 @@
 type responder interface {
 	// beginAttempt prepares for the frames of another attempt.
 	beginAttempt()
+	// restart discards the events or bytes that have arrived. It returns false and keeps
+	// them if the caller has received a part of them.
+	restart() bool
 	// received returns how many events or, for services, bytes of the response have
 	// arrived. A resumed attempt continues from there.
 	received() uint64
@@ -73,15 +76,25 @@
 }
 
 func (s *streamResponder) beginAttempt()    {}
+func (s *streamResponder) restart() bool    { return s.events == 0 }
 func (s *streamResponder) received() uint64 { return s.events }
 
+// header sets the headers of the response. They are sent with the first event, because
+// an attempt that is lost before it may be followed by one with another adapter version.
 func (s *streamResponder) header(f *fescuev1.Header) {
 	if s.started {
 		return
 	}
-	s.started = true
 	setWaitHeaders(s.x, f)
 	setResponseHeaders(s.x)
+}
+
+// start sends the headers.
+func (s *streamResponder) start() {
+	if s.started {
+		return
+	}
+	s.started = true
 	h := s.x.w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-store")
@@ -90,6 +103,7 @@
 }
 
 func (s *streamResponder) data(payload []byte) error {
+	s.start()
 	s.events++
 	return s.event(payload)
 }
@@ -108,7 +122,7 @@
 }
 
 func (s *streamResponder) end() {
-	s.header(nil)
+	s.start()
 	s.x.w.Header().Set(headerOutcome, ident.Answered.String())
 	_ = s.event([]byte("[DONE]")) // the caller may have disconnected
 }
@@ -182,6 +196,13 @@
 func (c *completionResponder) received() uint64          { return c.events }
 func (c *completionResponder) header(f *fescuev1.Header) { setWaitHeaders(c.x, f) }
 
+// restart discards all events, because the caller receives them only at the end.
+func (c *completionResponder) restart() bool {
+	c.events, c.last = 0, completionChunk{}
+	c.text.Reset()
+	return true
+}
+
 func (c *completionResponder) data(payload []byte) error {
 	var chunk completionChunk
 	if err := json.Unmarshal(payload, &chunk); err != nil {
@@ -242,7 +263,12 @@
 }
 
 // beginAttempt discards a partial body, because service calls are not resumed.
-func (s *serviceResponder) beginAttempt()    { s.body = nil }
+func (s *serviceResponder) beginAttempt() { s.body = nil }
+func (s *serviceResponder) restart() bool {
+	s.body = nil
+	return true
+}
+
 func (s *serviceResponder) received() uint64 { return uint64(len(s.body)) }
 
 func (s *serviceResponder) header(h *fescuev1.Header) {
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
@@ -55,7 +56,7 @@
 	if x.route == nil {
 		return rejected(http.StatusNotFound, "no route for this host and path")
 	}
-	name := x.route.PickService(call.RequestID)
+	name := x.route.PickService(streamID(&call))
 	x.service = x.table.Service(name)
 	if x.service == nil {
 		return notRun("the service of the route is not configured", retryAfterStart)
@@ -66,13 +67,24 @@
 	x.settlement = settle.New(ident.RequestID(call.RequestID))
 	x.history.Idempotent = x.repeatable()
 	x.deadline = x.started.Add(f.timeLimit(x))
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, endcause.Deadline)
 	defer cancel()
 	if x.route.Kind == route.Streaming {
 		ctx, x.stall = startStallTimer(ctx, x.route, x.started)
 		defer x.stall.stop()
 	}
-	return next(ctx, x)
+	fail := next(ctx, x)
+	x.recordCause(ctx)
+	return fail
+}
+
+// streamID returns the id of the request that began a resumed stream, or the request's
+// own id if it resumes none.
+func streamID(c *Call) string {
+	if c.LastEventID != "" && c.Resumes != "" {
+		return c.Resumes
+	}
+	return c.RequestID
 }
 
 // timeLimit returns the time limit of a request: the shorter of the caller's limit
@@ -120,12 +132,13 @@
 	budget := f.g.budget(x.service.Name)
 	budget.RecordRequest(time.Now())
 	for {
+		last := x.result
 		x.result = result{}
 		if fail := next(ctx, x); fail != nil {
-			return f.interrupted(ctx, x, fail)
+			return f.interrupted(ctx, x, last, fail)
 		}
 		x.history.Record(x.result.end)
-		x.history.Expired = ctx.Err() != nil
+		x.history.Expired = endcause.Of(ctx) != endcause.None
 		if x.result.end == retry.Answered || x.result.end == retry.CallerGone {
 			return nil
 		}
@@ -161,8 +174,12 @@
 }
 
 // interrupted returns the failure of a request whose next attempt could not be sent.
-func (f retryFilter) interrupted(ctx context.Context, x *exchange, fail *failure) *failure {
+// last is the result of the attempt before it. If that one may have run, its cause
+// remains the cause of the failure.
+func (f retryFilter) interrupted(ctx context.Context, x *exchange, last result, fail *failure) *failure {
 	if x.history.Uncertain || x.headSent {
+		x.result = last
+		x.result.detail += "; " + fail.reason
 		return f.failure(ctx, x)
 	}
 	x.history.Last = retry.NotRun
@@ -173,10 +190,10 @@
 func (f retryFilter) failure(ctx context.Context, x *exchange) *failure {
 	switch {
 	case x.headSent:
-		return &failure{status: http.StatusBadGateway, reason: "the response broke off: " + x.result.detail, abort: true}
+		return &failure{status: http.StatusBadGateway, reason: "the response broke off: " + x.result.detail}
 	case x.history.Outcome() == ident.NotRun:
 		return notRun("the request was not run: "+x.result.detail, retryAfterCapacity)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded) || stalled(ctx):
+	case endcause.Of(ctx).IsTimeout():
 		return rejected(http.StatusGatewayTimeout, "no response in time, the result is not known")
 	default:
 		return rejected(http.StatusBadGateway, "the result is not known: "+x.result.detail)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
 	"github.com/fescuecourse/fescuecourse/pkg/upstream"
@@ -39,7 +40,7 @@
 			f.recordPromptProcessed(x, c)
 			if werr := f.forward(x, ex.Response, buffered[:end]); werr != nil {
 				ex.Abort()
-				return result{end: retry.CallerGone, status: status, detail: "the caller is gone"}
+				return result{end: retry.CallerGone, cause: endcause.CallerGone, status: status, detail: "the caller is gone"}
 			}
 			x.stall.eventSent()
 			buffered = append(buffered[:0], buffered[end:]...)
@@ -49,7 +50,7 @@
 			return f.finish(x, conn, ex)
 		case err != nil || len(buffered) > maxEventBytes:
 			ex.Abort()
-			return f.ended(ctx, result{end: retry.Unknown, status: status, detail: "the stream broke off"})
+			return withCause(ctx, result{end: retry.Unknown, status: status, detail: "the stream broke off"})
 		}
 	}
 }
@@ -84,6 +85,7 @@
 
 func (f sendFilter) forward(x *exchange, resp *http.Response, events []byte) error {
 	if !x.headSent {
+		f.g.origins.streamBegins(x)
 		f.writeHead(x, resp)
 		x.w.WriteHeader(resp.StatusCode)
 	}
@@ -115,5 +117,6 @@
 		f.writeHead(x, ex.Response)
 		x.w.WriteHeader(ex.Response.StatusCode)
 	}
+	x.complete = true
 	return result{end: retry.Answered, status: ex.Response.StatusCode}
 }
