--- a/pkg/soak/suspend_test.go
+++ b/pkg/soak/suspend_test.go
@@ -114,8 +114,8 @@
 // suspend suspends the entry for the duration d while no data from the servers
 // arrives.
 func (s *suspendTest) suspend(d time.Duration) {
-	for _, r := range s.tb.serverRelays {
-		r.Blackhole()
+	for _, l := range s.tb.links {
+		l.blackhole()
 	}
 	undo := freeze(s.tb.entries[0].process)
 	wait.For(s.t.Context(), d)
