fleet: give each announced version its own grace

Cause: only the newest announcement was kept, with the time at which the process learned of it, so each one made every older version acceptable for another grace.

The required version is the newest whose grace is over, and never decreases.

Before: after 2s: 0 (got int) != 2 (want int).

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -11,7 +11,8 @@
 
 // AdapterVersion is the newest version of an adapter, as stored by the operator.
 type AdapterVersion struct {
-	Model   string
+	Model string
+	// Adapter is empty for a version of the weights of the base model itself.
 	Adapter string
 	Version int
 }
@@ -23,13 +24,6 @@
 	Adapter *AdapterVersion
 }
 
-// NewestVersion is the newest version of an adapter that the operator has announced.
-type NewestVersion struct {
-	Version int
-	// LearnedAt is when this process learned of the version.
-	LearnedAt time.Time
-}
-
 // Snapshot is a copy of the Directory at one moment. It is immutable, except that its
 // endpoints share their Runtime with the Directory.
 type Snapshot struct {
@@ -37,9 +31,9 @@
 	Table *route.Table
 	// Services maps the name of a service to its endpoints, ordered by id.
 	Services map[string][]*Endpoint
-	// Versions has the newest version of each adapter for which the operator has
-	// announced one above the first.
-	Versions map[AdapterKey]NewestVersion
+	// Versions has the announced versions of each adapter and of each base model for
+	// which the operator has announced one above the first.
+	Versions map[AdapterKey]Versions
 }
 
 // Entries returns the number of entry processes, which is the highest number that any
@@ -62,7 +56,7 @@
 	endpoints map[ID]*Endpoint
 	// removed holds the endpoints that were removed within the last removedRetention.
 	removed  map[ID]removal
-	versions map[AdapterKey]NewestVersion
+	versions map[AdapterKey]Versions
 	table    *route.Table
 }
 
@@ -78,7 +72,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{endpoints: map[ID]*Endpoint{}, removed: map[ID]removal{}, versions: map[AdapterKey]NewestVersion{}}
+	return &Directory{endpoints: map[ID]*Endpoint{}, removed: map[ID]removal{}, versions: map[AdapterKey]Versions{}}
 }
 
 // SetEndpoint adds or updates an endpoint and reports whether anything has changed.
@@ -134,20 +128,21 @@
 	return true
 }
 
-// SetVersion records the newest version of an adapter. It reports false and changes
-// nothing unless the version is higher than the known one.
-func (d *Directory) SetVersion(now time.Time, v AdapterVersion) bool {
+// SetVersion records a version of an adapter, or of the weights of a base model, that
+// was announced at the given time or, if that is not known, at any time since then. It
+// reports false and changes nothing unless the version is higher than the known one.
+func (d *Directory) SetVersion(announced time.Time, v AdapterVersion) bool {
 	k := AdapterKey{Model: v.Model, Name: v.Adapter}
-	if v.Version <= d.versions[k].Version {
-		return false
+	next, ok := d.versions[k].announce(announced, v.Version)
+	if ok {
+		d.versions[k] = next
 	}
-	d.versions[k] = NewestVersion{Version: v.Version, LearnedAt: now}
-	return true
+	return ok
 }
 
 // Snapshot returns a snapshot of the directory.
 func (d *Directory) Snapshot() *Snapshot {
-	s := &Snapshot{Table: d.table, Services: map[string][]*Endpoint{}, Versions: make(map[AdapterKey]NewestVersion, len(d.versions))}
+	s := &Snapshot{Table: d.table, Services: map[string][]*Endpoint{}, Versions: make(map[AdapterKey]Versions, len(d.versions))}
 	for _, e := range d.endpoints {
 		s.Services[e.Service] = append(s.Services[e.Service], e)
 	}
--- a/pkg/fleet/directory_test.go
+++ b/pkg/fleet/directory_test.go
@@ -36,5 +36,5 @@
 	assert.Assert(t, d.SetVersion(time.Unix(1000, 0), v))
 	v.Version = 2
 	assert.Assert(t, !d.SetVersion(time.Unix(1001, 0), v))
-	assert.Equal(t, d.versions[AdapterKey{Model: "m", Name: "a"}].Version, 3)
+	assert.Equal(t, d.versions[AdapterKey{Model: "m", Name: "a"}].Newest(), 3)
 }
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -19,9 +19,6 @@
 	// staleStatusAge is the age of a server's status report from which a waiting request
 	// looks for another server. Reports arrive at least every 500 ms.
 	staleStatusAge = 800 * time.Millisecond
-	// versionGrace is how long an older adapter version may still serve requests after a
-	// new one is announced, while the servers replace it.
-	versionGrace = 2 * time.Second
 )
 
 // endpointFilter chooses the endpoint for an attempt.
@@ -82,7 +79,7 @@
 	defer w.stop()
 	for {
 		s := f.g.control.snapshot.Load()
-		x.version = requiredVersion(began, s, x.call.Key)
+		x.version = s.Versions[x.call.Key].Required(began)
 		choice, ok := f.g.chooser.Choose(f.request(x), s.Services[x.service.Name])
 		if !ok {
 			return notRun("no model server is available", retryAfterCapacity)
@@ -175,14 +172,3 @@
 	}
 	ev.Msg("waiting for a load")
 }
-
-// requiredVersion returns the lowest version of an adapter that may serve a request,
-// or 0 if any version may. During versionGrace after a new version is announced, any
-// version may serve it.
-func requiredVersion(now time.Time, s *fleet.Snapshot, k fleet.AdapterKey) int {
-	v, ok := s.Versions[k]
-	if !ok || now.Sub(v.LearnedAt) < versionGrace {
-		return 0
-	}
-	return v.Version
-}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -169,7 +169,7 @@
 }
 
 // Guards against running a request on an older version of its adapter once
-// versionGrace has passed.
+// fleet.VersionGrace has passed.
 func TestOldVersionIsNotUsed(t *testing.T) {
 	w := newTestGateway(t, onceRoute)
 	e := w.serve(modelService, func(rw http.ResponseWriter, r *http.Request) {
@@ -177,7 +177,7 @@
 		rw.Write([]byte("id: 1\n\n"))
 	})
 	setResident(e, adapterKey, 1)
-	w.directory.SetVersion(time.Now().Add(-versionGrace), fleet.AdapterVersion{Model: "m", Adapter: "a1", Version: 2})
+	w.directory.SetVersion(time.Now().Add(-fleet.VersionGrace), fleet.AdapterVersion{Model: "m", Adapter: "a1", Version: 2})
 	w.publish()
 	resp := w.do(http.MethodPost, "/o/x", map[string]string{"Model": "m/a1", "Budget-Ms": "300"})
 	assert.Equal(t, resp.status, http.StatusServiceUnavailable)
--- a/pkg/gateway/version_test.go
+++ b/pkg/gateway/version_test.go
@@ -32,11 +32,11 @@
 		}
 		want := 0
 		for i, a := range announced {
-			if at-a >= versionGrace {
+			if at-a >= fleet.VersionGrace {
 				want = 2 + i
 			}
 		}
-		got := requiredVersion(start.Add(at), d.Snapshot(), adapterKey)
+		got := d.Snapshot().Versions[adapterKey].Required(start.Add(at))
 		assert.Equal(t, got, want, "after %v", at)
 		assert.Assert(t, got >= last, "the required version went back after %v", at)
 		last = got
@@ -116,7 +116,7 @@
 	}
 }
 
-func (c *control) required() int { return requiredVersion(time.Now(), c.snapshot.Load(), adapterKey) }
+func (c *control) required() int { return c.snapshot.Load().Versions[adapterKey].Required(time.Now()) }
 
 // Guards against an entry that starts and grants the grace again to versions that were
 // announced before: with a restart between two announcements it would send requests to
@@ -133,7 +133,7 @@
 		time.Sleep(100 * time.Millisecond)
 		assert.Equal(t, c.required(), 3, "after the first list")
 		store.announce(t, 4)
-		time.Sleep(versionGrace - 50*time.Millisecond)
+		time.Sleep(fleet.VersionGrace - 50*time.Millisecond)
 		assert.Equal(t, c.required(), 3, "during the grace of version 4")
 		time.Sleep(100 * time.Millisecond)
 		assert.Equal(t, c.required(), 4, "after the grace of version 4")
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -158,14 +158,14 @@
 	DemandByAdapter map[fleet.AdapterKey]Demand
 	// LoadsElsewhere is the number of adapters that the other servers are loading.
 	LoadsElsewhere int
-	// Versions are the newest adapter versions that the operator has published.
-	Versions map[fleet.AdapterKey]fleet.NewestVersion
+	// Versions are the versions that the operator has announced.
+	Versions map[fleet.AdapterKey]fleet.Versions
 }
 
 // newest returns the newest version of an adapter known to this process or an entry,
 // or 0 if none is known.
 func (in *Input) newest(k fleet.AdapterKey) int {
-	return max(in.Versions[k].Version, in.DemandByAdapter[k].Version)
+	return max(in.Versions[k].Newest(), in.DemandByAdapter[k].Version)
 }
 
 // Next returns the next order, or false if none is due.
--- a/pkg/residency/residency_test.go
+++ b/pkg/residency/residency_test.go
@@ -27,6 +27,13 @@
 	return r
 }
 
+// announced returns the versions after one announcement for an adapter.
+func announced(k fleet.AdapterKey, version int) map[fleet.AdapterKey]fleet.Versions {
+	d := fleet.NewDirectory()
+	d.SetVersion(start.Add(-time.Minute), fleet.AdapterVersion{Model: k.Model, Adapter: k.Name, Version: version})
+	return d.Snapshot().Versions
+}
+
 func input(r *Report, demand map[fleet.AdapterKey]Demand) *Input {
 	return &Input{Now: start, Report: r, Engine: engine, DemandByAdapter: demand}
 }
@@ -75,7 +82,7 @@
 // its running requests have ended.
 func TestReplacesOnlyIdleAdapters(t *testing.T) {
 	in := input(report(1, 2), map[fleet.AdapterKey]Demand{key(1): {InFlight: 1}})
-	in.Versions = map[fleet.AdapterKey]fleet.NewestVersion{key(1): {Version: 2, LearnedAt: start.Add(-time.Minute)}}
+	in.Versions = announced(key(1), 2)
 	_, ok := New().Next(in)
 	assert.Assert(t, !ok)
 	delete(in.DemandByAdapter, key(1))
@@ -153,7 +160,7 @@
 		rng := rand.New(rand.NewPCG(seed, 1))
 		s := &simulatedServer{t: t, report: report(), loadedAt: map[fleet.AdapterKey]time.Time{}, demand: map[fleet.AdapterKey]Demand{}}
 		p := New()
-		versions := map[fleet.AdapterKey]fleet.NewestVersion{}
+		versions := fleet.NewDirectory()
 		now := start
 		for range 2000 {
 			now = now.Add(20 * time.Millisecond)
@@ -172,11 +179,12 @@
 				w.InFlight = max(w.InFlight-1, 0)
 			default:
 				if rng.IntN(50) == 0 {
-					versions[k] = fleet.NewestVersion{Version: versions[k].Version + 2, LearnedAt: now}
+					newest := versions.Snapshot().Versions[k].Newest()
+					versions.SetVersion(now, fleet.AdapterVersion{Model: k.Model, Adapter: k.Name, Version: newest + 2})
 				}
 			}
 			s.demand[k] = w
-			in := &Input{Now: now, Report: s.report, Engine: engine, DemandByAdapter: s.demand, Versions: versions}
+			in := &Input{Now: now, Report: s.report, Engine: engine, DemandByAdapter: s.demand, Versions: versions.Snapshot().Versions}
 			for range 4 {
 				o, ok := p.Next(in)
 				if !ok {
