mirror, gateway: do not repeat the grace of versions that were announced before

What callers saw: an entry that started, or listed the store again after an outage, sent requests to old versions for another grace, however long ago the newer ones had been announced.

Cause: the time of an announcement was the time at which the process read it.

A change now names a time before which its item was not written: none for the first list, the last contact with the store for later lists, and the arrival for events of a watch. The grace counts from there. The distance between the revision of an item and that of the store was ruled out as evidence: it tells nothing about time, and a store without other writes stays at the revision of the item. The price is that a version announced right before a start, or during a broken watch, has a shorter grace or none at that process, whose requests then wait for a load.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -97,7 +97,7 @@
 	if id, ok := c.catalog.EndpointID(ch.Pair.Key); ok {
 		return c.applyServer(id, ch)
 	}
-	return !ch.Deleted && c.applyOperator(time.Now(), ch.Pair)
+	return !ch.Deleted && c.applyOperator(ch)
 }
 
 // applyServer applies a change of an endpoint's item and reports whether the
@@ -137,8 +137,9 @@
 
 // applyOperator applies an item of the operator, which is a configuration or an
 // adapter version, and reports whether the directory has changed.
-func (c *control) applyOperator(now time.Time, p kv.Pair) bool {
-	item, err := c.catalog.Operator(p)
+func (c *control) applyOperator(ch mirror.Change) bool {
+	p := &ch.Pair
+	item, err := c.catalog.Operator(*p)
 	switch {
 	case err != nil:
 		c.log.Error().Str("key", p.Key).Err(err).Msg("cannot decode the operator's item; the last valid one stays in force")
@@ -151,11 +152,13 @@
 			Msg("configuration read")
 		return adopted
 	case item.Adapter != nil:
-		adopted := c.directory.SetVersion(now, *item.Adapter)
+		adopted := c.directory.SetVersion(ch.Since, *item.Adapter)
 		c.log.Info().
 			Str("model", item.Adapter.Model).
 			Str("adapter", item.Adapter.Adapter).
 			Int("version", item.Adapter.Version).
+			Bool("in_first_list", ch.Since.IsZero()).
+			Dur("written_within_ms", writtenWithin(ch)).
 			Bool("adopted", adopted).
 			Msg("adapter version read")
 		return adopted
@@ -163,6 +166,15 @@
 	return false
 }
 
+// writtenWithin returns the longest time since the item of a change was written, or 0
+// if none is known.
+func writtenWithin(ch mirror.Change) time.Duration {
+	if ch.Since.IsZero() {
+		return 0
+	}
+	return time.Since(ch.Since)
+}
+
 // onResume handles the end of a suspension of the VM. It makes the status reports
 // older by the length of the suspension and reads the store again.
 func (c *control) onResume(slept time.Duration) {
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -35,6 +35,9 @@
 	// Restored means that the item was read after the service returned to an earlier
 	// copy of its data, so that it may be older than an item passed on before.
 	Restored bool
+	// Since is a time before which the item was not written. It is zero if none is
+	// known, which is the case for all items of the first list.
+	Since time.Time
 }
 
 // Mirror keeps a local copy of one prefix.
@@ -48,6 +51,10 @@
 	synced bool
 	// unavailable is true from the first failed call until the next complete list.
 	unavailable bool
+	// current is a time at which the copy was complete: the start of the last list or
+	// the arrival of the last event. Items that a list adds may have been written at any
+	// time since then.
+	current time.Time
 	// era is the era of the revisions in items.
 	era kv.Era
 	// refresh is a request for a new list.
@@ -97,6 +104,7 @@
 // missing items are kept until a second list, missingItemGrace later, confirms that
 // they are gone. The same holds after a return of the service to an earlier copy.
 func (m *Mirror) list(ctx context.Context) (int64, error) {
+	began, since := time.Now(), m.current
 	pairs, revision, err := m.store.List(ctx, m.prefix)
 	if err != nil {
 		return 0, err
@@ -105,10 +113,11 @@
 	missing := m.missing(pairs)
 	mass := float64(len(missing)) > max(1, massLossShare*float64(len(m.items)))
 	if m.synced && len(missing) > 0 && (m.unavailable || restored || mass) {
-		m.put(pairs, restored)
-		restored = false
+		m.put(pairs, restored, since)
+		restored, since = false, began
 		m.log.Info().Int("missing", len(missing)).Msg("items are missing after an outage; keeping them for a grace period")
 		wait.For(ctx, missingItemGrace)
+		began = time.Now()
 		if pairs, revision, err = m.store.List(ctx, m.prefix); err != nil {
 			return 0, err
 		}
@@ -121,7 +130,8 @@
 		m.log.Info().Int("items", len(pairs)).Uint("revision", uint64(revision)).Msg("dependency regained: key-value service")
 	}
 	m.unavailable = false
-	m.put(pairs, restored)
+	m.current = began
+	m.put(pairs, restored, since)
 	m.remove(missing)
 	if !m.synced && len(pairs) == 0 {
 		m.apply(nil)
@@ -170,15 +180,15 @@
 }
 
 // put stores the items that are new or changed and passes them to apply, marked as
-// restored or not.
-func (m *Mirror) put(pairs []kv.Pair, restored bool) {
+// restored or not, and with the time since which they may have been written.
+func (m *Mirror) put(pairs []kv.Pair, restored bool, since time.Time) {
 	var changes []Change
 	for _, p := range pairs {
 		if m.items[p.Key].ModRevision >= p.ModRevision {
 			continue
 		}
 		m.items[p.Key] = p
-		changes = append(changes, Change{Pair: p, Restored: restored})
+		changes = append(changes, Change{Pair: p, Restored: restored, Since: since})
 	}
 	if len(changes) > 0 {
 		m.apply(changes)
@@ -232,8 +242,9 @@
 		case ev.Type == kv.EventDelete:
 			m.remove([]string{ev.Pair.Key})
 		default:
-			m.put([]kv.Pair{ev.Pair}, false)
+			m.put([]kv.Pair{ev.Pair}, false, time.Now())
 		}
+		m.current = time.Now()
 		return true
 	}
 }
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -193,3 +193,39 @@
 		assert.Equal(t, m.get("items/a"), "")
 	})
 }
+
+// Guards against an item that a list adds and that is taken for new: it may have been
+// written at any time since the copy was last known to be complete.
+func TestListedItemsBearTheTimeOfTheLastContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &flakyStore{Memory: kvstore.NewMemory(time.Now)}
+		store.put(t, "p/first", "1")
+		since := map[string]time.Time{}
+		var mu sync.Mutex
+		m := New(store, "p/", func(changes []Change) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, c := range changes {
+				since[c.Pair.Key] = c.Since
+			}
+		}, logging.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go m.Run(ctx)
+		time.Sleep(time.Second)
+		store.put(t, "p/event", "1")
+		event := time.Now()
+		time.Sleep(time.Second)
+		store.set(true)
+		time.Sleep(time.Second)
+		store.put(t, "p/listed", "1")
+		time.Sleep(5 * time.Second)
+		store.set(false)
+		time.Sleep(2 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		assert.Assert(t, since["p/first"].IsZero(), "an item of the first list")
+		assert.Assert(t, since["p/event"].Equal(event), "an item of the watch")
+		assert.Assert(t, since["p/listed"].Equal(event), "written after the last event: %v", since["p/listed"])
+	})
+}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -150,7 +150,6 @@
 func (s *Sidecar) onOperatorItems(changes []mirror.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
 	log := s.log.For(logging.ComponentRoute)
 	for _, ch := range changes {
 		if ch.Deleted {
@@ -164,7 +163,7 @@
 			adopted := s.directory.SetConfig(*item.Config)
 			log.Info().Uint("version", uint64(item.Config.Version)).Bool("adopted", adopted).Msg("configuration read")
 		case item.Adapter != nil:
-			adopted := s.directory.SetVersion(now, *item.Adapter)
+			adopted := s.directory.SetVersion(ch.Since, *item.Adapter)
 			log.Info().
 				Str("adapter", item.Adapter.Adapter).
 				Int("version", item.Adapter.Version).
