--- a/pkg/locality/fleet_test.go
+++ b/pkg/locality/fleet_test.go
@@ -42,6 +42,11 @@
 	// modelLoad is the time at the start in which the servers load their base model and
 	// no adapter.
 	modelLoad time.Duration
+	// renewals is the number of new versions of the adapter in most demand that are
+	// announced, renewEvery apart, from renewFrom on.
+	renewals   int
+	renewFrom  time.Duration
+	renewEvery time.Duration
 	// ignoreSlack makes the servers load the adapters in the order of the oldest
 	// waiting request, without regard to the latency targets.
 	ignoreSlack bool
@@ -75,6 +80,12 @@
 	first  time.Duration
 	// read is the number of prompt tokens that the server has processed.
 	read float64
+	// version is the version of the adapter that served the request.
+	version int
+	// required is the lowest version that could serve it when it arrived.
+	required int
+	// waited is true if the request waited for a load.
+	waited bool
 }
 
 // priority returns 0 for short prompts and 1 for long ones, as in the deployments
@@ -104,13 +115,16 @@
 // simServer is a model server that processes prompts one after the other and has room
 // for a few adapters.
 type simServer struct {
-	endpoint    *fleet.Endpoint
-	planner     *residency.Planner
-	report      *residency.Report
-	loads       map[fleet.AdapterKey]time.Duration
-	cold        map[fleet.AdapterKey]bool
-	copies      []fleet.AdapterKey
-	waiting     map[fleet.AdapterKey][]*simRequest
+	endpoint *fleet.Endpoint
+	planner  *residency.Planner
+	report   *residency.Report
+	loads    map[fleet.AdapterKey]time.Duration
+	cold     map[fleet.AdapterKey]bool
+	copies   []fleet.AdapterKey
+	waiting  map[fleet.AdapterKey][]*simRequest
+	// preloads holds, for each adapter that an entry has asked the server to load before
+	// requests need it, when that ends.
+	preloads    map[fleet.AdapterKey]time.Time
 	inFlight    map[fleet.AdapterKey]int
 	promptQueue []*simRequest
 	running     map[*simRequest]time.Time
@@ -124,18 +138,23 @@
 	started    time.Time
 	now        time.Time
 	storeLoads int
-	choose     func(r *Request, s *sim) (*simServer, bool)
+	// directory holds the announced versions, and versions is their last snapshot.
+	directory *fleet.Directory
+	versions  map[fleet.AdapterKey]fleet.Versions
+	renewed   int
+	all       []*simRequest
+	choose    func(r *Request, s *sim) (*simServer, bool)
 }
 
 func newSim(l workload, choose func(r *Request, s *sim) (*simServer, bool)) *sim {
-	s := &sim{l: l, choose: choose, now: time.Unix(1000, 0), engine: &route.Engine{MaxAdapters: l.adapterSlots, WeightMB: 1e6, Models: []route.Model{{Name: "m", WeightMB: 1, AdapterMB: 1}}}}
+	s := &sim{l: l, directory: fleet.NewDirectory(), choose: choose, now: time.Unix(1000, 0), engine: &route.Engine{MaxAdapters: l.adapterSlots, WeightMB: 1e6, Models: []route.Model{{Name: "m", WeightMB: 1, AdapterMB: 1}}}}
 	for i := range l.servers {
 		s.servers = append(s.servers, &simServer{
 			endpoint: &fleet.Endpoint{ID: fleet.ID(fmt.Sprintf("i-%d", i)), State: fleet.Ready, Slots: 64, Runtime: fleet.NewRuntime()},
 			planner:  residency.New(),
 			report:   &residency.Report{Models: map[string]int{"m": 1}, Residents: map[fleet.AdapterKey]int{}, Loading: map[fleet.AdapterKey]int{}},
 			loads:    map[fleet.AdapterKey]time.Duration{}, cold: map[fleet.AdapterKey]bool{},
-			waiting: map[fleet.AdapterKey][]*simRequest{}, inFlight: map[fleet.AdapterKey]int{}, running: map[*simRequest]time.Time{},
+			waiting: map[fleet.AdapterKey][]*simRequest{}, preloads: map[fleet.AdapterKey]time.Time{}, inFlight: map[fleet.AdapterKey]int{}, running: map[*simRequest]time.Time{},
 		})
 	}
 	return s
@@ -162,24 +181,42 @@
 	s.started = s.now
 	start := s.now
 	next := s.now
-	var all []*simRequest
 	for s.now.Sub(start) < s.l.duration {
 		for !next.After(s.now) {
 			r := s.arrival(rng, weights, total, next, start)
-			all = append(all, r)
+			s.all = append(s.all, r)
 			s.dispatch(r)
 			next = next.Add(time.Duration(rng.ExpFloat64() / s.l.perSecond * float64(time.Second)))
 		}
+		s.renew()
 		s.step()
 		s.now = s.now.Add(simStep)
 	}
 	n := 0
-	for _, r := range all {
+	for _, r := range s.all {
 		if r.inTime() {
 			n++
 		}
 	}
-	return float64(n) / float64(len(all)), s.storeLoads
+	return float64(n) / float64(len(s.all)), s.storeLoads
+}
+
+// hottest is the adapter in most demand.
+var hottest = fleet.AdapterKey{Model: "m", Name: "a0"}
+
+// renew announces the next version of the hottest adapter when it is due. No server has
+// a copy of the new version.
+func (s *sim) renew() {
+	at := s.l.renewFrom + time.Duration(s.renewed)*s.l.renewEvery
+	if s.renewed == s.l.renewals || s.now.Sub(s.started) < at {
+		return
+	}
+	s.renewed++
+	s.directory.SetVersion(s.now, fleet.AdapterVersion{Model: hottest.Model, Adapter: hottest.Name, Version: s.renewed + 1})
+	s.versions = s.directory.Snapshot().Versions
+	for _, v := range s.servers {
+		v.copies = slices.DeleteFunc(v.copies, func(c fleet.AdapterKey) bool { return c == hottest })
+	}
 }
 
 func (s *sim) arrival(rng *rand.Rand, weights []float64, total float64, at, start time.Time) *simRequest {
@@ -200,22 +237,26 @@
 
 func (s *sim) dispatch(r *simRequest) {
 	req := &Request{Now: s.now, Key: r.key, PromptTokens: r.prompt, Priority: r.priority()}
+	req.Version, req.Newest = s.versions[r.key].Required(s.now), s.versions[r.key].Newest()
+	r.required = req.Version
 	srv, ok := s.choose(req, s)
 	if !ok {
 		return
 	}
 	r.server = srv
 	srv.planner.Arrived(s.now, r.key, 1)
-	if srv.report.Residents[r.key] > 0 {
+	if srv.report.Residents[r.key] >= max(req.Version, 1) {
 		srv.start(r)
 		return
 	}
+	r.waited = true
 	srv.waiting[r.key] = append(srv.waiting[r.key], r)
 	srv.endpoint.Runtime.Waiting.Add(1)
 }
 
 func (v *simServer) start(r *simRequest) {
 	v.inFlight[r.key]++
+	r.version = v.report.Residents[r.key]
 	v.endpoint.Runtime.Backlog[r.priority()].Add(int64(r.prompt))
 	v.promptQueue = append(v.promptQueue, r)
 	slices.SortStableFunc(v.promptQueue, func(a, b *simRequest) int { return a.priority() - b.priority() })
@@ -278,8 +319,8 @@
 			}
 			delete(v.loads, k)
 			delete(v.cold, k)
+			v.report.Residents[k] = v.report.Loading[k]
 			delete(v.report.Loading, k)
-			v.report.Residents[k] = 1
 			v.copies = append(slices.DeleteFunc(v.copies, func(c fleet.AdapterKey) bool { return c == k }), k)
 			v.copies = v.copies[max(0, len(v.copies)-maxWarmCopies):]
 			for _, r := range v.waiting[k] {
@@ -309,9 +350,17 @@
 				w.Slacks = append(w.Slacks, r.slack(s.now))
 			}
 		}
+		w.Version = s.versions[k].Required(s.now)
 		wants[k] = w
 	}
-	return &residency.Input{Now: s.now, Report: v.report, Engine: s.engine, DemandByAdapter: wants, LoadsElsewhere: s.loading() - len(v.loads)}
+	for k, until := range v.preloads {
+		if s.now.Before(until) {
+			w := wants[k]
+			w.Waiting++
+			wants[k] = w
+		}
+	}
+	return &residency.Input{Now: s.now, Report: v.report, Engine: s.engine, DemandByAdapter: wants, LoadsElsewhere: s.loading() - len(v.loads), Versions: s.versions}
 }
 
 // loading returns the number of loads that run at all servers.
@@ -339,7 +388,7 @@
 			delete(v.report.Residents, o.Key)
 			continue
 		}
-		v.report.Loading[o.Key] = 1
+		v.report.Loading[o.Key] = max(o.Version, 1)
 		v.loads[o.Key] = warmLoadTime
 		if !slices.Contains(v.copies, o.Key) {
 			v.loads[o.Key] = cmp.Or(s.l.coldLoad, defaultColdLoad)
@@ -358,11 +407,11 @@
 		Backlog:    v.endpoint.Runtime.OwnBacklog(),
 		LoadTime:   v.planner.LoadLimiter().LoadTime(), LoadLimit: v.planner.LoadLimiter().Limit(),
 	}
-	for k := range v.report.Residents {
-		st.Residents[k] = 1
+	for k, version := range v.report.Residents {
+		st.Residents[k] = version
 	}
-	for k := range v.report.Loading {
-		st.Loading[k] = 1
+	for k, version := range v.report.Loading {
+		st.Loading[k] = version
 	}
 	for k := range v.waiting {
 		if st.Loading[k] == 0 {
@@ -377,6 +426,9 @@
 	c := New(w, NewPrefixIndex())
 	return func(r *Request, s *sim) (*simServer, bool) {
 		choice, ok := c.Choose(r, s.endpoints())
+		if choice.Preload != nil {
+			s.find(choice.Preload).preloads[r.Key] = s.now.Add(PreloadTimeout)
+		}
 		return s.find(choice.Endpoint), ok
 	}
 }
@@ -477,3 +529,67 @@
 // that it does not help. Where each load takes longer than the latency target, no order
 // of loads serves the requests that wait.
 const maxLoss = 0.03
+
+// renewalResult is what the requests for the hottest adapter got from one second before
+// the first announcement on.
+type renewalResult struct {
+	requests, inTime, waited, outdated, loads int
+}
+
+// simulateRenewals runs a workload with renewals. Requests count as outdated if they
+// were served by a version that was not acceptable when they arrived.
+func simulateRenewals(l workload, seed uint64) renewalResult {
+	s := newSim(l, byChooser(DefaultWeights()))
+	var out renewalResult
+	_, out.loads = s.simulate(seed)
+	for _, r := range s.all {
+		if r.key != hottest || r.at.Sub(s.started) < l.renewFrom-time.Second || r.at.Sub(s.started) > l.duration-2*time.Second {
+			continue
+		}
+		out.requests++
+		if r.inTime() {
+			out.inTime++
+		}
+		if r.waited {
+			out.waited++
+		}
+		if r.version < r.required {
+			out.outdated++
+		}
+	}
+	return out
+}
+
+// Guards against a gap at the end of the grace of a new version where requests never
+// stop at the only server that holds the adapter: the server cannot replace it, and the
+// first requests that need the new version have to wait for a load.
+func TestOnlyCopyInUseIsRenewedWithoutAGap(t *testing.T) {
+	l := workload{
+		servers: 3, adapterSlots: 9, adapters: 1, perSecond: 20, shortOnly: true, duration: 15 * time.Second,
+		renewals: 1, renewFrom: 5 * time.Second,
+	}
+	for seed := range uint64(3) {
+		r := simulateRenewals(l, seed)
+		t.Logf("%+v", r)
+		assert.Equal(t, r.outdated, 0)
+		assert.Equal(t, r.waited, 0, "requests waited for a load")
+		assert.Equal(t, r.inTime, r.requests)
+	}
+}
+
+// Guards against losses of the adapter in most demand while it is renewed every second,
+// which makes it need a load each time.
+func TestHottestAdapterRenewedEverySecond(t *testing.T) {
+	l := workload{
+		servers: 9, adapterSlots: 9, adapters: 3000, skew: 1.2, perSecond: 40, duration: 25 * time.Second,
+		renewals: 10, renewFrom: 8 * time.Second, renewEvery: time.Second,
+	}
+	still := l
+	still.renewals = 0
+	for seed := range uint64(2) {
+		r, without := simulateRenewals(l, seed), simulateRenewals(still, seed)
+		t.Logf("%+v, without renewals %+v", r, without)
+		assert.Equal(t, r.outdated, 0)
+		assert.Assert(t, r.waited <= without.waited, "%d requests waited for a load, %d without renewals", r.waited, without.waited)
+	}
+}
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -25,7 +25,10 @@
 	// Version is the lowest version of the adapter that may serve the request, or 0 for
 	// any.
 	Version int
-	Prefix  []Part
+	// Newest is the newest announced version of the adapter, or 0 if there is none. It
+	// is higher than Version while older versions may still serve requests.
+	Newest int
+	Prefix []Part
 	// PromptTokens is the length of the whole prompt in tokens.
 	PromptTokens int
 	// Priority is the priority of the request; 0 is the most urgent.
@@ -55,8 +58,15 @@
 	Source *fleet.Endpoint
 	// StatusAge is the age of the status report that the choice is based on.
 	StatusAge time.Duration
+	// Preload is the server that should load the newest version of the adapter now, so
+	// that it is loaded when requests need it, or nil if that is not necessary.
+	Preload *fleet.Endpoint
 }
 
+// PreloadTimeout is how long a server is asked for a preload after a request. Each
+// request for the adapter renews it, until a server reports the load.
+const PreloadTimeout = 300 * time.Millisecond
+
 // Weights holds the parameters of the cost model.
 type Weights struct {
 	// TokensPerMS is the number of prompt tokens that a server processes per
