locality, gateway: have a new version loaded before it is required

What callers saw: at the end of the grace of a new version their requests waited for a load, where the only server with the adapter had it in use.

Cause: a server replaces an adapter only while no request runs on it, and entries send it requests as long as its version may serve. So nobody loaded the new version before the grace was over.

From one second before a version is required (RenewalLead), an entry asks the server with the lowest cost to load the adapter, unless a server has or loads a version that stays acceptable. The demand counts as an arrival, so that the copy is not evicted before its first request. New requests then prefer current copies by OutdatedPenalty, and the others become idle and are replaced. The choice uses the required version at the moment of the choice instead of that at the arrival of the request.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -39,7 +39,6 @@
 	return &locality.Request{
 		Now:          time.Now(),
 		Key:          x.call.Key,
-		Version:      x.version,
 		Prefix:       x.call.Prefix,
 		PromptTokens: x.call.PromptTokens,
 		Priority:     x.route.Priority,
@@ -79,11 +78,15 @@
 	defer w.stop()
 	for {
 		s := f.g.control.snapshot.Load()
-		x.version = s.Versions[x.call.Key].Required(began)
-		choice, ok := f.g.chooser.Choose(f.request(x), s.Services[x.service.Name])
+		r := f.request(x)
+		r.Version = s.Versions[x.call.Key].Required(r.Now)
+		r.Upcoming = s.Versions[x.call.Key].Required(r.Now.Add(locality.RenewalLead))
+		x.version = r.Version
+		choice, ok := f.g.chooser.Choose(r, s.Services[x.service.Name])
 		if !ok {
 			return notRun("no model server is available", retryAfterCapacity)
 		}
+		f.preload(x, r, choice.Preload)
 		if choice.Resident {
 			x.endpoint, x.choice = choice.Endpoint, choice
 			if x.sends > 0 {
@@ -109,6 +112,21 @@
 	}
 }
 
+// preload asks a server, if there is one, to load the version of the adapter that will
+// be required soon.
+func (f endpointFilter) preload(x *exchange, r *locality.Request, e *fleet.Endpoint) {
+	if e == nil || !f.g.control.demandOf(e).askPreload(r.Now, r.Key, r.Upcoming) {
+		return
+	}
+	f.g.log.For(logging.ComponentPlacement).Info().
+		Str("request", x.call.RequestID).
+		Str("endpoint", string(e.ID)).
+		Str("adapter", r.Key.Name).
+		Int("version", r.Version).
+		Int("upcoming", r.Upcoming).
+		Msg("asks for a load before the version is required")
+}
+
 func (f endpointFilter) placed(x *exchange, began time.Time) {
 	waited := time.Since(began)
 	if waited > time.Millisecond {
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -9,6 +9,7 @@
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/locality"
 )
 
 // demand counts this entry's requests to one model server, by adapter.
@@ -29,6 +30,16 @@
 	arrivals int
 	version  int
 	waiting  []waitTimes
+	preload  *preload
+}
+
+// preload asks for a load that requests will need soon.
+type preload struct {
+	began time.Time
+	// loadBy is when requests need it.
+	loadBy time.Time
+	// until is when the demand for it ends unless it is renewed.
+	until time.Time
 }
 
 // waitTimes are the times of one request that waits for a load.
@@ -105,13 +116,53 @@
 	}
 }
 
+// askPreload asks for a load of the adapter in the given version before requests need
+// it. It counts as an arrival: the request that it is for shows how much the adapter is
+// in demand, and keeps the server from evicting it as soon as it is loaded. It reports
+// false if the preload was asked for already.
+func (d *demand) askPreload(now time.Time, k fleet.AdapterKey, version int) bool {
+	d.mu.Lock()
+	a := d.adapter(k)
+	a.version = max(a.version, version)
+	a.arrivals++
+	asked := a.preload != nil
+	if !asked {
+		a.preload = &preload{began: now, loadBy: now.Add(locality.RenewalLead)}
+	}
+	a.preload.until = now.Add(locality.PreloadTimeout)
+	d.mu.Unlock()
+	if !asked {
+		d.sendNow()
+	}
+	return !asked
+}
+
+// endPreloads ends the preloads that have not been asked for again in time.
+func (d *demand) endPreloads(now time.Time) {
+	for _, a := range d.adapters {
+		if a.preload != nil && !now.Before(a.preload.until) {
+			a.preload = nil
+			d.dirty = true
+		}
+	}
+}
+
+// pending returns the times of the requests that wait for the adapter, and of the
+// preload if there is one.
+func (a *adapterDemand) pending() []waitTimes {
+	if a.preload == nil {
+		return a.waiting
+	}
+	return append(slices.Clone(a.waiting), waitTimes{began: a.preload.began, loadBy: a.preload.loadBy})
+}
+
 // maxSlacks limits the waiting requests of one adapter whose slack an update lists.
 const maxSlacks = 16
 
 // waited returns the age of the oldest waiting request.
 func (a *adapterDemand) waited(now time.Time) time.Duration {
 	oldest := now
-	for _, w := range a.waiting {
+	for _, w := range a.pending() {
 		if w.began.Before(oldest) {
 			oldest = w.began
 		}
@@ -123,7 +174,7 @@
 // adapter must be loaded, in milliseconds, the longest first.
 func (a *adapterDemand) slacks(now time.Time) []int32 {
 	out := make([]int32, 0, len(a.waiting))
-	for _, w := range a.waiting {
+	for _, w := range a.pending() {
 		out = append(out, int32(w.loadBy.Sub(now).Milliseconds()))
 	}
 	slices.SortFunc(out, func(a, b int32) int { return cmp.Compare(b, a) })
@@ -152,6 +203,7 @@
 func (d *demand) update(now time.Time, entry string, instance fleet.ID, backlog fleet.Backlog) (*fescuev1.DemandUpdate, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.endPreloads(now)
 	changed := d.dirty
 	d.dirty = false
 	m := &fescuev1.DemandUpdate{EntryId: entry, InstanceId: string(instance)}
@@ -164,13 +216,13 @@
 			Adapter:  k.Name,
 			Version:  uint32(a.version),
 			InFlight: uint32(a.inFlight),
-			Waiting:  uint32(len(a.waiting)),
+			Waiting:  uint32(len(a.pending())),
 			WaitedMs: uint32(a.waited(now).Milliseconds()),
 			SlackMs:  a.slacks(now),
 			Arrivals: uint32(a.arrivals),
 		}
 		a.arrivals = 0
-		if a.inFlight == 0 && len(a.waiting) == 0 {
+		if a.inFlight == 0 && len(a.pending()) == 0 {
 			delete(d.adapters, k)
 		}
 		m.Adapters = append(m.Adapters, row)
--- a/pkg/gateway/demand_test.go
+++ b/pkg/gateway/demand_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/locality"
 )
 
 // Guards against announcing long prompts late to the other entries, and against
@@ -39,3 +40,31 @@
 	m, _ = first.update(now, "e1", "i-1", fleet.Backlog{})
 	assert.Equal(t, m.GetAdapters()[0].GetWaiting(), uint32(0))
 }
+
+// Guards against a preload that the sidecar does not see, that blocks a place for ever
+// or that is forgotten while requests still need it.
+func TestPreloadIsDemandUntilItIsNoLongerAskedFor(t *testing.T) {
+	k := fleet.AdapterKey{Model: "m", Name: "a1"}
+	d := newDemand()
+	now := time.Now()
+	assert.Assert(t, d.askPreload(now, k, 3))
+	assert.Equal(t, len(d.urgent), 1)
+	m, changed := d.update(now, "e1", "i-1", fleet.Backlog{})
+	assert.Assert(t, changed)
+	row := m.GetAdapters()[0]
+	assert.Equal(t, row.GetWaiting(), uint32(1))
+	assert.Equal(t, row.GetArrivals(), uint32(1))
+	assert.Equal(t, row.GetVersion(), uint32(3))
+	assert.DeepEqual(t, row.GetSlackMs(), []int32{int32(locality.RenewalLead.Milliseconds())})
+
+	now = now.Add(locality.PreloadTimeout - time.Millisecond)
+	assert.Assert(t, !d.askPreload(now, k, 3))
+	now = now.Add(locality.PreloadTimeout - time.Millisecond)
+	m, _ = d.update(now, "e1", "i-1", fleet.Backlog{})
+	assert.Equal(t, m.GetAdapters()[0].GetWaiting(), uint32(1))
+
+	m, changed = d.update(now.Add(time.Millisecond), "e1", "i-1", fleet.Backlog{})
+	assert.Assert(t, changed)
+	assert.Equal(t, m.GetAdapters()[0].GetWaiting(), uint32(0))
+	assert.Equal(t, len(d.adapters), 0)
+}
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -25,10 +25,10 @@
 	// Version is the lowest version of the adapter that may serve the request, or 0 for
 	// any.
 	Version int
-	// Newest is the newest announced version of the adapter, or 0 if there is none. It
-	// is higher than Version while older versions may still serve requests.
-	Newest int
-	Prefix []Part
+	// Upcoming is the lowest version that may serve requests after RenewalLead. It is
+	// higher than Version while a new version is about to be required.
+	Upcoming int
+	Prefix   []Part
 	// PromptTokens is the length of the whole prompt in tokens.
 	PromptTokens int
 	// Priority is the priority of the request; 0 is the most urgent.
@@ -58,15 +58,11 @@
 	Source *fleet.Endpoint
 	// StatusAge is the age of the status report that the choice is based on.
 	StatusAge time.Duration
-	// Preload is the server that should load the newest version of the adapter now, so
-	// that it is loaded when requests need it, or nil if that is not necessary.
+	// Preload is the server that should load the adapter now, so that a new version is
+	// loaded when requests need it, or nil if that is not necessary.
 	Preload *fleet.Endpoint
 }
 
-// PreloadTimeout is how long a server is asked for a preload after a request. Each
-// request for the adapter renews it, until a server reports the load.
-const PreloadTimeout = 300 * time.Millisecond
-
 // Weights holds the parameters of the cost model.
 type Weights struct {
 	// TokensPerMS is the number of prompt tokens that a server processes per
@@ -101,6 +97,10 @@
 	LateReportPenalty time.Duration
 	// RemoteZonePenalty is added for a server in another availability zone.
 	RemoteZonePenalty time.Duration
+	// OutdatedPenalty is added for a server whose version of the adapter is about to be
+	// outdated while another server has a current one. Without new requests, the server
+	// can replace it.
+	OutdatedPenalty time.Duration
 	// PrefixFetchTime is the time that a server takes to fetch cached parts of a prompt
 	// from another server.
 	PrefixFetchTime time.Duration
@@ -121,6 +121,7 @@
 		FailurePenalty:    250 * time.Millisecond,
 		LateReportPenalty: 400 * time.Millisecond,
 		RemoteZonePenalty: 15 * time.Millisecond,
+		OutdatedPenalty:   150 * time.Millisecond,
 		PrefixFetchTime:   20 * time.Millisecond,
 	}
 }
@@ -170,6 +171,7 @@
 	best := Choice{Cost: math.MaxInt64}
 	order := ranks(r.Key, endpoints)
 	sources := c.sources(r, endpoints)
+	renewed := renewed(r, endpoints)
 	candidates := 0
 	for i, e := range endpoints {
 		if !usable(r, e) {
@@ -177,11 +179,15 @@
 		}
 		candidates++
 		choice := c.estimate(r, e, order[i], sources)
+		if renewed && choice.Resident && !current(e, r) {
+			choice.Cost += c.weights.OutdatedPenalty
+		}
 		if choice.Cost < best.Cost {
 			best = choice
 		}
 	}
 	best.Candidates = candidates
+	best.Preload = c.preload(r, endpoints)
 	return best, best.Endpoint != nil
 }
 
