--- a/pkg/gateway/version_test.go
+++ b/pkg/gateway/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -164,3 +165,22 @@
 		assert.Equal(t, c.required(), 4, "announced at any time of the last 11 s")
 	})
 }
+
+// Guards against expecting the lowest acceptable version of a server that holds a newer
+// one: the server refuses each such attempt with 421.
+func TestAttemptExpectsTheHeldVersion(t *testing.T) {
+	w := newTestGateway(t, onceRoute)
+	e := w.serve(modelService, func(rw http.ResponseWriter, r *http.Request) {
+		markFromPlatform(rw, r)
+		if r.Header.Get("Version") != "4" {
+			rw.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		rw.Write([]byte("id: 1\n\n"))
+	})
+	setResident(e, adapterKey, 4)
+	w.directory.SetVersion(time.Now().Add(-fleet.VersionGrace), fleet.AdapterVersion{Model: "m", Adapter: "a1", Version: 3})
+	w.directory.SetVersion(time.Now(), fleet.AdapterVersion{Model: "m", Adapter: "a1", Version: 4})
+	w.publish()
+	assert.Equal(t, w.do(http.MethodPost, "/o/x", forAdapter).status, http.StatusOK)
+}
