gateway: expect the version that the chosen server holds

Cause: an attempt expected the lowest acceptable version. A server refuses every other version, also a newer one. Before versions had a grace of their own, the lowest acceptable version nearly always was the newest.

Before: 503 (int) != 200 (http.StatusOK int).

--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -227,6 +227,9 @@
 		Priority:    x.route.Priority,
 		LastEventID: x.lastEventID,
 	}
+	if x.forModelServer() && x.version > 0 {
+		a.Version = x.choice.Scope.Version() // a server refuses any other version, also a lower one
+	}
 	if x.forModelServer() && x.choice.Source != nil {
 		a.FetchFrom = x.choice.Source.Address
 		a.Version = x.choice.Scope.Version()
