gateway, locality, residency: take up new weights of base models

Servers never took up new weights before they restarted.

Cause: the choice ignored the version of the weights, attempts expected the announced one, and nothing replaced the weights of a running server.

Any weights may serve a request for a base model. A server with the newest ones is preferred by one second, which is less than a gap in service: at first only one server has them.

Every 250 ms each entry determines the servers that may reload: one, or two from 20 servers on, and only while all others report a model. It avoids them and consents in its demand updates. A server whose connected entries all consent unloads the model once no request runs or waits there, and then loads the newest weights.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -79,8 +79,8 @@
 	for {
 		s := f.g.control.snapshot.Load()
 		r := f.request(x)
-		r.Version = s.Versions[x.call.Key].Required(r.Now)
-		r.Upcoming = s.Versions[x.call.Key].Required(r.Now.Add(locality.RenewalLead))
+		f.setVersions(r, s.Versions[x.call.Key])
+		r.Reloading = f.g.control.reloads.Load().ids()
 		x.version = r.Version
 		choice, ok := f.g.chooser.Choose(r, s.Services[x.service.Name])
 		if !ok {
@@ -112,6 +112,18 @@
 	}
 }
 
+// setVersions sets the versions that may serve a request. Any version of the weights may
+// serve one for the base model itself: only a few servers have new weights at first, and
+// refusing the request would not make them load them sooner.
+func (f endpointFilter) setVersions(r *locality.Request, v fleet.Versions) {
+	if r.Key.Name == "" {
+		r.Upcoming = v.Newest()
+		return
+	}
+	r.Version = v.Required(r.Now)
+	r.Upcoming = v.Required(r.Now.Add(locality.RenewalLead))
+}
+
 // preload asks a server, if there is one, to load the version of the adapter that will
 // be required soon.
 func (f endpointFilter) preload(x *exchange, r *locality.Request, e *fleet.Endpoint) {
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -34,6 +34,7 @@
 	ctx      context.Context
 	snapshot atomic.Pointer[fleet.Snapshot]
 	demands  sync.Map // *fleet.Runtime -> *demand
+	reloads  atomic.Pointer[reloads]
 	synced   atomic.Bool
 	// mirror watches the key-value store. It is set before running is closed and must
 	// not be read earlier.
@@ -60,6 +61,7 @@
 		running:   make(chan struct{}),
 	}
 	c.snapshot.Store(c.directory.Snapshot())
+	c.reloads.Store(&reloads{})
 	c.changes.Handle("directory", c.onChanges)
 	return c, nil
 }
@@ -74,6 +76,7 @@
 	c.mirror = mirror.New(c.store, c.catalog.Prefix(), func(ch []mirror.Change) { _ = c.changes.Publish(storeEvent{changes: ch}) }, c.log)
 	close(c.running)
 	wg.Go(func() { c.mirror.Run(ctx) })
+	wg.Go(func() { c.runReloads(ctx) })
 	wg.Wait()
 }
 
@@ -229,7 +232,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, prefixes: c.prefixes, log: c.log, cancel: cancel}
+	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, reloads: &c.reloads, prefixes: c.prefixes, log: c.log, cancel: cancel}
 	c.links[e.Runtime] = l
 	go l.run(ctx)
 }
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,6 +40,7 @@
 	target   string
 	demand   *demand
 	loads    loadCount
+	reloads  *atomic.Pointer[reloads]
 	prefixes *locality.PrefixIndex
 	log      logging.Logger
 	cancel   context.CancelFunc
@@ -141,16 +143,20 @@
 	defer cancel()
 	tick := time.NewTicker(demandInterval)
 	defer tick.Stop()
-	var sent time.Time
+	var (
+		sent   time.Time
+		reload string
+	)
 	for {
 		now := time.Now()
 		m, changed := l.demand.update(now, l.entry, l.endpoint.ID, l.endpoint.Runtime.OwnBacklog())
 		m.LoadsElsewhere = uint32(l.loads.elsewhere())
-		if changed || now.Sub(sent) >= unchangedInterval {
+		m.ReloadModel = (*l.reloads.Load())[l.endpoint.ID]
+		if changed || m.ReloadModel != reload || now.Sub(sent) >= unchangedInterval {
 			if err := stream.Send(m); err != nil {
 				return
 			}
-			sent = now
+			sent, reload = now, m.ReloadModel
 		}
 		select {
 		case <-ctx.Done():
--- a/pkg/locality/fleet_test.go
+++ b/pkg/locality/fleet_test.go
@@ -47,6 +47,10 @@
 	renewals   int
 	renewFrom  time.Duration
 	renewEvery time.Duration
+	// newWeightsAt is when new weights of the base model are announced, or 0 for never.
+	newWeightsAt time.Duration
+	// baseEvery makes every n-th request one for the base model itself, or 0 for none.
+	baseEvery int
 	// ignoreSlack makes the servers load the adapters in the order of the oldest
 	// waiting request, without regard to the latency targets.
 	ignoreSlack bool
@@ -66,6 +70,8 @@
 	warmLoadTime         = 25 * time.Millisecond
 	statusInterval       = 150 * time.Millisecond
 	simStep              = 5 * time.Millisecond
+	reloadInterval       = 250 * time.Millisecond
+	reloadTime           = 2 * time.Second
 	longTarget           = time.Second
 	shortTarget          = 800 * time.Millisecond
 )
@@ -125,7 +131,9 @@
 	waiting  map[fleet.AdapterKey][]*simRequest
 	// preloads holds, for each adapter that an entry has asked the server to load before
 	// requests need it, when that ends.
-	preloads    map[fleet.AdapterKey]time.Time
+	preloads map[fleet.AdapterKey]time.Time
+	// modelBy is when the load of the base model ends, if one is in progress.
+	modelBy     time.Time
 	inFlight    map[fleet.AdapterKey]int
 	promptQueue []*simRequest
 	running     map[*simRequest]time.Time
@@ -143,8 +151,14 @@
 	directory *fleet.Directory
 	versions  map[fleet.AdapterKey]fleet.Versions
 	renewed   int
-	all       []*simRequest
-	choose    func(r *Request, s *sim) (*simServer, bool)
+	// weights is the newest announced version of the base model, and reloading lists the
+	// servers that may reload it.
+	weights   int
+	reloading []fleet.ID
+	// without is the highest number of servers without a model at a time.
+	without int
+	all     []*simRequest
+	choose  func(r *Request, s *sim) (*simServer, bool)
 }
 
 func newSim(l workload, choose func(r *Request, s *sim) (*simServer, bool)) *sim {
@@ -190,6 +204,7 @@
 			next = next.Add(time.Duration(rng.ExpFloat64() / s.l.perSecond * float64(time.Second)))
 		}
 		s.renew()
+		s.reload()
 		s.step()
 		s.now = s.now.Add(simStep)
 	}
@@ -233,12 +248,19 @@
 	if s.l.shortOnly || rng.IntN(2) == 0 {
 		r.prompt, r.run = shortPrompt, shortRun
 	}
+	if s.l.baseEvery > 0 && len(s.all)%s.l.baseEvery == 0 {
+		r.key.Name = ""
+	}
 	return r
 }
 
 func (s *sim) dispatch(r *simRequest) {
 	req := &Request{Now: s.now, Key: r.key, PromptTokens: r.prompt, Priority: r.priority()}
 	req.Version, req.Upcoming = s.versions[r.key].Required(s.now), s.versions[r.key].Required(s.now.Add(RenewalLead))
+	req.Reloading = s.reloading
+	if r.key.Name == "" {
+		req.Version, req.Upcoming = 0, s.weights
+	}
 	r.required = req.Version
 	srv, ok := s.choose(req, s)
 	if !ok {
@@ -246,7 +268,7 @@
 	}
 	r.server = srv
 	srv.planner.Arrived(s.now, r.key, 1)
-	if srv.report.Residents[r.key] >= max(req.Version, 1) {
+	if srv.held(r.key) >= max(req.Version, 1) {
 		srv.start(r)
 		return
 	}
@@ -256,9 +278,53 @@
 	srv.endpoint.Runtime.Waiting.Add(1)
 }
 
+// held returns the version of an adapter, or of the base model, at a server, or 0 if the
+// server does not hold it.
+func (v *simServer) held(k fleet.AdapterKey) int {
+	if k.Name == "" {
+		return v.report.Models[k.Model]
+	}
+	return v.report.Residents[k]
+}
+
+// reload announces new weights when they are due, determines the servers that may reload
+// them and completes the loads of the base model.
+func (s *sim) reload() {
+	if s.weights == 0 && s.l.newWeightsAt > 0 && s.now.Sub(s.started) >= s.l.newWeightsAt {
+		s.weights = 2
+		s.directory.SetVersion(s.now, fleet.AdapterVersion{Model: "m", Version: s.weights})
+		s.versions = s.directory.Snapshot().Versions
+	}
+	if s.weights > 0 && s.now.Sub(s.started)%reloadInterval == 0 {
+		s.reloading = Reloads(s.now, "m", s.weights, s.endpoints())
+	}
+	without := 0
+	for _, v := range s.servers {
+		if v.report.Busy && !s.now.Before(v.modelBy) {
+			v.report.Busy = false
+			v.report.Models["m"] = s.weights
+		}
+		if len(v.report.Models) == 0 {
+			without++
+		}
+	}
+	s.without = max(s.without, without)
+}
+
+// orderModel carries out an order for the base model.
+func (v *simServer) orderModel(now time.Time, o residency.Order) {
+	if o.Operation == residency.Unload {
+		clear(v.report.Models)
+		clear(v.report.Residents)
+		return
+	}
+	v.report.Busy = true
+	v.modelBy = now.Add(reloadTime)
+}
+
 func (v *simServer) start(r *simRequest) {
 	v.inFlight[r.key]++
-	r.version = v.report.Residents[r.key]
+	r.version = v.held(r.key)
 	v.endpoint.Runtime.Backlog[r.priority()].Add(int64(r.prompt))
 	v.promptQueue = append(v.promptQueue, r)
 	slices.SortStableFunc(v.promptQueue, func(a, b *simRequest) int { return a.priority() - b.priority() })
@@ -380,12 +446,19 @@
 	}
 	for range 4 {
 		in := v.input(s)
+		if slices.Contains(s.reloading, v.endpoint.ID) {
+			in.ReloadModel = "m"
+		}
 		o, ok := v.planner.Next(in)
 		if !ok {
 			return
 		}
 		v.report.Sequence++
 		v.planner.Accepted(s.now, o)
+		if o.Key.Name == "" {
+			v.orderModel(s.now, o)
+			continue
+		}
 		if o.Operation == residency.Unload {
 			delete(v.report.Residents, o.Key)
 			continue
@@ -403,7 +476,7 @@
 func (v *simServer) state(s *sim) *fleet.Status {
 	in := v.input(s)
 	st := &fleet.Status{
-		ReceivedAt: s.now, Models: map[string]int{"m": 1}, Residents: map[fleet.AdapterKey]int{}, Loading: map[fleet.AdapterKey]int{},
+		ReceivedAt: s.now, Models: maps.Clone(v.report.Models), Residents: map[fleet.AdapterKey]int{}, Loading: map[fleet.AdapterKey]int{},
 		Free: residency.Free(v.report, s.engine), Evictable: v.planner.Evictable(in),
 		WarmCopies: v.planner.WarmCopies(),
 		Backlog:    v.endpoint.Runtime.OwnBacklog(),
@@ -604,3 +677,36 @@
 		assert.Assert(t, r.loads <= without.loads+3*l.renewals, "%d loads, %d without renewals", r.loads, without.loads)
 	}
 }
+
+// Guards against weights of a base model that the fleet never takes up, and against
+// taking them up with a gap in service for the base model or its adapters: too many
+// servers without a model at a time, or servers that unload it while requests run.
+func TestBaseModelIsRenewedWithoutAGap(t *testing.T) {
+	l := workload{
+		servers: 9, adapterSlots: 9, adapters: 60, skew: 1.2, perSecond: 30, duration: 70 * time.Second,
+		newWeightsAt: 5 * time.Second, baseEvery: 20,
+	}
+	s := newSim(l, byChooser(DefaultWeights()))
+	inTime, _ := s.simulate(1)
+	base, baseInTime, renewed := 0, 0, 0
+	for _, r := range s.all {
+		if r.key.Name != "" || r.at.Sub(s.started) > l.duration-2*time.Second {
+			continue
+		}
+		base++
+		if r.inTime() {
+			baseInTime++
+		}
+		if r.version == 2 {
+			renewed++
+		}
+	}
+	t.Logf("in time %.3f; base model: %d requests, %d in time, %d with new weights; %d servers without a model at most", inTime, base, baseInTime, renewed, s.without)
+	for _, v := range s.servers {
+		assert.Equal(t, v.report.Models["m"], 2, "%s", v.endpoint.ID)
+	}
+	assert.Equal(t, s.without, 1)
+	assert.Equal(t, baseInTime, base)
+	assert.Assert(t, renewed*2 > base)
+	assert.Assert(t, inTime > 0.97, "in time %.3f", inTime)
+}
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,9 +27,12 @@
 	// any.
 	Version int
 	// Upcoming is the lowest version that may serve requests after RenewalLead. It is
-	// higher than Version while a new version is about to be required.
+	// higher than Version while a new version is about to be required. For a base model
+	// it is the newest version of the weights, which no request requires.
 	Upcoming int
-	Prefix   []Part
+	// Reloading lists the servers that are to become idle and reload their base model.
+	Reloading []fleet.ID
+	Prefix    []Part
 	// PromptTokens is the length of the whole prompt in tokens.
 	PromptTokens int
 	// Priority is the priority of the request; 0 is the most urgent.
@@ -180,7 +184,10 @@
 		candidates++
 		choice := c.estimate(r, e, order[i], sources)
 		if renewed && choice.Resident && !current(e, r) {
-			choice.Cost += c.weights.OutdatedPenalty
+			choice.Cost += c.outdatedPenalty(r)
+		}
+		if slices.Contains(r.Reloading, e.ID) {
+			choice.Cost += reloadingPenalty
 		}
 		if choice.Cost < best.Cost {
 			best = choice
--- a/pkg/locality/renewal.go
+++ b/pkg/locality/renewal.go
@@ -13,6 +13,10 @@
 	// PreloadTimeout is how long a server is asked for a preload after a request. Each
 	// request for the adapter renews it, until a server reports the load.
 	PreloadTimeout = 300 * time.Millisecond
+	// outdatedWeightsPenalty is added, for a request for a base model, for a server with
+	// older weights while another server has the newest ones. It is lower than any wait
+	// that would be a gap in service: only a few servers have new weights at first.
+	outdatedWeightsPenalty = time.Second
 )
 
 // preload returns the server that should load an adapter because all loaded copies are
@@ -40,11 +44,26 @@
 	return choice.Endpoint
 }
 
-// current reports whether a server has a version of the adapter loaded that may serve
-// requests beyond RenewalLead.
+// current reports whether a server has a version of the adapter, or of the weights of the
+// base model, loaded that may serve requests beyond RenewalLead.
 func current(e *fleet.Endpoint, r *Request) bool {
 	st := e.Runtime.Status()
-	return st != nil && st.Residents[r.Key] >= r.Upcoming
+	if st == nil {
+		return false
+	}
+	if r.Key.Name == "" {
+		return st.Models[r.Key.Model] >= r.Upcoming
+	}
+	return st.Residents[r.Key] >= r.Upcoming
+}
+
+// outdatedPenalty returns the penalty for a server that holds what is about to be
+// outdated.
+func (c *Chooser) outdatedPenalty(r *Request) time.Duration {
+	if r.Key.Name == "" {
+		return outdatedWeightsPenalty
+	}
+	return c.weights.OutdatedPenalty
 }
 
 // loadsCurrent reports whether a server is loading such a version.
@@ -53,10 +72,10 @@
 	return st != nil && st.Loading[r.Key] >= r.Upcoming
 }
 
-// renewed reports whether some copies of an adapter are about to be outdated while
-// another server has a current one.
+// renewed reports whether some copies of an adapter or base model are about to be
+// outdated while another server has a current one.
 func renewed(r *Request, endpoints []*fleet.Endpoint) bool {
-	if r.Key.Name == "" || r.Upcoming <= r.Version {
+	if r.Upcoming <= r.Version {
 		return false
 	}
 	for _, e := range endpoints {
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -112,6 +112,8 @@
 	usageByAdapter map[fleet.AdapterKey]*usage
 	limiter        *LoadLimiter
 	warm           *WarmCopies
+	// reloading is the base model that was unloaded last to be loaded again, or empty.
+	reloading string
 }
 
 // New returns a planner without any past demand.
@@ -132,6 +134,9 @@
 		p.limiter.Started(now, o.Key)
 		p.warm.started(o.Key, o.Version)
 	}
+	if o.Operation == Unload && o.Key.Name == "" {
+		p.reloading = o.Key.Model
+	}
 }
 
 // Arrived records n new requests for an adapter.
@@ -160,6 +165,9 @@
 	LoadsElsewhere int
 	// Versions are the versions that the operator has announced.
 	Versions map[fleet.AdapterKey]fleet.Versions
+	// ReloadModel is the base model whose outdated weights the server may unload and
+	// load again, because all entries send their requests elsewhere, or empty for none.
+	ReloadModel string
 }
 
 // newest returns the newest version of an adapter known to this process or an entry,
@@ -183,19 +191,26 @@
 	if o, ok := p.loadModel(in); ok {
 		return o, true
 	}
+	if o, ok := p.unloadModel(in); ok {
+		return o, true
+	}
 	if o, ok := p.replace(in); ok {
 		return o, true
 	}
 	return p.loadAdapter(in)
 }
 
-// loadModel returns an order for the first configured model that fits the memory of
-// the server, if the server holds no model.
+// loadModel returns an order for the model that was unloaded to be loaded again, or else
+// for the first configured model that fits the memory of the server, if the server holds
+// no model.
 func (p *Planner) loadModel(in *Input) (Order, bool) {
 	if len(in.Report.Models) > 0 {
 		return Order{}, false
 	}
 	for _, m := range in.Engine.Models {
+		if p.reloading != "" && m.Name != p.reloading {
+			continue
+		}
 		if m.WeightMB <= in.Engine.WeightMB {
 			return newOrder(in, Load, fleet.AdapterKey{Model: m.Name}, 0, "the server holds no model"), true
 		}
@@ -203,6 +218,33 @@
 	return Order{}, false
 }
 
+// unloadModel returns an order to unload a base model whose weights are outdated, if the
+// server may reload it and no request uses it. A server keeps the old weights when it is
+// ordered to load a model that it holds, so the model has to be unloaded first, which
+// also drops its adapters.
+func (p *Planner) unloadModel(in *Input) (Order, bool) {
+	k := fleet.AdapterKey{Model: in.ReloadModel}
+	held, ok := in.Report.Models[in.ReloadModel]
+	if !ok || len(in.Report.Models) > 1 || held >= in.newest(k) || in.inUse() {
+		return Order{}, false
+	}
+	return newOrder(in, Unload, k, 0, "newer weights were named"), true
+}
+
+// inUse reports whether any request runs or waits at the server, or a load is in
+// progress.
+func (in *Input) inUse() bool {
+	if in.Report.InFlight > 0 || in.Report.Queued > 0 || len(in.Report.Loading) > 0 {
+		return true
+	}
+	for _, d := range in.DemandByAdapter {
+		if d.InFlight > 0 || d.Waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // replace returns an order for the newest version of an adapter that the server
 // holds in an older version. A replacement waits until the running requests of the
 // adapter have ended, and blocks all other orders meanwhile. Adapters in use are
--- a/pkg/residency/residency_test.go
+++ b/pkg/residency/residency_test.go
@@ -195,3 +195,48 @@
 		}
 	}
 }
+
+// Guards against unloading a base model with outdated weights while requests use it,
+// while it is not allowed, or without need, and against loading another model instead of
+// the one that was unloaded.
+func TestReloadsOutdatedWeightsOnlyWhenIdle(t *testing.T) {
+	model := fleet.AdapterKey{Model: "m"}
+	reloadable := func() *Input {
+		in := input(report(1, 2), map[fleet.AdapterKey]Demand{})
+		in.Versions = announced(model, 2)
+		in.ReloadModel = "m"
+		return in
+	}
+	for name, change := range map[string]func(in *Input){
+		"not allowed":      func(in *Input) { in.ReloadModel = "" },
+		"another model":    func(in *Input) { in.ReloadModel = "n" },
+		"current":          func(in *Input) { in.Report.Models["m"] = 2 },
+		"not announced":    func(in *Input) { in.Versions = nil },
+		"in flight":        func(in *Input) { in.DemandByAdapter[key(1)] = Demand{InFlight: 1} },
+		"waiting":          func(in *Input) { in.DemandByAdapter[key(1)] = Demand{Waiting: 1} },
+		"running":          func(in *Input) { in.Report.InFlight = 1 },
+		"queued":           func(in *Input) { in.Report.Queued = 1 },
+		"loading":          func(in *Input) { in.Report.Loading[key(3)] = 1 },
+		"two models":       func(in *Input) { in.Report.Models["n"] = 1 },
+		"an order is open": func(in *Input) { in.Report.Busy = true },
+	} {
+		in := reloadable()
+		change(in)
+		o, ok := New().Next(in)
+		assert.Assert(t, !ok, "%s: %+v", name, o)
+	}
+
+	p := New()
+	in := reloadable()
+	o, ok := p.Next(in)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, o, Order{Operation: Unload, Key: model, Expected: 7, Reason: o.Reason})
+	p.Accepted(start, o)
+	in.Report = report()
+	in.Report.Models = map[string]int{}
+	in.Engine = &route.Engine{MaxAdapters: 3, WeightMB: 1000, Models: []route.Model{{Name: "n", WeightMB: 500}, {Name: "m", WeightMB: 800}}}
+	o, ok = p.Next(in)
+	assert.Assert(t, ok)
+	assert.Equal(t, o.Operation, Load)
+	assert.Equal(t, o.Key, model)
+}
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -338,6 +338,26 @@
 	return int(most)
 }
 
+// reloadModel returns the base model that all connected entries agree the server may
+// reload, or an empty string. Entries without a recent update are left out: they are
+// frozen or cut off, and send no requests.
+func (h *hub) reloadModel(now time.Time) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	agreed := ""
+	for p := range h.entries {
+		if p.update != nil && now.Sub(p.updatedAt) >= staleUpdateAge {
+			continue
+		}
+		model := p.update.GetReloadModel()
+		if model == "" || agreed != "" && model != agreed {
+			return ""
+		}
+		agreed = model
+	}
+	return agreed
+}
+
 // addDemand adds the demand of one entry, reported the given time ago.
 func addDemand(d residency.Demand, a *fescuev1.AdapterDemand, age time.Duration) residency.Demand {
 	d.InFlight += int(a.GetInFlight())
--- a/pkg/sidecar/hub_test.go
+++ b/pkg/sidecar/hub_test.go
@@ -94,3 +94,24 @@
 	assert.Assert(t, h.current().holdingsKey != "")
 	assert.Assert(t, h.current().message.GetDown())
 }
+
+// Guards against unloading the base model while an entry still sends requests to the
+// server, and against waiting for an entry that is frozen.
+func TestReloadNeedsAllEntries(t *testing.T) {
+	h := newHub(make(chan struct{}, 1))
+	assert.Equal(t, h.reloadModel(time.Now()), "", "without entries")
+	one, two, frozen := newPeer(), newPeer(), newPeer()
+	for _, p := range []*peer{one, two, frozen} {
+		h.entries[p] = struct{}{}
+	}
+	h.record(frozen, &fescuev1.DemandUpdate{})
+	frozen.updatedAt = time.Now().Add(-staleUpdateAge)
+	h.record(one, &fescuev1.DemandUpdate{ReloadModel: "m"})
+	assert.Equal(t, h.reloadModel(time.Now()), "", "an entry has sent no update yet")
+	h.record(two, &fescuev1.DemandUpdate{})
+	assert.Equal(t, h.reloadModel(time.Now()), "", "an entry does not agree")
+	h.record(two, &fescuev1.DemandUpdate{ReloadModel: "n"})
+	assert.Equal(t, h.reloadModel(time.Now()), "", "the entries name different models")
+	h.record(two, &fescuev1.DemandUpdate{ReloadModel: "m"})
+	assert.Equal(t, h.reloadModel(time.Now()), "m")
+}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -219,6 +219,7 @@
 	in := &residency.Input{Now: time.Now(), Report: s.report, Engine: svc.Engine, Versions: snap.Versions}
 	in.DemandByAdapter = s.hub.demand(in.Now, s.planner)
 	in.LoadsElsewhere = s.hub.loadsElsewhere(in.Now)
+	in.ReloadModel = s.hub.reloadModel(in.Now)
 	for range maxOrders {
 		if in.Now.Before(s.pausedUntil) || !s.sendNextOrder(ctx, in) {
 			break
