locality: reload the oldest weights first

In a series of new weights the first servers by id would reload each of them, while the others keep the oldest ones (TestOldestWeightsAreReloadedFirst).

--- a/pkg/locality/reload.go
+++ b/pkg/locality/reload.go
@@ -1,6 +1,7 @@
 package locality
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
@@ -19,11 +20,11 @@
 )
 
 // Reloads returns the servers that may reload a base model now because their weights are
-// older than the newest version. Servers whose state is not known, and servers without
+// older than the newest version, those with the oldest weights first. Servers whose state is not known, and servers without
 // any model, count as reloading already. A server is left out if no other server holds
 // the model, or if it holds another model too.
 func Reloads(now time.Time, model string, newest int, endpoints []*fleet.Endpoint) []fleet.ID {
-	var outdated []fleet.ID
+	var outdated []*fleet.Endpoint
 	holders, away := 0, 0
 	for _, e := range endpoints {
 		if e.State != fleet.Ready {
@@ -40,12 +41,19 @@
 		}
 		holders++
 		if version < newest && len(st.Models) == 1 {
-			outdated = append(outdated, e.ID)
+			outdated = append(outdated, e)
 		}
 	}
 	if holders < 2 {
 		return nil
 	}
+	slices.SortStableFunc(outdated, func(a, b *fleet.Endpoint) int {
+		return weightsAt(a.Runtime.Status(), model) - weightsAt(b.Runtime.Status(), model)
+	})
 	limit := max(1, min(maxReloads, (holders+away)/serversPerReload))
-	return outdated[:max(0, min(limit-away, len(outdated)))]
+	var out []fleet.ID
+	for _, e := range outdated[:max(0, min(limit-away, len(outdated)))] {
+		out = append(out, e.ID)
+	}
+	return out
 }
--- a/pkg/locality/reload_test.go
+++ b/pkg/locality/reload_test.go
@@ -51,3 +51,16 @@
 	draining[0].State = fleet.Draining
 	assert.DeepEqual(t, Reloads(now, "m", 2, draining), []fleet.ID{draining[1].ID})
 }
+
+// Guards against a server that reloads each of a series of new weights while the others
+// never reload.
+func TestOldestWeightsAreReloadedFirst(t *testing.T) {
+	now := time.Now()
+	var endpoints []*fleet.Endpoint
+	for i, version := range []int{3, 1, 2} {
+		e := &fleet.Endpoint{ID: fleet.ID(fmt.Sprintf("i-%d", i)), State: fleet.Ready, Runtime: fleet.NewRuntime()}
+		e.Runtime.SetStatus(&fleet.Status{ReceivedAt: now, Models: map[string]int{"m": version}})
+		endpoints = append(endpoints, e)
+	}
+	assert.DeepEqual(t, Reloads(now, "m", 4, endpoints), []fleet.ID{"i-1"})
+}
