--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"crypto/sha256"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/membership"
 	"github.com/fescuecourse/fescuecourse/pkg/placement"
@@ -52,12 +54,38 @@
 	// idempotency key was sent to the caller.
 	replayed bool
 
+	// engineVersion is the version of the engine that produced the received events.
+	engineVersion ident.EngineVersion
+
 	prefix        uint64
 	history       retry.History
 	started       time.Time
 	firstDataSeen bool
 	sent          bool
-	settlement    *settle.Settlement
+	// complete is set once a complete response of an endpoint or a complete error
+	// response was sent.
+	complete bool
+	// cause is why the request ended before an endpoint's response was complete.
+	cause      endcause.Cause
+	settlement *settle.Settlement
+}
+
+// endResponse completes the response after an endpoint has sent all of it.
+func (x *Exchange) endResponse() {
+	x.response.end()
+	x.complete = true
+}
+
+// recordCause records why the request ended before an endpoint's response was
+// complete. The cause of the last attempt is at least as early as that of the request.
+func (x *Exchange) recordCause(ctx context.Context) {
+	switch {
+	case x.complete:
+	case x.result.cause != endcause.None:
+		x.cause = x.result.cause
+	default:
+		x.cause = endcause.Of(ctx)
+	}
 }
 
 // prefixHashBytes is the number of bytes at the start of a prompt that are hashed.
@@ -128,6 +156,8 @@
 		Zone:     zone,
 		Excluded: x.excluded,
 		Prefix:   x.prefix,
+		// Engines of another version may generate other events.
+		EngineVersion: x.resumeVersion(),
 		// Remaining must be positive even if the deadline has passed.
 		Remaining: max(x.deadline.Sub(now), 1),
 	}
@@ -149,12 +179,13 @@
 	}
 	if x.kind == fescuev1.EndpointKind_ENDPOINT_KIND_MODEL {
 		req.Work = &fescuev1.RunRequest_Model{Model: &fescuev1.ModelCall{
-			Adapter:      x.adapter.Name,
-			Version:      x.adapter.Version,
-			BaseModel:    x.backend,
-			Path:         x.r.URL.Path,
-			Body:         x.body,
-			ResumeEvents: x.response.received(),
+			Adapter:       x.adapter.Name,
+			Version:       x.adapter.Version,
+			BaseModel:     x.backend,
+			Path:          x.r.URL.Path,
+			Body:          x.body,
+			ResumeEvents:  x.response.received(),
+			ResumeVersion: x.resumeVersionMessage(),
 		}}
 		return req
 	}
@@ -168,6 +199,23 @@
 	return req
 }
 
+// resumeVersion returns the version of the engine whose events the next attempt of a
+// model call continues, or nil if no event has arrived.
+func (x *Exchange) resumeVersion() *ident.EngineVersion {
+	if x.kind != fescuev1.EndpointKind_ENDPOINT_KIND_MODEL || x.response.received() == 0 {
+		return nil
+	}
+	return &x.engineVersion
+}
+
+func (x *Exchange) resumeVersionMessage() *fescuev1.EngineVersion {
+	v := x.resumeVersion()
+	if v == nil {
+		return nil
+	}
+	return membership.EngineVersionMessage(*v)
+}
+
 func (x *Exchange) ref() *fescuev1.AttemptRef {
 	return &fescuev1.AttemptRef{RequestId: string(x.ID), Attempt: x.attempt}
 }
