--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -19,9 +19,6 @@
 	// staleStatusAge is the age of a server's status report from which a waiting request
 	// looks for another server. Reports arrive at least every 500 ms.
 	staleStatusAge = 800 * time.Millisecond
-	// versionGrace is how long an older adapter version may still serve requests after a
-	// new one is announced, while the servers replace it.
-	versionGrace = 2 * time.Second
 )
 
 // endpointFilter chooses the endpoint for an attempt.
@@ -42,7 +39,6 @@
 	return &locality.Request{
 		Now:             time.Now(),
 		Key:             x.call.Key,
-		Version:         x.version,
 		SoftwareVersion: x.software.Load(),
 		Prefix:          x.call.Prefix,
 		PromptTokens:    x.call.PromptTokens,
@@ -86,11 +82,15 @@
 	defer w.stop()
 	for {
 		s := f.g.control.snapshot.Load()
-		x.version = requiredVersion(began, s, x.call.Key)
-		choice, ok := f.g.chooser.Choose(f.request(x), s.Services[x.service.Name])
+		r := f.request(x)
+		f.setVersions(r, s.Versions[x.call.Key])
+		r.Reloading = f.g.control.reloads.Load().ids()
+		x.version = r.Version
+		choice, ok := f.g.chooser.Choose(r, s.Services[x.service.Name])
 		if !ok {
 			return noEndpoint(x, s.Services[x.service.Name], "no model server is available")
 		}
+		f.preload(x, r, choice.Preload)
 		if choice.Resident {
 			x.endpoint, x.choice = choice.Endpoint, choice
 			f.placed(x, began)
@@ -113,6 +113,33 @@
 	}
 }
 
+// setVersions sets the versions that may serve a request. Any version of the weights may
+// serve one for the base model itself: only a few servers have new weights at first, and
+// refusing the request would not make them load them sooner.
+func (f endpointFilter) setVersions(r *locality.Request, v fleet.Versions) {
+	if r.Key.Name == "" {
+		r.Upcoming = v.Newest()
+		return
+	}
+	r.Version = v.Required(r.Now)
+	r.Upcoming = v.Required(r.Now.Add(locality.RenewalLead))
+}
+
+// preload asks a server, if there is one, to load the version of the adapter that will
+// be required soon.
+func (f endpointFilter) preload(x *exchange, r *locality.Request, e *fleet.Endpoint) {
+	if e == nil || !f.g.control.demandOf(e).askPreload(r.Now, r.Key, r.Upcoming) {
+		return
+	}
+	f.g.log.For(logging.ComponentPlacement).Info().
+		Str("request", x.call.RequestID).
+		Str("endpoint", string(e.ID)).
+		Str("adapter", r.Key.Name).
+		Int("version", r.Version).
+		Int("upcoming", r.Upcoming).
+		Msg("asks for a load before the version is required")
+}
+
 func (f endpointFilter) placed(x *exchange, began time.Time) {
 	waited := time.Since(began)
 	if waited > time.Millisecond {
@@ -164,14 +191,3 @@
 	}
 	ev.Msg("waiting for a load")
 }
-
-// requiredVersion returns the lowest version of an adapter that may serve a request,
-// or 0 if any version may. During versionGrace after a new version is announced, any
-// version may serve it.
-func requiredVersion(now time.Time, s *fleet.Snapshot, k fleet.AdapterKey) int {
-	v, ok := s.Versions[k]
-	if !ok || now.Sub(v.LearnedAt) < versionGrace {
-		return 0
-	}
-	return v.Version
-}
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -34,6 +34,7 @@
 	ctx      context.Context
 	snapshot atomic.Pointer[fleet.Snapshot]
 	demands  sync.Map // *fleet.Runtime -> *demand
+	reloads  atomic.Pointer[reloads]
 	// originLinks has the link to each sidecar that can keep the origins of streams.
 	originLinks sync.Map // *fleet.Runtime -> *originLink
 	// software is what the links announce to the sidecars.
@@ -64,6 +65,7 @@
 		running:   make(chan struct{}),
 	}
 	c.snapshot.Store(c.directory.Snapshot())
+	c.reloads.Store(&reloads{})
 	c.changes.Handle("directory", c.onChanges)
 	return c, nil
 }
@@ -78,6 +80,7 @@
 	c.mirror = mirror.New(c.store, c.catalog.Prefix(), func(ch []mirror.Change) { _ = c.changes.Publish(storeEvent{changes: ch}) }, c.log)
 	close(c.running)
 	wg.Go(func() { c.mirror.Run(ctx) })
+	wg.Go(func() { c.runReloads(ctx) })
 	wg.Wait()
 }
 
@@ -101,7 +104,7 @@
 	if id, ok := c.catalog.EndpointID(ch.Pair.Key); ok {
 		return c.applyServer(id, ch)
 	}
-	return !ch.Deleted && c.applyOperator(time.Now(), ch.Pair)
+	return !ch.Deleted && c.applyOperator(ch)
 }
 
 // applyServer applies a change of an endpoint's item and reports whether the
@@ -142,8 +145,9 @@
 
 // applyOperator applies an item of the operator, which is a configuration or an
 // adapter version, and reports whether the directory has changed.
-func (c *control) applyOperator(now time.Time, p kv.Pair) bool {
-	item, err := c.catalog.Operator(p)
+func (c *control) applyOperator(ch mirror.Change) bool {
+	p := &ch.Pair
+	item, err := c.catalog.Operator(*p)
 	switch {
 	case err != nil:
 		c.log.Error().Str("key", p.Key).Err(err).Msg("cannot decode the operator's item; the last valid one stays in force")
@@ -156,11 +160,13 @@
 			Msg("configuration read")
 		return adopted
 	case item.Adapter != nil:
-		adopted := c.directory.SetVersion(now, *item.Adapter)
+		adopted := c.directory.SetVersion(ch.Since, *item.Adapter)
 		c.log.Info().
 			Str("model", item.Adapter.Model).
 			Str("adapter", item.Adapter.Adapter).
 			Int("version", item.Adapter.Version).
+			Bool("in_first_list", ch.Since.IsZero()).
+			Dur("written_within_ms", writtenWithin(ch)).
 			Bool("adopted", adopted).
 			Msg("adapter version read")
 		return adopted
@@ -168,6 +174,15 @@
 	return false
 }
 
+// writtenWithin returns the longest time since the item of a change was written, or 0
+// if none is known.
+func writtenWithin(ch mirror.Change) time.Duration {
+	if ch.Since.IsZero() {
+		return 0
+	}
+	return time.Since(ch.Since)
+}
+
 // onResume handles the end of a suspension of the VM. It makes the status reports
 // older by the length of the suspension and reads the store again.
 func (c *control) onResume(slept time.Duration) {
@@ -223,7 +238,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, prefixes: c.prefixes, origins: newOriginLink(), software: &c.software, log: c.log, cancel: cancel}
+	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, reloads: &c.reloads, prefixes: c.prefixes, origins: newOriginLink(), software: &c.software, log: c.log, cancel: cancel}
 	c.links[e.Runtime] = l
 	c.originLinks.Store(e.Runtime, l.origins)
 	go l.run(ctx)
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -40,6 +40,7 @@
 	target   string
 	demand   *demand
 	loads    loadCount
+	reloads  *atomic.Pointer[reloads]
 	prefixes *locality.PrefixIndex
 	origins  *originLink
 	software *atomic.Pointer[softwareList]
@@ -164,7 +165,10 @@
 	defer cancel()
 	tick := time.NewTicker(demandInterval)
 	defer tick.Stop()
-	var sent time.Time
+	var (
+		sent   time.Time
+		reload string
+	)
 	origins := 0 // position in l.origins
 	var announced announcement
 	for {
@@ -172,13 +176,14 @@
 		m, changed := l.demand.update(now, l.entry, l.endpoint.ID, l.endpoint.Runtime.OwnBacklog())
 		m.LoadsElsewhere = uint32(l.loads.elsewhere())
 		software, announce := announced.next(now, l.software.Load())
-		if changed || announce || now.Sub(sent) >= unchangedInterval {
+		m.ReloadModel = (*l.reloads.Load())[l.endpoint.ID]
+		if changed || announce || m.ReloadModel != reload || now.Sub(sent) >= unchangedInterval {
 			m.StreamOrigins, origins = l.origins.since(origins)
 			m.StreamOrigins = append(m.StreamOrigins, software...)
 			if err := stream.Send(m); err != nil {
 				return
 			}
-			sent = now
+			sent, reload = now, m.ReloadModel
 		}
 		next, ok := l.sendOrigins(ctx, stream, origins, tick.C)
 		if !ok {
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -27,6 +27,12 @@
 	// Version is the lowest version of the adapter that may serve the request, or 0 for
 	// any.
 	Version int
+	// Upcoming is the lowest version that may serve requests after RenewalLead. It is
+	// higher than Version while a new version is about to be required. For a base model
+	// it is the newest version of the weights, which no request requires.
+	Upcoming int
+	// Reloading lists the servers that are to become idle and reload their base model.
+	Reloading []fleet.ID
 	// SoftwareVersion is the software version of the servers that may take the request, or
 	// nil for any.
 	SoftwareVersion *string
@@ -69,6 +75,9 @@
 	SourceScope Scope
 	// StatusAge is the age of the status report that the choice is based on.
 	StatusAge time.Duration
+	// Preload is the server that should load the adapter now, so that a new version is
+	// loaded when requests need it, or nil if that is not necessary.
+	Preload *fleet.Endpoint
 }
 
 // Weights holds the parameters of the cost model.
@@ -105,6 +114,10 @@
 	LateReportPenalty time.Duration
 	// RemoteZonePenalty is added for a server in another availability zone.
 	RemoteZonePenalty time.Duration
+	// OutdatedPenalty is added for a server whose version of the adapter is about to be
+	// outdated while another server has a current one. Without new requests, the server
+	// can replace it.
+	OutdatedPenalty time.Duration
 	// PrefixFetchTime is the time that a server takes to fetch cached parts of a prompt
 	// from another server.
 	PrefixFetchTime time.Duration
@@ -125,6 +138,7 @@
 		FailurePenalty:    250 * time.Millisecond,
 		LateReportPenalty: 400 * time.Millisecond,
 		RemoteZonePenalty: 15 * time.Millisecond,
+		OutdatedPenalty:   150 * time.Millisecond,
 		PrefixFetchTime:   20 * time.Millisecond,
 	}
 }
@@ -175,6 +189,7 @@
 	order := ranks(r.Key, endpoints)
 	prompt := &promptHashes{parts: r.Prefix}
 	sources := c.sources(r, endpoints, prompt)
+	renewed := renewed(r, endpoints)
 	candidates := 0
 	for i, e := range endpoints {
 		if !usable(r, e) {
@@ -182,11 +197,18 @@
 		}
 		candidates++
 		choice := c.estimate(r, e, order[i], sources, prompt)
+		if renewed && choice.Resident && !current(e, r) {
+			choice.Cost += c.outdatedPenalty(r)
+		}
+		if slices.Contains(r.Reloading, e.ID) {
+			choice.Cost += reloadingPenalty
+		}
 		if choice.Cost < best.Cost {
 			best = choice
 		}
 	}
 	best.Candidates = candidates
+	best.Preload = c.preload(r, endpoints)
 	return best, best.Endpoint != nil
 }
 
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -150,7 +150,6 @@
 func (s *Sidecar) onOperatorItems(changes []mirror.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
 	log := s.log.For(logging.ComponentRoute)
 	for _, ch := range changes {
 		if ch.Deleted {
@@ -164,7 +163,7 @@
 			adopted := s.directory.SetConfig(*item.Config)
 			log.Info().Uint("version", uint64(item.Config.Version)).Bool("adopted", adopted).Msg("configuration read")
 		case item.Adapter != nil:
-			adopted := s.directory.SetVersion(now, *item.Adapter)
+			adopted := s.directory.SetVersion(ch.Since, *item.Adapter)
 			log.Info().
 				Str("adapter", item.Adapter.Adapter).
 				Int("version", item.Adapter.Version).
@@ -220,6 +219,7 @@
 	in := &residency.Input{Now: time.Now(), Report: s.report, Engine: svc.Engine, Versions: snap.Versions}
 	in.DemandByAdapter = s.hub.demand(in.Now, s.planner)
 	in.LoadsElsewhere = s.hub.loadsElsewhere(in.Now)
+	in.ReloadModel = s.hub.reloadModel(in.Now)
 	for range maxOrders {
 		if in.Now.Before(s.pausedUntil) || !s.sendNextOrder(ctx, in) {
 			break
