--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -43,8 +43,12 @@
 	reloads  *atomic.Pointer[reloads]
 	prefixes *locality.PrefixIndex
 	origins  *originLink
+	software *atomic.Pointer[softwareList]
 	log      logging.Logger
 	cancel   context.CancelFunc
+	// conn is the connection of the current or the last stream. It stays open until the
+	// next stream, because questions for origins use it meanwhile.
+	conn *grpc.ClientConn
 }
 
 // linkTarget returns the host:port of the sidecar of the server with the given
@@ -60,6 +64,7 @@
 // run keeps a stream to the sidecar open until ctx ends. It logs the loss of the
 // sidecar once, not for each failed stream.
 func (l *link) run(ctx context.Context) {
+	defer l.use(nil)
 	up := true
 	for ctx.Err() == nil {
 		err := l.stream(ctx, &up)
@@ -78,6 +83,22 @@
 	}
 }
 
+// use replaces the connection to the sidecar and returns a client of the new one, or nil
+// if there is none.
+func (l *link) use(conn *grpc.ClientConn) fescuev1.ResidencyClient {
+	previous := l.conn
+	l.conn = conn
+	var client fescuev1.ResidencyClient
+	if conn != nil {
+		client = fescuev1.NewResidencyClient(conn)
+	}
+	l.origins.connected(client)
+	if previous != nil {
+		_ = previous.Close() // fails only if it is closed already
+	}
+	return client
+}
+
 // stream opens one stream and receives status reports until the stream fails. It
 // returns the error and sets up to true when a report arrives.
 func (l *link) stream(ctx context.Context, up *bool) error {
@@ -87,12 +108,9 @@
 	if err != nil {
 		return errors.Wrap(err, "create client")
 	}
-	defer conn.Close()
+	client := l.use(conn)
 	silence := time.AfterFunc(linkTimeout, cancel)
 	defer silence.Stop()
-	client := fescuev1.NewResidencyClient(conn)
-	l.origins.connected(client)
-	defer l.origins.connected(nil)
 	stream, err := client.Sync(ctx)
 	if err != nil {
 		return errors.Wrap(err, "open stream")
@@ -152,13 +170,16 @@
 		reload string
 	)
 	origins := 0 // position in l.origins
+	var announced announcement
 	for {
 		now := time.Now()
 		m, changed := l.demand.update(now, l.entry, l.endpoint.ID, l.endpoint.Runtime.OwnBacklog())
 		m.LoadsElsewhere = uint32(l.loads.elsewhere())
+		software, announce := announced.next(now, l.software.Load())
 		m.ReloadModel = (*l.reloads.Load())[l.endpoint.ID]
-		if changed || m.ReloadModel != reload || now.Sub(sent) >= unchangedInterval {
+		if changed || announce || m.ReloadModel != reload || now.Sub(sent) >= unchangedInterval {
 			m.StreamOrigins, origins = l.origins.since(origins)
+			m.StreamOrigins = append(m.StreamOrigins, software...)
 			if err := stream.Send(m); err != nil {
 				return
 			}
