standin/platform, soak: name the stale parts of a run

A violation named only the versions of the first stale part, which does not tell whether the other parts of the same prompt fit. go test -race ./standin/platform ./pkg/soak passes.

--- a/pkg/soak/history.go
+++ b/pkg/soak/history.go
@@ -122,7 +122,7 @@
 }
 
 func staleMemoryText(id string, run *platform.Run) string {
-	return fmt.Sprintf("%s: used memory made under %+v, runs under %+v", id, run.StaleMemory[0],
+	return fmt.Sprintf("%s: used parts %+v, runs under %+v", id, run.StaleMemory,
 		platform.MemoryVersion{Weights: run.Weights, Adapter: run.Version, Software: run.Software})
 }
 
--- a/pkg/soak/streams_test.go
+++ b/pkg/soak/streams_test.go
@@ -75,7 +75,7 @@
 	var r Report
 	r.addRuns(map[string][]platform.Run{
 		"r1": {{Fetched: true, Weights: 1}},
-		"r2": {{Fetched: true, Weights: 2, StaleMemory: []platform.MemoryVersion{{Weights: 1}}}},
+		"r2": {{Fetched: true, Weights: 2, StaleMemory: []platform.StalePart{{ID: "aa", MadeUnder: platform.MemoryVersion{Weights: 1}}}}},
 	})
 	assert.Equal(t, r.Fetches, 2)
 	assert.Equal(t, len(r.Violations), 1)
--- a/standin/platform/memory.go
+++ b/standin/platform/memory.go
@@ -20,6 +20,13 @@
 	Software string `json:"software"`
 }
 
+// StalePart is a prompt part that was made under other versions than those of the run
+// that used it.
+type StalePart struct {
+	ID        string
+	MadeUnder MemoryVersion
+}
+
 // memoryKey identifies what a server keeps for the runs of one adapter under one
 // MemoryVersion.
 type memoryKey struct {
@@ -95,9 +102,9 @@
 }
 
 // process keeps a whole prompt for a run under k. fetched are the leading parts that
-// another server returned. It returns the versions of the memory that the run used
-// although it was made under other versions than those of k.
-func (m *promptMemory) process(k memoryKey, ids []string, fetched []keptPart) []MemoryVersion {
+// another server returned. It returns the parts that the run used although they were made
+// under other versions than those of k.
+func (m *promptMemory) process(k memoryKey, ids []string, fetched []keptPart) []StalePart {
 	for _, part := range fetched[min(len(m.leading(k, ids)), len(fetched)):] {
 		m.keep(k, part.ID, part.MadeUnder)
 	}
@@ -105,10 +112,10 @@
 	for _, id := range ids[len(used):] {
 		m.keep(k, id, k.version)
 	}
-	var stale []MemoryVersion
+	var stale []StalePart
 	for _, part := range used {
 		if part.MadeUnder != k.version {
-			stale = append(stale, part.MadeUnder)
+			stale = append(stale, StalePart{ID: part.ID, MadeUnder: part.MadeUnder})
 		}
 	}
 	return stale
--- a/standin/platform/requests.go
+++ b/standin/platform/requests.go
@@ -23,9 +23,9 @@
 	Resumes     string
 	// Fetched is set if the run began with prompt memory of another server.
 	Fetched bool
-	// StaleMemory lists the versions of the prompt memory that the run used although it
-	// was made under other versions than those of the run.
-	StaleMemory []MemoryVersion
+	// StaleMemory lists the prompt parts that the run used although they were made under
+	// other versions than those of the run.
+	StaleMemory []StalePart
 }
 
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -79,12 +79,12 @@
 		software string
 		weights  int
 		adapter  int
-		stale    []MemoryVersion
+		stale    []StalePart
 	}{
 		"same versions":  {software: "v1", weights: 1, adapter: 1},
-		"other weights":  {software: "v1", weights: 2, adapter: 1, stale: []MemoryVersion{{Weights: 1, Adapter: 1, Software: "v1"}}},
-		"other adapter":  {software: "v1", weights: 1, adapter: 2, stale: []MemoryVersion{{Weights: 1, Adapter: 1, Software: "v1"}}},
-		"other software": {software: "v2", weights: 1, adapter: 1, stale: []MemoryVersion{{Weights: 1, Adapter: 1, Software: "v1"}}},
+		"other weights":  {software: "v1", weights: 2, adapter: 1, stale: []StalePart{{ID: "aa", MadeUnder: MemoryVersion{Weights: 1, Adapter: 1, Software: "v1"}}}},
+		"other adapter":  {software: "v1", weights: 1, adapter: 2, stale: []StalePart{{ID: "aa", MadeUnder: MemoryVersion{Weights: 1, Adapter: 1, Software: "v1"}}}},
+		"other software": {software: "v2", weights: 1, adapter: 1, stale: []StalePart{{ID: "aa", MadeUnder: MemoryVersion{Weights: 1, Adapter: 1, Software: "v1"}}}},
 	} {
 		source, target := newTestServer(t, "i-1", "v1", 1), newTestServer(t, "i-2", c.software, c.weights)
 		sendOrder(t, source, "load", "a1", 1)
