gateway: do not take a partial server list for the whole

Callers of resumed streams got events of a second software version from an entry that had just started during or after an outage of the store: its first list lacked the servers whose items had expired, so the only version in the list was not the only one of the service.

The rule for the only version now applies from 3 s after the first synchronisation on, because expired items are back about 2 s after the store. A resumed stream for which only this time is missing waits for it, if 500 ms of its caller's time remain then, and its origin is looked up again; other servers may be holders. Otherwise it is refused at once as not run, with the rest of the time as Retry-After. Streams of known origin do not wait.

The simulation starts entries with a list that lacks a third of the servers.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -14,6 +14,11 @@
 	"github.com/fescuecourse/fescuecourse/pkg/mirror"
 )
 
+// directorySettleTime is the time after the first synchronisation from which the directory
+// counts as complete. Items that expired during an outage of the store are written again
+// up to about 2 s after its return.
+const directorySettleTime = 3 * time.Second
+
 // storeEvent is a batch of changes read from the key-value store.
 type storeEvent struct{ changes []mirror.Change }
 
@@ -39,7 +44,8 @@
 	originLinks sync.Map // *fleet.Runtime -> *originLink
 	// software is what the links announce to the sidecars.
 	software atomic.Pointer[softwareList]
-	synced   atomic.Bool
+	// syncedAt is when the first list of the store was applied, or nil before that.
+	syncedAt atomic.Pointer[time.Time]
 	// mirror watches the key-value store. It is set before running is closed and must
 	// not be read earlier.
 	mirror  *mirror.Mirror
@@ -85,18 +91,32 @@
 }
 
 func (c *control) onChanges(ev storeEvent) {
-	changed := !c.synced.Load()
+	changed := !c.synced()
 	for _, ch := range ev.changes {
 		if c.apply(ch) {
 			changed = true
 		}
 	}
-	c.synced.Store(true)
+	now := time.Now()
+	c.syncedAt.CompareAndSwap(nil, &now)
 	if changed {
 		c.publish()
 	}
 }
 
+// synced reports whether the first list of the store was applied.
+func (c *control) synced() bool { return c.syncedAt.Load() != nil }
+
+// settlesIn returns for how long the directory may still lack servers whose items expired
+// before the first list was read.
+func (c *control) settlesIn(now time.Time) time.Duration {
+	at := c.syncedAt.Load()
+	if at == nil {
+		return directorySettleTime
+	}
+	return max(0, directorySettleTime-now.Sub(*at))
+}
+
 // apply applies one change of the store and reports whether the directory has
 // changed. Deleting an item of the operator has no effect: its last value stays in
 // force.
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -111,6 +111,8 @@
 	var store kv.Store
 	g, err := New(Settings{ID: "e1", Zone: "z1", ResidencyPort: 1, Grace: time.Second, RetryRatio: 0.2}, store, fakeCatalog{}, fakeHeaders{}, logging.Nop())
 	assert.NilError(t, err)
+	synced := time.Now().Add(-directorySettleTime)
+	g.control.syncedAt.Store(&synced)
 	w := &testGateway{t: t, gateway: g, directory: fleet.NewDirectory()}
 	w.directory.SetConfig(route.Config{Version: 1, Routes: routes, Services: []route.Service{
 		{Name: plainService},
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -13,6 +13,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/origin"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
+	"github.com/fescuecourse/fescuecourse/pkg/wait"
 )
 
 const (
@@ -21,6 +22,9 @@
 	// retryAfterOrigin is the Retry-After value when the sidecars that may know the origin
 	// of a stream did not answer.
 	retryAfterOrigin = 300 * time.Millisecond
+	// continueMargin is the part of the caller's time that a wait for the directory leaves
+	// for the second lookup and for the next event.
+	continueMargin = 500 * time.Millisecond
 )
 
 // originTracker records where the streams of this entry begin and finds out where those
@@ -109,6 +113,9 @@
 	// versions are the software versions at which the stream may have begun if the origin
 	// is not known: those of the service that servers run or streams began at recently.
 	versions []string
+	// settlesIn is for how long the entry's directory may still be incomplete, so that
+	// versions lacks some and other servers are holders.
+	settlesIn time.Duration
 }
 
 // find looks up the origin of the stream that a request resumes, at this entry and then
@@ -120,7 +127,7 @@
 	if o, ok := t.registry.Find(now, stream); ok {
 		return originAnswer{origin: o, found: true}
 	}
-	a := originAnswer{versions: t.registry.Versions(now, service)}
+	a := originAnswer{versions: t.registry.Versions(now, service), settlesIn: t.control.settlesIn(now)}
 	a.versions = append(a.versions, t.control.snapshot.Load().SoftwareVersions(now, service)...)
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
@@ -193,16 +200,30 @@
 	}
 }
 
-// onlyVersion returns the software version at which a stream of unknown origin must have
-// begun, if there is only one. An entry that cannot reach any holder does not know of a
-// version that it has not seen itself.
-func (a *originAnswer) onlyVersion() (string, bool) {
+// singleVersion returns the software version at which a stream of unknown origin must have
+// begun if the directory is complete and there is only one version. An entry that cannot
+// reach any holder does not know of a version that it has not seen itself.
+func (a *originAnswer) singleVersion() (string, bool) {
 	if len(a.versions) != 1 || a.asked > 0 && a.answered == 0 {
 		return "", false
 	}
 	return a.versions[0], true
 }
 
+// onlyVersion returns the software version at which a stream of unknown origin must have
+// begun, if there is only one.
+func (a *originAnswer) onlyVersion() (string, bool) {
+	version, ok := a.singleVersion()
+	return version, ok && a.settlesIn == 0
+}
+
+// needsDirectory reports whether a stream could continue if the directory were known to
+// be complete.
+func (a *originAnswer) needsDirectory() bool {
+	_, ok := a.singleVersion()
+	return !a.found && ok && a.settlesIn > 0
+}
+
 // originFilter restricts a request that resumes a stream to servers of the software
 // version that began it, and refuses it if that version is not known.
 type originFilter struct{ g *Gateway }
@@ -213,6 +234,9 @@
 	}
 	began := time.Now()
 	a := f.g.origins.find(ctx, x)
+	if a.needsDirectory() && f.awaitDirectory(ctx, x) {
+		a = f.g.origins.find(ctx, x)
+	}
 	fail := f.restrict(x, &a)
 	f.logAnswer(x, &a, time.Since(began), fail)
 	if fail != nil {
@@ -221,6 +245,17 @@
 	return next(ctx, x)
 }
 
+// awaitDirectory waits until the directory counts as complete. It reports false, without a
+// wait if possible, if the caller would be gone by then.
+func (f originFilter) awaitDirectory(ctx context.Context, x *exchange) bool {
+	now := time.Now()
+	settlesIn := f.g.control.settlesIn(now)
+	if now.Add(settlesIn + continueMargin).After(x.nextEventBy()) {
+		return false
+	}
+	return wait.For(ctx, settlesIn)
+}
+
 // restrict sets the service and the software version at which a resumed stream continues.
 func (f originFilter) restrict(x *exchange, a *originAnswer) *failure {
 	if !a.found {
@@ -229,10 +264,13 @@
 		case ok:
 			x.software.Store(&version)
 			return nil
+		case a.needsDirectory():
+			return notRun("the servers are not all known yet", a.settlesIn)
 		case a.answered < a.asked:
 			return notRun("the server that began the stream cannot be determined now", retryAfterOrigin)
 		default:
-			return notRun("the server that began the stream is not known", 0)
+			// Other servers may be holders once the directory is complete.
+			return notRun("the server that began the stream is not known", a.settlesIn)
 		}
 	}
 	x.software.Store(&a.origin.SoftwareVersion)
@@ -261,6 +299,7 @@
 		Int("holders_asked", a.asked).
 		Int("holders_answered", a.answered).
 		Str("service_versions", strings.Join(a.versions, ",")).
+		Dur("directory_settles_in_ms", a.settlesIn).
 		Bool("refused", fail != nil).
 		Dur("took_ms", took).
 		Msg("origin of a resumed stream looked up")
--- a/pkg/gateway/origin_fleet_test.go
+++ b/pkg/gateway/origin_fleet_test.go
@@ -42,6 +42,9 @@
 	// maxResumes how often it tries.
 	resumeDelay = 50 * time.Millisecond
 	maxResumes  = 4
+	// lateShare is the inverse of the share of servers that the first list of the store
+	// lacks.
+	lateShare = 3
 	// faultInterval is the time between two faults.
 	faultInterval = 700 * time.Millisecond
 )
@@ -94,7 +97,11 @@
 		s.addServer(i, "v1")
 	}
 	for range fleetEntries {
-		s.entries = append(s.entries, s.startEntry())
+		e := s.startEntry()
+		for _, v := range s.servers {
+			s.learn(e, v)
+		}
+		s.entries = append(s.entries, e)
 	}
 	return s
 }
@@ -121,7 +128,7 @@
 	return v
 }
 
-// startEntry starts an entry that knows all servers.
+// startEntry starts an entry that knows no server yet.
 func (s *fleetSim) startEntry() *fleetEntry {
 	var store kv.Store
 	g, err := New(Settings{ID: "e", Zone: "z0", ResidencyPort: 1, Grace: time.Second}, store, fakeCatalog{}, fakeHeaders{}, logging.Nop())
@@ -129,9 +136,9 @@
 	e := &fleetEntry{gateway: g, directory: fleet.NewDirectory()}
 	e.ctx, e.kill = context.WithCancel(s.t.Context())
 	e.directory.SetConfig(s.table)
-	for _, v := range s.servers {
-		s.learn(e, v)
-	}
+	e.gateway.control.show(e.directory.Snapshot())
+	synced := time.Now()
+	e.gateway.control.syncedAt.Store(&synced)
 	return e
 }
 
@@ -389,13 +396,26 @@
 	e.gateway.control.show(e.directory.Snapshot())
 }
 
-// restartEntry kills an entry, which loses what it knows, and starts another one.
+// restartEntry kills an entry, which loses what it knows, and starts another one. The
+// first list of the store lacks some servers, as after an outage.
 func (s *fleetSim) restartEntry() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	i := s.rng.IntN(len(s.entries))
 	s.entries[i].kill()
-	s.entries[i] = s.startEntry()
+	e := s.startEntry()
+	s.entries[i] = e
+	for _, v := range s.servers {
+		if s.rng.IntN(lateShare) > 0 {
+			s.learn(e, v)
+			continue
+		}
+		s.afterDelay(func() {
+			if !v.hasLeft() {
+				s.learn(e, v)
+			}
+		})
+	}
 }
 
 // restartSidecars restarts the sidecars in the given places, which lose their records.
@@ -542,6 +562,8 @@
 	x.route = x.table.Find("h.example", "/s/x")
 	x.service = x.table.Service(modelService)
 	x.deadline = x.started.Add(5 * time.Second)
-	x.endpoint = e.gateway.control.snapshot.Load().Services[modelService][0]
+	if known := e.gateway.control.snapshot.Load().Services[modelService]; len(known) > 0 {
+		x.endpoint = known[0]
+	}
 	return x
 }
--- a/pkg/gateway/ready.go
+++ b/pkg/gateway/ready.go
@@ -65,7 +65,7 @@
 	if s.Table == nil {
 		return "no configuration is known"
 	}
-	if !g.control.synced.Load() {
+	if !g.control.synced() {
 		return "no endpoints are known"
 	}
 	if time.Since(g.started) < startGrace && !statesKnown(s) {
