gateway: send origins of streams with updates of the demand

Each origin was sent to three holders in messages of their own. A sidecar of an earlier version took such a message for an update that ends all demand, because it does not know demand_unchanged, and each message cost processor time.

Origins now only go with updates of the demand. A new origin triggers the next update to the first connected holder at once.

--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// demandInterval is the interval at which changed demand is sent. Urgent demand,
-	// which is a request that waits for a load or a long prompt, is sent at once.
+	// demandInterval is the interval at which changed demand and new origins of streams are
+	// sent. Urgent demand, which is a request that waits for a load or a long prompt, is sent
+	// at once, and so is an origin to one of its holders.
 	demandInterval = 150 * time.Millisecond
 	// unchangedInterval is the interval at which updates are sent while the demand does
 	// not change.
@@ -163,58 +164,37 @@
 // send sends updates of the demand until ctx ends or the stream fails.
 func (l *link) send(ctx context.Context, cancel context.CancelFunc, stream grpc.BidiStreamingClient[fescuev1.DemandUpdate, fescuev1.ServerState]) {
 	defer cancel()
+	l.origins.addSenders(1)
+	defer l.origins.addSenders(-1)
 	tick := time.NewTicker(demandInterval)
 	defer tick.Stop()
 	var (
 		sent   time.Time
 		reload string
 	)
-	origins := 0 // position in l.origins
+	position := 0 // in l.origins
 	var announced announcement
 	for {
 		now := time.Now()
 		m, changed := l.demand.update(now, l.entry, l.endpoint.ID, l.endpoint.Runtime.OwnBacklog())
 		m.LoadsElsewhere = uint32(l.loads.elsewhere())
+		origins, next := l.origins.since(position)
 		software, announce := announced.next(now, l.software.Load())
 		m.ReloadModel = (*l.reloads.Load())[l.endpoint.ID]
-		if changed || announce || m.ReloadModel != reload || now.Sub(sent) >= unchangedInterval {
-			m.StreamOrigins, origins = l.origins.since(origins)
-			m.StreamOrigins = append(m.StreamOrigins, software...)
+		if changed || announce || len(origins) > 0 || m.ReloadModel != reload || now.Sub(sent) >= unchangedInterval {
+			m.StreamOrigins = append(origins, software...)
 			if err := stream.Send(m); err != nil {
 				return
 			}
-			sent, reload = now, m.ReloadModel
+			sent, reload, position = now, m.ReloadModel, next
 		}
-		next, ok := l.sendOrigins(ctx, stream, origins, tick.C)
-		if !ok {
-			return
-		}
-		origins = next
-	}
-}
-
-// sendOrigins sends origins of streams that are due until the next update of the demand
-// is. It starts at the given position in l.origins and returns the next one. It reports
-// false if ctx has ended or the stream has failed.
-func (l *link) sendOrigins(ctx context.Context, stream grpc.BidiStreamingClient[fescuev1.DemandUpdate, fescuev1.ServerState], position int, tick <-chan time.Time) (int, bool) {
-	for {
 		select {
 		case <-ctx.Done():
-			return position, false
+			return
 		case <-l.demand.urgent:
-			return position, true
-		case <-tick:
-			return position, true
+		case <-tick.C:
 		case <-l.origins.due:
 		}
-		m := &fescuev1.DemandUpdate{DemandUnchanged: true}
-		m.StreamOrigins, position = l.origins.since(position)
-		if len(m.StreamOrigins) == 0 {
-			continue // sent with an update of the demand
-		}
-		if err := stream.Send(m); err != nil {
-			return position, false
-		}
 	}
 }
 
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -95,9 +95,17 @@
 		At:     time.Now(),
 	}
 	t.registry.Add(r)
+	t.report(r)
+}
+
+// report makes the holders of a stream keep its origin. One of them gets it at once, the
+// others with updates within demandInterval, which replace regular ones. A message to each
+// at once would cost more processor time.
+func (t *originTracker) report(r origin.Record) {
+	sent := false
 	for _, e := range t.holdersOf(r.Stream) {
 		if l := t.link(e); l != nil {
-			l.add(r)
+			sent = l.add(r, !sent) || sent
 		}
 	}
 }
--- a/pkg/gateway/originlink.go
+++ b/pkg/gateway/originlink.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// originDelay is how long a new origin waits for others to the same sidecar. An entry
-	// that ends within it loses the origin.
-	originDelay = 5 * time.Millisecond
 	// maxLinkOrigins limits the origins kept for one sidecar. They are kept for
 	// origin.Retention, so that a sidecar that restarts or was unreachable gets them.
 	maxLinkOrigins = 2000
@@ -22,7 +19,7 @@
 // originLink holds the origins that one sidecar has to keep for this entry, and the
 // client for questions to it.
 type originLink struct {
-	// due holds a value if new origins have to be sent.
+	// due holds a value if an update has to be sent at once, because of a new origin.
 	due chan struct{}
 	// opened is closed when the first connection is opened.
 	opened chan struct{}
@@ -33,8 +30,9 @@
 	records []origin.Record // oldest first
 	// first is the position of records[0], counted from the creation of the link.
 	first int
-	// scheduled is true while a timer will signal due.
-	scheduled bool
+	// senders is the number of goroutines that send updates to the sidecar. That of a
+	// broken connection may end after the next one has begun.
+	senders int
 }
 
 func newOriginLink() *originLink {
@@ -63,27 +61,28 @@
 	return l.client
 }
 
-// add keeps an origin and schedules its sending.
-func (l *originLink) add(r origin.Record) {
+// addSenders changes the number of goroutines that send updates to the sidecar.
+func (l *originLink) addSenders(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.trim(r.At)
-	l.records = append(l.records, r)
-	if l.scheduled {
-		return
-	}
-	l.scheduled = true
-	time.AfterFunc(originDelay, l.signalDue)
+	l.senders += n
 }
 
-func (l *originLink) signalDue() {
+// add keeps an origin, which goes with the next update. If atOnce is set and the sidecar
+// is connected, it makes that update due and reports true.
+func (l *originLink) add(r origin.Record, atOnce bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.scheduled = false
+	l.trim(r.At)
+	l.records = append(l.records, r)
+	if !atOnce || l.senders == 0 {
+		return false
+	}
 	select {
 	case l.due <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // trim drops the origins that are older than origin.Retention, and the oldest one while
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -105,9 +105,6 @@
 // for a load.
 func (h *hub) record(p *peer, m *fescuev1.DemandUpdate) bool {
 	h.recordOrigins(time.Now(), m.GetStreamOrigins())
-	if m.GetDemandUnchanged() {
-		return false
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p.update, p.updatedAt = m, time.Now()
