origin: choose holders by the host of the address

Resumed streams were refused after servers had restarted under new ids on their machines: holders were ranked by server id, so entries asked other sidecars than those with the records, which went on running.

Holders are ranked by the host of the address, because the sidecar belongs to the machine. A host counts once: while the item of the previous server is still listed, one sidecar must not take two of the three places. The test servers of the gateway listen on loopback addresses of their own therefore. A sidecar keeps its records over a restart of its server; its test now covers that.

--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -129,9 +130,8 @@
 // serve starts an endpoint with the given handler and adds it to the directory.
 func (w *testGateway) serve(service string, h http.HandlerFunc) *fleet.Endpoint {
 	w.t.Helper()
-	srv := httptest.NewServer(h)
-	w.t.Cleanup(srv.Close)
 	w.servers++
+	srv := w.startServer(h)
 	id := fleet.ID(fmt.Sprintf("s%d", w.servers))
 	w.directory.SetEndpoint(fleet.Endpoint{ID: id, Service: service, Address: srv.Listener.Addr().String(), Zone: "z1", Slots: 4, State: fleet.Ready, Born: 1})
 	w.publish()
@@ -142,6 +142,20 @@
 	return e
 }
 
+// startServer starts a server on a loopback address of its own, as servers on different
+// machines have.
+func (w *testGateway) startServer(h http.HandlerFunc) *httptest.Server {
+	w.t.Helper()
+	lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:0", w.servers))
+	assert.NilError(w.t, err)
+	srv := httptest.NewUnstartedServer(h)
+	assert.NilError(w.t, srv.Listener.Close())
+	srv.Listener = lis
+	srv.Start()
+	w.t.Cleanup(srv.Close)
+	return srv
+}
+
 // find returns an endpoint of the directory.
 func (w *testGateway) find(service string, id fleet.ID) *fleet.Endpoint {
 	for _, e := range w.gateway.control.snapshot.Load().Services[service] {
--- a/pkg/gateway/origin_fleet_test.go
+++ b/pkg/gateway/origin_fleet_test.go
@@ -583,6 +583,45 @@
 	e.gateway.origins.streamBegins(s.exchange(e, Call{RequestID: id}))
 }
 
+// Guards against asking other sidecars than those with the records after all servers have
+// restarted under new ids on their machines, whose sidecars went on running, together
+// with the entries.
+func TestOriginsAreFoundAfterAllServersRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams = 100
+		s := newFleetSim(t, 1)
+		t.Cleanup(s.stop)
+		time.Sleep(time.Second)
+		for i := range streams {
+			s.begin(s.entries[0], fmt.Sprint(i))
+		}
+		time.Sleep(demandInterval + time.Millisecond)
+		s.restartServers()
+		for _, e := range s.entries {
+			e.kill()
+		}
+		e := s.startEntry()
+		s.entries = append(s.entries, e)
+		for _, v := range s.servers {
+			s.learn(e, v)
+		}
+		time.Sleep(time.Second)
+		for i := range streams {
+			a := e.gateway.origins.find(t.Context(), s.exchange(e, Call{RequestID: "r", Resumes: fmt.Sprint(i), LastEventID: "1"}))
+			assert.Assert(t, a.found, "stream %d", i)
+		}
+	})
+}
+
+// restartServers restarts all servers under new ids. Their sidecars go on running.
+func (s *fleetSim) restartServers() {
+	for i, old := range slices.Clone(s.servers) {
+		close(old.gone)
+		v := s.addServer(i, old.item.SoftwareVersion)
+		v.item.Address, v.registry = old.item.Address, old.registry
+	}
+}
+
 // exchange returns a request at an entry that is placed at the first server.
 func (s *fleetSim) exchange(e *fleetEntry, c Call) *exchange {
 	x := &exchange{started: time.Now(), call: c}
--- a/pkg/origin/holders.go
+++ b/pkg/origin/holders.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net"
 	"slices"
 	"strings"
 
@@ -16,14 +17,16 @@
 
 // Holders chooses the servers whose sidecars keep the record of a stream, by rendezvous
 // hashing: entries with the same list agree, and a server that joins or leaves changes
-// few choices. The state of the servers does not count, because entries see it
-// differently. It is immutable.
+// few choices. The hash is that of the host of the server's address, because the sidecar
+// belongs to the machine and keeps its records when a server restarts there under a new
+// id. The state of the servers does not count, because entries see it differently. It is
+// immutable.
 type Holders struct {
 	servers []hashedServer
 	zones   int
 }
 
-// hashedServer is a server with the hash of its id and the index of its zone.
+// hashedServer is a server with the hash of its host and the index of its zone.
 type hashedServer struct {
 	server *fleet.Endpoint
 	hash   uint64
@@ -32,18 +35,41 @@
 
 // NewHolders returns the choice among the given servers.
 func NewHolders(servers []*fleet.Endpoint) *Holders {
-	h := &Holders{servers: make([]hashedServer, len(servers))}
+	h := &Holders{}
 	zones := map[string]int{}
-	for i, e := range servers {
+	for name, e := range byHost(servers) {
 		if _, ok := zones[e.Zone]; !ok {
 			zones[e.Zone] = len(zones)
 		}
-		h.servers[i] = hashedServer{server: e, hash: xxhash.Sum64String(string(e.ID)), zone: zones[e.Zone]}
+		h.servers = append(h.servers, hashedServer{server: e, hash: xxhash.Sum64String(name), zone: zones[e.Zone]})
 	}
 	h.zones = len(zones)
 	return h
 }
 
+// byHost returns one server of each host, that with the lowest id. A server that restarts
+// under a new id is listed twice until its old item expires, and both share a sidecar.
+func byHost(servers []*fleet.Endpoint) map[string]*fleet.Endpoint {
+	out := make(map[string]*fleet.Endpoint, len(servers))
+	for _, e := range servers {
+		name := hostOf(e)
+		if other := out[name]; other == nil || e.ID < other.ID {
+			out[name] = e
+		}
+	}
+	return out
+}
+
+// hostOf returns the host of the address of a server, or the whole address if it names no
+// port.
+func hostOf(e *fleet.Endpoint) string {
+	host, _, err := net.SplitHostPort(e.Address)
+	if err != nil {
+		return e.Address
+	}
+	return host
+}
+
 // scored is a server with its rendezvous score for one stream.
 type scored struct {
 	server *fleet.Endpoint
--- a/pkg/origin/holders_test.go
+++ b/pkg/origin/holders_test.go
@@ -14,7 +14,7 @@
 func servers(n, zones int) []*fleet.Endpoint {
 	out := make([]*fleet.Endpoint, n)
 	for i := range out {
-		out[i] = &fleet.Endpoint{ID: fleet.ID(fmt.Sprintf("i-%d", i)), Zone: fmt.Sprintf("z%d", i%zones)}
+		out[i] = &fleet.Endpoint{ID: fleet.ID(fmt.Sprintf("i-%d", i)), Address: fmt.Sprintf("10.0.%d.%d:80", i/200, i%200), Zone: fmt.Sprintf("z%d", i%zones)}
 	}
 	return out
 }
@@ -83,6 +83,33 @@
 	}
 }
 
+// Guards against other holders after servers have restarted under new ids at their
+// addresses, where the sidecars still have the records, and against a sidecar that is
+// chosen twice while the old items are still listed.
+func TestHoldersBelongToTheMachine(t *testing.T) {
+	before := servers(30, 2)
+	var after []*fleet.Endpoint
+	for i, e := range before {
+		next := *e
+		next.ID, next.Address = fleet.ID(fmt.Sprintf("i-new%d", 97*i%30)), hostOf(e)+":81"
+		after = append(after, &next)
+	}
+	old, both, restarted := NewHolders(before), NewHolders(append(slices.Clone(before), after...)), NewHolders(after)
+	for s := range StreamID(500) {
+		want := hosts(old.Of(s))
+		assert.DeepEqual(t, hosts(both.Of(s)), want)
+		assert.DeepEqual(t, hosts(restarted.Of(s)), want)
+	}
+}
+
+func hosts(list []*fleet.Endpoint) []string {
+	var out []string
+	for _, e := range list {
+		out = append(out, hostOf(e))
+	}
+	return out
+}
+
 // BenchmarkHolders measures the choice at the target size.
 func BenchmarkHolders(b *testing.B) {
 	h := NewHolders(servers(2800, 13))
--- a/pkg/sidecar/origins_test.go
+++ b/pkg/sidecar/origins_test.go
@@ -10,7 +10,8 @@
 )
 
 // Guards against an update whose origins hide its demand, and against sidecars
-// that cannot say where the streams of an entry that has gone began.
+// that cannot say where the streams of an entry that has gone began, or lose this with
+// their server.
 func TestHubKeepsStreamOrigins(t *testing.T) {
 	h := newHub(make(chan struct{}, 1))
 	p := &peer{arrivals: map[fleet.AdapterKey]int{}, notify: make(chan struct{}, 1)}
@@ -25,6 +26,7 @@
 	assert.Assert(t, h.hasWaitingRequests())
 	assert.DeepEqual(t, h.sumBacklog(), []uint64{100, 0, 0, 0})
 	h.leave(p)
+	h.publish(&fescuev1.ServerState{InstanceId: "i-2"}) // the server has restarted under a new id
 	for stream, version := range map[uint64]string{7: "v1", 8: "v1", 9: "v2", 10: ""} {
 		m, err := h.FindOrigin(t.Context(), &fescuev1.FindOriginRequest{Stream: stream, Service: "pool"})
 		assert.NilError(t, err)
