fleet: remember the software version that a server replaces

An entry continued streams of unknown origin at the new software version of a server whose item had changed under the same id: the previous version counted as never seen, so the new one was the only version of the service.

SetEndpoint remembers the previous version like that of a removed server if the software version or the service of a known id changes. It takes the time for this.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -82,8 +82,9 @@
 
 // SetEndpoint adds or updates an endpoint and reports whether anything has changed.
 // Another Born value or address under the same id is a new lifetime, which starts
-// with an empty Runtime record.
-func (d *Directory) SetEndpoint(e Endpoint) bool {
+// with an empty Runtime record. The software version of an endpoint that changes it or its
+// service is remembered as that of a removed server.
+func (d *Directory) SetEndpoint(now time.Time, e Endpoint) bool {
 	e.Runtime = NewRuntime()
 	prev := d.endpoints[e.ID]
 	if prev != nil && prev.Born == e.Born && prev.Address == e.Address {
@@ -92,6 +93,9 @@
 	if prev != nil && *prev == e {
 		return false
 	}
+	if prev != nil && prev.software() != e.software() {
+		d.softwareRemoved(now, prev)
+	}
 	d.endpoints[e.ID] = &e
 	delete(d.removed, e.ID)
 	return true
@@ -101,14 +105,14 @@
 // reports whether anything has changed. The copy does not bring back an endpoint that
 // was removed, or make one ready that is draining: its item may be older than the one
 // known. A later write of the endpoint itself does both.
-func (d *Directory) RestoreEndpoint(e Endpoint) bool {
+func (d *Directory) RestoreEndpoint(now time.Time, e Endpoint) bool {
 	if r, ok := d.removed[e.ID]; ok && r.born == e.Born {
 		return false
 	}
 	if prev := d.endpoints[e.ID]; prev != nil && prev.Born == e.Born && prev.State == Draining {
 		return false
 	}
-	return d.SetEndpoint(e)
+	return d.SetEndpoint(now, e)
 }
 
 // RemoveEndpoint removes an endpoint and reports whether it was present.
--- a/pkg/fleet/directory_test.go
+++ b/pkg/fleet/directory_test.go
@@ -14,18 +14,18 @@
 	ready := func(id ID, born int64) Endpoint { return Endpoint{ID: id, State: Ready, Born: born} }
 	draining := func(id ID, born int64) Endpoint { return Endpoint{ID: id, State: Draining, Born: born} }
 	d := NewDirectory()
-	d.SetEndpoint(ready("gone", 1))
+	d.SetEndpoint(now, ready("gone", 1))
 	d.RemoveEndpoint(now, "gone")
-	d.SetEndpoint(draining("leaving", 1))
+	d.SetEndpoint(now, draining("leaving", 1))
 
-	assert.Assert(t, !d.RestoreEndpoint(ready("gone", 1)))
-	assert.Assert(t, !d.RestoreEndpoint(ready("leaving", 1)))
+	assert.Assert(t, !d.RestoreEndpoint(now, ready("gone", 1)))
+	assert.Assert(t, !d.RestoreEndpoint(now, ready("leaving", 1)))
 	assert.Equal(t, len(d.endpoints), 1)
 	assert.Equal(t, d.endpoints["leaving"].State, Draining)
 
-	assert.Assert(t, d.RestoreEndpoint(ready("leaving", 2)), "another lifetime")
-	assert.Assert(t, d.RestoreEndpoint(ready("new", 1)), "an endpoint that is not known")
-	assert.Assert(t, d.SetEndpoint(ready("gone", 1)), "a write of the endpoint itself")
+	assert.Assert(t, d.RestoreEndpoint(now, ready("leaving", 2)), "another lifetime")
+	assert.Assert(t, d.RestoreEndpoint(now, ready("new", 1)), "an endpoint that is not known")
+	assert.Assert(t, d.SetEndpoint(now, ready("gone", 1)), "a write of the endpoint itself")
 	assert.Equal(t, len(d.endpoints), 3)
 }
 
--- a/pkg/fleet/software.go
+++ b/pkg/fleet/software.go
@@ -45,5 +45,10 @@
 // softwareRemoved records that a server was removed and forgets old removals.
 func (d *Directory) softwareRemoved(now time.Time, e *Endpoint) {
 	maps.DeleteFunc(d.removedSoftware, func(_ Software, at time.Time) bool { return now.Sub(at) > SoftwareRetention })
-	d.removedSoftware[Software{Service: e.Service, Version: e.SoftwareVersion}] = now
+	d.removedSoftware[e.software()] = now
+}
+
+// software returns the software version of the endpoint.
+func (e *Endpoint) software() Software {
+	return Software{Service: e.Service, Version: e.SoftwareVersion}
 }
--- a/pkg/gateway/cached_parts_test.go
+++ b/pkg/gateway/cached_parts_test.go
@@ -113,7 +113,7 @@
 	s.hold(s.target, 1, 1)
 	other := *s.target
 	other.SoftwareVersion = "v2"
-	s.directory.SetEndpoint(other)
+	s.directory.SetEndpoint(time.Now(), other)
 	s.publish()
 	assert.Equal(t, s.askTarget("m/a1").status, http.StatusOK)
 	assert.Equal(t, len(s.fetches), 0)
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -147,7 +147,7 @@
 	if ch.Restored {
 		set = c.directory.RestoreEndpoint
 	}
-	if !set(e) {
+	if !set(time.Now(), e) {
 		return false
 	}
 	c.log.Info().
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -129,11 +129,17 @@
 
 // serve starts an endpoint with the given handler and adds it to the directory.
 func (w *testGateway) serve(service string, h http.HandlerFunc) *fleet.Endpoint {
+	w.t.Helper()
+	return w.serveSoftware(service, "", h)
+}
+
+// serveSoftware starts an endpoint that runs the given software version.
+func (w *testGateway) serveSoftware(service, version string, h http.HandlerFunc) *fleet.Endpoint {
 	w.t.Helper()
 	w.servers++
 	srv := w.startServer(h)
 	id := fleet.ID(fmt.Sprintf("s%d", w.servers))
-	w.directory.SetEndpoint(fleet.Endpoint{ID: id, Service: service, Address: srv.Listener.Addr().String(), Zone: "z1", Slots: 4, State: fleet.Ready, Born: 1})
+	w.directory.SetEndpoint(time.Now(), fleet.Endpoint{ID: id, Service: service, Address: srv.Listener.Addr().String(), Zone: "z1", SoftwareVersion: version, Slots: 4, State: fleet.Ready, Born: 1})
 	w.publish()
 	e := w.find(service, id)
 	if service == modelService {
--- a/pkg/gateway/origin_fleet_test.go
+++ b/pkg/gateway/origin_fleet_test.go
@@ -144,7 +144,7 @@
 
 // learn makes an entry know a server and connects it to the sidecar.
 func (s *fleetSim) learn(e *fleetEntry, v *fleetServer) {
-	e.directory.SetEndpoint(v.item)
+	e.directory.SetEndpoint(time.Now(), v.item)
 	snapshot := e.directory.Snapshot()
 	e.gateway.control.show(snapshot)
 	for _, known := range snapshot.Services[modelService] {
--- a/pkg/gateway/origin_test.go
+++ b/pkg/gateway/origin_test.go
@@ -20,12 +20,7 @@
 // the adapter.
 func (w *testGateway) serveVersion(version string, h http.HandlerFunc) *fleet.Endpoint {
 	w.t.Helper()
-	e := w.serve(modelService, h)
-	item := *e
-	item.SoftwareVersion = version
-	w.directory.SetEndpoint(item)
-	w.publish()
-	e = w.find(modelService, item.ID)
+	e := w.serveSoftware(modelService, version, h)
 	setResident(e, adapterKey, 1)
 	return e
 }
--- a/pkg/gateway/software_test.go
+++ b/pkg/gateway/software_test.go
@@ -41,7 +41,7 @@
 	c := w.gateway.control
 	synctest.Test(t, func(t *testing.T) {
 		add := func(id fleet.ID, version string) {
-			w.directory.SetEndpoint(fleet.Endpoint{ID: id, Service: modelService, SoftwareVersion: version, State: fleet.Ready})
+			w.directory.SetEndpoint(time.Now(), fleet.Endpoint{ID: id, Service: modelService, SoftwareVersion: version, State: fleet.Ready})
 			c.show(w.directory.Snapshot())
 		}
 		add("i-1", "v1")
