gateway: record the streams that continue at the only version

A stream of unknown origin that had continued because its service had one software version was refused when it was resumed again after a second version had appeared: resumed streams were never recorded.

Such a stream is now recorded under the id of the request that began it, with the version of the server that sends its next event. streamID, which returns that id, is renamed to beginningRequestID.

Before: TestStreamThatContinuedAtTheOnlyVersionIsRecorded: 'the server that began the stream is not known' instead of the event After: pass.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -42,6 +42,9 @@
 	// software is the software version at which the stream of the request began, or nil if
 	// any may serve the request. It does not change once it is set.
 	software atomic.Pointer[string]
+	// originUnknown is true for a resumed stream that continues at the only software version
+	// of its service.
+	originUnknown bool
 
 	// State of the current attempt.
 	endpoint *fleet.Endpoint
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -56,7 +56,7 @@
 	if x.route == nil {
 		return rejected(http.StatusNotFound, "no route for this host and path")
 	}
-	name := x.route.PickService(streamID(&call))
+	name := x.route.PickService(beginningRequestID(&call))
 	x.service = x.table.Service(name)
 	if x.service == nil {
 		return notRun("the service of the route is not configured", retryAfterStart)
@@ -78,9 +78,9 @@
 	return fail
 }
 
-// streamID returns the id of the request that began a resumed stream, or the request's
+// beginningRequestID returns the id of the request that began a resumed stream, or the request's
 // own id if it resumes none.
-func streamID(c *Call) string {
+func beginningRequestID(c *Call) string {
 	if c.LastEventID != "" && c.Resumes != "" {
 		return c.Resumes
 	}
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -83,14 +83,15 @@
 
 // streamBegins restricts a request to the software version of its server, because the
 // first event of its response is about to be sent. It records the origin of a stream that
-// may be resumed by another request; a resumed stream has its record already.
+// may be resumed by another request. A resumed stream has its record already, unless it
+// continues because there is only one version.
 func (t *originTracker) streamBegins(x *exchange) {
 	x.software.CompareAndSwap(nil, &x.endpoint.SoftwareVersion)
-	if !x.route.Resumable || x.call.LastEventID != "" {
+	if !x.route.Resumable || x.call.LastEventID != "" && !x.originUnknown {
 		return
 	}
 	r := origin.Record{
-		Stream: origin.ID(x.call.RequestID),
+		Stream: origin.ID(beginningRequestID(&x.call)),
 		Origin: origin.Origin{Service: x.service.Name, SoftwareVersion: x.endpoint.SoftwareVersion},
 		At:     time.Now(),
 	}
@@ -130,7 +131,7 @@
 // at all holders in parallel. The first positive answer counts.
 func (t *originTracker) find(ctx context.Context, x *exchange) originAnswer {
 	now := time.Now()
-	stream := origin.ID(streamID(&x.call))
+	stream := origin.ID(beginningRequestID(&x.call))
 	service := x.service.Name
 	if o, ok := t.registry.Find(now, stream); ok {
 		return originAnswer{origin: o, found: true}
@@ -271,6 +272,7 @@
 		switch {
 		case ok:
 			x.software.Store(&version)
+			x.originUnknown = true
 			return nil
 		case a.needsDirectory():
 			return notRun("the servers are not all known yet", a.settlesIn)
--- a/pkg/gateway/origin_test.go
+++ b/pkg/gateway/origin_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -145,6 +146,22 @@
 	assert.Equal(t, w.do(http.MethodPost, "/s/x", resumption).body, "id: 2\ndata: v1\n\n")
 }
 
+// Guards against refusing a later resumption of a stream that continued because there was
+// only one version, after a second one has appeared, at this entry and at others.
+func TestStreamThatContinuedAtTheOnlyVersionIsRecorded(t *testing.T) {
+	w := newTestGateway(t, streamRoute)
+	first := w.serveVersion("v1", eventAfter("v1"))
+	assert.Equal(t, w.do(http.MethodPost, "/s/x", resumption).body, "id: 2\ndata: v1\n\n")
+	other := w.serveVersion("v2", eventAfter("v2"))
+	other.Runtime.RecordFailure(time.Now())
+	again := maps.Clone(resumption)
+	again["Id"] = "r3"
+	assert.Equal(t, w.do(http.MethodPost, "/s/x", again).body, "id: 2\ndata: v1\n\n")
+	origins, _ := w.gateway.origins.link(first).since(0)
+	assert.Equal(t, len(origins), 1)
+	assert.DeepEqual(t, origins[0].GetStreams(), []uint64{uint64(origin.ID("r1"))})
+}
+
 // Guards against taking the version that is left for the only one while streams of a
 // version whose servers have just left are resumed.
 func TestUnknownStreamIsNotResumedAfterItsVersionLeft(t *testing.T) {
