--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -185,11 +185,14 @@
 	registry *origin.Registry
 	// unreachable makes questions wait until their time ends.
 	unreachable atomic.Bool
+	// asked counts the questions.
+	asked atomic.Int32
 }
 
 func newFakeSidecar() *fakeSidecar { return &fakeSidecar{registry: origin.NewRegistry()} }
 
 func (s *fakeSidecar) FindOrigin(ctx context.Context, q *fescuev1.FindOriginRequest, _ ...grpc.CallOption) (*fescuev1.FindOriginResponse, error) {
+	s.asked.Add(1)
 	if s.unreachable.Load() {
 		<-ctx.Done()
 		return nil, ctx.Err()
--- a/pkg/gateway/origin_test.go
+++ b/pkg/gateway/origin_test.go
@@ -324,3 +324,76 @@
 	time.AfterFunc(originTimeout/4, func() { l.connected(s) })
 	assert.Equal(t, w.do(http.MethodPost, "/s/x", resumption).body, "id: 2\ndata: v1\n\n")
 }
+
+// Guards against taking the only version of the directory for the only one of the service
+// although a stream of this entry began at another one.
+func TestVersionThatOnlyThisEntryHasSeenCounts(t *testing.T) {
+	w := newTestGateway(t, streamRoute)
+	w.serveVersion("v1", eventAfter("v1"))
+	w.gateway.origins.registry.Add(origin.Record{Stream: 1, Origin: origin.Origin{Service: modelService, SoftwareVersion: "v2"}, At: time.Now()})
+	assert.Equal(t, w.do(http.MethodPost, "/s/x", resumption).status, http.StatusServiceUnavailable)
+}
+
+// Guards against refusing the streams of a service with one version because one holder of
+// three does not answer.
+func TestOneSilentHolderDoesNotForbidTheOnlyVersion(t *testing.T) {
+	w := newTestGateway(t, streamRoute)
+	for i := range 3 {
+		s := newFakeSidecar()
+		s.unreachable.Store(i == 0)
+		w.connect(w.serveVersion("v1", eventAfter("v1")), s)
+	}
+	assert.Equal(t, w.do(http.MethodPost, "/s/x", resumption).body, "id: 2\ndata: v1\n\n")
+}
+
+// Guards against giving up a silent server for one that the request has tried already.
+func TestExcludedServerIsNoAlternative(t *testing.T) {
+	w := newTestGateway(t, streamRoute)
+	first := w.serveVersion("v1", eventAfter("v1"))
+	w.serveVersion("v2", eventAfter("v2"))
+	version := "v1"
+	x := &exchange{service: &route.Service{Name: modelService}}
+	x.software.Store(&version)
+	assert.Assert(t, w.gateway.origins.hasAlternative(x, nil))
+	assert.Assert(t, !w.gateway.origins.hasAlternative(x, []fleet.ID{first.ID}))
+	w.serveVersion("v1", eventAfter("v1"))
+	assert.Assert(t, w.gateway.origins.hasAlternative(x, []fleet.ID{first.ID}))
+}
+
+// Guards against a Retry-After for a stream of whose version only servers are left that
+// drain, which take no later request.
+func TestDrainingServerIsNotLeft(t *testing.T) {
+	w := newTestGateway(t, streamRoute)
+	first := w.serveVersion("v1", eventAfter("v1"))
+	assert.Equal(t, w.do(http.MethodPost, "/s/x", forAdapter).body, "id: 1\ndata: v1\n\n")
+	w.serveVersion("v2", eventAfter("v2"))
+	item := *first
+	item.State = fleet.Draining
+	w.directory.SetEndpoint(time.Now(), item)
+	w.publish()
+	resp := w.do(http.MethodPost, "/s/x", resumption)
+	assert.Equal(t, resp.status, http.StatusServiceUnavailable)
+	assert.Equal(t, resp.header.Get("Retry-After"), "")
+}
+
+// Guards against asking the holders again for each attempt of a request.
+func TestOriginIsLookedUpOnceForAllAttempts(t *testing.T) {
+	w := newTestGateway(t, streamRoute)
+	s := newFakeSidecar()
+	s.record(modelService, "v1")
+	var attempts atomic.Int32
+	handler := func(rw http.ResponseWriter, r *http.Request) {
+		if attempts.Add(1) > 1 {
+			eventAfter("v1")(rw, r)
+			return
+		}
+		markFromPlatform(rw, r)
+		rw.Header().Set("Not-Run", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}
+	w.connect(w.serveVersion("v1", handler), s)
+	w.serveVersion("v1", handler)
+	assert.Equal(t, w.do(http.MethodPost, "/s/x", resumption).body, "id: 2\ndata: v1\n\n")
+	assert.Equal(t, attempts.Load(), int32(2))
+	assert.Equal(t, s.asked.Load(), int32(1))
+}
--- a/pkg/gateway/originlink_test.go
+++ b/pkg/gateway/originlink_test.go
@@ -187,6 +187,20 @@
 	assert.Assert(t, extra > 0 && extra < maxExtra)
 }
 
+// Guards against a sidecar that restarts and gets only the origins that are new on its
+// second connection.
+func TestNewConnectionSendsAllOriginsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newOriginLink()
+		for i := range 3 {
+			l.add(origin.Record{Stream: origin.StreamID(i), At: time.Now()}, false)
+			sent := startSending(t, newDemand(), l).take()
+			assert.Equal(t, len(sent), 1)
+			assert.Equal(t, len(sent[0].message.GetStreamOrigins()[0].GetStreams()), i+1)
+		}
+	})
+}
+
 // Guards against a sidecar that restarts and never gets the origins again, and against
 // unbounded memory while one is unreachable.
 func TestOriginsAreKeptForANewConnection(t *testing.T) {
