--- a/pkg/gateway/origin_fleet_test.go
+++ b/pkg/gateway/origin_fleet_test.go
@@ -99,7 +99,7 @@
 	for range fleetEntries {
 		e := s.startEntry()
 		for _, v := range s.servers {
-			s.learn(e, v)
+			s.addEndpoint(e, v)
 		}
 		s.entries = append(s.entries, e)
 	}
@@ -142,8 +142,8 @@
 	return e
 }
 
-// learn makes an entry know a server and connects it to the sidecar.
-func (s *fleetSim) learn(e *fleetEntry, v *fleetServer) {
+// addEndpoint makes an entry know a server and connects it to the sidecar.
+func (s *fleetSim) addEndpoint(e *fleetEntry, v *fleetServer) {
 	e.directory.SetEndpoint(time.Now(), v.item)
 	snapshot := e.directory.Snapshot()
 	e.gateway.control.show(snapshot)
@@ -246,8 +246,8 @@
 	versions []string
 }
 
-// run is a caller that begins a stream and resumes it at other entries when it breaks.
-func (s *fleetSim) run(id string) {
+// runCaller is a caller that begins a stream and resumes it at other entries when it breaks.
+func (s *fleetSim) runCaller(id string) {
 	st := &fleetStream{id: id}
 	for try := range maxResumes + 1 {
 		e, serving := s.pickEntry(st)
@@ -377,8 +377,8 @@
 	versions := []string{"v1", "v2", "v3"}
 	v := s.addServer(place, versions[s.rng.IntN(len(versions))])
 	for _, e := range s.entries {
-		s.afterDelay(func() { s.learn(e, v) })
-		s.afterDelay(func() { s.forget(e, old) })
+		s.afterDelay(func() { s.addEndpoint(e, v) })
+		s.afterDelay(func() { s.removeEndpoint(e, old) })
 	}
 }
 
@@ -391,7 +391,7 @@
 	})
 }
 
-func (s *fleetSim) forget(e *fleetEntry, v *fleetServer) {
+func (s *fleetSim) removeEndpoint(e *fleetEntry, v *fleetServer) {
 	e.directory.RemoveEndpoint(time.Now(), v.item.ID)
 	e.gateway.control.show(e.directory.Snapshot())
 }
@@ -407,12 +407,12 @@
 	s.entries[i] = e
 	for _, v := range s.servers {
 		if s.rng.IntN(lateShare) > 0 {
-			s.learn(e, v)
+			s.addEndpoint(e, v)
 			continue
 		}
 		s.afterDelay(func() {
 			if !v.hasLeft() {
-				s.learn(e, v)
+				s.addEndpoint(e, v)
 			}
 		})
 	}
@@ -467,8 +467,8 @@
 	return s.rng.Int64N(n)
 }
 
-// play runs all streams with a fault every faultInterval.
-func (s *fleetSim) play() {
+// run begins and resumes all streams, with a fault every faultInterval.
+func (s *fleetSim) run() {
 	var callers sync.WaitGroup
 	ctx, stop := context.WithCancel(s.t.Context())
 	go func() {
@@ -479,7 +479,7 @@
 	}()
 	for i := range fleetStreams {
 		time.Sleep(time.Duration(s.random(int64(2 * streamPause))))
-		callers.Go(func() { s.run(fmt.Sprintf("r%d", i)) })
+		callers.Go(func() { s.runCaller(fmt.Sprintf("r%d", i)) })
 	}
 	callers.Wait()
 	stop()
@@ -506,7 +506,7 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newFleetSim(t, seed)
-				s.play()
+				s.run()
 				t.Logf("new streams: %d begun, %d refused; resumed: %d, continued: %d", s.begun, s.refusedNew, s.resumed, s.continued)
 				assert.Equal(t, len(s.mixed), 0, "%v", s.mixed)
 				assert.Assert(t, s.resumed >= 12, "too few streams were resumed to judge")
@@ -603,7 +603,7 @@
 		e := s.startEntry()
 		s.entries = append(s.entries, e)
 		for _, v := range s.servers {
-			s.learn(e, v)
+			s.addEndpoint(e, v)
 		}
 		time.Sleep(time.Second)
 		for i := range streams {
--- a/pkg/gateway/origin_settle_test.go
+++ b/pkg/gateway/origin_settle_test.go
@@ -39,7 +39,7 @@
 	v := s.addServer(fleetServers-1, "v2")
 	e := s.startEntry()
 	s.entries = append(s.entries, e)
-	s.learn(e, v)
+	s.addEndpoint(e, v)
 	return s, e
 }
 
@@ -54,7 +54,7 @@
 		}
 		time.AfterFunc(2*time.Second, func() {
 			for _, v := range s.servers[:fleetServers-1] {
-				s.learn(e, v)
+				s.addEndpoint(e, v)
 			}
 		})
 		r := s.resume(e, 5*time.Second)
@@ -95,7 +95,7 @@
 func TestNewEntryDelaysNoKnownStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, e := newPartialFleet(t)
-		s.learn(e, s.servers[0])
+		s.addEndpoint(e, s.servers[0])
 		r := s.resume(e, 5*time.Second)
 		assert.Assert(t, r.fail != nil, "continued at %s", r.version)
 		assert.Equal(t, r.took, time.Duration(0))
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -19,7 +19,8 @@
 	// the time that they wait for the whole response, which is 30 s where they set none.
 	// The directory remembers the software versions of removed servers for as long.
 	Retention = fleet.SoftwareRetention
-	// maxRecords limits the records of a Registry, to about 4.5 MB with those that are dropped later.
+	// maxRecords limits the records of a Registry, to about 4.5 MB with the dropped ones that
+	// order still has.
 	maxRecords = 20_000
 )
 
