endcause, locality, gateway: comments and one function found on a read-through

entry and gateway had the same rule for the cause of a request; it is endcause.OfRequest now. Three overlong comment lines are wrapped and one constant group has lost its parentheses.

--- a/pkg/endcause/endcause.go
+++ b/pkg/endcause/endcause.go
@@ -69,5 +69,14 @@
 	return CallerGone
 }
 
+// OfRequest returns why a request with the context ctx ended early, where attempt is the
+// cause that ended its last attempt, which is at least as early as that of the request.
+func OfRequest(ctx context.Context, attempt Cause) Cause {
+	if attempt != None {
+		return attempt
+	}
+	return Of(ctx)
+}
+
 // IsTimeout reports whether a request ended because its caller would not wait longer.
 func (c Cause) IsTimeout() bool { return c == Stalled || c == Deadline }
--- a/pkg/endpoint/report.go
+++ b/pkg/endpoint/report.go
@@ -61,8 +61,9 @@
 }
 
 // reportDue reports whether next must be sent now: either the state, the version of
-// the engine, the resident set, the bundle version or the ability to load has changed, or the last report is
-// older than the report interval. Other changes wait for the interval.
+// the engine, the resident set, the bundle version or the ability to load has changed,
+// or the last report is older than the report interval. Other changes wait for the
+// interval.
 func reportDue(last, next *fescuev1.Report, age time.Duration) bool {
 	if last.State != next.State || last.BundleVersion != next.BundleVersion || last.CanLoad != next.CanLoad {
 		return true
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -77,14 +77,10 @@
 }
 
 // recordCause records why the request ended before an endpoint's response was
-// complete. The cause of the last attempt is at least as early as that of the request.
+// complete.
 func (x *Exchange) recordCause(ctx context.Context) {
-	switch {
-	case x.complete:
-	case x.result.cause != endcause.None:
-		x.cause = x.result.cause
-	default:
-		x.cause = endcause.Of(ctx)
+	if !x.complete {
+		x.cause = endcause.OfRequest(ctx, x.result.cause)
 	}
 }
 
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -170,15 +170,10 @@
 	_, _ = w.Write([]byte(fail.reason + "\n")) // the caller may be gone
 }
 
-// recordCause records why the request ended before its response was complete. The
-// cause of the last attempt is at least as early as that of the request.
+// recordCause records why the request ended before its response was complete.
 func (x *exchange) recordCause(ctx context.Context) {
-	switch {
-	case x.complete:
-	case x.result.cause != endcause.None:
-		x.cause = x.result.cause
-	default:
-		x.cause = endcause.Of(ctx)
+	if !x.complete {
+		x.cause = endcause.OfRequest(ctx, x.result.cause)
 	}
 }
 
--- a/pkg/gateway/originlink.go
+++ b/pkg/gateway/originlink.go
@@ -10,11 +10,9 @@
 	"github.com/fescuecourse/fescuecourse/pkg/origin"
 )
 
-const (
-	// maxLinkOrigins limits the origins kept for one sidecar. They are kept for
-	// origin.Retention, so that a sidecar that restarts or was unreachable gets them.
-	maxLinkOrigins = 2000
-)
+// maxLinkOrigins limits the origins kept for one sidecar. They are kept for
+// origin.Retention, so that a sidecar that restarts or was unreachable gets them.
+const maxLinkOrigins = 2000
 
 // originLink holds the origins that one sidecar has to keep for this entry, and the
 // client for questions to it.
--- a/pkg/locality/reload.go
+++ b/pkg/locality/reload.go
@@ -20,9 +20,9 @@
 )
 
 // Reloads returns the servers that may reload a base model now because their weights are
-// older than the newest version, those with the oldest weights first. Servers whose state is not known, and servers without
-// any model, count as reloading already. A server is left out if no other server holds
-// the model, or if it holds another model too.
+// older than the newest version, those with the oldest weights first. Servers whose state
+// is not known, and servers without any model, count as reloading already. A server is
+// left out if no other server holds the model, or if it holds another model too.
 func Reloads(now time.Time, model string, newest int, endpoints []*fleet.Endpoint) []fleet.ID {
 	var outdated []*fleet.Endpoint
 	holders, away := 0, 0
--- a/pkg/soak/suspend_test.go
+++ b/pkg/soak/suspend_test.go
@@ -158,8 +158,8 @@
 }
 
 // Guards against a cut stream that looks complete to its caller after the entry was
-// suspended, and against requests that end without a closing log line: the check for lost servers, the stall timer and the status reports are
-// then all late at once.
+// suspended, and against requests that end without a closing log line: the check for
+// lost servers, the stall timer and the status reports are then all late at once.
 func TestSuspendedEntryNeverCompletesCutStreams(t *testing.T) {
 	s := newSuspendTest(t)
 	rng := rand.New(rand.NewPCG(suspendSeed, 0))
