mirror, gateway: log what the delays and retries of the incident depend on

The hypotheses on late configurations differ in what the entry waits for, and the logs did not show it: a watch that ended did not say for how long it had been silent, and a failed call not how long it had hung. Both now name the time and the age of the copy. Retries that the budget allows are logged like those it refuses, with the number of entries and the minimum that the decision used. No decision changes.

--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -160,17 +160,26 @@
 	if !retry.MayRepeat(x.history, allowed) {
 		return false
 	}
-	minimum := retry.MinRetriesPerEntry(f.g.set.RetrySlack, f.g.control.snapshot.Load().Entries())
-	if !budget.TakeRetry(time.Now(), f.g.set.RetryRatio, minimum) {
-		f.g.log.For(logging.ComponentRoute).Info().
-			Str("request", x.call.RequestID).
-			Str("service", x.service.Name).
-			Str("reason", x.result.detail).
-			Float("minimum", minimum).
-			Msg("retry refused, budget spent")
-		return false
-	}
-	return true
+	entries := f.g.control.snapshot.Load().Entries()
+	minimum := retry.MinRetriesPerEntry(f.g.set.RetrySlack, entries)
+	taken := budget.TakeRetry(time.Now(), f.g.set.RetryRatio, minimum)
+	f.logRetry(x, taken, entries, minimum)
+	return taken
+}
+
+// logRetry logs the decision of the budget on a retry.
+func (f retryFilter) logRetry(x *exchange, taken bool, entries int, minimum float64) {
+	message := "retry refused, budget spent"
+	if taken {
+		message = "retry allowed"
+	}
+	f.g.log.For(logging.ComponentRoute).Info().
+		Str("request", x.call.RequestID).
+		Str("service", x.service.Name).
+		Str("reason", x.result.detail).
+		Int("entries", entries).
+		Float("minimum", minimum).
+		Msg(message)
 }
 
 // interrupted returns the failure of a request whose next attempt could not be sent.
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -80,9 +80,10 @@
 func (m *Mirror) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		began := time.Now()
 		revision, err := m.list(ctx)
 		if err != nil {
-			m.reportUnavailable(err)
+			m.reportUnavailable(err, time.Since(began))
 			wait.For(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
 			continue
@@ -92,10 +93,11 @@
 	}
 }
 
-// reportUnavailable logs the first failure of an outage.
-func (m *Mirror) reportUnavailable(err error) {
+// reportUnavailable logs the first failure of an outage, of a call that took the given
+// time.
+func (m *Mirror) reportUnavailable(err error, took time.Duration) {
 	if !m.unavailable {
-		m.log.Warn().Err(err).Msg("dependency lost: key-value service")
+		m.log.Warn().Err(err).Dur("took_ms", took).Dur("copy_age_ms", time.Since(m.current)).Msg("dependency lost: key-value service")
 	}
 	m.unavailable = true
 }
@@ -212,9 +214,10 @@
 func (m *Mirror) watch(ctx context.Context, revision int64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	began := time.Now()
 	events, err := m.store.Watch(ctx, m.prefix, revision)
 	if err != nil {
-		m.reportUnavailable(err)
+		m.reportUnavailable(err, time.Since(began))
 		return
 	}
 	if kv.EraOf(m.store) != m.era {
@@ -223,7 +226,7 @@
 	for m.next(ctx, events) {
 	}
 	if ctx.Err() == nil {
-		m.log.Info().Msg("watch ended; listing again")
+		m.log.Info().Dur("lasted_ms", time.Since(began)).Dur("copy_age_ms", time.Since(m.current)).Msg("watch ended; listing again")
 	}
 }
 
