--- /dev/null
+++ b/pkg/mirror/delay_test.go
@@ -0,0 +1,342 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fescuecourse/fescuecourse/pkg/kv"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/standin/kvstore"
+)
+
+const (
+	// pageSize is the number of items of one page, and pageTime the time that the store
+	// takes for a page.
+	pageSize = 500
+	pageTime = 5 * time.Millisecond
+	// hangingList and hangingWatch are how long calls to a silent store hang before its
+	// client gives them up.
+	hangingList  = 2 * time.Second
+	hangingWatch = 2500 * time.Millisecond
+	// maxDelay limits the time from the first response of a store that is back until a
+	// configuration is applied.
+	maxDelay = 500 * time.Millisecond
+	// retryInterval is how often a store that does not respond is tried.
+	retryInterval = 500 * time.Millisecond
+)
+
+// remoteStore is a store that returns lists in pages and can be silent, so that calls
+// hang until the client gives up, or refuse all calls.
+type remoteStore struct {
+	*kvstore.Memory
+	mu     sync.Mutex
+	silent bool
+	refuse bool
+	cut    []context.CancelFunc
+	// sorted holds the pairs under sortedPrefix at revision sortedAt.
+	sorted       []kv.Pair
+	sortedPrefix string
+	sortedAt     int64
+	changed      chan struct{} // closed when the state of the store changes
+}
+
+func newRemoteStore() *remoteStore {
+	return &remoteStore{Memory: kvstore.NewMemory(time.Now), changed: make(chan struct{})}
+}
+
+// set makes the store silent or refuse calls. Running watches stay silent, or end.
+func (s *remoteStore) set(silent, refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent, s.refuse = silent, refuse
+	for _, cut := range s.cut {
+		if silent {
+			time.AfterFunc(hangingWatch, cut)
+			continue
+		}
+		cut()
+	}
+	s.cut = nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// state waits as long as a call to the store takes, and returns an error if it fails.
+func (s *remoteStore) state(ctx context.Context) error {
+	s.mu.Lock()
+	silent, refuse := s.silent, s.refuse
+	s.mu.Unlock()
+	took := pageTime
+	if silent {
+		took = hangingList
+	}
+	select {
+	case <-ctx.Done():
+		return kv.ErrUnavailable
+	case <-time.After(took):
+	}
+	if silent || refuse {
+		return kv.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *remoteStore) ListPage(ctx context.Context, prefix, after string) (kv.Page, error) {
+	if err := s.state(ctx); err != nil {
+		return kv.Page{}, err
+	}
+	pairs, revision := s.snapshot(ctx, prefix)
+	first, found := slices.BinarySearchFunc(pairs, after, func(p kv.Pair, key string) int { return strings.Compare(p.Key, key) })
+	if found {
+		first++
+	}
+	pairs = pairs[first:]
+	if len(pairs) > pageSize {
+		return kv.Page{Pairs: pairs[:pageSize], Revision: revision, More: true}, nil
+	}
+	return kv.Page{Pairs: pairs, Revision: revision}, nil
+}
+
+// snapshot returns the sorted pairs under prefix and their revision.
+func (s *remoteStore) snapshot(ctx context.Context, prefix string) ([]kv.Pair, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision := s.Revision(); s.sorted == nil || s.sortedAt != revision || s.sortedPrefix != prefix {
+		s.sorted, s.sortedAt, _ = s.Memory.List(ctx, prefix) // a Memory returns no error
+		s.sortedPrefix = prefix
+	}
+	return s.sorted, s.sortedAt
+}
+
+func (s *remoteStore) List(ctx context.Context, prefix string) ([]kv.Pair, int64, error) {
+	var (
+		pairs    []kv.Pair
+		revision int64
+		after    string
+	)
+	for {
+		p, err := s.ListPage(ctx, prefix, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if after == "" {
+			revision = p.Revision
+		}
+		pairs = append(pairs, p.Pairs...)
+		if !p.More {
+			return pairs, revision, nil
+		}
+		after = pairs[len(pairs)-1].Key
+	}
+}
+
+func (s *remoteStore) Watch(ctx context.Context, prefix string, revision int64) (<-chan kv.Event, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	s.mu.Lock()
+	silent, refuse, changed := s.silent, s.refuse, s.changed
+	s.cut = append(s.cut, cancel)
+	s.mu.Unlock()
+	if refuse {
+		cancel()
+		return nil, kv.ErrUnavailable
+	}
+	events, err := s.Memory.Watch(ctx, prefix, revision)
+	if err != nil {
+		return nil, err
+	}
+	out := make(chan kv.Event)
+	go relay(ctx, events, out, silent, changed)
+	return out, nil
+}
+
+// relay passes the events of a watch on until the store changes its state. A watch that
+// was opened while the store was silent delivers nothing and ends after hangingWatch.
+func relay(ctx context.Context, events <-chan kv.Event, out chan<- kv.Event, silent bool, changed <-chan struct{}) {
+	defer close(out)
+	if silent {
+		select {
+		case <-ctx.Done():
+		case <-time.After(hangingWatch):
+		}
+		return
+	}
+	for {
+		select {
+		case <-changed:
+			<-ctx.Done()
+			return
+		case ev, ok := <-events:
+			if !ok {
+				return
+			}
+			select {
+			case out <- ev:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+func (s *remoteStore) put(t testing.TB, key, value string) {
+	t.Helper()
+	_, err := s.Txn(t.Context(), kv.Txn{Ops: []kv.Op{{Type: kv.OpPut, Key: key, Value: []byte(value)}}})
+	assert.NilError(t, err)
+}
+
+func (s *remoteStore) remove(t testing.TB, key string) {
+	t.Helper()
+	_, err := s.Txn(t.Context(), kv.Txn{Ops: []kv.Op{{Type: kv.OpDelete, Key: key}}})
+	assert.NilError(t, err)
+}
+
+// runRemote starts a mirror of a store with a configuration, the given number of adapters
+// and ten servers, and calls fn once everything is applied.
+func runRemote(t *testing.T, adapters int, fn func(s *remoteStore, m *appliedItems)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRemoteStore()
+		s.put(t, "a/config", "1")
+		for i := range adapters {
+			s.put(t, fmt.Sprintf("b/version/%06d", i), "1")
+		}
+		for i := range 10 {
+			s.put(t, fmt.Sprintf("c/server/%d", i), "1")
+		}
+		m := &appliedItems{items: map[string]string{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go New(s, "", m.apply, logging.Nop()).Run(ctx)
+		for m.get("c/server/9") == "" {
+			time.Sleep(100 * time.Millisecond)
+		}
+		fn(s, m)
+		cancel()
+		s.set(false, true)
+		time.Sleep(time.Minute)
+	})
+}
+
+// appliedWithin waits until the configuration has the given value and returns how long
+// that took.
+func appliedWithin(t *testing.T, m *appliedItems, value string) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for m.get("a/config") != value {
+		time.Sleep(time.Millisecond)
+		if time.Since(began) > time.Minute {
+			t.Fatal("the configuration was not applied")
+		}
+	}
+	return time.Since(began)
+}
+
+// Guards against a configuration that waits for the items of other servers: after an
+// outage of 200 ms, with one server gone, it was applied 1.8 s after it was written.
+func TestConfigurationDoesNotWaitForMissingItems(t *testing.T) {
+	for _, adapters := range []int{300, 10_000, 98_000} {
+		t.Run(fmt.Sprintf("%d adapters", adapters), func(t *testing.T) {
+			runRemote(t, adapters, func(s *remoteStore, m *appliedItems) {
+				for i := range 3 { // one failure after the other
+					s.set(false, true)
+					time.Sleep(200 * time.Millisecond)
+					s.remove(t, fmt.Sprintf("c/server/%d", i))
+					s.set(false, false)
+					time.Sleep(300 * time.Millisecond)
+					value := fmt.Sprintf("after failure %d", i)
+					s.put(t, "a/config", value)
+					took := appliedWithin(t, m, value)
+					assert.Check(t, took <= maxDelay, "applied after %v", took)
+					t.Logf("applied after %v", took)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an entry that serves an old configuration because a list call that began
+// while the store was silent is waited out, and the next attempt is delayed further.
+func TestConfigurationAfterASilentStore(t *testing.T) {
+	for _, silence := range []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, 2 * time.Second, 3100 * time.Millisecond, 5 * time.Second, 7300 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			runRemote(t, 300, func(s *remoteStore, m *appliedItems) {
+				s.set(true, false)
+				time.Sleep(silence)
+				s.remove(t, "c/server/0")
+				s.set(false, false)
+				s.put(t, "a/config", "2")
+				took := appliedWithin(t, m, "2")
+				assert.Check(t, took <= max(hangingWatch-silence, 0)+retryInterval+maxDelay, "applied after %v", took)
+				t.Logf("applied after %v", took)
+			})
+		})
+	}
+}
+
+// Guards against items that come back although they were removed while pages of a list
+// were being read or while the store was unavailable, and against a copy that differs
+// from the store for good.
+func TestRemovedItemsStayRemoved(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		type step struct {
+			kind string
+			item int
+			wait time.Duration
+		}
+		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+			return step{
+				kind: rapid.SampledFrom([]string{"remove", "remove", "put", "refuse", "silent", "serve", "serve"}).Draw(t, "kind"),
+				item: rapid.IntRange(0, 9).Draw(t, "item"),
+				wait: time.Duration(rapid.SampledFrom([]int{0, 3, 7, 40, 900, 2100}).Draw(t, "wait")) * time.Millisecond,
+			}
+		}), 1, 25).Draw(rt, "steps")
+		runRemote(t, 1200, func(s *remoteStore, m *appliedItems) {
+			removedAt := map[string]bool{}
+			m.onPut = func(key string) {
+				assert.Check(rt, !removedAt[key], "%s came back", key)
+			}
+			for _, st := range steps {
+				key := fmt.Sprintf("c/server/%d", st.item)
+				switch st.kind {
+				case "remove":
+					s.remove(t, key)
+				case "put":
+					m.lock(func() { removedAt[key] = false })
+					s.put(t, key, st.wait.String())
+				case "refuse":
+					s.set(false, true)
+				case "silent":
+					s.set(true, false)
+				default:
+					s.set(false, false)
+				}
+				time.Sleep(st.wait)
+				m.lock(func() {
+					for i := range 10 {
+						key := fmt.Sprintf("c/server/%d", i)
+						_, err := s.Get(t.Context(), key)
+						removedAt[key] = err != nil && m.items[key] == ""
+					}
+				})
+			}
+			s.set(false, false)
+			time.Sleep(hangingWatch + hangingList + maxBackoff + 2*missingItemGrace)
+			pairs, _, err := s.Memory.List(t.Context(), "")
+			assert.NilError(rt, err)
+			m.lock(func() {
+				assert.Check(rt, len(m.items) == len(pairs), "%d items, the store has %d", len(m.items), len(pairs))
+				for _, p := range pairs {
+					assert.Check(rt, m.items[p.Key] == string(p.Value), "%s differs", p.Key)
+				}
+			})
+		})
+	})
+}
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -71,6 +71,15 @@
 type appliedItems struct {
 	mu    sync.Mutex
 	items map[string]string
+	// onPut is called for each item that is passed on, if it is not nil.
+	onPut func(key string)
+}
+
+// lock calls fn while no changes are passed on.
+func (m *appliedItems) lock(fn func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fn()
 }
 
 func (m *appliedItems) apply(changes []Change) {
@@ -82,6 +91,9 @@
 			continue
 		}
 		m.items[c.Pair.Key] = string(c.Pair.Value)
+		if m.onPut != nil {
+			m.onPut(c.Pair.Key)
+		}
 	}
 }
 
