platform, mirror: give up store calls that hang, and start others beside them

Callers got 404 for routes that had been accepted more than 2 s before, by entries that the store had served again for up to 3.9 s. Cause: a call that begins while the store is silent hangs until its timeout, also if the store has returned: 4 s for a call of a watch (2 s at the store and 2 s beyond), 2 s for a list, and the mirror waits for it.

A watch call is given up 0.5 s after its wait, and while a list call runs, another one is started beside it every 0.5 s. Together with the wait of 2 s an entry reads on at most 2.5 s after the return of the store, that is, before it counts as in touch again (3 s).

--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -20,6 +20,10 @@
 	// sidecar tolerates a longer wait because entries check adapter versions themselves.
 	entryWatchWait    = 2 * time.Second
 	endpointWatchWait = 5 * time.Second
+	// watchMargin is the time beyond its wait after which a watch call is given up. A call
+	// that began while the store was silent hangs until then, also if the store has
+	// returned, so entryWatchWait and watchMargin bound how late an entry reads on.
+	watchMargin = 500 * time.Millisecond
 	// watchPause is the delay between watch calls after changes. It batches the changes
 	// of many servers into few calls. It counts towards the time within which entries
 	// must learn that a server is leaving.
@@ -39,6 +43,7 @@
 	return platform.NewStore(address, platform.StoreOptions{
 		CallTimeout: storeTimeout,
 		WatchWait:   wait,
+		WatchMargin: watchMargin,
 		WatchPause:  watchPause,
 		KeepAlive:   gateway.ConnectionKeepAlive(),
 	})
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -80,10 +80,8 @@
 func (m *Mirror) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		began := time.Now()
 		revision, err := m.list(ctx)
 		if err != nil {
-			m.reportUnavailable(err, time.Since(began))
 			wait.For(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
 			continue
@@ -107,10 +105,11 @@
 // they are gone. The same holds after a return of the service to an earlier copy.
 func (m *Mirror) list(ctx context.Context) (int64, error) {
 	began, since := time.Now(), m.current
-	pairs, revision, err := m.store.List(ctx, m.prefix)
+	l, err := hedged(ctx, m.readAll, m.reportUnavailable)
 	if err != nil {
 		return 0, err
 	}
+	pairs, revision := l.pairs, l.revision
 	restored := m.enterEra(kv.EraOf(m.store), revision)
 	missing := m.missing(pairs)
 	mass := float64(len(missing)) > max(1, massLossShare*float64(len(m.items)))
@@ -120,9 +119,10 @@
 		m.log.Info().Int("missing", len(missing)).Msg("items are missing after an outage; keeping them for a grace period")
 		wait.For(ctx, missingItemGrace)
 		began = time.Now()
-		if pairs, revision, err = m.store.List(ctx, m.prefix); err != nil {
+		if l, err = hedged(ctx, m.readAll, m.reportUnavailable); err != nil {
 			return 0, err
 		}
+		pairs, revision = l.pairs, l.revision
 		if kv.EraOf(m.store) != m.era {
 			return 0, errEraChanged
 		}
@@ -142,6 +142,17 @@
 	return revision, nil
 }
 
+// listing is a list of all items, and the revision at which it was read.
+type listing struct {
+	pairs    []kv.Pair
+	revision int64
+}
+
+func (m *Mirror) readAll(ctx context.Context) (listing, error) {
+	pairs, revision, err := m.store.List(ctx, m.prefix)
+	return listing{pairs: pairs, revision: revision}, err
+}
+
 // errEraChanged means that the era changed between two lists.
 var errEraChanged = errors.New("the era of the key-value service changed")
 
