mirror: apply every item when it is read

Callers got 404 for a route that had been accepted, or an old version's answer, when some server's item was missing after an outage of the store: the mirror slept for 2 s to give the missing items time, and read nothing meanwhile; each further failure began the sleep again. A list counted only after its last page, so that at 98,000 adapters the configuration waited for 200 pages, at every process and after every broken watch.

The wait now belongs to the item: it is kept with the time from which it counts as gone, and looked for again then, beside the watch. Pages are applied as they arrive, with the watch open since the first one, which holds the configuration. A copy that was complete goes on with its watch from the last revision (EventProgress) instead of listing again, unless the store has dropped that history (EventCompacted). Deletions seen by the watch are remembered until the list ends, so that a page that was read before does not bring an item back. An entry shows the first list only as a whole.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -19,7 +19,8 @@
 // up to about 2 s after its return.
 const directorySettleTime = 3 * time.Second
 
-// storeEvent is a batch of changes read from the key-value store.
+// storeEvent is a batch of changes read from the key-value store. An empty one follows the
+// changes of the first list.
 type storeEvent struct{ changes []mirror.Change }
 
 // control maintains the directory of endpoints and the links to the sidecars of the
@@ -91,15 +92,20 @@
 }
 
 func (c *control) onChanges(ev storeEvent) {
-	changed := !c.synced()
+	changed := false
 	for _, ch := range ev.changes {
 		if c.apply(ch) {
 			changed = true
 		}
 	}
-	now := time.Now()
-	c.syncedAt.CompareAndSwap(nil, &now)
-	if changed {
+	first := !c.synced()
+	if len(ev.changes) == 0 {
+		now := time.Now()
+		c.syncedAt.CompareAndSwap(nil, &now)
+	}
+	// The first list is shown as a whole: with a part of the versions, requests could run
+	// at outdated ones.
+	if c.synced() && (changed || first) {
 		c.publish()
 	}
 }
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -83,9 +83,18 @@
 const (
 	EventPut EventType = iota + 1
 	EventDelete
+	// EventProgress means that all changes up to Pair.ModRevision have been delivered. Pair
+	// has no key.
+	EventProgress
+	// EventCompacted means that changes since the start of the watch are not available any
+	// more. It is the last event of a watch, and Pair is empty.
+	EventCompacted
+	// EventUnresponsive means that the store has not responded in time. It is the last event
+	// of a watch, and Pair is empty.
+	EventUnresponsive
 )
 
-// Event is one change of a watched key.
+// Event is one change of a watched key, or news of the watch itself.
 type Event struct {
 	Type EventType
 	Pair Pair
@@ -112,6 +121,7 @@
 	Revoke(ctx context.Context, id LeaseID) error
 	// Watch delivers the changes of keys that start with prefix, beginning with the
 	// given store revision. The channel is closed after an error, if no message
-	// arrives on the connection for some time, and when ctx ends.
+	// arrives on the connection for some time, and when ctx ends. Some stores also deliver
+	// EventProgress, EventCompacted and EventUnresponsive.
 	Watch(ctx context.Context, prefix string, revision int64) (<-chan Event, error)
 }
--- a/pkg/mirror/delay_test.go
+++ b/pkg/mirror/delay_test.go
@@ -38,10 +38,12 @@
 // hang until the client gives up, or refuse all calls.
 type remoteStore struct {
 	*kvstore.Memory
-	mu     sync.Mutex
-	silent bool
-	refuse bool
-	cut    []context.CancelFunc
+	mu      sync.Mutex
+	silent  bool
+	refuse  bool
+	compact bool // the store has no history
+	cut     []context.CancelFunc
+	pages   int
 	// sorted holds the pairs under sortedPrefix at revision sortedAt.
 	sorted       []kv.Pair
 	sortedPrefix string
@@ -58,12 +60,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.silent, s.refuse = silent, refuse
-	for _, cut := range s.cut {
-		if silent {
-			time.AfterFunc(hangingWatch, cut)
-			continue
+	if !silent {
+		for _, cut := range s.cut {
+			cut()
 		}
-		cut()
 	}
 	s.cut = nil
 	close(s.changed)
@@ -94,6 +94,9 @@
 	if err := s.state(ctx); err != nil {
 		return kv.Page{}, err
 	}
+	s.mu.Lock()
+	s.pages++
+	s.mu.Unlock()
 	pairs, revision := s.snapshot(ctx, prefix)
 	first, found := slices.BinarySearchFunc(pairs, after, func(p kv.Pair, key string) int { return strings.Compare(p.Key, key) })
 	if found {
@@ -149,44 +152,64 @@
 		cancel()
 		return nil, kv.ErrUnavailable
 	}
+	if s.compact && revision <= s.Revision() {
+		out := make(chan kv.Event, 1)
+		out <- kv.Event{Type: kv.EventCompacted}
+		close(out)
+		return out, nil
+	}
 	events, err := s.Memory.Watch(ctx, prefix, revision)
 	if err != nil {
 		return nil, err
 	}
 	out := make(chan kv.Event)
-	go relay(ctx, events, out, silent, changed)
+	go s.relay(ctx, events, out, silent, changed)
 	return out, nil
 }
 
-// relay passes the events of a watch on until the store changes its state. A watch that
-// was opened while the store was silent delivers nothing and ends after hangingWatch.
-func relay(ctx context.Context, events <-chan kv.Event, out chan<- kv.Event, silent bool, changed <-chan struct{}) {
+// relay passes the events of a watch on until the store changes its state. While the store
+// is silent, a watch delivers nothing and ends after hangingWatch.
+func (s *remoteStore) relay(ctx context.Context, events <-chan kv.Event, out chan<- kv.Event, silent bool, changed <-chan struct{}) {
 	defer close(out)
 	if silent {
-		select {
-		case <-ctx.Done():
-		case <-time.After(hangingWatch):
-		}
+		hang(ctx, out)
 		return
 	}
 	for {
 		select {
 		case <-changed:
-			<-ctx.Done()
+			hang(ctx, out)
 			return
 		case ev, ok := <-events:
-			if !ok {
+			if !ok || !send(ctx, out, ev) {
 				return
 			}
-			select {
-			case out <- ev:
-			case <-ctx.Done():
+			progress := kv.Event{Type: kv.EventProgress, Pair: kv.Pair{ModRevision: ev.Pair.ModRevision}}
+			if len(events) == 0 && !send(ctx, out, progress) {
 				return
 			}
 		}
 	}
 }
 
+// hang ends a watch that gets no response.
+func hang(ctx context.Context, out chan<- kv.Event) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(hangingWatch):
+		send(ctx, out, kv.Event{Type: kv.EventUnresponsive})
+	}
+}
+
+func send(ctx context.Context, out chan<- kv.Event, ev kv.Event) bool {
+	select {
+	case out <- ev:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (s *remoteStore) put(t testing.TB, key, value string) {
 	t.Helper()
 	_, err := s.Txn(t.Context(), kv.Txn{Ops: []kv.Op{{Type: kv.OpPut, Key: key, Value: []byte(value)}}})
@@ -281,6 +304,64 @@
 	}
 }
 
+// Guards against servers that get no requests because their items expired in a silence of
+// the store that only the watch has noticed: they write them again within the grace period.
+func TestItemsThatExpireInASilenceAreKept(t *testing.T) {
+	runRemote(t, 300, func(s *remoteStore, m *appliedItems) {
+		s.set(true, false)
+		time.Sleep(time.Second)
+		s.remove(t, "c/server/1")
+		s.set(false, false)
+		time.Sleep(hangingWatch + missingItemGrace/2)
+		assert.Check(t, m.get("c/server/1") == "1", "the item is gone")
+		time.Sleep(missingItemGrace)
+		assert.Check(t, m.get("c/server/1") == "", "the item is still there")
+	})
+}
+
+// Guards against a configuration that waits for the end of a long list, which a process
+// reads again when the store has dropped its history.
+func TestConfigurationDoesNotWaitForAList(t *testing.T) {
+	runRemote(t, 98_000, func(s *remoteStore, m *appliedItems) {
+		s.set(false, true)
+		s.compact = true
+		time.Sleep(200 * time.Millisecond)
+		s.remove(t, "c/server/1")
+		s.put(t, "b/version/097999", "2")
+		s.put(t, "a/config", "2")
+		s.set(false, false)
+		took := appliedWithin(t, m, "2")
+		assert.Check(t, took <= maxDelay, "applied after %v", took)
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, m.get("b/version/097999") == "1", "the list has ended already")
+		s.put(t, "a/config", "3")
+		took = appliedWithin(t, m, "3")
+		assert.Check(t, took <= maxDelay, "applied after %v", took)
+		time.Sleep(maxBackoff + 2*missingItemGrace)
+		assert.Check(t, m.get("b/version/097999") == "2")
+		assert.Check(t, m.get("c/server/1") == "")
+	})
+}
+
+// Guards against processes that list all items again after each failure: at the target
+// size, 3,130 processes would read 200 pages each from a store that returns.
+func TestAFailureReadsFewPages(t *testing.T) {
+	runRemote(t, 98_000, func(s *remoteStore, m *appliedItems) {
+		before := s.pages
+		for i := range 5 {
+			s.set(false, true)
+			time.Sleep(time.Second)
+			s.put(t, fmt.Sprintf("b/version/%06d", i), "2")
+			s.remove(t, fmt.Sprintf("c/server/%d", i))
+			s.set(false, false)
+			time.Sleep(maxBackoff + 2*missingItemGrace)
+			assert.Check(t, m.get(fmt.Sprintf("b/version/%06d", i)) == "2")
+			assert.Check(t, m.get(fmt.Sprintf("c/server/%d", i)) == "", "the item is still there")
+		}
+		assert.Check(t, s.pages-before <= 3*5, "%d pages", s.pages-before)
+	})
+}
+
 // Guards against items that come back although they were removed while pages of a list
 // were being read or while the store was unavailable, and against a copy that differs
 // from the store for good.
@@ -299,17 +380,26 @@
 			}
 		}), 1, 25).Draw(rt, "steps")
 		runRemote(t, 1200, func(s *remoteStore, m *appliedItems) {
-			removedAt := map[string]bool{}
-			m.onPut = func(key string) {
-				assert.Check(rt, !removedAt[key], "%s came back", key)
-			}
+			removedAt := map[string]int64{} // revisions of the last removals in the store
+			gone := map[string]int64{}      // those of the removals that the mirror has passed on
+			m.lock(func() {
+				m.onChange = func(c *Change) {
+					if c.Deleted {
+						gone[c.Pair.Key] = removedAt[c.Pair.Key]
+						return
+					}
+					assert.Check(rt, c.Pair.ModRevision > gone[c.Pair.Key], "%s came back", c.Pair.Key)
+				}
+			})
 			for _, st := range steps {
 				key := fmt.Sprintf("c/server/%d", st.item)
 				switch st.kind {
 				case "remove":
-					s.remove(t, key)
+					m.lock(func() {
+						s.remove(t, key)
+						removedAt[key] = s.Revision()
+					})
 				case "put":
-					m.lock(func() { removedAt[key] = false })
 					s.put(t, key, st.wait.String())
 				case "refuse":
 					s.set(false, true)
@@ -319,13 +409,6 @@
 					s.set(false, false)
 				}
 				time.Sleep(st.wait)
-				m.lock(func() {
-					for i := range 10 {
-						key := fmt.Sprintf("c/server/%d", i)
-						_, err := s.Get(t.Context(), key)
-						removedAt[key] = err != nil && m.items[key] == ""
-					}
-				})
 			}
 			s.set(false, false)
 			time.Sleep(hangingWatch + hangingList + maxBackoff + 2*missingItemGrace)
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -71,8 +71,8 @@
 type appliedItems struct {
 	mu    sync.Mutex
 	items map[string]string
-	// onPut is called for each item that is passed on, if it is not nil.
-	onPut func(key string)
+	// onChange is called for each change that is passed on, if it is not nil.
+	onChange func(c *Change)
 }
 
 // lock calls fn while no changes are passed on.
@@ -85,15 +85,16 @@
 func (m *appliedItems) apply(changes []Change) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, c := range changes {
+	for i := range changes {
+		c := &changes[i]
+		if m.onChange != nil {
+			m.onChange(c)
+		}
 		if c.Deleted {
 			delete(m.items, c.Pair.Key)
 			continue
 		}
 		m.items[c.Pair.Key] = string(c.Pair.Value)
-		if m.onPut != nil {
-			m.onPut(c.Pair.Key)
-		}
 	}
 }
 
