retry, gateway: keep the retry budget in every window of the fleet

Causes, each shown by a simulation without network: - Counts decayed linearly over two fixed windows and forgot recent retries: up to 135 retries too many in 10 s. The budget now checks every window that contains the retry. The requests of a window are a sum that all entries count alike, so that the bound of each entry adds up to that of the fleet. - A restarted entry used its share of the slack again, and one that did not know the number of entries took 10. retry.Share gives slack only after 12 s of contact with the sidecars, divides by the highest number of entries of the last hour, and gives none without contact. Sidecars report a changed number of entries at once. - A retry was counted when it was decided, though it may wait seconds for a load. It is now counted just before it is sent; an attempt that never reached a server does not make the next one a retry. - After a suspension of the VM, old requests and slack counted as recent. pkg/entry keeps the same window; above ten entries, they share what ten may make.

TestBudget measures the ratio once the traffic is known: in the first 10 s of a process only about three quarters of the ratio are given, because requests before its start do not count.

--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -67,7 +67,8 @@
 	if x.history.Last == retry.NotRun && refusedUnqueued(x.result.reason) {
 		return true
 	}
-	if f.e.budget.TakeRetry(time.Now(), x.bundle.Deployment().RetryBudget, retry.DefaultMinRetries) {
+	slack := retry.MinRetries(f.e.directory.Load().Entries)
+	if f.e.budget.TakeRetry(time.Now(), x.bundle.Deployment().RetryBudget, slack) {
 		return true
 	}
 	f.e.log.For(logging.ComponentRoute).Info().Str("request", string(x.ID)).Str("reason", x.result.detail).Msg("retry refused, budget spent")
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -39,20 +39,6 @@
 	RemovedSoftware map[Software]time.Time
 }
 
-// Entries returns the number of entry processes, which is the highest number that any
-// sidecar reports, or 0 if none does.
-func (s *Snapshot) Entries() int {
-	most := 0
-	for _, list := range s.Services {
-		for _, e := range list {
-			if st := e.Runtime.Status(); st != nil {
-				most = max(most, st.Entries)
-			}
-		}
-	}
-	return most
-}
-
 // Directory collects the endpoints, adapter versions and routes of a fleet. It is not
 // safe for concurrent use.
 type Directory struct {
--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -105,9 +105,6 @@
 	// tokens.
 	CacheUsed  int64
 	CacheTotal int64
-	// Entries is the number of entry processes connected to the sidecar, this one
-	// included.
-	Entries int
 	// WarmCopies is the number of adapters that the server is estimated to keep in main
 	// memory, loaded ones included, or 0 if it is not known. Loading one of these is
 	// about ten times as fast as from the weight store.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -12,6 +12,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/mirror"
+	"github.com/fescuecourse/fescuecourse/pkg/retry"
 )
 
 // directorySettleTime is the time after the first synchronisation from which the directory
@@ -34,7 +35,9 @@
 	changes   bus.Topic[storeEvent]
 	directory *fleet.Directory
 	prefixes  *locality.PrefixIndex
-	links     map[*fleet.Runtime]*link
+	// share learns the number of entries from the reports of the sidecars.
+	share *retry.Share
+	links map[*fleet.Runtime]*link
 	// loads counts, by service, the adapters that the model servers are loading.
 	loads    map[string]*atomic.Int64
 	ctx      context.Context
@@ -53,7 +56,7 @@
 	running chan struct{}
 }
 
-func newControl(set *Settings, store kv.Store, catalog Catalog, prefixes *locality.PrefixIndex, log logging.Logger) (*control, error) {
+func newControl(set *Settings, store kv.Store, catalog Catalog, prefixes *locality.PrefixIndex, share *retry.Share, log logging.Logger) (*control, error) {
 	b, err := bus.New()
 	if err != nil {
 		return nil, err
@@ -67,6 +70,7 @@
 		changes:   bus.NewTopic[storeEvent](b, "store"),
 		directory: fleet.NewDirectory(),
 		prefixes:  prefixes,
+		share:     share,
 		links:     map[*fleet.Runtime]*link{},
 		loads:     map[string]*atomic.Int64{},
 		running:   make(chan struct{}),
@@ -264,7 +268,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, reloads: &c.reloads, prefixes: c.prefixes, origins: newOriginLink(), software: &c.software, log: c.log, cancel: cancel}
+	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, reloads: &c.reloads, prefixes: c.prefixes, share: c.share, origins: newOriginLink(), software: &c.software, log: c.log, cancel: cancel}
 	c.links[e.Runtime] = l
 	c.originLinks.Store(e.Runtime, l.origins)
 	go l.run(ctx)
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -39,6 +39,8 @@
 	outdated []*fleet.Status
 	// sends is the number of attempts that were started for the request.
 	sends int
+	// arrived is true once an attempt may have reached a server.
+	arrived bool
 	// software is the software version at which the stream of the request began, or nil if
 	// any may serve the request. It does not change once it is set.
 	software atomic.Pointer[string]
@@ -117,6 +119,9 @@
 	// outdated means that the server did not hold the versions that the choice was based
 	// on, which is no failure of the server.
 	outdated bool
+	// unsent means that the attempt was refused by this entry, which is no failure of the
+	// server.
+	unsent bool
 }
 
 // failure is the error response to a request for which no endpoint's response is
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -10,7 +10,6 @@
 
 	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
-	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
 	"github.com/fescuecourse/fescuecourse/pkg/settle"
@@ -149,37 +148,25 @@
 	}
 }
 
-// mayRepeat applies the retry rule and the retry budget. The MaxAttempts of the route
+// mayRepeat applies the retry rule and asks the retry budget. The retry is counted when it is
+// sent, because it may wait for a load until then. The MaxAttempts of the route
 // limits only attempts that may have run. While every attempt is proved not to have
 // run, the limit is maxSends.
 func (f retryFilter) mayRepeat(x *exchange, budget *retry.Budget) bool {
-	allowed := maxSends
+	sends := maxSends
 	if x.history.Uncertain {
-		allowed = min(allowed, x.route.MaxAttempts)
+		sends = min(sends, x.route.MaxAttempts)
 	}
-	if !retry.MayRepeat(x.history, allowed) {
+	if !retry.MayRepeat(x.history, sends) {
 		return false
 	}
-	entries := f.g.control.snapshot.Load().Entries()
-	minimum := retry.MinRetriesPerEntry(f.g.set.RetrySlack, entries)
-	taken := budget.TakeRetry(time.Now(), f.g.set.RetryRatio, minimum)
-	f.logRetry(x, taken, entries, minimum)
-	return taken
-}
-
-// logRetry logs the decision of the budget on a retry.
-func (f retryFilter) logRetry(x *exchange, taken bool, entries int, minimum float64) {
-	message := "retry refused, budget spent"
-	if taken {
-		message = "retry allowed"
-	}
-	f.g.log.For(logging.ComponentRoute).Info().
-		Str("request", x.call.RequestID).
-		Str("service", x.service.Name).
-		Str("reason", x.result.detail).
-		Int("entries", entries).
-		Float("minimum", minimum).
-		Msg(message)
+	if !x.arrived {
+		return true // the next attempt is the first to reach a server
+	}
+	now := time.Now()
+	allowed := budget.Allows(now, f.g.set.RetryRatio, f.g.share.Slack(now))
+	f.g.logRetry(x, allowed)
+	return allowed
 }
 
 // interrupted returns the failure of a request whose next attempt could not be sent.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -67,6 +67,8 @@
 	// finish in time.
 	closing atomic.Bool
 
+	// share is this entry's part of the retries that all entries may make beyond the ratio.
+	share   *retry.Share
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
 }
@@ -76,7 +78,8 @@
 func New(set Settings, store kv.Store, catalog Catalog, headers Headers, log logging.Logger) (*Gateway, error) {
 	log = log.With("entry", set.ID)
 	prefixes := locality.NewPrefixIndex()
-	c, err := newControl(&set, store, catalog, prefixes, log)
+	share := retry.NewShare(set.RetrySlack)
+	c, err := newControl(&set, store, catalog, prefixes, share, log)
 	if err != nil {
 		return nil, err
 	}
@@ -91,24 +94,13 @@
 		origins:  newOriginTracker(c, log),
 		metrics:  newMetrics(),
 		callers:  newCallerConns(),
+		share:    share,
 		budgets:  map[string]*retry.Budget{},
 	}
 	g.handle = chain(routeFilter{g}, bodyFilter{g}, originFilter{g}, retryFilter{g}, endpointFilter{g}, sendFilter{g})
 	return g, nil
 }
 
-// budget returns the retry budget of a service, which is created on first use.
-func (g *Gateway) budget(service string) *retry.Budget {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	b := g.budgets[service]
-	if b == nil {
-		b = &retry.Budget{}
-		g.budgets[service] = b
-	}
-	return b
-}
-
 // Run serves requests until ctx ends, then shuts down within the grace period. It
 // fails if it cannot listen on one of its addresses or if the server for callers
 // fails.
@@ -220,6 +212,7 @@
 		return
 	}
 	g.log.For(logging.ComponentEntry).Warn().Dur("suspended_ms", slept).Msg("VM was suspended")
+	g.skipBudgets(slept)
 	g.pool.Sweep(func(string) bool { return false })
 	<-g.control.running
 	g.control.onResume(slept)
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -15,6 +15,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/retry"
 	"github.com/fescuecourse/fescuecourse/pkg/wait"
 )
 
@@ -44,6 +45,7 @@
 	loads    loadCount
 	reloads  *atomic.Pointer[reloads]
 	prefixes *locality.PrefixIndex
+	share    *retry.Share
 	origins  *originLink
 	software *atomic.Pointer[softwareList]
 	log      logging.Logger
@@ -138,6 +140,7 @@
 		}
 		*up = true
 		now := time.Now()
+		l.share.Observe(now, int(m.GetEntries()))
 		l.prefixes.RecordParts(now, l.endpoint.Runtime, m.GetReadParts())
 		next := status(now, m)
 		if m.GetHoldingsUnchanged() {
@@ -234,7 +237,6 @@
 		Queued:       int(m.GetQueued()),
 		CacheUsed:    int64(m.GetCacheUsed()),
 		CacheTotal:   int64(m.GetCacheTotal()),
-		Entries:      int(m.GetEntries()),
 		WarmCopies:   int(m.GetWarmCopies()),
 	}
 	for i, tokens := range m.GetBacklogTokens() {
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -122,7 +122,7 @@
 	switch {
 	case x.result.end == retry.Answered && x.result.status < http.StatusInternalServerError:
 		e.Runtime.RecordSuccess(now.Sub(began))
-	case x.result.end != retry.CallerGone && !x.result.outdated:
+	case x.result.end != retry.CallerGone && !x.result.outdated && !x.result.unsent:
 		e.Runtime.RecordFailure(now)
 	}
 	if x.result.end == retry.NotRun || x.result.end == retry.Unknown {
@@ -196,8 +196,13 @@
 		}
 		return withCause(ctx, result{end: retry.NotRun, detail: "no connection to the endpoint"})
 	}
+	if !f.g.takeRetry(x) {
+		f.g.pool.Put(poolKey(e), conn)
+		return result{end: retry.NotRun, unsent: true, detail: "the retry budget is spent"}
+	}
 	x.settlement.MarkSent()
 	ex, err := conn.Send(ctx, f.request(x))
+	x.arrived = x.arrived || !errors.Is(err, upstream.ErrNotSent)
 	if err != nil {
 		end := retry.Unknown
 		if errors.Is(err, upstream.ErrNotSent) {
--- a/pkg/sidecar/state.go
+++ b/pkg/sidecar/state.go
@@ -60,10 +60,10 @@
 }
 
 // sameUtilization reports whether two states with the same holdings have the same
-// utilization figures. The load time, the load limit and the number of entries are
+// utilization figures and the same number of entries. The load time and the load limit are
 // not compared.
 func sameUtilization(a, b *fescuev1.ServerState) bool {
-	return a.GetFree() == b.GetFree() && a.GetEvictable() == b.GetEvictable() && a.GetWanted() == b.GetWanted() &&
+	return a.GetEntries() == b.GetEntries() && a.GetFree() == b.GetFree() && a.GetEvictable() == b.GetEvictable() && a.GetWanted() == b.GetWanted() &&
 		a.GetInFlight() == b.GetInFlight() && a.GetQueued() == b.GetQueued() &&
 		slices.Equal(a.GetBacklogTokens(), b.GetBacklogTokens()) && a.GetCacheUsed() == b.GetCacheUsed()
 }
