platform, fleet, gateway: read the limit that a server names, and log its changes

The header is decoded once, the limit is kept with the lifetime of the server, and each change is logged. No decision changes.

--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -152,6 +152,7 @@
 	latency  float64 // moving average, ms
 	failures decayingSum
 	banned   time.Time
+	limit    limit
 }
 
 // NewRuntime returns an empty record for a new lifetime.
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -62,6 +62,8 @@
 	// WeightsVersion is the version of the base model's weights that the response names,
 	// or 0 if it names none.
 	WeightsVersion int
+	// Limit is what the response says about the limit of the server.
+	Limit fleet.NamedLimit
 }
 
 // Headers parses and writes the platform's HTTP headers.
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -27,7 +27,7 @@
 
 // fakeHeaders is a minimal header format: Id, Budget-Ms, Model and Prompt (a list of
 // ID:TOKENS pairs) in requests, Version and Fetch in those to endpoints, and Not-Run,
-// Stamp, Instance and Weights in responses.
+// Stamp, Instance, Weights and Limit in responses.
 type fakeHeaders struct{}
 
 func (fakeHeaders) ReadyPath() string { return "/ready" }
@@ -82,9 +82,15 @@
 		FromPlatform:   h.Get("Stamp") != "",
 		Instance:       fleet.ID(h.Get("Instance")),
 		WeightsVersion: weights,
+		Limit:          fakeLimit(h.Get("Limit")),
 	}
 }
 
+func fakeLimit(v string) fleet.NamedLimit {
+	perSecond, err := strconv.ParseFloat(v, 64)
+	return fleet.NamedLimit{Named: err == nil, PerSecond: perSecond}
+}
+
 // fakeCatalog has no methods of its own and is never called: tests set the snapshot
 // themselves.
 type fakeCatalog struct{ Catalog }
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -267,6 +267,7 @@
 	status := ex.Response.StatusCode
 	reply := f.g.headers.Reply(status, ex.Response.Header)
 	x.weightsVersion = reply.WeightsVersion
+	f.g.recordLimit(x, reply.Limit)
 	switch {
 	case reply.NotRun:
 		return f.refused(x, conn, ex, reply)
