ratelimit, gateway, sidecar: divide the limit that a server names among all entries

An entry that kept to the limit alone would multiply it by the number of entries, and a share by that number fails as well: at 330 entries the slack of 5 requests is a sixtieth of a request for each.

Every attempt at a server with a limit now needs a permit, at the one place where its server is chosen, whether it is a first one, a retry, a moved or a resumed stream. One sidecar divides the limit of a server with a token bucket: the server's own one, for a plain server one that a hash of its id chooses. If it does not answer, a second one grants half of the limit, as a new divider does for 5 s, so that both together stay within one and a half times the limit; if none answers, all entries together send one request in 4 s. Without a permit the server is not chosen until there may be one, other servers are, and a request that none can take is refused at once with that time. Loads and fetches of prompt parts avoid servers with a limit. Entries learn of limits from the sidecars' states after a restart, and report the end of a limit to the divider.

--- a/pkg/fleet/limit.go
+++ b/pkg/fleet/limit.go
@@ -33,6 +33,10 @@
 	at time.Time
 	// unnamed counts the responses since then that did not name a limit.
 	unnamed int
+	// learned is true if only others have heard of the limit.
+	learned bool
+	// throttled is the time before which the process gets no permit for a request.
+	throttled time.Time
 }
 
 // RecordLimit records what a response says about the server's limit. It reports whether
@@ -46,7 +50,7 @@
 		return false
 	case n.Named:
 		changed := !l.named || l.perSecond != n.PerSecond
-		*l = limit{named: true, perSecond: n.PerSecond, at: now}
+		*l = limit{named: true, perSecond: n.PerSecond, at: now, throttled: l.throttled}
 		return changed
 	case !l.named:
 		return false
@@ -59,6 +63,54 @@
 	return true
 }
 
+// LearnLimit records a limit of which others have heard. It is used until the server names
+// one to this process, and ends when the others report that it has ended.
+func (r *Runtime) LearnLimit(now time.Time, perSecond float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := &r.limit
+	if !l.named || l.learned {
+		l.named, l.learned, l.perSecond, l.at = true, true, perSecond, now
+	}
+}
+
+// EndLearnedLimit ends a limit of which only others have heard.
+func (r *Runtime) EndLearnedLimit() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limit.learned {
+		r.limit = limit{}
+	}
+}
+
+// EndLimit ends the limit because the server has stopped naming it to others.
+func (r *Runtime) EndLimit() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = limit{}
+}
+
+// Throttle records that this process gets no permit for a request until the given time.
+func (r *Runtime) Throttle(until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit.throttled = until
+}
+
+// ThrottledUntil returns the time before which this process gets no permit for a request.
+func (r *Runtime) ThrottledUntil() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.limit.throttled
+}
+
+// Limited reports whether the server names a limit.
+func (r *Runtime) Limited() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.limit.named
+}
+
 // Limit returns the number of requests per second that the server takes from all
 // processes together, and when it last said so. It is +Inf if the server names none.
 func (r *Runtime) Limit() (perSecond float64, at time.Time) {
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -50,13 +50,13 @@
 	}
 }
 
-func (f endpointFilter) choosePlain(_ context.Context, x *exchange) *failure {
+func (f endpointFilter) choosePlain(ctx context.Context, x *exchange) *failure {
 	endpoints := f.g.control.snapshot.Load().Services[x.service.Name]
 	r := f.request(x)
-	e := locality.ChoosePlain(r, endpoints, f.g.spread.Add(1))
+	e := f.permittedPlain(ctx, x, r, endpoints)
 	if e == nil && len(x.excluded) > 0 && x.repeatable() {
 		r.Excluded = nil
-		e = locality.ChoosePlain(r, endpoints, f.g.spread.Add(1))
+		e = f.permittedPlain(ctx, x, r, endpoints)
 	}
 	if e == nil {
 		return noEndpoint(x, endpoints, "no endpoint of the service is available")
@@ -74,6 +74,19 @@
 	return nil
 }
 
+// permittedPlain chooses a plain endpoint that may get a request now, or nil if there is
+// none.
+func (f endpointFilter) permittedPlain(ctx context.Context, x *exchange, r *locality.Request, endpoints []*fleet.Endpoint) *fleet.Endpoint {
+	for ctx.Err() == nil {
+		r.Now = time.Now()
+		e := locality.ChoosePlain(r, endpoints, f.g.spread.Add(1))
+		if e == nil || f.g.limits.take(ctx, x, e) {
+			return e
+		}
+	}
+	return nil
+}
+
 // chooseModelServer chooses a server and, if necessary, waits until it has loaded the
 // adapter.
 func (f endpointFilter) chooseModelServer(ctx context.Context, x *exchange) *failure {
@@ -91,6 +104,12 @@
 			return noEndpoint(x, s.Services[x.service.Name], "no model server is available")
 		}
 		f.preload(x, r, choice.Preload)
+		if choice.Resident && !f.g.limits.take(ctx, x, choice.Endpoint) {
+			if ctx.Err() != nil {
+				return notRun("the time ended while a server was chosen", retryAfterCapacity)
+			}
+			continue
+		}
 		if choice.Resident {
 			x.endpoint, x.choice = choice.Endpoint, choice
 			f.placed(x, began)
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -22,6 +22,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/origin"
+	"github.com/fescuecourse/fescuecourse/pkg/ratelimit"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
 )
 
@@ -185,17 +186,39 @@
 	w.gateway.control.originLinks.Store(e.Runtime, l)
 }
 
-// fakeSidecar answers questions for the origins of streams.
+// fakeSidecar answers questions for the origins of streams and for permits.
 type fakeSidecar struct {
 	fescuev1.ResidencyClient
 	registry *origin.Registry
+	divider  *ratelimit.Divider
 	// unreachable makes questions wait until their time ends.
 	unreachable atomic.Bool
 	// asked counts the questions.
 	asked atomic.Int32
 }
 
-func newFakeSidecar() *fakeSidecar { return &fakeSidecar{registry: origin.NewRegistry()} }
+func newFakeSidecar() *fakeSidecar {
+	return &fakeSidecar{registry: origin.NewRegistry(), divider: ratelimit.NewDivider()}
+}
+
+func (s *fakeSidecar) TakePermit(ctx context.Context, q *fescuev1.TakePermitRequest, _ ...grpc.CallOption) (*fescuev1.TakePermitResponse, error) {
+	if s.unreachable.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	server := ratelimit.Server{ID: q.GetInstanceId(), Born: q.GetBorn()}
+	if q.GetEnded() {
+		s.divider.End(time.Now(), server)
+		return &fescuev1.TakePermitResponse{Ended: true}, nil
+	}
+	g := s.divider.Take(time.Now(), ratelimit.Demand{
+		Server:    server,
+		PerSecond: q.GetLimitPerSecond(),
+		NamedAgo:  time.Duration(q.GetNamedMsAgo()) * time.Millisecond,
+		Fallback:  q.GetFallback(),
+	})
+	return &fescuev1.TakePermitResponse{Granted: g.Granted, RetryAfterMs: uint32(g.RetryAfter.Milliseconds()), Ended: g.Ended}, nil
+}
 
 func (s *fakeSidecar) FindOrigin(ctx context.Context, q *fescuev1.FindOriginRequest, _ ...grpc.CallOption) (*fescuev1.FindOriginResponse, error) {
 	s.asked.Add(1)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuecourse/fescuecourse/pkg/endcause"
+	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
@@ -55,6 +56,7 @@
 	chooser  *locality.Chooser
 	prefixes *locality.PrefixIndex
 	origins  *originTracker
+	limits   *limiter
 	metrics  *gatewayMetrics
 	handle   next
 	// spread is the number of choices among plain endpoints so far. Each choice starts
@@ -97,6 +99,7 @@
 		share:    share,
 		budgets:  map[string]*retry.Budget{},
 	}
+	g.limits = newLimiter(g.origins, share, log)
 	g.handle = chain(routeFilter{g}, bodyFilter{g}, originFilter{g}, retryFilter{g}, endpointFilter{g}, sendFilter{g})
 	return g, nil
 }
@@ -232,11 +235,14 @@
 		}
 		g.checkClock(clock)
 		keep := map[string]bool{}
+		known := map[*fleet.Runtime]bool{}
 		for _, list := range g.control.snapshot.Load().Services {
 			for _, e := range list {
 				keep[poolKey(e)] = true
+				known[e.Runtime] = true
 			}
 		}
+		g.limits.forget(known)
 		g.pool.Sweep(func(key string) bool { return keep[key] })
 	}
 }
--- a/pkg/gateway/limit_test.go
+++ b/pkg/gateway/limit_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -11,7 +12,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
-	"github.com/fescuecourse/fescuecourse/pkg/route"
 )
 
 // limitedServer is a server that names a limit and records when requests arrive.
@@ -58,7 +58,7 @@
 	var shared []*fleet.Endpoint
 	sidecar := newFakeSidecar()
 	for i := range entries {
-		w := newTestGateway(t, route.Route{Prefix: "/p/", Kind: route.Idempotent, Services: []route.WeightedService{{Service: plainService, Weight: 1}}, MaxAttempts: 2})
+		w := newTestGateway(t, plainRoute)
 		if i == 0 {
 			w.serve(plainService, f.limited.ServeHTTP)
 			w.serve(plainService, func(w http.ResponseWriter, r *http.Request) {
@@ -140,3 +140,53 @@
 		})
 	}
 }
+
+// Guards against a limit that holds on after the server has stopped naming it.
+func TestLimitEnds(t *testing.T) {
+	f := newLimitedFleet(t, 4)
+	f.limited.name("2")
+	f.load(t, 2*time.Second, 5*time.Millisecond)
+	f.limited.name("")
+	f.load(t, 4*time.Second, 5*time.Millisecond)
+	began := time.Now()
+	f.load(t, time.Second, 5*time.Millisecond)
+	arrivals := f.limited.since(began)
+	assert.Assert(t, len(arrivals) > 50, "%d of about 200 requests in the last second", len(arrivals))
+}
+
+// Guards against entries that exceed a limit, or hold requests, while no sidecar answers, and
+// against a Retry-After that does not say when the server may take a request.
+func TestLimitWithoutDividers(t *testing.T) {
+	w := newTestGateway(t, plainRoute)
+	limited := &limitedServer{}
+	limited.name("2")
+	w.serve(plainService, limited.ServeHTTP)
+	assert.Equal(t, w.do(http.MethodGet, "/p/x", nil).status, http.StatusOK)
+	began := time.Now()
+	for range 50 {
+		resp := w.do(http.MethodGet, "/p/x", nil)
+		assert.Equal(t, resp.status, http.StatusServiceUnavailable)
+		assert.Assert(t, resp.header.Get("Retry-After") != "")
+	}
+	assert.Assert(t, time.Since(began) < time.Second, "the requests were held for %v", time.Since(began))
+	assert.Equal(t, len(limited.since(began)), 0)
+}
+
+// Guards against a request that is refused although a server without a limit has room, and
+// against a Retry-After that differs from the time until the next permit.
+func TestRetryAfterOfALimitedServer(t *testing.T) {
+	w := newTestGateway(t, plainRoute)
+	limited := &limitedServer{}
+	limited.name("0.5")
+	w.serve(plainService, limited.ServeHTTP)
+	w.serve(modelService, func(http.ResponseWriter, *http.Request) {})
+	assert.Equal(t, w.do(http.MethodGet, "/p/x", nil).status, http.StatusOK)
+	resp := w.do(http.MethodGet, "/p/x", nil)
+	assert.Equal(t, resp.status, http.StatusServiceUnavailable)
+	wait, err := strconv.ParseFloat(resp.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	// A new divider grants half of the limit at first.
+	assert.Assert(t, wait > 3 && wait <= 4, "%v s", wait)
+	w.serve(plainService, (&limitedServer{}).ServeHTTP)
+	assert.Equal(t, w.do(http.MethodGet, "/p/x", nil).status, http.StatusOK)
+}
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -150,6 +150,11 @@
 			next.Models, next.Residents, next.Loading = last.Models, last.Residents, last.Loading
 		}
 		last = next
+		if m.GetLimited() {
+			l.endpoint.Runtime.LearnLimit(now, m.GetLimitPerSecond())
+		} else {
+			l.endpoint.Runtime.EndLearnedLimit()
+		}
 		l.endpoint.Runtime.SetStatus(next)
 		l.loads.set(len(next.Loading))
 	}
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -162,6 +162,9 @@
 	// oldVersionPenalty is added for a server that has an older version of the adapter
 	// loaded: it cannot replace that version before the requests that use it have ended.
 	oldVersionPenalty = time.Second
+	// limitedLoadPenalty is added for a load at a server that names a limit: it takes only a
+	// few of the requests for the adapter.
+	limitedLoadPenalty = 2 * time.Second
 	// overCapacityPenalty is added for each request at a server beyond its number of
 	// slots.
 	overCapacityPenalty = 30 * time.Millisecond
@@ -218,7 +221,7 @@
 }
 
 func usable(r *Request, e *fleet.Endpoint) bool {
-	if e.State != fleet.Ready || e.Runtime.Banned(r.Now) {
+	if e.State != fleet.Ready || e.Runtime.Banned(r.Now) || r.Now.Before(e.Runtime.ThrottledUntil()) {
 		return false
 	}
 	if r.SoftwareVersion != nil && *r.SoftwareVersion != e.SoftwareVersion {
@@ -283,6 +286,9 @@
 		}
 	} else {
 		cost += c.loadCost(r, e, st)
+		if e.Runtime.Limited() {
+			cost += limitedLoadPenalty
+		}
 		from = sources.findNewest(e, weightsAt(st, r.Key.Model))
 	}
 	if from != nil {
--- a/pkg/locality/source.go
+++ b/pkg/locality/source.go
@@ -29,7 +29,7 @@
 	}
 	for _, e := range endpoints {
 		st := e.Runtime.Status()
-		if !holds(st, r) || !settled(st, r) || !usable(r, e) || e.Runtime.Failures(r.Now) > 0 {
+		if !holds(st, r) || !settled(st, r) || !usable(r, e) || e.Runtime.Limited() || e.Runtime.Failures(r.Now) > 0 {
 			continue
 		}
 		scope := scopeAt(e, st, r.Key)
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -10,6 +10,7 @@
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/origin"
+	"github.com/fescuecourse/fescuecourse/pkg/ratelimit"
 	"github.com/fescuecourse/fescuecourse/pkg/residency"
 )
 
@@ -49,6 +50,8 @@
 	partsInstance string
 	// origins holds where the streams began of which this sidecar keeps the record.
 	origins *origin.Registry
+	// limits divides the limits of servers among the entries.
+	limits *ratelimit.Divider
 }
 
 // peer is one connected entry.
@@ -67,7 +70,7 @@
 }
 
 func newHub(wake chan struct{}) *hub {
-	return &hub{wake: wake, entries: map[*peer]struct{}{}, queriedIDs: map[string]bool{}, parts: newPartLog(), origins: origin.NewRegistry()}
+	return &hub{wake: wake, entries: map[*peer]struct{}{}, queriedIDs: map[string]bool{}, parts: newPartLog(), origins: origin.NewRegistry(), limits: ratelimit.NewDivider()}
 }
 
 // Sync implements fescuev1.ResidencyServer. It returns when the stream ends or
@@ -239,6 +242,7 @@
 	defer h.mu.Unlock()
 	m.BacklogTokens = h.sumBacklog()
 	m.Entries = uint32(len(h.entries))
+	m.LimitPerSecond, m.Limited = h.limits.Limit(time.Now(), m.GetInstanceId())
 	if m.GetInstanceId() != h.partsInstance {
 		h.parts, h.partsInstance = newPartLog(), m.GetInstanceId()
 		for p := range h.entries {
