gateway: failing tests of cut answers and of bytes without end

Of a response of 6 MiB the caller gets 4 MiB and no error, with its length and in chunks; a head without end takes 400 to 600 MiB in the second that the request may last. Chunk size lines, trailers, refusals, informational responses, responses to other requests and events without end are bounded already.

--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -271,3 +271,32 @@
 
 // abortResponse closes the connection before the response is complete.
 func abortResponse() { panic(http.ErrAbortHandler) }
+
+// addAt adds an endpoint at an address to the directory.
+func (w *testGateway) addAt(service, address string) {
+	w.t.Helper()
+	w.servers++
+	id := fleet.ID(fmt.Sprintf("s%d", w.servers))
+	w.directory.SetEndpoint(time.Now(), fleet.Endpoint{ID: id, Service: service, Address: address, Zone: "z1", Slots: 4, State: fleet.Ready, Born: 1})
+	w.publish()
+	if service == modelService {
+		w.connect(w.find(service, id), newFakeSidecar())
+	}
+}
+
+// drain sends a request that may last one second and discards the body of the response.
+func (w *testGateway) drain(path string) response {
+	w.t.Helper()
+	req, err := http.NewRequest(http.MethodGet, w.front.URL+path, http.NoBody)
+	assert.NilError(w.t, err)
+	req.Host = "h.example"
+	req.Header.Set("Id", "r1")
+	req.Header.Set("Budget-Ms", "1000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return response{err: err}
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return response{status: resp.StatusCode, header: resp.Header, err: err}
+}
