gateway: relay a response that is larger than the buffer as a whole

Of a response above 4 MiB the caller got 4 MiB with status 200, a matching Content-Length and no error: relayBuffered read up to its bound and set a length of its own.

What does not fit the buffer is now relayed as it arrives, with the server's own length if it names one. If the response breaks off, or does not end within the request's time, the connection to the caller is closed without the end, and no further attempt is made, because nothing can continue it.

--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -153,6 +153,9 @@
 // limits only attempts that may have run. While every attempt is proved not to have
 // run, the limit is maxSends.
 func (f retryFilter) mayRepeat(x *exchange, budget *retry.Budget) bool {
+	if x.headSent && x.route.Kind != route.Streaming {
+		return false // nothing can continue the response
+	}
 	sends := maxSends
 	if x.history.Uncertain {
 		sends = min(sends, x.route.MaxAttempts)
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -21,7 +22,7 @@
 
 const (
 	// maxBufferedBytes limits the size of a response that is buffered until it is
-	// complete.
+	// complete. A larger one is relayed as it arrives.
 	maxBufferedBytes = 4 << 20
 	// unreachableBan is how long no requests are sent to an endpoint after a failed
 	// connection attempt.
@@ -323,14 +324,18 @@
 }
 
 // relayBuffered relays a response only once it is complete, so that an incomplete one
-// can be replaced by another attempt.
+// can be replaced by another attempt. One that is larger than the buffer is relayed as it
+// arrives from then on.
 func (f sendFilter) relayBuffered(ctx context.Context, x *exchange, conn *upstream.Conn, ex *upstream.Exchange) result {
 	status := ex.Response.StatusCode
-	body, err := io.ReadAll(io.LimitReader(ex.Response.Body, maxBufferedBytes))
+	body, err := io.ReadAll(io.LimitReader(ex.Response.Body, maxBufferedBytes+1))
 	if err != nil {
 		ex.Abort()
 		return withCause(ctx, result{end: retry.Unknown, status: status, detail: "the response broke off: " + err.Error()})
 	}
+	if len(body) > maxBufferedBytes {
+		return f.relayLarge(ctx, x, conn, ex, body)
+	}
 	if ex.Finish() {
 		f.g.pool.Put(poolKey(x.endpoint), conn)
 	}
@@ -345,6 +350,45 @@
 	return result{end: retry.Answered, status: status}
 }
 
+// relayLarge relays a response that begins with the given bytes while it arrives. If it
+// breaks off, or does not end in time, so does the response to the caller.
+func (f sendFilter) relayLarge(ctx context.Context, x *exchange, conn *upstream.Conn, ex *upstream.Exchange, beginning []byte) result {
+	status := ex.Response.StatusCode
+	f.writeHead(x, ex.Response)
+	if ex.Response.ContentLength >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(ex.Response.ContentLength, 10))
+	}
+	x.w.WriteHeader(status)
+	to := &callerWriter{w: x.w}
+	_, err := io.Copy(to, io.MultiReader(bytes.NewReader(beginning), ex.Response.Body))
+	switch {
+	case to.err != nil:
+		ex.Abort()
+		return result{end: retry.CallerGone, cause: endcause.CallerGone, status: status, detail: "the caller is gone"}
+	case err != nil:
+		ex.Abort()
+		return withCause(ctx, result{end: retry.Unknown, status: status, detail: "the response broke off: " + err.Error()})
+	}
+	if ex.Finish() {
+		f.g.pool.Put(poolKey(x.endpoint), conn)
+	}
+	x.complete = true
+	return result{end: retry.Answered, status: status}
+}
+
+// callerWriter writes to the caller and keeps the error, so that it can be told from one of
+// the server.
+type callerWriter struct {
+	w   io.Writer
+	err error
+}
+
+func (c *callerWriter) Write(p []byte) (int, error) {
+	n, err := c.w.Write(p)
+	c.err = err
+	return n, err //nolint:wrapcheck // only compared with nil
+}
+
 // mayReplaceFailure reports whether another attempt may replace an error response of
 // a server.
 func (f sendFilter) mayReplaceFailure(x *exchange) bool {
