upstream, platform, engine, vmlist, etcd: bound the bytes of every reply

The head of a response of a server had no bound: 258 to 1,792 MiB were allocated in the second that a request lasted, far above the memory of an entry. Replies of the store (up to 2,993 MiB), of the server beside a sidecar (up to 8,776 MiB), of engines and of the VM list (512 MiB in 2 s) had none either; the messages of a watch of the etcd client were bounded only in time.

Each reader now bounds head, body and time. upstream.ReadBody reads a body to its end or fails, so that a part is never taken for the whole; connections count the bytes of a head; all transports allow 64 KiB of headers. TestBytesWithoutEnd and its siblings check the memory, the outcome and that the server loses the connection, with a fake server (standin/endless).

--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -20,6 +20,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/rollout"
 	"github.com/fescuecourse/fescuecourse/pkg/scheduler"
 	"github.com/fescuecourse/fescuecourse/pkg/service"
+	"github.com/fescuecourse/fescuecourse/pkg/upstream"
 )
 
 // Intervals and timeouts of the endpoint process.
@@ -75,7 +76,7 @@
 		set.MaxDeadline = defaultMaxDeadline
 	}
 	backends := newBackendConns()
-	transport := &http.Transport{DialContext: backends.dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: idleConnTimeout}
+	transport := &http.Transport{DialContext: backends.dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: upstream.MaxHeadBytes}
 	hc := &http.Client{Transport: transport}
 	e := &Endpoint{
 		set:         set,
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/upstream"
 )
 
 // Header names of the engine protocol.
@@ -33,8 +34,12 @@
 	HeaderWeights  = "X-Weights-Version"
 )
 
-// maxEventBytes limits the size of one server-sent event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits the size of one server-sent event.
+	maxEventBytes = 1 << 20
+	// maxStatusBytes limits the size of an engine's status.
+	maxStatusBytes = 4 << 20
+)
 
 // Errors returned by Client and Stream. Test for them with errors.Is.
 var (
@@ -128,8 +133,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return Status{}, errors.Mark(errors.Newf("read engine status: status %d", resp.StatusCode), ErrResultUnknown)
 	}
+	text, err := upstream.ReadBody(resp.Body, maxStatusBytes)
+	if err != nil {
+		return Status{}, errors.Mark(errors.Wrap(err, "read engine status"), ErrResultUnknown)
+	}
 	var s Status
-	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+	if err := json.Unmarshal(text, &s); err != nil {
 		return Status{}, errors.Mark(errors.Wrap(err, "decode engine status"), ErrResultUnknown)
 	}
 	if s.BootID == "" {
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"runtime"
 	"strconv"
@@ -12,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/fescuecourse/fescuecourse/standin/endless"
 )
 
 // Guards against a response that is cut at the size of the entry's buffer and passed on as
@@ -58,35 +58,6 @@
 	}
 }
 
-// endlessServer accepts connections, writes a beginning and then the same bytes until the
-// connection is closed, which it reports.
-func endlessServer(t *testing.T, beginning, rest string) (address string, closed <-chan struct{}) {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { lis.Close() })
-	lost := make(chan struct{}, 100)
-	go func() {
-		for {
-			c, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				_, _ = io.ReadAtLeast(c, make([]byte, 4096), 1)
-				_, err := io.WriteString(c, beginning)
-				block := bytes.Repeat([]byte(rest), 64<<10/len(rest)+1)
-				for err == nil {
-					_, err = c.Write(block)
-				}
-				lost <- struct{}{}
-			}()
-		}
-	}()
-	return lis.Addr().String(), lost
-}
-
 // Guards against a server whose bytes never end and that takes the memory of the entry, keeps
 // its connection, or leaves the caller without a response or with one that looks complete.
 func TestBytesWithoutEnd(t *testing.T) {
@@ -108,9 +79,11 @@
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			w := newTestGateway(t, plainRoute, streamRoute)
-			address, closed := endlessServer(t, row.beginning, row.rest)
+			server, err := endless.NewServer(row.beginning, row.rest)
+			assert.NilError(t, err)
+			defer server.Close()
 			for _, service := range []string{plainService, modelService} {
-				w.addAt(service, address)
+				w.addAt(service, server.Address())
 			}
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
@@ -123,7 +96,7 @@
 			allocated := after.TotalAlloc - before.TotalAlloc
 			assert.Check(t, allocated < 32<<20, "%d MiB allocated", allocated>>20)
 			select {
-			case <-closed:
+			case <-server.Lost():
 			case <-time.After(time.Second):
 				t.Error("the server keeps its connection")
 			}
--- a/pkg/kv/etcd/client.go
+++ b/pkg/kv/etcd/client.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
+	"github.com/fescuecourse/fescuecourse/pkg/upstream"
 )
 
 // Defaults of a client.
@@ -71,7 +72,7 @@
 	if opts.WatchIdleTimeout <= 0 {
 		opts.WatchIdleTimeout = DefaultWatchIdleTimeout
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: upstream.MaxHeadBytes}
 	return &Client{base: "http://" + address, opts: opts, http: &http.Client{Transport: transport}}
 }
 
--- a/pkg/kv/etcd/watch.go
+++ b/pkg/kv/etcd/watch.go
@@ -30,7 +30,8 @@
 		return nil, err
 	}
 	stream.body = body
-	stream.decoder = json.NewDecoder(body)
+	stream.limiter = &messageLimiter{r: body}
+	stream.decoder = json.NewDecoder(stream.limiter)
 	first, err := stream.next()
 	if err != nil || !first.Created {
 		stream.stop()
@@ -47,12 +48,31 @@
 	idleTimer   *time.Timer
 	idleTimeout time.Duration
 	body        io.ReadCloser
+	limiter     *messageLimiter
 	decoder     *json.Decoder
 }
 
+// messageLimiter limits the bytes that are read for one message to maxReplyBytes.
+type messageLimiter struct {
+	r    io.Reader
+	left int
+}
+
+var errMessageTooLarge = errors.New("a message of the watch is too large")
+
+func (l *messageLimiter) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errMessageTooLarge
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err //nolint:wrapcheck // a transparent reader
+}
+
 // next reads one message. The idle timer closes the connection if none arrives in
 // time.
 func (s *watchStream) next() (*WatchResult, error) {
+	s.limiter.left = maxReplyBytes
 	var resp WatchResponse
 	if err := s.decoder.Decode(&resp); err != nil {
 		return nil, errors.Wrap(err, "read watch")
--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -4,12 +4,12 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/upstream"
 )
 
 // maxBodyBytes limits the body of a response. The body is read to its end before it is
@@ -73,10 +73,7 @@
 		return Response{}, errors.Mark(errors.Wrap(err, "call service"), ErrResultUnknown)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
-	if err == nil && len(body) > maxBodyBytes {
-		err = errors.Newf("body is larger than %d bytes", maxBodyBytes)
-	}
+	body, err := upstream.ReadBody(resp.Body, maxBodyBytes)
 	if err != nil {
 		return Response{}, errors.Mark(errors.Wrap(err, "read response of service"), ErrResultUnknown)
 	}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -40,8 +40,36 @@
 	maxSkippedResponses = 4
 	// maxSkippedBytes limits the body of a skipped response.
 	maxSkippedBytes = 1 << 20
+	// maxHeadBytes limits the status line and the headers of a response.
+	maxHeadBytes = 64 << 10
 )
 
+// errHeadTooLarge means that a response has more than maxHeadBytes before its body.
+var errHeadTooLarge = errors.New("the head of the response is too large")
+
+// headLimiter limits the bytes that are read while a head is expected. What the buffered
+// reader reads of the body counts as well.
+type headLimiter struct {
+	r io.Reader
+	// left is the number of bytes that may still be read. It only counts within a head.
+	left   int
+	inHead bool
+}
+
+func (l *headLimiter) expectHead(expect bool) { l.inHead, l.left = expect, maxHeadBytes }
+
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.inHead {
+		return l.r.Read(p) //nolint:wrapcheck // a transparent reader
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err //nolint:wrapcheck // a transparent reader
+}
+
 // Request is one request as it is sent to the endpoint.
 type Request struct {
 	Method string
@@ -57,6 +85,7 @@
 // Conn is a connection to an endpoint. One attempt at a time may use it.
 type Conn struct {
 	net       net.Conn
+	limiter   *headLimiter
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	reused    bool
@@ -70,10 +99,12 @@
 }
 
 func newConn(c net.Conn) *Conn {
+	limiter := &headLimiter{r: c}
 	return &Conn{
-		net:    c,
-		reader: bufio.NewReaderSize(c, readBufferBytes),
-		writer: bufio.NewWriterSize(c, writeBufferBytes),
+		net:     c,
+		limiter: limiter,
+		reader:  bufio.NewReaderSize(limiter, readBufferBytes),
+		writer:  bufio.NewWriterSize(c, writeBufferBytes),
 	}
 }
 
@@ -167,7 +198,9 @@
 // responses to earlier requests.
 func (c *Conn) read(r *Request) (*http.Response, error) {
 	for range maxSkippedResponses {
+		c.limiter.expectHead(true)
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		c.limiter.expectHead(false)
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
--- a/pkg/vmlist/vmlist.go
+++ b/pkg/vmlist/vmlist.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/upstream"
 )
 
 // State is the state of a VM in the list.
@@ -35,6 +36,9 @@
 	VMs []VM `json:"vms"`
 }
 
+// maxListBytes limits the size of the list, which has less than 200 bytes for each VM.
+const maxListBytes = 4 << 20
+
 // Client reads the list over HTTP.
 type Client struct {
 	url  string
@@ -62,8 +66,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return List{}, errors.Newf("read VM list: HTTP status %d", resp.StatusCode)
 	}
+	text, err := upstream.ReadBody(resp.Body, maxListBytes)
+	if err != nil {
+		return List{}, errors.Wrap(err, "read VM list")
+	}
 	var l List
-	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
+	if err := json.Unmarshal(text, &l); err != nil {
 		return List{}, errors.Wrap(err, "decode VM list")
 	}
 	return l, nil
