--- a/pkg/soak/history.go
+++ b/pkg/soak/history.go
@@ -55,8 +55,9 @@
 	mu      sync.Mutex
 	records []*requestRecord
 	streams []*streamRecord
-	// recoveryStart is the start of the recovery phase; zero before it.
-	recoveryStart time.Time
+	// recoveryStart is the start of the recovery phase, and recoveryEnd its end; zero
+	// before them.
+	recoveryStart, recoveryEnd time.Time
 }
 
 func newHistory() *history { return &history{} }
@@ -64,7 +65,8 @@
 func (h *history) add(r *requestRecord) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r.inRecovery = !h.recoveryStart.IsZero() && r.sent.After(h.recoveryStart)
+	r.inRecovery = !h.recoveryStart.IsZero() && r.sent.After(h.recoveryStart) &&
+		(h.recoveryEnd.IsZero() || r.sent.Before(h.recoveryEnd))
 	h.records = append(h.records, r)
 }
 
@@ -81,6 +83,12 @@
 	h.recoveryStart = time.Now()
 }
 
+func (h *history) endRecovery() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.recoveryEnd = time.Now()
+}
+
 // report checks the guarantees and returns the result.
 func (h *history) report(tb *testbed, seed uint64, faults int) *Report {
 	h.mu.Lock()
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -2,7 +2,8 @@
 // injects faults from outside the processes and checks the guarantees of the system
 // from what clients and servers observe. Faults of entries, faults of everything else and
 // planned changes (releases, versions, configurations) are drawn from a seed, each kind
-// on its own schedule; they come in series and overlap. Callers resume broken streams.
+// on its own schedule; they come in series and overlap. Callers resume broken streams. At
+// the end, some servers name limits.
 package soak
 
 import (
@@ -99,9 +100,14 @@
 	wait.For(ctx, settleTime)
 	h.beginRecovery()
 	wait.For(ctx, settleTime)
+	h.endRecovery()
+	checkLimits := tb.nameLimits()
+	wait.For(ctx, limitTime)
 	stop()
 	wg.Wait()
-	return h.report(tb, o.Seed, faults), nil
+	r := h.report(tb, o.Seed, faults)
+	r.Violations = append(r.Violations, checkLimits()...)
+	return r, nil
 }
 
 // Print writes a human-readable report.
--- a/standin/platform/requests.go
+++ b/standin/platform/requests.go
@@ -34,6 +34,7 @@
 		return
 	}
 	w.Header().Set("X-Fescuecourse-Request-Id", r.Header.Get("X-Fescuecourse-Request-Id"))
+	s.nameLimit(w)
 	run, status := s.admit(r)
 	if status != 0 {
 		w.Header().Set("X-Fescuecourse-Instance-Id", s.cfg.ID)
@@ -62,6 +63,16 @@
 	}
 }
 
+// nameLimit names the server's limit in a response, if there is one.
+func (s *Server) nameLimit(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Limit > 0 {
+		s.limitedArrivals = append(s.limitedArrivals, time.Now())
+		w.Header().Set("Server-Limit", fmt.Sprint(s.faults.Limit))
+	}
+}
+
 // admit records a run. It returns the run and 0, or the status with which the request
 // is rejected.
 func (s *Server) admit(r *http.Request) (run *Run, status int) {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,6 +62,9 @@
 	// LoseOrders makes the server neither execute orders (to load or unload an adapter)
 	// nor respond to them.
 	LoseOrders bool
+	// Limit is the number of requests per second that the server says it takes. It names
+	// none if it is 0. It takes all requests nevertheless, and records when they arrive.
+	Limit float64
 }
 
 // Server is a fake model server or plain HTTP server.
@@ -72,6 +76,9 @@
 
 	mu     sync.Mutex
 	faults ServerFaults
+	// limitedArrivals are the times of the requests that arrived while the server named a
+	// limit.
+	limitedArrivals []time.Time
 	// weights is the version of the base model's weights, or 0 without a model.
 	// loadedWeights has been loaded and waits for the end of the running requests.
 	weights       int
@@ -161,6 +168,14 @@
 	s.faults = f
 }
 
+// LimitedArrivals returns the times of the requests that have arrived while the server named
+// a limit.
+func (s *Server) LimitedArrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.limitedArrivals)
+}
+
 // Drain makes the server report the state "draining".
 func (s *Server) Drain() {
 	s.mu.Lock()
