mirror: ignore a removal that a page has overtaken

A watch that is resumed after its connection broke repeats the removal of an item that the first page has shown to be back: its server would be removed and added again, with the loss of its state and its connections. Only more than 500 items, that is, lists of several pages, are resumed.

--- a/pkg/mirror/delay_test.go
+++ b/pkg/mirror/delay_test.go
@@ -343,6 +343,26 @@
 	})
 }
 
+// Guards against a server that is lost for a moment because the watch repeats its removal
+// after a list has shown that it is back: its state and its connections would be dropped.
+func TestItemsThatAreBackAreNotRemoved(t *testing.T) {
+	runRemote(t, 1200, func(s *remoteStore, m *appliedItems) {
+		removed := false
+		m.lock(func() {
+			m.onChange = func(c *Change) { removed = removed || c.Deleted }
+		})
+		s.set(false, false) // ends the watch
+		time.Sleep(time.Millisecond)
+		s.remove(t, "a/config")
+		s.put(t, "a/config", "2")
+		time.Sleep(maxBackoff + 2*missingItemGrace)
+		m.lock(func() {
+			assert.Check(t, m.items["a/config"] == "2")
+			assert.Check(t, !removed, "the item was removed")
+		})
+	})
+}
+
 // Guards against processes that list all items again after each failure: at the target
 // size, 3,130 processes would read 200 pages each from a store that returns.
 func TestAFailureReadsFewPages(t *testing.T) {
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -105,8 +105,7 @@
 		c.advance(now, ev.Pair.ModRevision)
 		return true
 	case kv.EventDelete:
-		c.reading.onDelete(ev.Pair)
-		c.onDelete(now, ev.Pair.Key)
+		c.onDelete(now, ev.Pair)
 	default:
 		c.reading.onPut(ev.Pair.Key)
 		c.put([]kv.Pair{ev.Pair}, false, c.writtenSince(now))
@@ -117,14 +116,18 @@
 	return true
 }
 
-// onDelete removes an item. One that was removed during an outage is kept for a grace
-// period, like one that a list lacks.
-func (c *connection) onDelete(now time.Time, key string) {
+// onDelete removes an item, unless a page has shown already that it is back. One that was
+// removed during an outage is kept for a grace period, like one that a list lacks.
+func (c *connection) onDelete(now time.Time, p kv.Pair) {
+	if c.items[p.Key].ModRevision > p.ModRevision {
+		return
+	}
+	c.reading.onDelete(p)
 	if c.catchingUp && c.outage {
-		c.keep(now, []string{key})
+		c.keep(now, []string{p.Key})
 		return
 	}
-	c.remove([]string{key})
+	c.remove([]string{p.Key})
 }
 
 // writtenSince returns a time before which an item that an event brings was not written.
