fleet, gateway, ratelimit: do not keep a limit alive by telling each other

An entry that had only learned of a limit renewed it each time a sidecar told it again, and told the sidecar so: the limit could outlive the server's need while nobody heard of it. What is learned is no longer renewed, and a sidecar reports a limit for 30 s after the server last named it. Reading the limit and whether there is one was two steps, between which it could end.

--- a/pkg/fleet/limit.go
+++ b/pkg/fleet/limit.go
@@ -1,9 +1,6 @@
 package fleet
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // NamedLimit is what the headers of a response say about the number of requests that the
 // server takes from all processes together.
@@ -29,7 +26,9 @@
 type limit struct {
 	named     bool
 	perSecond float64
-	// at is when the server named it, according to this process or to others.
+	// at is when the server last named it to this process, or when this process learned of
+	// it. What is learned again does not renew it, so that processes do not keep a limit
+	// alive by telling each other.
 	at time.Time
 	// unnamed counts the responses since then that did not name a limit.
 	unnamed int
@@ -69,8 +68,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := &r.limit
-	if !l.named || l.learned {
-		l.named, l.learned, l.perSecond, l.at = true, true, perSecond, now
+	if !l.named {
+		l.named, l.learned, l.at = true, true, now
+	}
+	if l.learned {
+		l.perSecond = perSecond
 	}
 }
 
@@ -106,18 +108,15 @@
 
 // Limited reports whether the server names a limit.
 func (r *Runtime) Limited() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.limit.named
+	_, _, limited := r.Limit()
+	return limited
 }
 
 // Limit returns the number of requests per second that the server takes from all
-// processes together, and when it last said so. It is +Inf if the server names none.
-func (r *Runtime) Limit() (perSecond float64, at time.Time) {
+// processes together, and when it last said so, or others first did. It reports false if
+// the server names none.
+func (r *Runtime) Limit() (perSecond float64, at time.Time, limited bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.limit.named {
-		return math.Inf(1), time.Time{}
-	}
-	return r.limit.perSecond, r.limit.at
+	return r.limit.perSecond, r.limit.at, r.limit.named
 }
--- a/pkg/fleet/limit_test.go
+++ b/pkg/fleet/limit_test.go
@@ -13,7 +13,12 @@
 func TestLimitOfAServer(t *testing.T) {
 	r := NewRuntime()
 	now := time.Unix(1000, 0)
-	limit := func() float64 { l, _ := r.Limit(); return l }
+	limit := func() float64 {
+		if l, _, limited := r.Limit(); limited {
+			return l
+		}
+		return math.Inf(1)
+	}
 	none, malformed := NamedLimit{}, NamedLimit{Malformed: true}
 	assert.Assert(t, math.IsInf(limit(), 1))
 	assert.Assert(t, !r.RecordLimit(now, none))
@@ -31,3 +36,24 @@
 	assert.Assert(t, r.RecordLimit(now.Add(limitLinger), none))
 	assert.Assert(t, math.IsInf(limit(), 1))
 }
+
+// Guards against limits that processes keep alive by telling each other, and against a limit
+// of its own that a process loses because others do not know it.
+func TestLearnedLimit(t *testing.T) {
+	r := NewRuntime()
+	learned := time.Unix(1000, 0)
+	r.LearnLimit(learned, 2)
+	r.LearnLimit(learned.Add(time.Minute), 3)
+	perSecond, at, limited := r.Limit()
+	assert.Assert(t, limited && perSecond == 3 && at.Equal(learned))
+	r.EndLearnedLimit()
+	assert.Assert(t, !r.Limited())
+	r.RecordLimit(learned, NamedLimit{Named: true, PerSecond: 1})
+	r.LearnLimit(learned, 4)
+	r.EndLearnedLimit()
+	perSecond, _, limited = r.Limit()
+	assert.Assert(t, limited && perSecond == 1)
+	r.Throttle(learned.Add(time.Second))
+	r.EndLimit()
+	assert.Assert(t, !r.Limited() && r.ThrottledUntil().IsZero())
+}
--- a/pkg/gateway/limit.go
+++ b/pkg/gateway/limit.go
@@ -61,8 +61,8 @@
 // take reports whether a request may be sent to a server now. Servers that name no limit
 // need no permit. If there is none, the server is not chosen again until there may be.
 func (l *limiter) take(ctx context.Context, x *exchange, e *fleet.Endpoint) bool {
-	perSecond, namedAt := e.Runtime.Limit()
-	if !e.Runtime.Limited() {
+	perSecond, namedAt, limited := e.Runtime.Limit()
+	if !limited {
 		return true
 	}
 	now := time.Now()
--- a/pkg/ratelimit/divider.go
+++ b/pkg/ratelimit/divider.go
@@ -22,6 +22,8 @@
 	// takeoverTime is how long a new divider grants only partialShare. Entries may ask
 	// different dividers until all of them know of a change of the fleet.
 	takeoverTime = 5 * time.Second
+	// reportTime is how long a limit is reported that no entry has heard of again.
+	reportTime = 30 * time.Second
 	// retention is how long a server is remembered that no entry asks for.
 	retention = time.Minute
 )
@@ -109,7 +111,7 @@
 	defer d.mu.Unlock()
 	var latest time.Time
 	for s, b := range d.servers {
-		if s.ID != id || b.endedAt.After(b.namedAt) || now.Sub(b.namedAt) > takeoverTime || b.namedAt.Before(latest) {
+		if s.ID != id || b.endedAt.After(b.namedAt) || now.Sub(b.namedAt) > reportTime || b.namedAt.Before(latest) {
 			continue
 		}
 		latest, perSecond, limited = b.namedAt, b.perSecond, true
