fleet: keep the limit of a server whose item was missing

A server whose item is missing for a moment, after an outage of the store, got a new record in the entry when it returned, without the limit that it had named: the entry would have sent to it freely until its next response, although it had been told. The limit now stays with the lifetime (id, born and address) for as long as removed servers are remembered, a minute.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -55,10 +55,13 @@
 // store is restored are some seconds old.
 const removedRetention = time.Minute
 
-// removal is the end of one lifetime of an endpoint.
+// removal is the end of one lifetime of an endpoint, or a time during which its item is
+// missing.
 type removal struct {
-	born int64
-	at   time.Time
+	born    int64
+	address string
+	runtime *Runtime
+	at      time.Time
 }
 
 // NewDirectory returns an empty directory.
@@ -68,7 +71,8 @@
 
 // SetEndpoint adds or updates an endpoint and reports whether anything has changed.
 // Another Born value or address under the same id is a new lifetime, which starts
-// with an empty Runtime record. The software version of an endpoint that changes it or its
+// with an empty Runtime record. One that was removed and returns keeps the limit that it has
+// named. The software version of an endpoint that changes it or its
 // service is remembered as that of a removed server.
 func (d *Directory) SetEndpoint(now time.Time, e Endpoint) bool {
 	e.Runtime = NewRuntime()
@@ -76,6 +80,9 @@
 	if prev != nil && prev.Born == e.Born && prev.Address == e.Address {
 		e.Runtime = prev.Runtime
 	}
+	if r, ok := d.removed[e.ID]; ok && r.born == e.Born && r.address == e.Address {
+		e.Runtime.limit = r.runtime.namedLimit()
+	}
 	if prev != nil && *prev == e {
 		return false
 	}
@@ -110,7 +117,7 @@
 	delete(d.endpoints, id)
 	d.softwareRemoved(now, e)
 	maps.DeleteFunc(d.removed, func(_ ID, r removal) bool { return now.Sub(r.at) > removedRetention })
-	d.removed[id] = removal{born: e.Born, at: now}
+	d.removed[id] = removal{born: e.Born, address: e.Address, runtime: e.Runtime, at: now}
 	return true
 }
 
--- a/pkg/fleet/limit_test.go
+++ b/pkg/fleet/limit_test.go
@@ -57,3 +57,22 @@
 	r.EndLimit()
 	assert.Assert(t, !r.Limited() && r.ThrottledUntil().IsZero())
 }
+
+// Guards against a limit that is forgotten because the item of a server was missing for a
+// moment, after an outage of the store, and against one that passes to another lifetime.
+func TestLimitOutlivesAMissingItem(t *testing.T) {
+	d := NewDirectory()
+	now := time.Unix(1000, 0)
+	e := Endpoint{ID: "s1", Service: "pool", Address: "127.0.0.1:1", State: Ready, Born: 1}
+	runtime := func() *Runtime { return d.Snapshot().Services["pool"][0].Runtime }
+	assert.Assert(t, d.SetEndpoint(now, e))
+	runtime().RecordLimit(now, NamedLimit{Named: true, PerSecond: 2})
+	assert.Assert(t, d.RemoveEndpoint(now, e.ID))
+	assert.Assert(t, d.SetEndpoint(now.Add(time.Second), e))
+	perSecond, _, limited := runtime().Limit()
+	assert.Assert(t, limited && perSecond == 2)
+	assert.Assert(t, d.RemoveEndpoint(now, e.ID))
+	e.Born = 2
+	assert.Assert(t, d.SetEndpoint(now.Add(2*time.Second), e))
+	assert.Assert(t, !runtime().Limited())
+}
