--- a/pkg/gateway/limit_test.go
+++ b/pkg/gateway/limit_test.go
@@ -49,12 +49,12 @@
 // limitedFleet is several entries in front of the same two plain servers, one of which
 // names a limit.
 type limitedFleet struct {
-	entries           []*testGateway
-	limited, sufficed *limitedServer
+	entries            []*testGateway
+	limited, unlimited *limitedServer
 }
 
 func newLimitedFleet(t *testing.T, entries int) *limitedFleet {
-	f := &limitedFleet{limited: &limitedServer{}, sufficed: &limitedServer{}}
+	f := &limitedFleet{limited: &limitedServer{}, unlimited: &limitedServer{}}
 	var shared []*fleet.Endpoint
 	sidecar := newFakeSidecar()
 	for i := range entries {
@@ -63,7 +63,7 @@
 			w.serve(plainService, f.limited.ServeHTTP)
 			w.serve(plainService, func(w http.ResponseWriter, r *http.Request) {
 				time.Sleep(20 * time.Millisecond) // the entries prefer the other server
-				f.sufficed.ServeHTTP(w, r)
+				f.unlimited.ServeHTTP(w, r)
 			})
 			w.serve(modelService, func(http.ResponseWriter, *http.Request) {})
 			shared = slices.Concat(w.gateway.control.snapshot.Load().Services[plainService], w.gateway.control.snapshot.Load().Services[modelService])
