mirror: do not change a page that is still being used

When an item was deleted while a list of several pages was being read, the page was filtered in place, while the goroutine that reads the next page took the last key from it: a data race, and a list that could go on at a wrong key. The filter returns a new slice now.

--- a/pkg/mirror/delay_test.go
+++ b/pkg/mirror/delay_test.go
@@ -363,6 +363,18 @@
 	})
 }
 
+// Guards against a page that is changed while the next one is being read: the list would go
+// on at a wrong key. Run with the race detector.
+func TestPagesAreNotChanged(t *testing.T) {
+	pairs := []kv.Pair{{Key: "a", ModRevision: 3}, {Key: "b", ModRevision: 4}}
+	r := newReading()
+	r.onDelete(kv.Pair{Key: "b", ModRevision: 5})
+	kept := r.withoutDeleted(pairs)
+	assert.Equal(t, len(kept), 1)
+	assert.Equal(t, kept[0].Key, "a")
+	assert.Equal(t, pairs[1].Key, "b")
+}
+
 // Guards against processes that list all items again after each failure: at the target
 // size, 3,130 processes would read 200 pages each from a store that returns.
 func TestAFailureReadsFewPages(t *testing.T) {
--- a/pkg/mirror/list.go
+++ b/pkg/mirror/list.go
@@ -76,6 +76,21 @@
 	return !p.More || r.last != "" && p.Pairs[len(p.Pairs)-1].Key >= r.last
 }
 
+// withoutDeleted returns the pairs that have not been deleted since their page was read. It
+// does not change the page, which readPages still uses.
+func (r *reading) withoutDeleted(pairs []kv.Pair) []kv.Pair {
+	if len(r.deleted) == 0 {
+		return pairs
+	}
+	var out []kv.Pair
+	for _, p := range pairs {
+		if r.deleted[p.Key] < p.ModRevision {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // startList reads all items, of which the first page is given.
 func (c *connection) startList(first page, restored bool) {
 	r := newReading()
@@ -129,16 +144,12 @@
 		return false
 	}
 	r := c.reading
-	pairs := slices.DeleteFunc(p.Pairs, func(pair kv.Pair) bool {
-		revision, deleted := r.deleted[pair.Key]
-		return deleted && revision >= pair.ModRevision
-	})
+	pairs := r.withoutDeleted(p.Pairs)
 	for i := range pairs {
 		r.seen[pairs[i].Key] = struct{}{}
 	}
-	last := r.isLast(&p)
 	c.put(pairs, r.restored, r.since)
-	if last {
+	if r.isLast(&p) {
 		c.endList()
 	}
 	return true
