retry: simulate restarts and freezes with little traffic

The simulation did not notice a budget without the 12 s after a start, or one that divides by the last number of entries: with much traffic the requests give more than the slack. With 12 requests/s and four entries the slack is most of what may be made. The requests of frozen entries now go to the others, as a load balancer does.

--- a/pkg/retry/fleet_test.go
+++ b/pkg/retry/fleet_test.go
@@ -117,24 +117,31 @@
 // learns nothing.
 func (s *fleetSimulation) learn(at time.Duration) {
 	now := s.start.Add(at)
-	awake := 0
+	awake := s.awake()
 	for _, e := range s.entries {
-		if !e.frozen {
-			awake++
+		if !e.frozen && now.Sub(e.began) >= reportDelay && at%reportDelay == 0 {
+			e.learn(now, awake)
 		}
 	}
+}
+
+// awake returns the number of entries that are not frozen, among which the load balancer
+// divides the requests.
+func (s *fleetSimulation) awake() int {
+	n := 0
 	for _, e := range s.entries {
-		if !e.frozen && now.Sub(e.began) >= reportDelay && at%reportDelay == 0 {
-			e.learn(now, awake)
+		if !e.frozen {
+			n++
 		}
 	}
+	return n
 }
 
 // traffic gives each entry its requests of one step. Each failed attempt asks for a retry;
 // some of the retries are sent only after a wait for a load.
 func (s *fleetSimulation) traffic(at time.Duration, ratePerS, failing float64) {
 	now := s.start.Add(at)
-	perEntry := ratePerS * fleetTick.Seconds() / float64(len(s.entries))
+	perEntry := ratePerS * fleetTick.Seconds() / float64(max(s.awake(), 1))
 	for _, e := range s.entries {
 		if e.frozen {
 			continue
@@ -218,6 +225,32 @@
 	}
 }
 
+// Guards against slack that each new process uses again, and against slack that is shared
+// among fewer entries while some are frozen and have just used their part. With little
+// traffic, the slack is most of what the fleet may make.
+func TestSlackIsUsedOnce(t *testing.T) {
+	failing := fleetFault{at: 14 * time.Second, kind: "failures", share: 1, lasts: 40 * time.Second}
+	rows := map[string][]fleetFault{
+		"restarts": {failing,
+			{at: 17 * time.Second, kind: "restart", share: 1}, {at: 20 * time.Second, kind: "restart", share: 1},
+			{at: 23 * time.Second, kind: "restart", share: 1}, {at: 26 * time.Second, kind: "restart", share: 1}},
+		"restarts in turn": {failing,
+			{at: 16 * time.Second, kind: "restart", share: 0.25}, {at: 18 * time.Second, kind: "restart", share: 0.5},
+			{at: 20 * time.Second, kind: "restart", share: 0.75}, {at: 22 * time.Second, kind: "restart", share: 1}},
+		"freeze":      {failing, {at: 18 * time.Second, kind: "freeze", share: 0.75, lasts: 9 * time.Second}},
+		"new entries": {failing, {at: 18 * time.Second, kind: "add", share: 1}},
+	}
+	for name, faults := range rows {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				run := newFleetSimulation(4, seed).play(60*time.Second, 12, faults)
+				over, from := run.excess()
+				assert.Check(t, over <= 0, "seed %d: %.1f retries too many in the window from %v", seed, over, from)
+			}
+		})
+	}
+}
+
 // Guards against slack that is used twice: by an entry and by the process that replaces
 // it, by entries that do not know how many there are, and by entries that return from a
 // freeze.
