upstream, gateway: log how responses are framed

The closing line of a request and the line of a failed attempt have the framing of the last response: length, chunks or close.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
 	"github.com/fescuecourse/fescuecourse/pkg/settle"
+	"github.com/fescuecourse/fescuecourse/pkg/upstream"
 )
 
 // exchange holds the state of one request while it passes through the filters.
@@ -56,6 +57,8 @@
 	// weightsVersion is the version of the base model's weights that the response names,
 	// or 0 if it names none.
 	weightsVersion int
+	// framing is how the server's response marks its end, or 0 before its head has arrived.
+	framing upstream.Framing
 
 	// lastByte is when the last byte of a streamed response arrived, in nanoseconds
 	// since started.
@@ -206,6 +209,7 @@
 		Dur("first_byte_ms", x.firstByte).
 		Int("sends", x.sends).
 		Int("ran_weights", x.weightsVersion).
+		Str("framing", x.framing.String()).
 		Str("cause", x.cause.String())
 	if x.route != nil {
 		ev = ev.Str("route", x.route.Name).Uint("config", uint64(x.table.Version))
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -45,6 +45,7 @@
 	began := time.Now()
 	x.sends++
 	x.weightsVersion = 0
+	x.framing = 0
 	e.Runtime.InFlight.Add(1)
 	counts := f.begin(x)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
@@ -134,6 +135,7 @@
 			Str("end", resultName(x.result.end)).
 			Int("status", x.result.status).
 			Str("detail", x.result.detail).
+			Str("framing", x.framing.String()).
 			Dur("took_ms", now.Sub(began)).
 			Str("cause", x.result.cause.String()).
 			Bool("expired", endcause.Of(ctx) != endcause.None).
@@ -268,6 +270,7 @@
 	status := ex.Response.StatusCode
 	reply := f.g.headers.Reply(status, ex.Response.Header)
 	x.weightsVersion = reply.WeightsVersion
+	x.framing = upstream.FramingOf(ex.Response)
 	f.g.recordLimit(x, reply.Limit)
 	switch {
 	case reply.NotRun:
