gateway: recognise events with any line end

Callers of a server that ends its lines with CRLF or CR got no event before the end of the stream, or none at all above 1 MiB: events were split at two LF only, and an id after CR was not found, so that such a stream could not be resumed. The format of event streams allows LF, CRLF and CR. TestCompleteEvents fails to build before; it covers each line end and each kind of incomplete event. A CR at the end of what has arrived is taken for half of a CRLF, so that an event is not forwarded in parts.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -21,11 +20,6 @@
 	maxEventBytes = 1 << 20
 )
 
-var (
-	eventEnd    = []byte("\n\n")
-	eventIDName = []byte("id:")
-)
-
 // relayStream relays events as they arrive. It forwards only complete events, so that
 // the stream can be resumed after the last one.
 func (f sendFilter) relayStream(ctx context.Context, x *exchange, conn *upstream.Conn, ex *upstream.Exchange, c *attemptCounts) result {
@@ -36,7 +30,11 @@
 		n, err := ex.Response.Body.Read(buf)
 		buffered = append(buffered, buf[:n]...)
 		x.lastByte.Store(int64(time.Since(x.started)))
-		if end := completeEvents(buffered, err); end > 0 {
+		end := completeEvents(buffered)
+		if errors.Is(err, io.EOF) {
+			end = len(buffered)
+		}
+		if end > 0 {
 			f.recordPromptProcessed(x, c)
 			if werr := f.forward(x, ex.Response, buffered[:end]); werr != nil {
 				ex.Abort()
@@ -55,19 +53,6 @@
 	}
 }
 
-// completeEvents returns the length of the complete events at the start of buffered.
-// At the end of the stream, err is io.EOF and all bytes count.
-func completeEvents(buffered []byte, err error) int {
-	if errors.Is(err, io.EOF) {
-		return len(buffered)
-	}
-	i := bytes.LastIndex(buffered, eventEnd)
-	if i < 0 {
-		return 0
-	}
-	return i + len(eventEnd)
-}
-
 // recordPromptProcessed records that the server has processed the prompt, as the
 // first event of an attempt shows. A resumed stream does not show which parts of the
 // prompt the server has processed, so none of them are recorded.
@@ -98,17 +83,6 @@
 	return errors.Wrap(http.NewResponseController(x.w).Flush(), "flush to caller")
 }
 
-// lastID returns the id of the last event that has one, or an empty string.
-func lastID(events []byte) string {
-	lines := bytes.Split(events, []byte("\n"))
-	for i := len(lines) - 1; i >= 0; i-- {
-		if id, ok := bytes.CutPrefix(lines[i], eventIDName); ok {
-			return string(bytes.TrimSpace(id))
-		}
-	}
-	return ""
-}
-
 func (f sendFilter) finish(x *exchange, conn *upstream.Conn, ex *upstream.Exchange) result {
 	if ex.Finish() {
 		f.g.pool.Put(poolKey(x.endpoint), conn)
