gateway: never give a response a stronger end than its server did

Cause: a response may have neither a length nor chunks and end with its connection. The end of the connection was taken for the end of the data: the rest of the buffer counted as complete, and the entry ended its own response with a last chunk or a length, which nobody had vouched for. Buffered responses, responses above the buffer and callers of HTTP/1.0 had the same fault.

Now a response ends for the caller as it did at the server: a stream that ends inside an event, or without a length and without an event, has broken off; one that ends with its connection after an event ends so for the caller, and is resumed or broken off if the caller was promised a last chunk. While such a response runs, its connection is set to end with a reset, also if the process dies, and a regular close is allowed once the server has closed.

TestStreamsThatBreakOffAtSeveralServers accepts a whole body that ends with the connection although another server's response was counted: a trace showed a stream whose first server was reset after its last event and whose second one vouched for the end. It also checks now that a whole body has no stronger end than any server gave.

--- a/pkg/gateway/callers.go
+++ b/pkg/gateway/callers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -38,3 +39,25 @@
 		_ = conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
+
+// callerConnKey is the context key of the connection of a caller.
+type callerConnKey struct{}
+
+// withCallerConn is the ConnContext hook of the HTTP server.
+func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, c)
+}
+
+// closeWithReset makes the caller's connection end with a TCP reset, also if this process
+// dies. Without it, the part of a response that ends with its connection would look complete
+// whenever the connection is closed.
+func closeWithReset(ctx context.Context) { setLinger(ctx, 0) }
+
+// closeRegularly makes the caller's connection end regularly again.
+func closeRegularly(ctx context.Context) { setLinger(ctx, -1) }
+
+func setLinger(ctx context.Context, seconds int) {
+	if c, ok := ctx.Value(callerConnKey{}).(*net.TCPConn); ok {
+		_ = c.SetLinger(seconds) // fails only on a connection that is already closed
+	}
+}
--- a/pkg/gateway/cut_test.go
+++ b/pkg/gateway/cut_test.go
@@ -149,15 +149,20 @@
 		return
 	}
 	assert.Assert(t, strings.HasPrefix(whole, r.body), "the body is no beginning of the whole: %s", tail(r.body))
-	if r.broken || r.body == whole && r.framing != upstream.FramedByClose {
+	counted, closed := false, false
+	for _, c := range responses {
+		counted = counted || c.framing != upstream.FramedByClose
+		closed = closed || c.endsClosed()
+	}
+	switch {
+	case r.broken:
+		return
+	case r.body == whole:
+		assert.Assert(t, counted || r.framing == upstream.FramedByClose, "framed by %s, which no server has vouched for", r.framing)
 		return
 	}
 	assert.Assert(t, r.framing == upstream.FramedByClose, "a part looks complete: %s, framed by %s", tail(r.body), r.framing)
-	possible := false
-	for _, c := range responses {
-		possible = possible || c.endsClosed()
-	}
-	assert.Assert(t, possible, "no server closed its connection regularly: %s", tail(r.body))
+	assert.Assert(t, closed, "no server closed its connection regularly: %s", tail(r.body))
 	boundary, sum := false, 0
 	for _, p := range parts {
 		sum += len(p)
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -1,6 +1,12 @@
 package gateway
 
-import "bytes"
+import (
+	"bytes"
+	"mime"
+	"net/http"
+)
+
+const eventStreamType = "text/event-stream"
 
 var eventIDName = []byte("id:")
 
@@ -43,6 +49,21 @@
 	}
 }
 
+// insideEvent reports whether a stream that ends with the given rest, which follows its last
+// complete event, has broken off.
+func insideEvent(rest []byte) bool { return len(bytes.Trim(rest, "\r\n")) > 0 }
+
+// isEventStream reports whether a response declares that its body consists of events, or
+// does not declare what it consists of.
+func isEventStream(h http.Header) bool {
+	declared := h.Get("Content-Type")
+	if declared == "" {
+		return true
+	}
+	mediaType, _, err := mime.ParseMediaType(declared)
+	return err == nil && mediaType == eventStreamType
+}
+
 // lastID returns the id of the last event that has one, or an empty string.
 func lastID(events []byte) string {
 	lines := bytes.FieldsFunc(events, func(r rune) bool { return r == '\n' || r == '\r' })
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -65,6 +65,8 @@
 	lastByte atomic.Int64
 	// State of the response.
 	headSent bool
+	// endsByClose is true if the response to the caller ends with its connection.
+	endsByClose bool
 	// complete is set once the end of a server's response has been relayed.
 	complete bool
 	// firstByte is the time from started to the start of the response, or 0 before it.
@@ -164,6 +166,9 @@
 	fail := g.handle(r.Context(), x)
 	g.settle(x, fail)
 	if x.complete {
+		if x.endsByClose {
+			closeRegularly(r.Context())
+		}
 		return
 	}
 	if fail == nil || x.headSent {
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -127,7 +127,9 @@
 		{Name: modelService, Engine: &route.Engine{MaxAdapters: 4}},
 	}})
 	w.publish()
-	w.front = httptest.NewServer(http.HandlerFunc(g.serve))
+	w.front = httptest.NewUnstartedServer(http.HandlerFunc(g.serve))
+	w.front.Config.ConnContext = withCallerConn
+	w.front.Start()
 	t.Cleanup(w.front.Close)
 	return w
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -148,6 +148,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ConnState:         g.callers.track,
+		ConnContext:       withCallerConn,
 		BaseContext:       func(net.Listener) context.Context { return requests },
 	}
 }
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -346,7 +346,9 @@
 		return result{end: retry.Unknown, status: status, detail: "the endpoint failed with " + strconv.Itoa(status)}
 	}
 	f.writeHead(x, ex.Response)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if x.framing != upstream.FramedByClose {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	x.w.WriteHeader(status)
 	_, err = x.w.Write(body)
 	x.complete = err == nil // after an error the caller is gone
@@ -398,6 +400,9 @@
 	return x.repeatable() && x.history.Attempts+1 < min(x.route.MaxAttempts, maxSends) && time.Until(x.deadline) > x.endpoint.Runtime.Latency()
 }
 
+// writeHead copies the head of a server's response and records how the response to the
+// caller ends: with the connection if that of the server does, because nobody vouches for
+// its end, or if the caller knows no chunks.
 func (f sendFilter) writeHead(x *exchange, resp *http.Response) {
 	h := x.w.Header()
 	for name, values := range resp.Header {
@@ -409,6 +414,13 @@
 	if resp.Header.Get("Content-Type") == "" {
 		h["Content-Type"] = nil // keeps net/http from guessing one
 	}
+	if x.framing == upstream.FramedByClose {
+		h["Transfer-Encoding"] = []string{"identity"} // net/http then ends the body with the connection
+	}
+	x.endsByClose = x.framing == upstream.FramedByClose || !x.r.ProtoAtLeast(1, 1)
+	if x.endsByClose {
+		closeWithReset(x.r.Context())
+	}
 	x.headSent = true
 	x.firstByte = time.Since(x.started)
 	f.g.metrics.firstByte.Update(x.firstByte.Milliseconds())
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -23,36 +23,82 @@
 // relayStream relays events as they arrive. It forwards only complete events, so that
 // the stream can be resumed after the last one.
 func (f sendFilter) relayStream(ctx context.Context, x *exchange, conn *upstream.Conn, ex *upstream.Exchange, c *attemptCounts) result {
-	status := ex.Response.StatusCode
-	var buffered []byte
+	s := &streamRelay{sendFilter: f, x: x, ex: ex, counts: c}
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := ex.Response.Body.Read(buf)
-		buffered = append(buffered, buf[:n]...)
+		s.buffered = append(s.buffered, buf[:n]...)
 		x.lastByte.Store(int64(time.Since(x.started)))
-		end := completeEvents(buffered)
-		if errors.Is(err, io.EOF) {
-			end = len(buffered)
-		}
-		if end > 0 {
-			f.recordPromptProcessed(x, c)
-			if werr := f.forward(x, ex.Response, buffered[:end]); werr != nil {
-				ex.Abort()
-				return result{end: retry.CallerGone, cause: endcause.CallerGone, status: status, detail: "the caller is gone"}
-			}
-			x.stall.eventSent()
-			buffered = append(buffered[:0], buffered[end:]...)
+		if werr := s.forward(completeEvents(s.buffered)); werr != nil {
+			return s.callerGone()
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return f.finish(x, conn, ex)
-		case err != nil || len(buffered) > maxEventBytes:
-			ex.Abort()
-			return withCause(ctx, result{end: retry.Unknown, status: status, detail: "the stream broke off"})
+			return s.end(ctx, conn)
+		case err != nil:
+			return s.brokeOff(ctx, "the stream broke off")
+		case len(s.buffered) > maxEventBytes:
+			return s.brokeOff(ctx, "an event of the stream is too large")
 		}
 	}
 }
 
+// streamRelay relays the stream of one attempt.
+type streamRelay struct {
+	sendFilter
+	x      *exchange
+	ex     *upstream.Exchange
+	counts *attemptCounts
+	// buffered is what has arrived and was not forwarded.
+	buffered []byte
+	// relayed is true once something was forwarded.
+	relayed bool
+}
+
+// forward sends the first n of the buffered bytes to the caller.
+func (s *streamRelay) forward(n int) error {
+	if n == 0 {
+		return nil
+	}
+	s.recordPromptProcessed(s.x, s.counts)
+	if err := s.sendFilter.forward(s.x, s.ex.Response, s.buffered[:n]); err != nil {
+		return err
+	}
+	s.relayed = true
+	s.x.stall.eventSent()
+	s.buffered = append(s.buffered[:0], s.buffered[n:]...)
+	return nil
+}
+
+// end handles the end of the response. A stream that ends inside an event has broken off. The
+// end of a connection also ends a stream whose server stopped early, so it completes a stream
+// only for a caller whose response ends in the same way, and only after an event.
+func (s *streamRelay) end(ctx context.Context, conn *upstream.Conn) result {
+	byClose := s.x.framing == upstream.FramedByClose
+	switch {
+	case insideEvent(s.buffered) && (byClose || isEventStream(s.ex.Response.Header)):
+		return s.brokeOff(ctx, "the stream ended inside an event")
+	case byClose && !s.relayed:
+		return s.brokeOff(ctx, "the stream ended without an event")
+	case byClose && !s.x.endsByClose:
+		return s.brokeOff(ctx, "the end of the stream is not certain")
+	}
+	if err := s.forward(len(s.buffered)); err != nil {
+		return s.callerGone()
+	}
+	return s.finish(s.x, conn, s.ex)
+}
+
+func (s *streamRelay) callerGone() result {
+	s.ex.Abort()
+	return result{end: retry.CallerGone, cause: endcause.CallerGone, status: s.ex.Response.StatusCode, detail: "the caller is gone"}
+}
+
+func (s *streamRelay) brokeOff(ctx context.Context, detail string) result {
+	s.ex.Abort()
+	return withCause(ctx, result{end: retry.Unknown, status: s.ex.Response.StatusCode, detail: detail})
+}
+
 // recordPromptProcessed records that the server has processed the prompt, as the
 // first event of an attempt shows. A resumed stream does not show which parts of the
 // prompt the server has processed, so none of them are recorded.
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -231,7 +231,7 @@
 // whether the connection can carry another request; if not, the connection is
 // closed.
 func (x *Exchange) Finish() bool {
-	if !x.stop() || x.Response.Close || !x.bodySent() || x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0 {
+	if !x.stop() || x.Response.Close || !x.bodySent() || FramingOf(x.Response) == FramedByClose {
 		x.conn.Close()
 		return false
 	}
