service: do not take the end of a connection for the end of a response

Callers of a plain service behind an endpoint process got a part of a response as answered and with a Content-Length, if the service sent neither a length nor chunks and stopped early: the cause of the cut streams in pkg/gateway, in the other family of processes. Found by looking for the same cause elsewhere; no user has reported it here.

Such a response is now unknown, unless it is a JSON object or array, which shows its own end.

--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -57,7 +58,8 @@
 }
 
 // Do sends the call once and reads the whole response. It returns ErrNotSent if
-// nothing was sent, and ErrResultUnknown if the service may have executed the call.
+// nothing was sent, and ErrResultUnknown if the service may have executed the call. A
+// response without a length or chunks counts as complete only if it is a JSON document.
 func (c *Client) Do(ctx context.Context, call Call) (Response, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
@@ -77,5 +79,21 @@
 	if err != nil {
 		return Response{}, errors.Mark(errors.Wrap(err, "read response of service"), ErrResultUnknown)
 	}
+	if endsWithConnection(resp) && !isJSONDocument(body) {
+		return Response{}, errors.Mark(errors.New("read response of service: the end is not certain"), ErrResultUnknown)
+	}
 	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
+
+// endsWithConnection reports whether only the end of the connection ends the body of a
+// response, so that a service that stopped early may have sent a part of it.
+func endsWithConnection(r *http.Response) bool {
+	return !r.Uncompressed && upstream.FramingOf(r) == upstream.FramedByClose
+}
+
+// isJSONDocument reports whether a body is a JSON object or array, no beginning of which is a
+// valid document itself.
+func isJSONDocument(body []byte) bool {
+	text := bytes.TrimSpace(body)
+	return len(text) > 0 && (text[0] == '{' || text[0] == '[') && json.Valid(text)
+}
