standin, soak: responses without a length, whole and cut

A stream that only the end of its connection has ended must end after an event; its caller resumes it if events lack.

--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/fescuecourse/fescuecourse/pkg/upstream"
 	"github.com/fescuecourse/fescuecourse/pkg/wait"
 	"github.com/fescuecourse/fescuecourse/standin/platform"
 )
@@ -108,6 +109,7 @@
 		rec.hasServerStamp = platform.HasServerStamp(resp.Header)
 		text, readErr := io.ReadAll(resp.Body)
 		rec.body, rec.complete = string(text), readErr == nil
+		rec.closed = rec.complete && upstream.FramingOf(resp) == upstream.FramedByClose
 		resp.Body.Close()
 	}
 	if t.route.service == modelService {
@@ -115,6 +117,9 @@
 	}
 	if rec.status == http.StatusOK && t.route.service == modelService {
 		rec.events, _ = parseEvents(rec.body)
+		if rec.closed && rec.lastEvent+len(rec.events) < streamEvents {
+			rec.complete = false // its server may have stopped early, so the caller resumes it
+		}
 	}
 	return rec
 }
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -100,12 +100,21 @@
 	{"model server cuts streams", func(tb *testbed, rng *rand.Rand) func() {
 		return tb.injectModelServerFaults(rng, platform.ServerFaults{CutAfterEvents: 1 + rng.IntN(streamEvents)})
 	}},
+	{"model server sends no lengths", func(tb *testbed, rng *rand.Rand) func() {
+		return tb.injectModelServerFaults(rng, platform.ServerFaults{Unframed: true})
+	}},
+	{"model server cuts streams without a length", func(tb *testbed, rng *rand.Rand) func() {
+		return tb.injectModelServerFaults(rng, platform.ServerFaults{Unframed: true, CutAfterEvents: 1 + rng.IntN(streamEvents)})
+	}},
 	{"model server loses orders", func(tb *testbed, rng *rand.Rand) func() {
 		return tb.injectModelServerFaults(rng, platform.ServerFaults{LoseOrders: true})
 	}},
 	{"server refuses", func(tb *testbed, rng *rand.Rand) func() {
 		return tb.injectPlainServerFaults(rng, platform.ServerFaults{Refuse: true})
 	}},
+	{"server sends no lengths", func(tb *testbed, rng *rand.Rand) func() {
+		return tb.injectPlainServerFaults(rng, platform.ServerFaults{Unframed: true})
+	}},
 	{"server loses answers", func(tb *testbed, rng *rand.Rand) func() {
 		return tb.injectPlainServerFaults(rng, platform.ServerFaults{LoseAnswers: true})
 	}},
--- a/pkg/soak/history.go
+++ b/pkg/soak/history.go
@@ -22,8 +22,9 @@
 	status         int
 	hasServerStamp bool
 	body           string
-	// complete is set if the response body was read without an error.
-	complete bool
+	// complete is set if the response body was read without an error. closed is set if it was
+	// and only the end of the connection has ended it.
+	complete, closed bool
 	// lastEvent is the number of the event after which the request goes on with a
 	// stream, or 0 for a new stream. events are the complete events of the response.
 	lastEvent int
--- a/pkg/soak/streams.go
+++ b/pkg/soak/streams.go
@@ -41,7 +41,8 @@
 }
 
 // checkStream checks that the events of one response follow each other, were made for
-// its request and are complete if the response is framed as complete.
+// its request and are complete if the response is framed as complete. One that only the end
+// of the connection has ended may lack events, but must end after one.
 func checkStream(r *requestRecord) []string {
 	events, rest := parseEvents(r.body)
 	var out []string
@@ -50,6 +51,9 @@
 			out = append(out, fmt.Sprintf("event %d has number %d and is of request %s", i+1, e.number, e.request))
 		}
 	}
+	if r.closed && (rest != "" || len(events) == 0) {
+		out = append(out, fmt.Sprintf("a stream that ended with its connection broke off: %q", r.body))
+	}
 	if r.complete && (rest != "" || r.lastEvent+len(events) != streamEvents) {
 		out = append(out, fmt.Sprintf("a stream that ended as complete is not: %q", r.body))
 	}
--- a/pkg/soak/streams_test.go
+++ b/pkg/soak/streams_test.go
@@ -56,6 +56,12 @@
 	skipped.lastEvent = 5
 	foreign := streamPart("r1", 5, 9, "v1")
 	foreign.id = "r2"
+	closed := streamPart("r2", 5, 9, "v1")
+	closed.closed = true
+	inside := streamPart("r2", 5, 9, "v1")
+	inside.closed, inside.body = true, inside.body+"id: 10\nda"
+	empty := streamPart("r2", 5, 5, "v1")
+	empty.closed = true
 	for name, c := range map[string]struct {
 		r     *requestRecord
 		found bool
@@ -65,6 +71,9 @@
 		"cut, framed complete":  {r: short, found: true},
 		"missing event":         {r: skipped, found: true},
 		"events of another one": {r: foreign, found: true},
+		"closed after an event": {r: closed},
+		"closed in an event":    {r: inside, found: true},
+		"closed without events": {r: empty, found: true},
 	} {
 		assert.Equal(t, len(checkStream(c.r)) > 0, c.found, name)
 	}
--- a/standin/platform/requests.go
+++ b/standin/platform/requests.go
@@ -49,6 +49,9 @@
 	f := s.faults
 	s.mu.Unlock()
 	w.Header().Set("X-Fescuecourse-Server-Stamp", s.cfg.ID+".stamp")
+	if f.Unframed {
+		w.Header().Set("Transfer-Encoding", "identity") // net/http then ends the body with the connection
+	}
 	switch {
 	case f.LoseAnswers:
 		panic(http.ErrAbortHandler)
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -54,6 +54,9 @@
 	// CutAfterEvents is the number of events after which the server closes the
 	// connection of a stream, in the middle of the next event. 0 disables the fault.
 	CutAfterEvents int
+	// Unframed makes the server send its responses with neither a length nor chunks and
+	// end them with the connection, also where another fault cuts them.
+	Unframed bool
 	// LoseAnswers makes the server run requests and close the connection without a
 	// response.
 	LoseAnswers bool
