--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -153,6 +153,8 @@
 	failures decayingSum
 	banned   time.Time
 	limit    limit
+	// backoffUntil is the time before which the server wants no requests.
+	backoffUntil time.Time
 }
 
 // NewRuntime returns an empty record for a new lifetime.
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -64,6 +64,9 @@
 	WeightsVersion int
 	// Limit is what the response says about the limit of the server.
 	Limit fleet.NamedLimit
+	// Backoff is what the response says about the time for which the server wants no
+	// requests.
+	Backoff fleet.Backoff
 }
 
 // Headers parses and writes the platform's HTTP headers.
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -28,7 +28,7 @@
 
 // fakeHeaders is a minimal header format: Id, Budget-Ms, Model and Prompt (a list of
 // ID:TOKENS pairs) in requests, Version and Fetch in those to endpoints, and Not-Run,
-// Stamp, Instance, Weights and Limit in responses.
+// Stamp, Instance, Weights, Limit and Retry-After in responses.
 type fakeHeaders struct{}
 
 func (fakeHeaders) ReadyPath() string { return "/ready" }
@@ -84,9 +84,15 @@
 		Instance:       fleet.ID(h.Get("Instance")),
 		WeightsVersion: weights,
 		Limit:          fakeLimit(h.Get("Limit")),
+		Backoff:        fakeBackoff(h.Get("Retry-After")),
 	}
 }
 
+func fakeBackoff(v string) fleet.Backoff {
+	seconds, err := strconv.ParseFloat(v, 64)
+	return fleet.Backoff{Asked: err == nil, For: time.Duration(seconds * float64(time.Second))}
+}
+
 func fakeLimit(v string) fleet.NamedLimit {
 	perSecond, err := strconv.ParseFloat(v, 64)
 	return fleet.NamedLimit{Named: err == nil, PerSecond: perSecond}
--- a/pkg/gateway/ready.go
+++ b/pkg/gateway/ready.go
@@ -14,7 +14,9 @@
 // gatewayMetrics holds the counters and histograms of a gateway.
 type gatewayMetrics struct {
 	requests, answered, refused, failed, retries, loadWaits metrics.Counter
-	firstByte, loadWait                                     metrics.Histogram
+	// backoffs counts the backoffs for which servers asked.
+	backoffs            metrics.Counter
+	firstByte, loadWait metrics.Histogram
 }
 
 const histogramSamples = 1028
@@ -31,6 +33,7 @@
 		failed:    metrics.GetOrRegisterCounter("gateway.failed", r),
 		retries:   metrics.GetOrRegisterCounter("gateway.retries", r),
 		loadWaits: metrics.GetOrRegisterCounter("gateway.load_waits", r),
+		backoffs:  metrics.GetOrRegisterCounter("gateway.backoffs", r),
 		firstByte: histogram("gateway.first_byte_ms"),
 		loadWait:  histogram("gateway.load_wait_ms"),
 	}
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -252,6 +252,7 @@
 		Header: f.g.headers.Forward(x.r.Header, a),
 		Body:   x.body,
 		Mine:   func(h http.Header) bool { return f.g.headers.Mine(h, id) },
+		OnHead: func(status int, h http.Header) { f.g.observe(x, f.g.headers.Reply(status, h)) },
 	}
 }
 
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -80,6 +80,9 @@
 	Body   []byte
 	// Mine reports whether a response with the given header belongs to this request.
 	Mine func(http.Header) bool
+	// OnHead is called with the status and the header of each final response that is read,
+	// also of one that is skipped. It may be nil.
+	OnHead func(status int, h http.Header)
 }
 
 // Conn is a connection to an endpoint. One attempt at a time may use it.
@@ -204,6 +207,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
+		if resp.StatusCode >= http.StatusOK && r.OnHead != nil {
+			r.OnHead(resp.StatusCode, resp.Header)
+		}
 		if resp.StatusCode >= http.StatusOK && r.Mine(resp.Header) {
 			return resp, nil
 		}
