--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -201,6 +201,8 @@
 	divider  *ratelimit.Divider
 	// unreachable makes questions wait until their time ends.
 	unreachable atomic.Bool
+	// delay is the time before permits are answered, in nanoseconds.
+	delay atomic.Int64
 	// asked counts the questions.
 	asked atomic.Int32
 }
@@ -214,6 +216,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	time.Sleep(time.Duration(s.delay.Load()))
 	server := ratelimit.Server{ID: q.GetInstanceId(), Born: q.GetBorn()}
 	if q.GetEnded() {
 		s.divider.End(time.Now(), server)
