--- a/pkg/fleet/backoff.go
+++ b/pkg/fleet/backoff.go
@@ -13,6 +13,37 @@
 	For time.Duration
 }
 
+const (
+	// slowStartEnd is the number of requests that may wait for their responses at once from
+	// which their number is not limited any more after a backoff.
+	slowStartEnd = 32
+	// slowStartTimeout is how long a request without a response holds others back.
+	slowStartTimeout = time.Second
+)
+
+// backoff is the time for which one lifetime of a server wants no requests. Afterwards load
+// returns by slow start: one request at a time at first, and one more with each response.
+type backoff struct {
+	// until is the end, or zero if the server has never asked for a backoff or load has
+	// returned since.
+	until time.Time
+	// window is the number of requests that may wait for their responses at once, and
+	// waiting that of those that do. The last one was sent at sentAt.
+	window, waiting int
+	sentAt          time.Time
+}
+
+func (b *backoff) admits(now time.Time) bool {
+	switch {
+	case b.until.IsZero():
+		return true
+	case now.Before(b.until):
+		return false
+	default:
+		return b.waiting < b.window || now.Sub(b.sentAt) > slowStartTimeout
+	}
+}
+
 // RecordBackoff records what a response says about the server's backoff. It reports whether
 // the backoff lasts longer than was known. Of several times the latest end counts, because
 // responses may overtake each other.
@@ -20,17 +51,77 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	until := now.Add(b.For)
-	if !b.Asked || b.For <= 0 || !until.After(r.backoffUntil) {
+	if !b.Asked || b.For <= 0 || !until.After(r.backoff.until) {
 		return false
 	}
-	r.backoffUntil = until
+	r.backoff = backoff{until: until, window: 1}
 	return true
 }
 
-// BackoffUntil returns the time before which the server wants no requests, which is zero if
-// it has never asked for a backoff.
+// BackoffUntil returns the time before which the server wants no requests, or zero if it
+// wants any.
 func (r *Runtime) BackoffUntil() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.backoffUntil
+	return r.backoff.until
+}
+
+// Admits reports whether a request may be placed at the server as far as its backoff is
+// concerned.
+func (r *Runtime) Admits(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.backoff.admits(now)
+}
+
+// Admission is the right to send one request to a server. A nil Admission is that of a server
+// that has asked for no backoff.
+type Admission struct {
+	runtime *Runtime
+	// until identifies the backoff.
+	until time.Time
+	ended bool
+}
+
+// Admit is called before a request is sent. It reports false if the server does not want it.
+// The caller must call Ended on the admission when the request has ended.
+func (r *Runtime) Admit(now time.Time) (*Admission, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := &r.backoff
+	if b.until.IsZero() {
+		return nil, true
+	}
+	if !b.admits(now) {
+		return nil, false
+	}
+	b.waiting++
+	b.sentAt = now
+	return &Admission{runtime: r, until: b.until}, true
+}
+
+// Answered records that the server has responded without asking for a backoff.
+func (a *Admission) Answered() { a.end(true) }
+
+// Ended records that the request has ended. It has no effect after Answered.
+func (a *Admission) Ended() { a.end(false) }
+
+func (a *Admission) end(answered bool) {
+	if a == nil || a.ended {
+		return
+	}
+	a.ended = true
+	a.runtime.mu.Lock()
+	defer a.runtime.mu.Unlock()
+	b := &a.runtime.backoff
+	if !b.until.Equal(a.until) {
+		return // another backoff, or none
+	}
+	b.waiting--
+	if answered {
+		b.window++
+	}
+	if b.window >= slowStartEnd {
+		*b = backoff{}
+	}
 }
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -71,8 +71,8 @@
 
 // SetEndpoint adds or updates an endpoint and reports whether anything has changed.
 // Another Born value or address under the same id is a new lifetime, which starts
-// with an empty Runtime record. One that was removed and returns keeps the limit that it has
-// named. The software version of an endpoint that changes it or its
+// with an empty Runtime record. One that was removed and returns keeps what it has asked for
+// in its responses. The software version of an endpoint that changes it or its
 // service is remembered as that of a removed server.
 func (d *Directory) SetEndpoint(now time.Time, e Endpoint) bool {
 	e.Runtime = NewRuntime()
@@ -81,7 +81,7 @@
 		e.Runtime = prev.Runtime
 	}
 	if r, ok := d.removed[e.ID]; ok && r.born == e.Born && r.address == e.Address {
-		e.Runtime.limit = r.runtime.namedLimit()
+		e.Runtime.inherit(r.runtime)
 	}
 	if prev != nil && *prev == e {
 		return false
--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -153,8 +153,7 @@
 	failures decayingSum
 	banned   time.Time
 	limit    limit
-	// backoffUntil is the time before which the server wants no requests.
-	backoffUntil time.Time
+	backoff  backoff
 }
 
 // NewRuntime returns an empty record for a new lifetime.
@@ -162,6 +161,14 @@
 	return &Runtime{changed: make(chan struct{}), warm: map[warmKey]time.Time{}}
 }
 
+// inherit takes over what the server has asked for in its responses. The record r must not be
+// in use yet.
+func (r *Runtime) inherit(from *Runtime) {
+	from.mu.Lock()
+	defer from.mu.Unlock()
+	r.limit, r.backoff = from.limit, from.backoff
+}
+
 // warmKey identifies one version of an adapter.
 type warmKey struct {
 	key     AdapterKey
--- a/pkg/fleet/limit.go
+++ b/pkg/fleet/limit.go
@@ -92,12 +92,6 @@
 	r.limit = limit{}
 }
 
-func (r *Runtime) namedLimit() limit {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.limit
-}
-
 // Throttle records that this process gets no permit for a request until the given time.
 func (r *Runtime) Throttle(until time.Time) {
 	r.mu.Lock()
--- a/pkg/gateway/backoff_test.go
+++ b/pkg/gateway/backoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -234,7 +235,6 @@
 	w.serve(plainService, server.ServeHTTP)
 	w.do(http.MethodGet, "/p/x", nil)
 	server.ask(0)
-	began := time.Now()
 	var (
 		wg              sync.WaitGroup
 		early, served   atomic.Int32
@@ -274,13 +274,9 @@
 	assert.Check(t, time.Duration(longestRefusal.Load()) < 250*time.Millisecond, "a refusal took %v", time.Duration(longestRefusal.Load()))
 	assert.Check(t, served.Load() >= callers*9/10, "%d of %d callers were served when they first returned", served.Load(), callers)
 	assert.Equal(t, server.during(), 0)
-	var sorted []time.Time
-	for _, at := range returned {
-		if at.After(began) {
-			sorted = append(sorted, at)
-		}
-	}
-	most := mostIn(sorted, 100*time.Millisecond)
+	times := slices.DeleteFunc(returned[:], time.Time.IsZero)
+	slices.SortFunc(times, time.Time.Compare)
+	most := mostIn(times, 100*time.Millisecond)
 	assert.Check(t, most <= callers/4, "%d of %d callers returned within 100 ms", most, callers)
 	t.Logf("served at the first return: %d of %d; at most %d returned within 100 ms", served.Load(), callers, most)
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -54,6 +54,9 @@
 	choice   locality.Choice
 	version  int
 	result   result
+	// admission is the right to send the attempt to a server that has asked for a backoff, or
+	// nil.
+	admission *fleet.Admission
 	// weightsVersion is the version of the base model's weights that the response names,
 	// or 0 if it names none.
 	weightsVersion int
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -191,7 +191,8 @@
 	case x.headSent:
 		return &failure{status: http.StatusBadGateway, reason: "the response broke off: " + x.result.detail}
 	case x.history.Outcome() == ident.NotRun:
-		return notRun("the request was not run: "+x.result.detail, retryAfterCapacity)
+		endpoints := f.g.control.snapshot.Load().Services[x.service.Name]
+		return notRun("the request was not run: "+x.result.detail, nextAvailable(time.Now(), endpoints))
 	case endcause.Of(ctx).IsTimeout():
 		return rejected(http.StatusGatewayTimeout, "no response in time, the result is not known")
 	default:
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -320,7 +320,7 @@
 // is not told when to come back.
 func noEndpoint(x *exchange, endpoints []*fleet.Endpoint, reason string) *failure {
 	version := x.software.Load()
-	retryAfter := nextPermit(time.Now(), endpoints)
+	retryAfter := nextAvailable(time.Now(), endpoints)
 	if version == nil {
 		return notRun(reason, retryAfter)
 	}
@@ -333,22 +333,6 @@
 	return notRun("no server of the software version that began the stream is available", retryAfter)
 }
 
-// nextPermit returns the time until one of the servers may take a request. Servers that name
-// a limit may do so when the next permit may be granted.
-func nextPermit(now time.Time, endpoints []*fleet.Endpoint) time.Duration {
-	earliest := time.Duration(0)
-	for _, e := range endpoints {
-		wait := e.Runtime.ThrottledUntil().Sub(now)
-		if e.State == fleet.Ready && wait > 0 && (earliest == 0 || wait < earliest) {
-			earliest = wait
-		}
-	}
-	if earliest == 0 {
-		return retryAfterCapacity
-	}
-	return earliest
-}
-
 // hasAlternative reports whether the stream of a request may continue at another endpoint
 // than the excluded ones.
 func (t *originTracker) hasAlternative(x *exchange, excluded []fleet.ID) bool {
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -199,6 +199,13 @@
 		}
 		return withCause(ctx, result{end: retry.NotRun, detail: "no connection to the endpoint"})
 	}
+	admission, admitted := e.Runtime.Admit(time.Now())
+	defer admission.Ended()
+	x.admission = admission
+	if !admitted {
+		f.g.pool.Put(poolKey(e), conn)
+		return result{end: retry.NotRun, unsent: true, detail: "the endpoint has asked for a backoff"}
+	}
 	if !f.g.takeRetry(x) {
 		f.g.pool.Put(poolKey(e), conn)
 		return result{end: retry.NotRun, unsent: true, detail: "the retry budget is spent"}
@@ -273,6 +280,9 @@
 	x.weightsVersion = reply.WeightsVersion
 	x.framing = upstream.FramingOf(ex.Response)
 	f.g.recordLimit(x, reply.Limit)
+	if !reply.Backoff.Asked {
+		x.admission.Answered()
+	}
 	switch {
 	case reply.NotRun:
 		return f.refused(x, conn, ex, reply)
--- a/pkg/gateway/waiter.go
+++ b/pkg/gateway/waiter.go
@@ -61,7 +61,7 @@
 		return c
 	}
 	st := w.endpoint.Runtime.Status()
-	if st == nil || st.Down || st.Draining || time.Since(st.ReceivedAt) > staleStatusAge {
+	if st == nil || st.Down || st.Draining || time.Since(st.ReceivedAt) > staleStatusAge || !w.endpoint.Runtime.Admits(time.Now()) {
 		return c
 	}
 	if _, loading := st.Loading[w.key]; !loading && time.Since(w.since) > maxLoadWait {
