sidecar, platform: heed the backoff for which a server asks its sidecar

Now the sidecar sends nothing until the end, unless an entry knows another lifetime of the server, and the entries keep its last state. TestServerInBackoffIsNotCalled fails without the check in step (29 reports instead of none).

--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -26,11 +26,18 @@
 	ErrNoAnswer = errors.New("no response to the order")
 )
 
-// Server is the model server that the sidecar controls.
+// BackoffError means that the server answered that it wants no calls for some time.
+type BackoffError struct{ For time.Duration }
+
+// Error implements error.
+func (e *BackoffError) Error() string { return "the server wants no calls for " + e.For.String() }
+
+// Server is the model server that the sidecar controls. Its methods return a BackoffError if
+// the server asks for a backoff.
 type Server interface {
 	// Report returns the current state of the server.
 	Report(ctx context.Context) (residency.Report, error)
-	// Order sends one order to the given lifetime of the server. Its errors are
+	// Order sends one order to the given lifetime of the server. Its other errors are
 	// marked ErrRejected or ErrNoAnswer. Any other error means that the server's id
 	// has to be queried again.
 	Order(ctx context.Context, instance fleet.ID, o residency.Order) error
@@ -91,6 +98,8 @@
 	reachable bool
 	// pausedUntil is the time before which no order is sent.
 	pausedUntil time.Time
+	// backoffUntil is the time before which nothing is sent to the server.
+	backoffUntil time.Time
 	// unloading is an adapter whose unload waits until its running requests have ended.
 	// Until then the server refuses requests for it.
 	unloading fleet.AdapterKey
@@ -203,6 +212,9 @@
 // step reads the report, sends the orders that are due and publishes the resulting
 // state.
 func (s *Sidecar) step(ctx context.Context) {
+	if s.inBackoff() {
+		return // the hub repeats the last state
+	}
 	snap := s.snapshot()
 	if !s.readReport(ctx, snap) {
 		s.publishDown()
@@ -223,6 +235,9 @@
 		if in.Now.Before(s.pausedUntil) || !s.sendNextOrder(ctx, in) {
 			break
 		}
+		if s.inBackoff() {
+			return
+		}
 		if !s.readReport(ctx, snap) {
 			s.publishDown()
 			return
@@ -239,6 +254,9 @@
 	defer cancel()
 	log := s.log.For(logging.ComponentEndpoint)
 	r, err := s.server.Report(call)
+	if s.backsOff(err) {
+		return false
+	}
 	if err != nil {
 		if s.reachable && ctx.Err() == nil {
 			log.Warn().Err(err).Msg("dependency lost: server")
@@ -266,6 +284,36 @@
 	return true
 }
 
+// inBackoff reports whether nothing may be sent to the server now. The backoff ends early if
+// an entry knows another lifetime of the server.
+func (s *Sidecar) inBackoff() bool {
+	if !time.Now().Before(s.backoffUntil) {
+		return false
+	}
+	if s.hub.namesOtherInstance(string(s.instance)) {
+		s.backoffUntil, s.instance = time.Time{}, ""
+		return false
+	}
+	return true
+}
+
+// backsOff reports whether an error asks for a backoff, which begins now.
+func (s *Sidecar) backsOff(err error) bool {
+	var backoff *BackoffError
+	if !errors.As(err, &backoff) {
+		return false
+	}
+	if until := time.Now().Add(backoff.For); until.After(s.backoffUntil) {
+		s.backoffUntil = until
+	}
+	s.log.For(logging.ComponentEndpoint).Warn().
+		Str("instance", string(s.instance)).
+		Dur("backoff_ms", backoff.For).
+		Dur("remaining_ms", time.Until(s.backoffUntil)).
+		Msg("server asks for a backoff")
+	return true
+}
+
 // resetForRestart discards what is known about the previous lifetime of the server.
 func (s *Sidecar) resetForRestart() {
 	s.instance, s.plannerInstance = "", ""
@@ -279,6 +327,9 @@
 		return false
 	}
 	id, err := s.server.Instance(ctx, snap.Table.Service(s.settings.Service).HealthPath)
+	if s.backsOff(err) {
+		return false
+	}
 	if err != nil {
 		s.log.For(logging.ComponentEndpoint).Debug().Err(err).Msg("cannot determine the instance id of the server yet")
 		return false
@@ -331,6 +382,8 @@
 		Err(err).
 		Msg("order given")
 	switch {
+	case s.backsOff(err):
+		return false
 	case errors.Is(err, ErrNoAnswer):
 		return true // the next report shows whether it was accepted
 	case errors.Is(err, ErrRejected):
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -14,14 +15,23 @@
 )
 
 // fakeServer is a model server that accepts every order and counts the queries of
-// its id.
+// its id and of its report.
 type fakeServer struct {
-	id     fleet.ID
-	report residency.Report
-	asked  int
+	id      fleet.ID
+	report  residency.Report
+	asked   int
+	reports int
+	// backoff is the time for which the server asks for a backoff, or 0.
+	backoff time.Duration
 }
 
-func (s *fakeServer) Report(context.Context) (residency.Report, error) { return s.report, nil }
+func (s *fakeServer) Report(context.Context) (residency.Report, error) {
+	s.reports++
+	if s.backoff > 0 {
+		return residency.Report{}, &BackoffError{For: s.backoff}
+	}
+	return s.report, nil
+}
 
 func (s *fakeServer) Order(context.Context, fleet.ID, residency.Order) error { return nil }
 
@@ -84,3 +94,40 @@
 	assert.Equal(t, s.instance, fleet.ID("i-2"))
 	assert.Assert(t, s.planner != planner, "the planner of another instance")
 }
+
+// Guards against reports and orders that reach a server which has asked its sidecar for a
+// backoff, and against a server that counts as down meanwhile.
+func TestServerInBackoffIsNotCalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		srv := &fakeServer{id: "i-1"}
+		s, _ := newTestSidecar(t, srv)
+		s.step(t.Context())
+		srv.backoff = 3 * time.Second
+		s.step(t.Context())
+		reports := srv.reports
+		for range 29 {
+			time.Sleep(100 * time.Millisecond)
+			s.step(t.Context())
+		}
+		assert.Equal(t, srv.reports, reports)
+		assert.Assert(t, !s.hub.state.GetDown())
+		srv.backoff = 0
+		time.Sleep(100 * time.Millisecond)
+		s.step(t.Context())
+		assert.Equal(t, srv.reports, reports+1)
+	})
+}
+
+// Guards against a backoff that outlasts the lifetime of the server that has asked for it.
+func TestBackoffEndsWithTheLifetimeOfTheServer(t *testing.T) {
+	srv := &fakeServer{id: "i-1", backoff: 0}
+	s, _ := newTestSidecar(t, srv)
+	srv.backoff = time.Minute
+	s.step(t.Context())
+	srv.backoff, srv.id = 0, "i-2"
+	p := &peer{arrivals: map[fleet.AdapterKey]int{}, notify: make(chan struct{}, 1)}
+	s.hub.entries[p] = struct{}{}
+	s.hub.record(p, demandOf("i-2", 0))
+	s.step(t.Context())
+	assert.Equal(t, s.instance, fleet.ID("i-2"))
+}
