platform, fleet, gateway: read and log that a server leaves

Server-Leaving of a response is decoded once, for every status and also for a skipped response, recorded with the lifetime of the server and logged with the request; the metric gateway.leaving counts. No decision depends on it yet.

--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -154,6 +154,9 @@
 	banned   time.Time
 	limit    limit
 	backoff  backoff
+	// leaving is true once the server has said in a response that it leaves. Nothing takes
+	// it back.
+	leaving bool
 }
 
 // NewRuntime returns an empty record for a new lifetime.
@@ -166,7 +169,24 @@
 func (r *Runtime) inherit(from *Runtime) {
 	from.mu.Lock()
 	defer from.mu.Unlock()
-	r.limit, r.backoff = from.limit, from.backoff
+	r.limit, r.backoff, r.leaving = from.limit, from.backoff, from.leaving
+}
+
+// RecordLeaving records that the server has said that it leaves. It reports whether that is
+// news.
+func (r *Runtime) RecordLeaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	news := !r.leaving
+	r.leaving = true
+	return news
+}
+
+// Leaving reports whether the server has said that it leaves.
+func (r *Runtime) Leaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
 }
 
 // warmKey identifies one version of an adapter.
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -67,6 +67,8 @@
 	// Backoff is what the response says about the time for which the server wants no
 	// requests.
 	Backoff fleet.Backoff
+	// Leaving means that the server leaves and takes no new requests.
+	Leaving bool
 }
 
 // Headers parses and writes the platform's HTTP headers.
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -28,7 +28,7 @@
 
 // fakeHeaders is a minimal header format: Id, Budget-Ms, Model and Prompt (a list of
 // ID:TOKENS pairs) in requests, Version and Fetch in those to endpoints, and Not-Run,
-// Stamp, Instance, Weights, Limit and Retry-After in responses.
+// Stamp, Instance, Weights, Limit, Retry-After and Leaving in responses.
 type fakeHeaders struct{}
 
 func (fakeHeaders) ReadyPath() string { return "/ready" }
@@ -85,6 +85,7 @@
 		WeightsVersion: weights,
 		Limit:          fakeLimit(h.Get("Limit")),
 		Backoff:        fakeBackoff(h.Get("Retry-After")),
+		Leaving:        h.Get("Leaving") != "",
 	}
 }
 
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -16,6 +16,14 @@
 		return // another server has taken over the address
 	}
 	g.recordBackoff(x, e, reply.Backoff)
+	if reply.Leaving && e.Runtime.RecordLeaving() {
+		g.metrics.leaving.Inc(1)
+		g.log.For(logging.ComponentRoute).Info().
+			Str("request", x.call.RequestID).
+			Str("endpoint", string(e.ID)).
+			Str("state", e.State.String()).
+			Msg("server says that it leaves")
+	}
 }
 
 // recordBackoff records and logs the time for which a server wants no requests.
--- a/pkg/gateway/ready.go
+++ b/pkg/gateway/ready.go
@@ -14,8 +14,9 @@
 // gatewayMetrics holds the counters and histograms of a gateway.
 type gatewayMetrics struct {
 	requests, answered, refused, failed, retries, loadWaits metrics.Counter
-	// backoffs counts the backoffs for which servers asked.
-	backoffs            metrics.Counter
+	// backoffs counts the backoffs for which servers asked, and leaving the servers that
+	// said that they leave.
+	backoffs, leaving   metrics.Counter
 	firstByte, loadWait metrics.Histogram
 }
 
@@ -34,6 +35,7 @@
 		retries:   metrics.GetOrRegisterCounter("gateway.retries", r),
 		loadWaits: metrics.GetOrRegisterCounter("gateway.load_waits", r),
 		backoffs:  metrics.GetOrRegisterCounter("gateway.backoffs", r),
+		leaving:   metrics.GetOrRegisterCounter("gateway.leaving", r),
 		firstByte: histogram("gateway.first_byte_ms"),
 		loadWait:  histogram("gateway.load_wait_ms"),
 	}
