fleet, gateway, sidecar: send nothing to a server that says that it leaves

Now the first source counts and none takes it back within the lifetime of the server: an older or a missing item, or a report that was under way. Placement, fetches of prompt parts and the gate before the write ask for it; running streams end as they are.

--- a/pkg/fleet/backoff.go
+++ b/pkg/fleet/backoff.go
@@ -66,16 +66,16 @@
 	return r.backoff.until
 }
 
-// Admits reports whether a request may be placed at the server as far as its backoff is
-// concerned.
+// Admits reports whether a request may be placed at the server, as far as its responses tell:
+// it neither leaves nor wants no requests now.
 func (r *Runtime) Admits(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.backoff.admits(now)
+	return !r.leaving && r.backoff.admits(now)
 }
 
 // Admission is the right to send one request to a server. A nil Admission is that of a server
-// that has asked for no backoff.
+// that has asked for no backoff, or of a request that must not be sent.
 type Admission struct {
 	runtime *Runtime
 	// until identifies the backoff.
@@ -89,12 +89,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := &r.backoff
+	if r.leaving || !b.admits(now) {
+		return nil, false
+	}
 	if b.until.IsZero() {
 		return nil, true
 	}
-	if !b.admits(now) {
-		return nil, false
-	}
 	b.waiting++
 	b.sentAt = now
 	return &Admission{runtime: r, until: b.until}, true
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -55,6 +55,10 @@
 // store is restored are some seconds old.
 const removedRetention = time.Minute
 
+// leavingRetention is how long a removed endpoint is remembered that has said that it leaves.
+// Its item may return while the store restores items.
+const leavingRetention = time.Hour
+
 // removal is the end of one lifetime of an endpoint, or a time during which its item is
 // missing.
 type removal struct {
@@ -64,6 +68,13 @@
 	at      time.Time
 }
 
+func (r *removal) retention() time.Duration {
+	if r.runtime.Leaving() {
+		return leavingRetention
+	}
+	return removedRetention
+}
+
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	return &Directory{endpoints: map[ID]*Endpoint{}, removed: map[ID]removal{}, removedSoftware: map[Software]time.Time{}, versions: map[AdapterKey]Versions{}}
@@ -116,7 +127,7 @@
 	}
 	delete(d.endpoints, id)
 	d.softwareRemoved(now, e)
-	maps.DeleteFunc(d.removed, func(_ ID, r removal) bool { return now.Sub(r.at) > removedRetention })
+	maps.DeleteFunc(d.removed, func(_ ID, r removal) bool { return now.Sub(r.at) > r.retention() })
 	d.removed[id] = removal{born: e.Born, address: e.Address, runtime: e.Runtime, at: now}
 	return true
 }
--- a/pkg/fleet/directory_test.go
+++ b/pkg/fleet/directory_test.go
@@ -38,3 +38,20 @@
 	assert.Assert(t, !d.SetVersion(time.Unix(1001, 0), v))
 	assert.Equal(t, d.versions[AdapterKey{Model: "m", Name: "a"}].Newest(), 3)
 }
+
+// Guards against a server that takes requests again after it has said that it leaves, because its
+// item was missing for long and other servers were removed meanwhile.
+func TestLeavingServerIsRemembered(t *testing.T) {
+	d := NewDirectory()
+	began := time.Now()
+	for _, id := range []ID{"leaves", "other"} {
+		d.SetEndpoint(began, Endpoint{ID: id, State: Ready, Born: 1})
+	}
+	d.endpoints["leaves"].Runtime.RecordLeaving()
+	d.RemoveEndpoint(began, "leaves")
+	d.RemoveEndpoint(began.Add(30*time.Minute), "other")
+	d.SetEndpoint(began.Add(31*time.Minute), Endpoint{ID: "leaves", State: Ready, Born: 1})
+	assert.Assert(t, d.endpoints["leaves"].Runtime.Leaving())
+	d.SetEndpoint(began.Add(32*time.Minute), Endpoint{ID: "leaves", State: Ready, Born: 2})
+	assert.Assert(t, !d.endpoints["leaves"].Runtime.Leaving())
+}
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -325,7 +325,7 @@
 		return notRun(reason, retryAfter)
 	}
 	left := slices.ContainsFunc(endpoints, func(e *fleet.Endpoint) bool {
-		return e.State == fleet.Ready && e.SoftwareVersion == *version
+		return e.State == fleet.Ready && !e.Runtime.Leaving() && e.SoftwareVersion == *version
 	})
 	if !left {
 		return notRun("no server of the software version that began the stream is left", 0)
--- a/pkg/gateway/retryafter.go
+++ b/pkg/gateway/retryafter.go
@@ -28,7 +28,7 @@
 // availableIn returns the time after which a server may take a request, or 0 if it does not
 // return.
 func availableIn(now time.Time, e *fleet.Endpoint) time.Duration {
-	if e.State != fleet.Ready {
+	if e.State != fleet.Ready || e.Runtime.Leaving() {
 		return 0
 	}
 	permit := e.Runtime.ThrottledUntil().Sub(now)
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -204,7 +204,7 @@
 	x.admission = admission
 	if !admitted {
 		f.g.pool.Put(poolKey(e), conn)
-		return result{end: retry.NotRun, unsent: true, detail: "the endpoint has asked for a backoff"}
+		return result{end: retry.NotRun, unsent: true, detail: "the endpoint wants no requests now"}
 	}
 	if !f.g.takeRetry(x) {
 		f.g.pool.Put(poolKey(e), conn)
--- a/pkg/residency/residency.go
+++ b/pkg/residency/residency.go
@@ -39,6 +39,9 @@
 	CacheTotal int64
 	// Draining means that the server is about to shut down.
 	Draining bool
+	// Leaving means that the response that brought the report says that the server leaves.
+	// Within the lifetime of the server, nothing takes that back.
+	Leaving bool
 }
 
 // Operation is the kind of an order.
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -100,6 +100,8 @@
 	pausedUntil time.Time
 	// backoffUntil is the time before which nothing is sent to the server.
 	backoffUntil time.Time
+	// leaving is true once the server has said that it leaves.
+	leaving bool
 	// unloading is an adapter whose unload waits until its running requests have ended.
 	// Until then the server refuses requests for it.
 	unloading fleet.AdapterKey
@@ -271,6 +273,7 @@
 		s.instance = ""
 	}
 	s.report = &r
+	s.recordLeaving(&r)
 	if _, held := r.Residents[s.unloading]; !held || !r.Busy {
 		s.unloading = fleet.AdapterKey{}
 	}
@@ -318,6 +321,19 @@
 func (s *Sidecar) resetForRestart() {
 	s.instance, s.plannerInstance = "", ""
 	s.planner = residency.New()
+	s.leaving = false
+}
+
+// recordLeaving records whether the response with a report says that the server leaves.
+func (s *Sidecar) recordLeaving(r *residency.Report) {
+	if !r.Leaving || s.leaving {
+		return
+	}
+	s.leaving = true
+	s.log.For(logging.ComponentEndpoint).Info().
+		Str("instance", string(s.instance)).
+		Bool("draining", r.Draining).
+		Msg("server says that it leaves")
 }
 
 // identify queries the id of the server. If it differs from the previous one, the
@@ -340,6 +356,7 @@
 	}
 	if s.plannerInstance != "" {
 		s.planner = residency.New()
+		s.leaving = s.report.Leaving
 	}
 	s.plannerInstance = id
 	s.log.For(logging.ComponentEndpoint).Info().
@@ -412,7 +429,7 @@
 	r := in.Report
 	m := &fescuev1.ServerState{
 		InstanceId: string(s.instance),
-		Draining:   r.Draining,
+		Draining:   r.Draining || s.leaving,
 		LoadMs:     uint32(s.planner.LoadLimiter().LoadTime().Milliseconds()),
 		LoadLimit:  uint32(s.planner.LoadLimiter().Limit()),
 		Free:       uint32(residency.Free(r, in.Engine)),
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -131,3 +131,18 @@
 	s.step(t.Context())
 	assert.Equal(t, s.instance, fleet.ID("i-2"))
 }
+
+// Guards against entries that are told that a server takes requests again after it has said that
+// it leaves, and against another lifetime of the server that counts as leaving.
+func TestLeavingServerStaysDraining(t *testing.T) {
+	srv := &fakeServer{id: "i-1", report: residency.Report{Born: 1}}
+	s, _ := newTestSidecar(t, srv)
+	for _, leaving := range []bool{false, true, false} {
+		srv.report.Leaving = leaving
+		s.step(t.Context())
+	}
+	assert.Assert(t, s.hub.state.GetDraining())
+	srv.report.Born, srv.id = 2, "i-2"
+	s.step(t.Context())
+	assert.Assert(t, !s.hub.state.GetDraining())
+}
