--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -135,7 +135,7 @@
 	}
 	// Without GetBody, net/http cannot send a body a second time.
 	req.GetBody = nil
-	headers := platform.ClientRequest{ID: rec.id, Host: hostName, Timeout: callerTimeout}
+	headers := platform.ClientRequest{ID: rec.id, Host: hostName, Timeout: callerTimeout, Entry: t.entry.name}
 	if t.route.service == modelService {
 		headers.Model, headers.Adapter, headers.Prompt = modelName, t.adapter, t.prompt
 	}
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -115,6 +115,12 @@
 	{"server sends no lengths", func(tb *testbed, rng *rand.Rand) func() {
 		return tb.injectPlainServerFaults(rng, platform.ServerFaults{Unframed: true})
 	}},
+	{"server asks for a backoff", func(tb *testbed, rng *rand.Rand) func() {
+		return tb.injectPlainServerFaults(rng, platform.ServerFaults{Refuse: true, Backoff: randomBackoff(rng)})
+	}},
+	{"model server asks for a backoff", func(tb *testbed, rng *rand.Rand) func() {
+		return tb.injectModelServerFaults(rng, platform.ServerFaults{Refuse: true, Backoff: randomBackoff(rng)})
+	}},
 	{"server loses answers", func(tb *testbed, rng *rand.Rand) func() {
 		return tb.injectPlainServerFaults(rng, platform.ServerFaults{LoseAnswers: true})
 	}},
--- a/pkg/soak/limits.go
+++ b/pkg/soak/limits.go
@@ -39,12 +39,20 @@
 	return func() []string {
 		var out []string
 		for _, s := range servers {
-			out = append(out, CheckLimit(s.Key(), began, s.LimitedArrivals())...)
+			out = append(out, CheckLimit(s.Key(), began, times(s.Arrivals()))...)
 		}
 		return out
 	}
 }
 
+func times(arrivals []platform.Arrival) []time.Time {
+	var out []time.Time
+	for _, a := range arrivals {
+		out = append(out, a.At)
+	}
+	return out
+}
+
 // CheckLimit returns a violation if a server that has named a limit since began got more
 // requests than the limit allows.
 func CheckLimit(server string, began time.Time, arrivals []time.Time) []string {
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -3,7 +3,7 @@
 // from what clients and servers observe. Faults of entries, faults of everything else and
 // planned changes (releases, versions, configurations) are drawn from a seed, each kind
 // on its own schedule; they come in series and overlap. Callers resume broken streams. At
-// the end, some servers name limits.
+// the end, some servers name limits, ask for a backoff or say that they leave.
 package soak
 
 import (
@@ -102,11 +102,13 @@
 	wait.For(ctx, settleTime)
 	h.endRecovery()
 	checkLimits := tb.nameLimits()
+	checkRefusals := tb.refuseRequests()
 	wait.For(ctx, limitTime)
 	stop()
 	wg.Wait()
 	r := h.report(tb, o.Seed, faults)
 	r.Violations = append(r.Violations, checkLimits()...)
+	r.Violations = append(r.Violations, checkRefusals()...)
 	return r, nil
 }
 
--- a/standin/platform/client.go
+++ b/standin/platform/client.go
@@ -28,6 +28,8 @@
 	// Resumes the id of the client attempt that brought the stream's first event.
 	LastEventID string
 	Resumes     string
+	// Entry names the entry that the client asks, for the records of the servers.
+	Entry string
 }
 
 // PromptPart is one part of a prompt. Requests with the same ID share it.
@@ -44,6 +46,7 @@
 	r.Host = c.Host
 	r.Header.Set("X-Fescuecourse-Request-Id", c.ID)
 	r.Header.Set("X-Fescuecourse-Deadline-Ms", fmt.Sprint(c.Timeout.Milliseconds()))
+	r.Header.Set("Test-Entry", c.Entry)
 	if c.Model == "" {
 		return
 	}
--- a/standin/platform/orders.go
+++ b/standin/platform/orders.go
@@ -29,6 +29,7 @@
 func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.sayLeaving(w)
 	r := reportBody{Born: s.cfg.Born, Busy: s.busy, Sequence: s.sequence, KVTotal: 1 << 18, State: s.state(), Coming: []string{}}
 	if s.weights > 0 {
 		m := loadedModel{Name: s.cfg.Model, Version: s.weights, Adapters: []string{}}
--- a/standin/platform/requests.go
+++ b/standin/platform/requests.go
@@ -34,9 +34,10 @@
 		return
 	}
 	w.Header().Set("X-Fescuecourse-Request-Id", r.Header.Get("X-Fescuecourse-Request-Id"))
-	s.nameLimit(w)
+	s.announce(w, r)
 	run, status := s.admit(r)
 	if status != 0 {
+		s.askForBackoff(w, status)
 		w.Header().Set("X-Fescuecourse-Instance-Id", s.cfg.ID)
 		if status != http.StatusMisdirectedRequest {
 			w.Header().Set("X-Fescuecourse-Not-Run", "1")
@@ -66,14 +67,31 @@
 	}
 }
 
-// nameLimit names the server's limit in a response, if there is one.
-func (s *Server) nameLimit(w http.ResponseWriter) {
+// announce records the arrival of a request and says in the response what the server wants.
+func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.arrivals = append(s.arrivals, Arrival{Entry: r.Header.Get("Test-Entry"), At: time.Now()})
 	if s.faults.Limit > 0 {
-		s.limitedArrivals = append(s.limitedArrivals, time.Now())
 		w.Header().Set("Server-Limit", fmt.Sprint(s.faults.Limit))
 	}
+	s.sayLeaving(w)
+}
+
+// sayLeaving says in a response that the server leaves, if it does. The caller holds mu.
+func (s *Server) sayLeaving(w http.ResponseWriter) {
+	if s.faults.Leaving || s.draining {
+		w.Header().Set("Server-Leaving", "1")
+	}
+}
+
+// askForBackoff asks in a refusal for no requests for some time.
+func (s *Server) askForBackoff(w http.ResponseWriter, status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if status == http.StatusServiceUnavailable && s.faults.Backoff > 0 {
+		w.Header().Set("Retry-After", fmt.Sprint(s.faults.Backoff.Seconds()))
+	}
 }
 
 // admit records a run. It returns the run and 0, or the status with which the request
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -68,6 +68,16 @@
 	// Limit is the number of requests per second that the server says it takes. It names
 	// none if it is 0. It takes all requests nevertheless, and records when they arrive.
 	Limit float64
+	// Backoff is the time for which the server asks in each refusal, or 0.
+	Backoff time.Duration
+	// Leaving makes the server say in all its answers that it leaves.
+	Leaving bool
+}
+
+// Arrival is a request that reached a server, from the entry that its Test-Entry header names.
+type Arrival struct {
+	Entry string
+	At    time.Time
 }
 
 // Server is a fake model server or plain HTTP server.
@@ -79,9 +89,8 @@
 
 	mu     sync.Mutex
 	faults ServerFaults
-	// limitedArrivals are the times of the requests that arrived while the server named a
-	// limit.
-	limitedArrivals []time.Time
+	// arrivals are the requests that arrived since the faults were last set.
+	arrivals []Arrival
 	// weights is the version of the base model's weights, or 0 without a model.
 	// loadedWeights has been loaded and waits for the end of the running requests.
 	weights       int
@@ -168,15 +177,14 @@
 func (s *Server) SetFaults(f ServerFaults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = f
+	s.faults, s.arrivals = f, nil
 }
 
-// LimitedArrivals returns the times of the requests that have arrived while the server named
-// a limit.
-func (s *Server) LimitedArrivals() []time.Time {
+// Arrivals returns the requests that have arrived since the faults were last set.
+func (s *Server) Arrivals() []Arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.limitedArrivals)
+	return slices.Clone(s.arrivals)
 }
 
 // Drain makes the server report the state "draining".
@@ -247,5 +255,8 @@
 }
 
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sayLeaving(w)
 	w.Header().Set("X-Fescuecourse-Instance-Id", s.cfg.ID)
 }
