endpoint, engine, service: heed the backoff for which an engine or a service asks

Attempts are now refused as not run until the end, with the time that is left, before they are queued and again before they run; a new boot of the engine ends the backoff. Plain services in the same way, whose 503 itself is still passed on as their response. Retry-After is parsed in one place (upstream.RetryAfter).

Commands to load and unload adapters and status polls are not held back.

--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -65,6 +65,7 @@
 	killed      chan struct{}
 	killOnce    sync.Once
 	leaving     atomic.Bool
+	backoff     backoff
 	addr        atomic.Pointer[net.TCPAddr]
 	ready       chan struct{}
 }
--- a/pkg/endpoint/endpoint_test.go
+++ b/pkg/endpoint/endpoint_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"testing"
@@ -78,12 +79,18 @@
 }
 
 func startEndpoint(t *testing.T) *testEndpoint {
+	t.Helper()
+	return startEndpointBehind(t, func(h http.Handler) http.Handler { return h })
+}
+
+// startEndpointBehind starts an endpoint whose calls of the engine pass through a handler.
+func startEndpointBehind(t *testing.T, wrap func(http.Handler) http.Handler) *testEndpoint {
 	t.Helper()
 	eng := fakeengine.New(fakeengine.Options{
 		BaseModel: "base", Slots: 1, Positions: 4,
 		Timing: fakeengine.Timing{Decode: 20 * time.Millisecond}, Weights: weightstore.New(1000, nil),
 	})
-	backend := httptest.NewServer(eng.Handler())
+	backend := httptest.NewServer(wrap(eng.Handler()))
 	t.Cleanup(backend.Close)
 	b, found := bundle.Parse("test", "[bundle]\nversion = 1\n\n[deployment]\nname = test\nstall_weight = 0.5\nbatch_weight = 0.5\n")
 	assert.NilError(t, found.Err())
--- a/pkg/endpoint/poll.go
+++ b/pkg/endpoint/poll.go
@@ -105,6 +105,7 @@
 	c.e.log.For(logging.ComponentEndpoint).Info().Str("boot", ev.status.BootID).Int("residents", len(ev.status.Residents)).Int("running", len(ev.status.Running)).Msg("new engine boot detected")
 	c.bootID = ev.status.BootID
 	c.gate.acceptedToken = 0
+	c.e.backoff.clear()
 	c.e.runs.restarted()
 	if c.sched == nil {
 		c.limits = scheduler.Config{MaxQueued: c.e.set.MaxQueued, ShareInterval: c.e.set.ShareInterval, CommandDeadline: c.e.timing.commandDeadline, Evictor: c.e.set.evictor()}
--- a/pkg/endpoint/run.go
+++ b/pkg/endpoint/run.go
@@ -14,6 +14,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/engine"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/invariant"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/membership"
 	"github.com/fescuecourse/fescuecourse/pkg/service"
 )
@@ -89,6 +90,9 @@
 func (r *run) perform(ctx context.Context) bool {
 	stop := r.heartbeat()
 	defer stop()
+	if wait := r.e.backoff.remaining(time.Now()); wait > 0 {
+		return r.notRunFor(wait)
+	}
 	if m := r.req.GetModel(); m != nil {
 		return r.generate(ctx, m)
 	}
@@ -170,6 +174,11 @@
 	}
 	call := engine.Call{Path: m.GetPath(), Body: body, RequestID: r.id.Request, Priority: ident.Priority(r.req.GetPriority()), ResumeEvents: m.GetResumeEvents()}
 	st, err := r.e.engine.Generate(ctx, call)
+	var wanted *engine.BackoffError
+	if errors.As(err, &wanted) {
+		r.recordBackoff(wanted.For)
+		return r.notRunFor(wanted.For)
+	}
 	if errors.Is(err, engine.ErrRefused) {
 		// The engine may have restarted or evicted the adapter, so read its state.
 		r.e.control.pollNow()
@@ -250,6 +259,22 @@
 	return false
 }
 
+// notRunFor ends a run that the engine or service does not want now, but after the given time.
+func (r *run) notRunFor(wait time.Duration) bool {
+	r.notStarted = true
+	r.out.send(&fescuev1.RunFrame{Body: &fescuev1.RunFrame_NotRun{NotRun: inBackoff(wait)}})
+	return false
+}
+
+// recordBackoff records that the engine or service wants no calls for the given time.
+func (r *run) recordBackoff(d time.Duration) {
+	r.e.backoff.record(time.Now(), d)
+	r.e.log.For(logging.ComponentEndpoint).Info().
+		Str("request", string(r.id.Request)).
+		Dur("backoff_ms", d).
+		Msg("backend asks for a backoff")
+}
+
 // failWith ends a run without a complete answer. The reason depends on whether the
 // engine restarted, the deadline passed or the run was cancelled.
 func (r *run) failWith(ctx context.Context, err error) bool {
@@ -277,6 +302,9 @@
 	if err != nil {
 		return r.failWith(ctx, err)
 	}
+	if resp.Backoff > 0 {
+		r.recordBackoff(resp.Backoff)
+	}
 	r.header(uint32(resp.Status), resp.ContentType, "")
 	if len(resp.Body) > 0 {
 		r.data(0, resp.Body)
--- a/pkg/endpoint/server.go
+++ b/pkg/endpoint/server.go
@@ -110,6 +110,7 @@
 // precheck returns the reason to refuse an attempt before it is queued, or nil.
 func (e *Endpoint) precheck(req *fescuev1.RunRequest) *fescuev1.NotRun {
 	refuse := func(r fescuev1.NotRunReason) *fescuev1.NotRun { return &fescuev1.NotRun{Reason: r} }
+	backoff := e.backoff.remaining(time.Now())
 	version := uint64(e.bundles.Version())
 	switch {
 	case req.GetIncarnation() != uint64(e.incarnation) || req.GetEndpointId() != string(e.id):
@@ -122,6 +123,8 @@
 		return refuse(fescuev1.NotRunReason_NOT_RUN_REASON_NOT_READY)
 	case req.GetBundleVersion() < version:
 		return &fescuev1.NotRun{Reason: fescuev1.NotRunReason_NOT_RUN_REASON_OLD_BUNDLE, BundleVersion: version}
+	case backoff > 0:
+		return inBackoff(backoff)
 	case !e.serves(req):
 		return refuse(fescuev1.NotRunReason_NOT_RUN_REASON_WRONG_BACKEND)
 	case req.GetDeadlineMs() == 0 || req.GetDeadlineMs() > uint64(e.set.MaxDeadline.Milliseconds()):
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -57,6 +57,13 @@
 	ErrResultUnknown = errors.New("result of the engine call is unknown")
 )
 
+// BackoffError means that the engine refused a call and wants no others for some time. It
+// always matches ErrRefused too.
+type BackoffError struct{ For time.Duration }
+
+// Error implements error.
+func (e *BackoffError) Error() string { return "the engine wants no calls for " + e.For.String() }
+
 // Run is a generation in progress, as listed in the engine's status.
 type Run struct {
 	RequestID string `json:"request_id"`
@@ -217,6 +224,16 @@
 	return err
 }
 
+// refusedCall returns the error for a call that the engine refused, which is a BackoffError if
+// the engine asks for a backoff.
+func refusedCall(r *http.Response, detail []byte) error {
+	after, ok := upstream.RetryAfter(r.Header)
+	if r.StatusCode == http.StatusServiceUnavailable && ok && after > 0 {
+		return errors.Mark(&BackoffError{For: after}, ErrRefused)
+	}
+	return refused(r.StatusCode, detail)
+}
+
 // Generate starts a generation. It returns ErrRefused if the engine did not execute the
 // call, and ErrResultUnknown if it may have.
 func (c *Client) Generate(ctx context.Context, call Call) (*Stream, error) {
@@ -235,7 +252,7 @@
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
 		detail, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
-		return nil, refused(resp.StatusCode, detail)
+		return nil, refusedCall(resp, detail)
 	}
 	sc := bufio.NewScanner(resp.Body)
 	sc.Buffer(make([]byte, 0, 4096), maxEventBytes)
--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -40,7 +41,9 @@
 
 // Response is a complete response. Status is the HTTP status code.
 type Response struct {
-	Status      int
+	Status int
+	// Backoff is the time for which the service wants no calls, or 0.
+	Backoff     time.Duration
 	ContentType string
 	Body        []byte
 }
@@ -82,7 +85,16 @@
 	if endsWithConnection(resp) && !isJSONDocument(body) {
 		return Response{}, errors.Mark(errors.New("read response of service: the end is not certain"), ErrResultUnknown)
 	}
-	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+	return Response{Status: resp.StatusCode, Backoff: backoff(resp), ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// backoff returns the time for which a service that refused a call wants no others, or 0.
+func backoff(r *http.Response) time.Duration {
+	after, ok := upstream.RetryAfter(r.Header)
+	if r.StatusCode != http.StatusServiceUnavailable || !ok {
+		return 0
+	}
+	return after
 }
 
 // endsWithConnection reports whether only the end of the connection ends the body of a
