fleet, gateway: one check of what a server allows, one decoding of each response

The choice of a server took three locks for each candidate (ban, permit, backoff) and takes one; the head of a response was decoded when it was observed and again when it was received. No change of behaviour; the tests of gateway, locality and fleet pass.

--- a/pkg/fleet/backoff.go
+++ b/pkg/fleet/backoff.go
@@ -74,6 +74,14 @@
 	return !r.leaving && r.backoff.admits(now)
 }
 
+// Available reports whether a request may be placed at the server: it is not banned, there may
+// be a permit, and it admits requests.
+func (r *Runtime) Available(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !now.Before(r.banned) && !now.Before(r.limit.throttled) && !r.leaving && r.backoff.admits(now)
+}
+
 // Admission is the right to send one request to a server. A nil Admission is that of a server
 // that has asked for no backoff, or of a request that must not be sent.
 type Admission struct {
--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -345,10 +345,3 @@
 		r.banned = until
 	}
 }
-
-// Banned reports whether the endpoint is excluded from selection at the given time.
-func (r *Runtime) Banned(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return now.Before(r.banned)
-}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -57,6 +57,8 @@
 	// admission is the right to send the attempt to a server that has asked for a backoff, or
 	// nil.
 	admission *fleet.Admission
+	// reply is what the head of the last response says.
+	reply Reply
 	// weightsVersion is the version of the base model's weights that the response names,
 	// or 0 if it names none.
 	weightsVersion int
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -7,11 +7,11 @@
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 )
 
-// observe records what the head of a response says about its server. It is called for each
-// response that arrives on the connection of an attempt, before any decision on its status,
-// also for one to another request.
-func (g *Gateway) observe(x *exchange, reply Reply) {
-	e := x.endpoint
+// observe records what the reply says about its server. It is called for each response that
+// arrives on the connection of an attempt, before any decision on its status, also for one to
+// another request.
+func (g *Gateway) observe(x *exchange) {
+	e, reply := x.endpoint, &x.reply
 	if reply.Instance != "" && reply.Instance != e.ID {
 		return // another server has taken over the address
 	}
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -259,7 +259,10 @@
 		Header: f.g.headers.Forward(x.r.Header, a),
 		Body:   x.body,
 		Mine:   func(h http.Header) bool { return f.g.headers.Mine(h, id) },
-		OnHead: func(status int, h http.Header) { f.g.observe(x, f.g.headers.Reply(status, h)) },
+		OnHead: func(status int, h http.Header) {
+			x.reply = f.g.headers.Reply(status, h)
+			f.g.observe(x)
+		},
 	}
 }
 
@@ -276,7 +279,7 @@
 
 func (f sendFilter) receive(ctx context.Context, x *exchange, conn *upstream.Conn, ex *upstream.Exchange, c *attemptCounts) result {
 	status := ex.Response.StatusCode
-	reply := f.g.headers.Reply(status, ex.Response.Header)
+	reply := &x.reply
 	x.weightsVersion = reply.WeightsVersion
 	x.framing = upstream.FramingOf(ex.Response)
 	f.g.recordLimit(x, reply.Limit)
@@ -316,7 +319,7 @@
 }
 
 // refused handles a response that proves that the request did not run.
-func (f sendFilter) refused(x *exchange, conn *upstream.Conn, ex *upstream.Exchange, reply Reply) result {
+func (f sendFilter) refused(x *exchange, conn *upstream.Conn, ex *upstream.Exchange, reply *Reply) result {
 	status := ex.Response.StatusCode
 	if _, err := io.CopyN(io.Discard, ex.Response.Body, maxBufferedBytes); errors.Is(err, io.EOF) && ex.Finish() {
 		f.g.pool.Put(poolKey(x.endpoint), conn)
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -221,7 +221,7 @@
 }
 
 func usable(r *Request, e *fleet.Endpoint) bool {
-	if e.State != fleet.Ready || e.Runtime.Banned(r.Now) || r.Now.Before(e.Runtime.ThrottledUntil()) || !e.Runtime.Admits(r.Now) {
+	if e.State != fleet.Ready || !e.Runtime.Available(r.Now) {
 		return false
 	}
 	if r.SoftwareVersion != nil && *r.SoftwareVersion != e.SoftwareVersion {
