gateway: send the rest of a response before its connection may close regularly

A response that ends with its connection was allowed a regular close while its last bytes were still in the buffer of net/http: had the process died between, a part would have looked complete. Found by reading; the interval is some microseconds, no test shows it.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -172,6 +172,7 @@
 	g.settle(x, fail)
 	if x.complete {
 		if x.endsByClose {
+			_ = http.NewResponseController(w).Flush() // the caller may be gone
 			closeRegularly(r.Context())
 		}
 		return
