--- a/pkg/gateway/backoff_test.go
+++ b/pkg/gateway/backoff_test.go
@@ -194,18 +194,17 @@
 	}
 }
 
-// Guards against a request that reaches a server in backoff because it was placed there before
-// the server asked for it, and waited for a permit meanwhile.
-func TestRequestThatWaitsAsksAgain(t *testing.T) {
+// arrivalsAfterWait sends requests that wait for a permit at a server, calls change meanwhile, and
+// returns how many of them reach the server.
+func arrivalsAfterWait(t *testing.T, change func(*fleet.Endpoint)) int32 {
+	t.Helper()
 	w := newTestGateway(t, plainRoute)
-	server := &backoffServer{}
-	var limited atomic.Bool
-	limited.Store(true)
+	var arrivals atomic.Int32
 	e := w.serve(plainService, func(rw http.ResponseWriter, r *http.Request) {
-		if limited.Load() {
-			rw.Header().Set("Limit", "1000")
-		}
-		server.ServeHTTP(rw, r)
+		arrivals.Add(1)
+		markFromPlatform(rw, r)
+		rw.Header().Set("Limit", "1000")
+		fmt.Fprint(rw, "ok")
 	})
 	w.serve(modelService, func(http.ResponseWriter, *http.Request) {})
 	sidecar := newFakeSidecar()
@@ -214,15 +213,25 @@
 	}
 	assert.Equal(t, w.do(http.MethodGet, "/p/x", nil).status, http.StatusOK)
 	sidecar.delay.Store(int64(80 * time.Millisecond))
-	arrived := server.count()
+	arrivals.Store(0)
 	var wg sync.WaitGroup
 	for range 8 {
 		wg.Go(func() { w.do(http.MethodGet, "/p/x", nil) })
 	}
 	time.Sleep(20 * time.Millisecond) // all wait for a permit
-	e.Runtime.RecordBackoff(time.Now(), fleet.Backoff{Asked: true, For: time.Second})
+	change(e)
 	wg.Wait()
-	assert.Equal(t, server.count(), arrived)
+	return arrivals.Load()
+}
+
+// Guards against a request that reaches a server in backoff because it was placed there before
+// the server asked for it, and waited for a permit meanwhile.
+func TestRequestThatWaitsAsksAgain(t *testing.T) {
+	assert.Equal(t, arrivalsAfterWait(t, func(*fleet.Endpoint) {}), int32(8))
+	inBackoff := arrivalsAfterWait(t, func(e *fleet.Endpoint) {
+		e.Runtime.RecordBackoff(time.Now(), fleet.Backoff{Asked: true, For: time.Second})
+	})
+	assert.Equal(t, inBackoff, int32(0))
 }
 
 // Guards against callers that are held, told to come back too early, or all at once, while all
--- a/pkg/gateway/leaving_test.go
+++ b/pkg/gateway/leaving_test.go
@@ -3,12 +3,13 @@
 import (
 	"fmt"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 )
 
 // leavingServer is a server that says in its responses that it leaves, and counts the
@@ -102,29 +103,7 @@
 // Guards against a request that was placed at a server before it said that it leaves and
 // reaches it afterwards, because it waited for a permit.
 func TestRequestThatWaitsHeedsALeavingServer(t *testing.T) {
-	w := newTestGateway(t, plainRoute)
-	var arrivals atomic.Int32
-	e := w.serve(plainService, func(rw http.ResponseWriter, r *http.Request) {
-		arrivals.Add(1)
-		markFromPlatform(rw, r)
-		rw.Header().Set("Limit", "1000")
-		fmt.Fprint(rw, "ok")
-	})
-	w.serve(modelService, func(http.ResponseWriter, *http.Request) {})
-	sidecar := newFakeSidecar()
-	for _, holder := range w.gateway.control.snapshot.Load().Services[modelService] {
-		w.connect(holder, sidecar)
-	}
-	assert.Equal(t, w.do(http.MethodGet, "/p/x", nil).status, http.StatusOK)
-	sidecar.delay.Store(int64(80 * time.Millisecond))
-	var wg sync.WaitGroup
-	for range 8 {
-		wg.Go(func() { w.do(http.MethodGet, "/p/x", nil) })
-	}
-	time.Sleep(20 * time.Millisecond) // all wait for a permit
-	e.Runtime.RecordLeaving()
-	wg.Wait()
-	assert.Equal(t, arrivals.Load(), int32(1))
+	assert.Equal(t, arrivalsAfterWait(t, func(e *fleet.Endpoint) { e.Runtime.RecordLeaving() }), int32(0))
 }
 
 // Guards against a stream that is resumed at a server that leaves, or one that breaks off at
