--- a/pkg/gateway/cut_test.go
+++ b/pkg/gateway/cut_test.go
@@ -32,8 +32,7 @@
 	return fmt.Sprintf("framed by %s, cut after %d bytes, reset %t", c.framing, c.after, c.reset)
 }
 
-// wire returns the body as it is sent, the part of it that the server sends, and the number
-// of body bytes that this part carries.
+// wire returns the head of the response and what the server sends of the framed body.
 func (c cutResponse) wire(body string) (head, sent string) {
 	head = "HTTP/1.1 200 OK\r\nStamp: x\r\nId: r1\r\nContent-Type: text/event-stream\r\n"
 	switch c.framing {
