gateway: look for the origin of a stream at its former holders too

Callers that resumed a stream at another entry were refused although a sidecar had the record of where the stream began.

(1) Of the product: only the present holders were asked. A server that joins takes the place of a holder, which has the record and was not asked any more.

The holders and the three servers next in the choice are asked now: a holder that is displaced comes next. A positive answer is a fact, so that the rule on versions is untouched; a question, which only streams resumed at other entries cause, costs six messages in place of three.

--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -46,16 +46,21 @@
 	return &originTracker{control: c, log: log.For(logging.ComponentRoute), registry: origin.NewRegistry()}
 }
 
-// holdersOf returns the servers whose sidecars keep the origin of a stream. All model
-// servers are candidates, because plain servers have no sidecars.
+// holdersOf returns the servers whose sidecars keep the origin of a stream.
 func (t *originTracker) holdersOf(s origin.StreamID) []*fleet.Endpoint {
+	return t.currentHolders().Of(s)
+}
+
+// currentHolders returns the choice of holders among the servers of the directory. Plain
+// servers have no sidecars.
+func (t *originTracker) currentHolders() *origin.Holders {
 	snapshot := t.control.snapshot.Load()
 	choice := t.holders.Load()
 	if choice == nil || choice.snapshot != snapshot {
 		choice = &holderChoice{snapshot: snapshot, holders: origin.NewHolders(modelServers(snapshot))}
 		t.holders.Store(choice)
 	}
-	return choice.holders.Of(s)
+	return choice.holders
 }
 
 // modelServers returns the servers of all services with models.
@@ -115,9 +120,9 @@
 type originAnswer struct {
 	origin origin.Origin
 	found  bool
-	// source is the holder that knows the origin, or empty if the entry itself does.
+	// source is the server whose sidecar knows the origin, or empty if the entry itself does.
 	source fleet.ID
-	// asked and answered are the numbers of holders that were asked and that answered.
+	// asked and answered are the numbers of sidecars that were asked and that answered.
 	asked, answered int
 	// versions are the software versions at which the stream may have begun if the origin
 	// is not known: those of the service that servers run or streams began at recently.
@@ -128,7 +133,7 @@
 }
 
 // find looks up the origin of the stream that a request resumes, at this entry and then
-// at all holders in parallel. The first positive answer counts.
+// at the holders and the former holders in parallel. The first positive answer counts.
 func (t *originTracker) find(ctx context.Context, x *exchange) originAnswer {
 	now := time.Now()
 	stream := origin.ID(beginningRequestID(&x.call))
@@ -140,15 +145,15 @@
 	a.versions = append(a.versions, t.control.snapshot.Load().SoftwareVersions(now, service)...)
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	holders := t.holdersOf(stream)
-	replies := make(chan holderReply, len(holders))
-	for _, e := range holders {
+	candidates := t.currentHolders().Candidates(stream)
+	replies := make(chan holderReply, len(candidates))
+	for _, e := range candidates {
 		go func() {
 			replies <- t.ask(ctx, e, &fescuev1.FindOriginRequest{Stream: uint64(stream), Service: service})
 		}()
 	}
-	a.asked = len(holders)
-	for range holders {
+	a.asked = len(candidates)
+	for range candidates {
 		if a.add(<-replies) {
 			break
 		}
--- a/pkg/origin/holders.go
+++ b/pkg/origin/holders.go
@@ -12,8 +12,12 @@
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
 
-// maxHolders is the largest number of sidecars that keep the record of a stream.
-const maxHolders = 3
+const (
+	// maxHolders is the largest number of sidecars that keep the record of a stream.
+	maxHolders = 3
+	// maxCandidates is the largest number of sidecars that may have the record of a stream.
+	maxCandidates = 2 * maxHolders
+)
 
 // Holders chooses the servers whose sidecars keep the record of a stream, by rendezvous
 // hashing: entries with the same list agree, and a server that joins or leaves changes
@@ -86,6 +90,13 @@
 // Of returns the holders of a stream, at most maxHolders. Each is in another
 // availability zone while there are enough zones.
 func (h *Holders) Of(s StreamID) []*fleet.Endpoint {
+	return truncate(h.Candidates(s), maxHolders)
+}
+
+// Candidates returns the servers whose sidecars may have the record of a stream, at most
+// maxCandidates: its holders, and those that come next in the choice. The latter were
+// holders before other servers joined.
+func (h *Holders) Candidates(s StreamID) []*fleet.Endpoint {
 	best := make([]scored, h.zones) // by zone
 	var others []scored             // the best of the other servers
 	for i := range h.servers {
@@ -101,22 +112,24 @@
 		others = insert(others, c)
 	}
 	slices.SortFunc(best, scored.compare)
-	out := make([]*fleet.Endpoint, 0, maxHolders)
-	for _, c := range append(best, others...) {
-		if len(out) < maxHolders {
-			out = append(out, c.server)
-		}
+	holders := truncate(best, maxHolders)
+	next := append(others, best[len(holders):]...)
+	slices.SortFunc(next, scored.compare)
+	out := make([]*fleet.Endpoint, 0, maxCandidates)
+	for _, c := range truncate(slices.Concat(holders, next), maxCandidates) {
+		out = append(out, c.server)
 	}
 	return out
 }
 
 // insert adds a server to a list in the order of compare and drops the last one beyond
-// maxHolders.
+// maxCandidates.
 func insert(list []scored, c scored) []scored {
-	if len(list) == maxHolders && c.score < list[maxHolders-1].score {
+	if len(list) == maxCandidates && c.score < list[maxCandidates-1].score {
 		return list
 	}
 	i, _ := slices.BinarySearchFunc(list, c, scored.compare)
-	list = slices.Insert(list, i, c)
-	return list[:min(len(list), maxHolders)]
+	return truncate(slices.Insert(list, i, c), maxCandidates)
 }
+
+func truncate[T any](list []T, n int) []T { return list[:min(len(list), n)] }
--- a/pkg/origin/holders_test.go
+++ b/pkg/origin/holders_test.go
@@ -83,6 +83,22 @@
 	}
 }
 
+// Guards against candidates that lack a holder, or all former holders of a stream after a
+// server has joined in each zone.
+func TestFormerHoldersAreCandidates(t *testing.T) {
+	for _, zones := range []int{1, 2, 3, 13} {
+		list := servers(60+zones, zones)
+		before, after := NewHolders(list[:60]), NewHolders(list)
+		for s := range StreamID(3000) {
+			holders, candidates := ids(after.Of(s)), ids(after.Candidates(s))
+			assert.Equal(t, len(candidates), maxCandidates)
+			assert.DeepEqual(t, candidates[:maxHolders], holders)
+			found := slices.ContainsFunc(ids(before.Of(s)), func(id fleet.ID) bool { return slices.Contains(candidates, id) })
+			assert.Assert(t, found, "%d zones, stream %d", zones, s)
+		}
+	}
+}
+
 // Guards against other holders after servers have restarted under new ids at their
 // addresses, where the sidecars still have the records, and against a sidecar that is
 // chosen twice while the old items are still listed.
