endpoint: hold back commands and status polls during an engine's backoff

An engine that had refused a call with 503 and Retry-After still got load, unload and fence commands and status polls from the endpoint process beside it, and a Retry-After in a response to one of these was not read at all.

Cause: the backoff was checked and recorded in the code that runs attempts. Evidence: TestEngineInBackoffGetsNoCommandsAndPolls fails for each of the four calls that may be refused if the gate or the wait of the polls is taken out (9 calls in place of 4).

Now every call of the engine passes one gate, which refuses it locally as not executed and records what the engine asks for. Status polls are held back too, but one goes out every 30 s, because only a poll shows that the engine has restarted and that its backoff is over; without it, TestRestartedEngineHasNoBackoff fails for an engine that restarts within a backoff of an hour. A fence command is tried again at the end of the backoff instead of every 200 ms.

--- a/pkg/endpoint/backoff.go
+++ b/pkg/endpoint/backoff.go
@@ -4,7 +4,11 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/engine"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
 )
 
 // backoff is the time for which the engine or service wants no calls. Of several times the
@@ -36,6 +40,36 @@
 	b.until = time.Time{}
 }
 
+// callEngine makes a call of the engine, unless it wants none now. Both that and a refusal
+// with a backoff give an engine.BackoffError, and the engine has not executed the call.
+// The call is named in logs.
+func (e *Endpoint) callEngine(name string, call func() error) error {
+	if wait := e.backoff.remaining(time.Now()); wait > 0 {
+		return errors.Mark(&engine.BackoffError{For: wait}, engine.ErrRefused)
+	}
+	err := call()
+	e.recordRefusal(name, err)
+	return err
+}
+
+// recordRefusal records the backoff of a refused call.
+func (e *Endpoint) recordRefusal(name string, err error) {
+	var refused *engine.BackoffError
+	if errors.As(err, &refused) {
+		e.recordBackoff(name, refused.For)
+	}
+}
+
+// recordBackoff records that the engine or service wants no calls for the given time, as it
+// has answered the named call.
+func (e *Endpoint) recordBackoff(name string, d time.Duration) {
+	e.backoff.record(time.Now(), d)
+	e.log.For(logging.ComponentEndpoint).Info().
+		Str("call", name).
+		Dur("backoff_ms", d).
+		Msg("backend asks for a backoff")
+}
+
 // inBackoff returns the refusal of an attempt that the engine or service does not want now, but
 // after the given time.
 func inBackoff(wait time.Duration) *fescuev1.NotRun {
--- a/pkg/endpoint/control.go
+++ b/pkg/endpoint/control.go
@@ -21,7 +21,9 @@
 	// fastPoll replaces enginePoll while the engine runs requests that another
 	// process started, while the effect of a command is unknown, and while work that
 	// needs adapters is held back.
-	fastPoll          = 200 * time.Millisecond
+	fastPoll = 200 * time.Millisecond
+	// backoffPoll replaces both while the engine wants no calls.
+	backoffPoll       = 30 * time.Second
 	fenceRetry        = 200 * time.Millisecond
 	engineCallTimeout = 2 * time.Second
 	// loadTimeout is the time limit for one adapter load.
@@ -31,12 +33,13 @@
 
 // timing holds the intervals and time limits of an endpoint. Tests shorten them.
 type timing struct {
-	tick       time.Duration
-	enginePoll time.Duration
-	fastPoll   time.Duration
-	fenceRetry time.Duration
-	leaveGrace time.Duration
-	stopGrace  time.Duration
+	tick        time.Duration
+	enginePoll  time.Duration
+	fastPoll    time.Duration
+	backoffPoll time.Duration
+	fenceRetry  time.Duration
+	leaveGrace  time.Duration
+	stopGrace   time.Duration
 	// commandDeadline is the time after which a command that has not reached the
 	// engine has no effect. It is also the timeout of unload calls.
 	commandDeadline time.Duration
@@ -44,7 +47,7 @@
 
 func defaultTiming() timing {
 	return timing{
-		tick: tickInterval, enginePoll: enginePoll, fastPoll: fastPoll, fenceRetry: fenceRetry,
+		tick: tickInterval, enginePoll: enginePoll, fastPoll: fastPoll, backoffPoll: backoffPoll, fenceRetry: fenceRetry,
 		leaveGrace: leaveGrace, stopGrace: stopGrace, commandDeadline: scheduler.DefaultCommandDeadline,
 	}
 }
@@ -287,14 +290,16 @@
 		c.send(commandDoneEvent{adapter: a.Adapter, id: a.Command, load: load, err: errNoAuthority})
 		return
 	}
-	timeout, call := c.e.timing.commandDeadline, c.e.engine.Unload
+	name, timeout, call := "unload", c.e.timing.commandDeadline, c.e.engine.Unload
 	if load {
-		timeout, call = loadTimeout, c.e.engine.Load
+		name, timeout, call = "load", loadTimeout, c.e.engine.Load
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	began := time.Now()
-	err := call(ctx, engine.Command{Adapter: a.Adapter, Token: token, Deadline: a.Deadline})
+	err := c.e.callEngine(name, func() error {
+		return call(ctx, engine.Command{Adapter: a.Adapter, Token: token, Deadline: a.Deadline})
+	})
 	c.send(commandDoneEvent{adapter: a.Adapter, id: a.Command, load: load, token: token, err: err, took: time.Since(began)})
 }
 
--- a/pkg/endpoint/endpoint_test.go
+++ b/pkg/endpoint/endpoint_test.go
@@ -84,7 +84,7 @@
 }
 
 // startEndpointBehind starts an endpoint whose calls of the engine pass through a handler.
-func startEndpointBehind(t *testing.T, wrap func(http.Handler) http.Handler) *testEndpoint {
+func startEndpointBehind(t *testing.T, wrap func(http.Handler) http.Handler, adjust ...func(*timing)) *testEndpoint {
 	t.Helper()
 	eng := fakeengine.New(fakeengine.Options{
 		BaseModel: "base", Slots: 1, Positions: 4,
@@ -102,6 +102,9 @@
 	}
 	s := &testEndpoint{e: New(set, h, StaticAuthority{}, logging.Nop()), engine: eng, ended: make(chan error, 1)}
 	s.e.timing.enginePoll = time.Minute // tests do not wait for periodic polls
+	for _, f := range adjust {
+		f(&s.e.timing)
+	}
 	ctx, stop := context.WithCancel(t.Context())
 	s.stop = stop
 	go func() { s.ended <- s.e.Run(ctx) }()
--- a/pkg/endpoint/gate.go
+++ b/pkg/endpoint/gate.go
@@ -127,11 +127,17 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), engineCallTimeout)
 		defer cancel()
-		err := c.e.engine.Fence(ctx, token, time.Now().Add(c.e.timing.commandDeadline))
+		err := c.fence(ctx, token)
 		c.send(fenceDoneEvent{token: token, engineBoot: engineBoot, err: err})
 	}()
 }
 
+func (c *control) fence(ctx context.Context, token uint64) error {
+	return c.e.callEngine("fence", func() error {
+		return c.e.engine.Fence(ctx, token, time.Now().Add(c.e.timing.commandDeadline))
+	})
+}
+
 // fenceDoneEvent is the result of a fence command. engineBoot is the boot id of the
 // engine when the command was sent.
 type fenceDoneEvent struct {
@@ -147,7 +153,7 @@
 		c.tokenRejected(ev.token)
 	case ev.err != nil:
 		c.log.Warn().Err(ev.err).Uint("token", ev.token).Msg("fence command failed; retrying")
-		c.gate.nextFence = now.Add(c.e.timing.fenceRetry)
+		c.gate.nextFence = now.Add(max(c.e.timing.fenceRetry, c.e.backoff.remaining(now)))
 	case ev.engineBoot == c.bootID && ev.token == c.gate.token:
 		c.gate.acceptedToken = ev.token
 		c.gate.invalidate()
--- a/pkg/endpoint/poll.go
+++ b/pkg/endpoint/poll.go
@@ -8,6 +8,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/scheduler"
+	"github.com/fescuecourse/fescuecourse/pkg/wait"
 )
 
 // watchEngine polls the engine's state periodically, and at once after pollNow, until
@@ -15,23 +16,32 @@
 func (c *control) watchEngine(ctx context.Context) {
 	for {
 		c.pollEngine(ctx)
-		interval := c.e.timing.enginePoll
-		if c.snapshot.Load().pollOften {
-			interval = c.e.timing.fastPoll
-		}
-		t := time.NewTimer(interval)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		case <-c.poll:
-		}
-		t.Stop()
-		if ctx.Err() != nil {
+		if !c.awaitPoll(ctx, time.Now()) {
 			return
 		}
 	}
 }
 
+// awaitPoll waits until a poll is due after the one at the given time. It reports false if
+// ctx has ended. An engine that wants no calls is polled at the interval backoffPoll only,
+// which shows that it has restarted and that its backoff does not count any more.
+func (c *control) awaitPoll(ctx context.Context, last time.Time) bool {
+	interval := c.e.timing.enginePoll
+	if c.snapshot.Load().pollOften {
+		interval = c.e.timing.fastPoll
+	}
+	t := time.NewTimer(interval)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+	case <-c.poll:
+	}
+	held := min(c.e.backoff.remaining(time.Now()), time.Until(last.Add(c.e.timing.backoffPoll)))
+	return wait.For(ctx, held)
+}
+
 // pollNow requests a status poll of the engine that begins after this call.
 func (c *control) pollNow() {
 	select {
@@ -47,6 +57,7 @@
 	began := time.Now()
 	before := c.snapshot.Load()
 	st, err := c.e.engine.Status(ctx)
+	c.e.recordRefusal("status", err)
 	if err != nil {
 		c.log.Warn().Err(err).Msg("cannot read engine status")
 		return
--- a/pkg/endpoint/run.go
+++ b/pkg/endpoint/run.go
@@ -14,7 +14,6 @@
 	"github.com/fescuecourse/fescuecourse/pkg/engine"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/invariant"
-	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/membership"
 	"github.com/fescuecourse/fescuecourse/pkg/service"
 )
@@ -90,9 +89,6 @@
 func (r *run) perform(ctx context.Context) bool {
 	stop := r.heartbeat()
 	defer stop()
-	if wait := r.e.backoff.remaining(time.Now()); wait > 0 {
-		return r.notRunFor(wait)
-	}
 	if m := r.req.GetModel(); m != nil {
 		return r.generate(ctx, m)
 	}
@@ -173,11 +169,14 @@
 		return r.fail(fescuev1.FailedReason_FAILED_REASON_BACKEND_LOST, err.Error())
 	}
 	call := engine.Call{Path: m.GetPath(), Body: body, RequestID: r.id.Request, Priority: ident.Priority(r.req.GetPriority()), ResumeEvents: m.GetResumeEvents()}
-	st, err := r.e.engine.Generate(ctx, call)
-	var wanted *engine.BackoffError
-	if errors.As(err, &wanted) {
-		r.recordBackoff(wanted.For)
-		return r.notRunFor(wanted.For)
+	var st *engine.Stream
+	err = r.e.callEngine(string(r.id.Request), func() (err error) {
+		st, err = r.e.engine.Generate(ctx, call)
+		return err
+	})
+	var backoff *engine.BackoffError
+	if errors.As(err, &backoff) {
+		return r.notRunFor(backoff.For)
 	}
 	if errors.Is(err, engine.ErrRefused) {
 		// The engine may have restarted or evicted the adapter, so read its state.
@@ -266,15 +265,6 @@
 	return false
 }
 
-// recordBackoff records that the engine or service wants no calls for the given time.
-func (r *run) recordBackoff(d time.Duration) {
-	r.e.backoff.record(time.Now(), d)
-	r.e.log.For(logging.ComponentEndpoint).Info().
-		Str("request", string(r.id.Request)).
-		Dur("backoff_ms", d).
-		Msg("backend asks for a backoff")
-}
-
 // failWith ends a run without a complete answer. The reason depends on whether the
 // engine restarted, the deadline passed or the run was cancelled.
 func (r *run) failWith(ctx context.Context, err error) bool {
@@ -292,6 +282,9 @@
 
 // service runs one call of a plain service.
 func (r *run) service(ctx context.Context, c *fescuev1.ServiceCall) bool {
+	if wait := r.e.backoff.remaining(time.Now()); wait > 0 {
+		return r.notRunFor(wait)
+	}
 	resp, err := r.e.service.Do(ctx, service.Call{
 		Method:      c.GetMethod(),
 		Path:        c.GetPath(),
@@ -303,7 +296,7 @@
 		return r.failWith(ctx, err)
 	}
 	if resp.Backoff > 0 {
-		r.recordBackoff(resp.Backoff)
+		r.e.recordBackoff(string(r.id.Request), resp.Backoff)
 	}
 	r.header(uint32(resp.Status), resp.ContentType, "")
 	if len(resp.Body) > 0 {
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -126,7 +126,7 @@
 }
 
 // Status returns the state of the engine, or ErrResultUnknown if the engine gives no
-// valid answer.
+// valid answer, which is a BackoffError if the engine asks for a backoff.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/status", nil)
 	if err != nil {
@@ -138,7 +138,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return Status{}, errors.Mark(errors.Newf("read engine status: status %d", resp.StatusCode), ErrResultUnknown)
+		return Status{}, errors.Mark(errors.Wrap(refusedCall(resp, nil), "read engine status"), ErrResultUnknown)
 	}
 	text, err := upstream.ReadBody(resp.Body, maxStatusBytes)
 	if err != nil {
@@ -155,7 +155,7 @@
 }
 
 // Load loads an adapter and returns when it is resident. It returns ErrFenced,
-// ErrRefused or ErrResultUnknown on failure.
+// ErrRefused, also as a BackoffError, or ErrResultUnknown on failure.
 func (c *Client) Load(ctx context.Context, cmd Command) error {
 	return c.command(ctx, "/v1/load_lora_adapter", cmd)
 }
@@ -210,7 +210,7 @@
 	case http.StatusPreconditionFailed:
 		return errors.Mark(errors.Newf("%s", bytes.TrimSpace(detail)), ErrFenced)
 	default:
-		return refused(resp.StatusCode, detail)
+		return refusedCall(resp, detail)
 	}
 }
 
