--- a/pkg/gateway/callers.go
+++ b/pkg/gateway/callers.go
@@ -56,8 +56,13 @@
 // closeRegularly makes the caller's connection end regularly again.
 func closeRegularly(ctx context.Context) { setLinger(ctx, -1) }
 
+// lingerer is a connection whose kind of end can be set, as that of net.TCPConn.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
 func setLinger(ctx context.Context, seconds int) {
-	if c, ok := ctx.Value(callerConnKey{}).(*net.TCPConn); ok {
+	if c, ok := ctx.Value(callerConnKey{}).(lingerer); ok {
 		_ = c.SetLinger(seconds) // fails only on a connection that is already closed
 	}
 }
