--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -26,12 +26,6 @@
 	ErrNoAnswer = errors.New("no response to the order")
 )
 
-// BackoffError means that the server answered that it wants no calls for some time.
-type BackoffError struct{ For time.Duration }
-
-// Error implements error.
-func (e *BackoffError) Error() string { return "the server wants no calls for " + e.For.String() }
-
 // Server is the model server that the sidecar controls. Its methods return a BackoffError if
 // the server asks for a backoff.
 type Server interface {
@@ -61,14 +55,6 @@
 	pollInterval = 100 * time.Millisecond
 	// busyPollInterval replaces pollInterval while requests wait for a load.
 	busyPollInterval = 25 * time.Millisecond
-	// callTimeout limits the calls that read the report and the id of the server.
-	callTimeout = 300 * time.Millisecond
-	// orderTimeout limits the wait for the response to an order, which usually takes
-	// a few milliseconds. After a timeout, the sequence number in the next report
-	// shows whether the order was accepted.
-	orderTimeout = 80 * time.Millisecond
-	// rejectPause is the pause after an order that the server did not accept.
-	rejectPause = 100 * time.Millisecond
 	// maxOrders limits the orders that are sent in one step.
 	maxOrders = 4
 )
@@ -249,174 +235,6 @@
 	s.hub.publish(s.state(in))
 }
 
-// readReport fetches the report into s.report. It returns false if the server does
-// not respond or the id of its current lifetime cannot be determined.
-func (s *Sidecar) readReport(ctx context.Context, snap *fleet.Snapshot) bool {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	log := s.log.For(logging.ComponentEndpoint)
-	r, err := s.server.Report(call)
-	if s.backsOff(err) {
-		return false
-	}
-	if err != nil {
-		if s.reachable && ctx.Err() == nil {
-			log.Warn().Err(err).Msg("dependency lost: server")
-		}
-		s.reachable = false
-		return false
-	}
-	if s.report == nil || s.report.Born != r.Born || r.Sequence < s.report.Sequence {
-		s.resetForRestart()
-	}
-	if s.hub.namesOtherInstance(string(s.instance)) {
-		s.instance = ""
-	}
-	s.report = &r
-	s.recordLeaving(&r)
-	if _, held := r.Residents[s.unloading]; !held || !r.Busy {
-		s.unloading = fleet.AdapterKey{}
-	}
-	if s.instance == "" && !s.identify(call, snap) {
-		return false
-	}
-	if !s.reachable {
-		log.Info().Str("instance", string(s.instance)).Msg("dependency regained: server")
-	}
-	s.reachable = true
-	return true
-}
-
-// inBackoff reports whether nothing may be sent to the server now. The backoff ends early if
-// an entry knows another lifetime of the server.
-func (s *Sidecar) inBackoff() bool {
-	if !time.Now().Before(s.backoffUntil) {
-		return false
-	}
-	if s.hub.namesOtherInstance(string(s.instance)) {
-		s.backoffUntil, s.instance = time.Time{}, ""
-		return false
-	}
-	return true
-}
-
-// backsOff reports whether an error asks for a backoff, which begins now.
-func (s *Sidecar) backsOff(err error) bool {
-	var backoff *BackoffError
-	if !errors.As(err, &backoff) {
-		return false
-	}
-	if until := time.Now().Add(backoff.For); until.After(s.backoffUntil) {
-		s.backoffUntil = until
-	}
-	s.log.For(logging.ComponentEndpoint).Warn().
-		Str("instance", string(s.instance)).
-		Dur("backoff_ms", backoff.For).
-		Dur("remaining_ms", time.Until(s.backoffUntil)).
-		Msg("server asks for a backoff")
-	return true
-}
-
-// resetForRestart discards what is known about the previous lifetime of the server.
-func (s *Sidecar) resetForRestart() {
-	s.instance, s.plannerInstance = "", ""
-	s.planner = residency.New()
-	s.leaving = false
-}
-
-// recordLeaving records whether the response with a report says that the server leaves.
-func (s *Sidecar) recordLeaving(r *residency.Report) {
-	if !r.Leaving || s.leaving {
-		return
-	}
-	s.leaving = true
-	s.log.For(logging.ComponentEndpoint).Info().
-		Str("instance", string(s.instance)).
-		Bool("draining", r.Draining).
-		Msg("server says that it leaves")
-}
-
-// identify queries the id of the server. If it differs from the previous one, the
-// server has restarted and the planner is replaced.
-func (s *Sidecar) identify(ctx context.Context, snap *fleet.Snapshot) bool {
-	if snap.Table == nil || snap.Table.Service(s.settings.Service) == nil {
-		return false
-	}
-	id, err := s.server.Instance(ctx, snap.Table.Service(s.settings.Service).HealthPath)
-	if s.backsOff(err) {
-		return false
-	}
-	if err != nil {
-		s.log.For(logging.ComponentEndpoint).Debug().Err(err).Msg("cannot determine the instance id of the server yet")
-		return false
-	}
-	s.instance = id
-	if id == s.plannerInstance {
-		return true // an entry that named an earlier lifetime caused the query
-	}
-	if s.plannerInstance != "" {
-		s.planner = residency.New()
-		s.leaving = s.report.Leaving
-	}
-	s.plannerInstance = id
-	s.log.For(logging.ComponentEndpoint).Info().
-		Str("instance", string(id)).
-		Uint("born", uint64(s.report.Born)).
-		Int("models", len(s.report.Models)).
-		Int("adapters", len(s.report.Residents)).
-		Msg("server identified")
-	return true
-}
-
-// sendNextOrder sends the next order, if one is due. It reports whether another
-// order may follow at once.
-func (s *Sidecar) sendNextOrder(ctx context.Context, in *residency.Input) bool {
-	o, ok := s.planner.Next(in)
-	if !ok {
-		return false
-	}
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	began := time.Now()
-	err := s.server.Order(call, s.instance, o)
-	w := in.DemandByAdapter[o.Key]
-	s.log.For(logging.ComponentScheduler).Info().
-		Str("operation", o.Operation.String()).
-		Str("model", o.Key.Model).
-		Str("adapter", o.Key.Name).
-		Int("version", o.Version).
-		Uint("sequence", uint64(o.Expected)).
-		Str("reason", o.Reason).
-		Int("waiting", w.Waiting).
-		Dur("waited_ms", w.Waited).
-		Int("residents", len(in.Report.Residents)).
-		Int("coming", len(in.Report.Loading)).
-		Int("load_limit", s.planner.LoadLimiter().Limit()).
-		Int("loads_elsewhere", in.LoadsElsewhere).
-		Float("store_capacity", s.planner.LoadLimiter().Capacity()).
-		Dur("load_time_ms", s.planner.LoadLimiter().LoadTime()).
-		Dur("took_ms", time.Since(began)).
-		Err(err).
-		Msg("order given")
-	switch {
-	case s.backsOff(err):
-		return false
-	case errors.Is(err, ErrNoAnswer):
-		return true // the next report shows whether it was accepted
-	case errors.Is(err, ErrRejected):
-		s.pausedUntil = time.Now().Add(rejectPause)
-		return false
-	case err != nil:
-		s.instance = ""
-		return false
-	}
-	s.planner.Accepted(began, o)
-	if o.Operation == residency.Unload {
-		s.unloading = o.Key
-	}
-	return true
-}
-
 // publishDown tells the entries that the server does not respond.
 func (s *Sidecar) publishDown() {
 	if !s.reachable && s.instance != "" {
