--- a/pkg/endpoint/backoff.go
+++ b/pkg/endpoint/backoff.go
@@ -9,6 +9,7 @@
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/engine"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/upstream"
 )
 
 // backoff is the time for which the engine or service wants no calls. Of several times the
@@ -41,11 +42,11 @@
 }
 
 // callEngine makes a call of the engine, unless it wants none now. Both that and a refusal
-// with a backoff give an engine.BackoffError, and the engine has not executed the call.
+// with a backoff give an upstream.BackoffError, and the engine has not executed the call.
 // The call is named in logs.
 func (e *Endpoint) callEngine(name string, call func() error) error {
 	if wait := e.backoff.remaining(time.Now()); wait > 0 {
-		return errors.Mark(&engine.BackoffError{For: wait}, engine.ErrRefused)
+		return errors.Mark(&upstream.BackoffError{For: wait}, engine.ErrRefused)
 	}
 	err := call()
 	e.recordRefusal(name, err)
@@ -54,7 +55,7 @@
 
 // recordRefusal records the backoff of a refused call.
 func (e *Endpoint) recordRefusal(name string, err error) {
-	var refused *engine.BackoffError
+	var refused *upstream.BackoffError
 	if errors.As(err, &refused) {
 		e.recordBackoff(name, refused.For)
 	}
--- a/pkg/endpoint/run.go
+++ b/pkg/endpoint/run.go
@@ -16,6 +16,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/invariant"
 	"github.com/fescuecourse/fescuecourse/pkg/membership"
 	"github.com/fescuecourse/fescuecourse/pkg/service"
+	"github.com/fescuecourse/fescuecourse/pkg/upstream"
 )
 
 // maxKeptBytes limits the payload of a stored answer. Larger answers are not stored.
@@ -174,7 +175,7 @@
 		st, err = r.e.engine.Generate(ctx, call)
 		return err
 	})
-	var backoff *engine.BackoffError
+	var backoff *upstream.BackoffError
 	if errors.As(err, &backoff) {
 		return r.notRunFor(backoff.For)
 	}
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -57,13 +57,6 @@
 	ErrResultUnknown = errors.New("result of the engine call is unknown")
 )
 
-// BackoffError means that the engine refused a call and wants no others for some time. It
-// always matches ErrRefused too.
-type BackoffError struct{ For time.Duration }
-
-// Error implements error.
-func (e *BackoffError) Error() string { return "the engine wants no calls for " + e.For.String() }
-
 // Run is a generation in progress, as listed in the engine's status.
 type Run struct {
 	RequestID string `json:"request_id"`
@@ -126,7 +119,7 @@
 }
 
 // Status returns the state of the engine, or ErrResultUnknown if the engine gives no
-// valid answer, which is a BackoffError if the engine asks for a backoff.
+// valid answer, which is an upstream.BackoffError if the engine asks for a backoff.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/status", nil)
 	if err != nil {
@@ -155,7 +148,7 @@
 }
 
 // Load loads an adapter and returns when it is resident. It returns ErrFenced,
-// ErrRefused, also as a BackoffError, or ErrResultUnknown on failure.
+// ErrRefused, also as an upstream.BackoffError, or ErrResultUnknown on failure.
 func (c *Client) Load(ctx context.Context, cmd Command) error {
 	return c.command(ctx, "/v1/load_lora_adapter", cmd)
 }
@@ -224,12 +217,12 @@
 	return err
 }
 
-// refusedCall returns the error for a call that the engine refused, which is a BackoffError if
+// refusedCall returns the error for a call that the engine refused, which is an upstream.BackoffError if
 // the engine asks for a backoff.
 func refusedCall(r *http.Response, detail []byte) error {
 	after, ok := upstream.RetryAfter(r.Header)
 	if r.StatusCode == http.StatusServiceUnavailable && ok && after > 0 {
-		return errors.Mark(&BackoffError{For: after}, ErrRefused)
+		return errors.Mark(&upstream.BackoffError{For: after}, ErrRefused)
 	}
 	return refused(r.StatusCode, detail)
 }
--- a/pkg/sidecar/backoff.go
+++ b/pkg/sidecar/backoff.go
@@ -6,14 +6,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/upstream"
 )
 
-// BackoffError means that the server answered that it wants no calls for some time.
-type BackoffError struct{ For time.Duration }
-
-// Error implements error.
-func (e *BackoffError) Error() string { return "the server wants no calls for " + e.For.String() }
-
 // inBackoff reports whether nothing may be sent to the server now. The backoff ends early if
 // an entry knows another lifetime of the server.
 func (s *Sidecar) inBackoff() bool {
@@ -29,7 +24,7 @@
 
 // backsOff reports whether an error asks for a backoff, which begins now.
 func (s *Sidecar) backsOff(err error) bool {
-	var backoff *BackoffError
+	var backoff *upstream.BackoffError
 	if !errors.As(err, &backoff) {
 		return false
 	}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -26,8 +26,8 @@
 	ErrNoAnswer = errors.New("no response to the order")
 )
 
-// Server is the model server that the sidecar controls. Its methods return a BackoffError if
-// the server asks for a backoff.
+// Server is the model server that the sidecar controls. Its methods return an
+// upstream.BackoffError if the server asks for a backoff.
 type Server interface {
 	// Report returns the current state of the server.
 	Report(ctx context.Context) (residency.Report, error)
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -12,6 +12,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/residency"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
+	"github.com/fescuecourse/fescuecourse/pkg/upstream"
 )
 
 // fakeServer is a model server that accepts every order and counts the queries of
@@ -28,7 +29,7 @@
 func (s *fakeServer) Report(context.Context) (residency.Report, error) {
 	s.reports++
 	if s.backoff > 0 {
-		return residency.Report{}, &BackoffError{For: s.backoff}
+		return residency.Report{}, &upstream.BackoffError{For: s.backoff}
 	}
 	return s.report, nil
 }
