e2e: give processes ports that no outgoing connection can take

Cause: the test chose a port that the kernel had given it for a listener, closed that, and the kernel gave the same port to an outgoing connection of another test before the process bound it. Ports are now chosen below the range of outgoing connections, from another start in each test process, after a trial listen as before.

--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -103,12 +104,33 @@
 	return l.b.String()
 }
 
+// Ports of processes are below those that the kernel gives to outgoing connections, one of
+// which could otherwise take a port between its choice and the start of the process.
+const (
+	firstPort = 20000
+	portCount = 10000
+)
+
+// nextPort begins at another port in each process of the tests.
+var nextPort = func() *atomic.Int64 {
+	n := &atomic.Int64{}
+	n.Store(int64(os.Getpid()) * 31)
+	return n
+}()
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer lis.Close()
-	return lis.Addr().String()
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		lis, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, lis.Close())
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // newDeployment starts the fake systems, rolls out a bundle with fescuectl, and starts
