config: accept numbers in every form and name wrong values

Cause: the platform renders its figures as it writes them (38.26 there, 8.0 or 3.8e1 elsewhere), while whole-number settings took digits only and durations no exponent. The class is every setting that a template renders from a figure: internal port, grace, retry ratio, retry slack, memory.

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -141,7 +141,17 @@
 	if *s.file != "" {
 		file = *s.file
 	}
-	s.found.Addf(file, s.lines[name], "setting %q: "+format, append([]any{name}, args...)...)
+	s.found.Addf(file, s.lines[name], "setting %q is %q: "+format, append([]any{name, s.value(name)}, args...)...)
+}
+
+// value returns the value of the named setting as text, or an empty string if there is no
+// such setting.
+func (s *Set) value(name string) string {
+	f := s.Lookup(name)
+	if f == nil {
+		return ""
+	}
+	return f.Value.String()
 }
 
 // RequirePositive records a finding for the named setting unless d is positive.
--- /dev/null
+++ b/pkg/daemon/rendered_test.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fescuecourse/fescuecourse/pkg/config"
+)
+
+// figures are the numbers that a platform may write in any form, by their placeholder in
+// the templates of deploy/.
+var figures = map[string]float64{
+	"internalPorts.0":         7380,
+	"bounds.graceS":           8,
+	"bounds.retryBudgetRatio": 0.2,
+	"bounds.retrySlack":       38.26,
+	"limits.memoryMb":         216.5,
+}
+
+// forms are the ways to write a number.
+var forms = map[string]func(float64) string{
+	"shortest": func(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) },
+	"fraction": func(f float64) string { return strconv.FormatFloat(f, 'f', 6, 64) },
+	"exponent": func(f float64) string { return strconv.FormatFloat(f, 'e', -1, 64) },
+	"capital":  func(f float64) string { return strconv.FormatFloat(f, 'E', 6, 64) },
+}
+
+var placeholder = regexp.MustCompile(`\{\{([^}]*)\}\}`)
+
+// render fills a template in with figures of one form and with text for all else.
+func render(t *testing.T, template string, form func(float64) string) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("..", "..", "deploy", template))
+	assert.NilError(t, err)
+	return placeholder.ReplaceAllStringFunc(string(text), func(p string) string {
+		name := placeholder.FindStringSubmatch(p)[1]
+		if f, ok := figures[name]; ok {
+			return form(f)
+		}
+		return "text"
+	})
+}
+
+// Guards against a whole day without processes: a deployment whose figures are no whole
+// numbers ended every process at its start.
+func TestTemplatesTakeFiguresInEveryForm(t *testing.T) {
+	for template, role := range map[string]*role{"entry.ini": newRoutedEntryRole(), "endpoint.ini": newRoutedEndpointRole()} {
+		for name, form := range forms {
+			t.Run(fmt.Sprintf("%s/%s", template, name), func(t *testing.T) {
+				set := config.NewSet(template, io.Discard)
+				role.settings.Register(set)
+				path := write(t, t.TempDir(), "settings.ini", render(t, template, form))
+				assert.NilError(t, set.Parse([]string{"-config", path}))
+				role.check(set)
+				assert.NilError(t, set.Err())
+			})
+		}
+	}
+}
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -51,9 +51,9 @@
 
 // limitMemory sets the soft memory limit of the Go runtime to heapFraction of mb
 // mebibytes. It sets no limit if mb is 0.
-func limitMemory(mb int) {
+func limitMemory(mb float64) {
 	if mb > 0 {
-		debug.SetMemoryLimit(int64(heapFraction * float64(mb) * (1 << 20)))
+		debug.SetMemoryLimit(int64(heapFraction * mb * (1 << 20)))
 	}
 }
 
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -23,9 +23,9 @@
 	RetryRatio float64
 	// RetrySlack is the number of retries in 10 s that all entries together may make
 	// beyond RetryRatio, or 0 if it is not known.
-	RetrySlack int
+	RetrySlack float64
 	// MemoryMB is the memory limit of the process in MB, or 0 for no limit.
-	MemoryMB int
+	MemoryMB float64
 }
 
 // Register defines the settings in a configuration set.
@@ -40,8 +40,8 @@
 	set.IntVar(&s.ResidencyPort, "residency-port", 0, "`port` of the processes beside the model servers")
 	set.DurationVar(&s.Grace, "grace", 8*time.Second, "time between SIGTERM and the forced end")
 	set.Float64Var(&s.RetryRatio, "retry-ratio", 0.1, "share of a service's requests that may be sent again")
-	set.IntVar(&s.RetrySlack, "retry-slack", 0, "retries in 10s of all entries together beyond this share, 0 if not known")
-	set.IntVar(&s.MemoryMB, "memory-mb", 0, "memory that the process may use, 0 for no bound")
+	set.Float64Var(&s.RetrySlack, "retry-slack", 0, "retries in 10s of all entries together beyond this share, 0 if not known")
+	set.Float64Var(&s.MemoryMB, "memory-mb", 0, "memory that the process may use, 0 for no bound")
 }
 
 // Check reports invalid settings to a configuration set.
@@ -49,7 +49,7 @@
 	set.Requiref(s.ID != "", "id", "must be set")
 	set.Requiref(s.Zone != "", "zone", "must be set")
 	set.Requiref(s.KV != "", "kv", "must be set")
-	set.Requiref(s.ResidencyPort > 0 && s.ResidencyPort < 1<<16, "residency-port", "must be a port")
+	set.Requiref(s.ResidencyPort > 0 && s.ResidencyPort < 1<<16, "residency-port", "must be a port between 1 and 65535")
 	set.Requiref(s.Grace >= time.Second, "grace", "must be 1s or more")
 	set.Requiref(s.RetryRatio >= 0 && s.RetryRatio <= 1, "retry-ratio", "must be between 0 and 1")
 	set.Requiref(s.RetrySlack >= 0, "retry-slack", "must not be negative")
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -118,7 +118,7 @@
 
 // settledShare returns the share of an entry that has been in contact from start to now.
 func settledShare(total, entries int, start, now time.Time) *retry.Share {
-	s := retry.NewShare(total)
+	s := retry.NewShare(float64(total))
 	for at := start; !at.After(now); at = at.Add(500 * time.Millisecond) {
 		s.Observe(at, entries)
 	}
--- a/pkg/retry/share.go
+++ b/pkg/retry/share.go
@@ -41,7 +41,7 @@
 
 // NewShare returns the share of an entry of total retries. If total is 0, no limit is given
 // for all entries together, and the entry may always make DefaultMinRetries.
-func NewShare(total int) *Share { return &Share{total: float64(total)} }
+func NewShare(total float64) *Share { return &Share{total: total} }
 
 // Observe records a report on the number of entries.
 func (s *Share) Observe(now time.Time, entries int) {
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -26,7 +26,7 @@
 	// Service is the name of the service that the server belongs to.
 	Service string
 	// MemoryMB is the memory limit of the process in MB, or 0 for no limit.
-	MemoryMB int
+	MemoryMB float64
 }
 
 // Register adds the settings to a configuration set.
@@ -38,7 +38,7 @@
 	set.StringVar(&s.LogLevel, "log-level", "info", "lowest `level` that is logged")
 	set.StringVar(&s.Server, "server", "", "`address` of the server beside the process")
 	set.StringVar(&s.Service, "service", "", "`service` of the server")
-	set.IntVar(&s.MemoryMB, "memory-mb", 0, "memory that the process may use, 0 for no bound")
+	set.Float64Var(&s.MemoryMB, "memory-mb", 0, "memory that the process may use, 0 for no bound")
 }
 
 // Check records a finding for each invalid setting.
