grpcconn: fixed windows, so that messages cause no pings

Cause: gRPC measures the bandwidth of a connection with dynamic windows, by a ping for about each message that arrives, which the peer answers. Each of 68 entries exchanges several messages a second with each of 117 sidecars, so that half of the packets and of the wake-ups were pings. The messages are some hundred bytes and need no large windows.

All connections between our own processes now have fixed windows, those of pkg/entry and pkg/endpoint as well, which have the same cause.

--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -15,6 +15,7 @@
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/attempts"
 	"github.com/fescuecourse/fescuecourse/pkg/engine"
+	"github.com/fescuecourse/fescuecourse/pkg/grpcconn"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/rollout"
@@ -124,10 +125,11 @@
 	if a, ok := lis.Addr().(*net.TCPAddr); ok {
 		e.addr.Store(a)
 	}
-	srv := grpc.NewServer(
+	options := append(grpcconn.ServerOptions(),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveMinTime, PermitWithoutStream: true}),
 	)
+	srv := grpc.NewServer(options...)
 	fescuev1.RegisterEndpointServer(srv, &server{e: e})
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/pkg/entry/link.go
+++ b/pkg/entry/link.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/grpcconn"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
 
@@ -46,12 +47,13 @@
 }
 
 func newConn(address string) (*grpc.ClientConn, error) {
-	conn, err := grpc.NewClient("passthrough:///"+address,
+	options := append(grpcconn.DialOptions(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true}))
+	conn, err := grpc.NewClient("passthrough:///"+address, options...)
 	return conn, errors.Wrap(err, "create connection")
 }
 
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -13,6 +13,7 @@
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/grpcconn"
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
@@ -111,7 +112,7 @@
 func (l *link) stream(ctx context.Context, up *bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn, err := grpc.NewClient("passthrough:///"+l.target, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := grpc.NewClient("passthrough:///"+l.target, append(grpcconn.DialOptions(), grpc.WithTransportCredentials(insecure.NewCredentials()))...)
 	if err != nil {
 		return errors.Wrap(err, "create client")
 	}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -11,6 +11,7 @@
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/grpcconn"
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/mirror"
@@ -126,7 +127,7 @@
 	operator := mirror.New(s.store, s.catalog.OperatorPrefix(), s.onOperatorItems, s.log.For(logging.ComponentRoute))
 	wg.Go(func() { operator.Run(background) })
 	wg.Go(func() { s.control(background) })
-	srv := grpc.NewServer()
+	srv := grpc.NewServer(grpcconn.ServerOptions()...)
 	fescuev1.RegisterResidencyServer(srv, s.hub)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(lis) }()
