--- a/pkg/daemon/rendered_test.go
+++ b/pkg/daemon/rendered_test.go
@@ -21,6 +21,8 @@
 	"bounds.graceS":           8,
 	"bounds.retryBudgetRatio": 0.2,
 	"bounds.retrySlack":       38.26,
+	"bounds.configApplyMs":    4000,
+	"bounds.drainMs":          2000.5,
 	"limits.memoryMb":         216.5,
 }
 
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -26,6 +26,27 @@
 	RetrySlack float64
 	// MemoryMB is the memory limit of the process in MB, or 0 for no limit.
 	MemoryMB float64
+	// ConfigLimit is the time within which an accepted configuration must be in force, and
+	// DrainLimit the time within which an endpoint that leaves must get no new requests.
+	ConfigLimit time.Duration
+	DrainLimit  time.Duration
+}
+
+const (
+	// watchPauseShare is the pause between the calls of a watch as a fraction of the time
+	// within which changes must be in force. The rest is for the calls themselves.
+	watchPauseShare = 0.45
+	// minChangeLimit is the shortest time within which changes can be in force.
+	minChangeLimit = 500 * time.Millisecond
+	// maxWatchPause limits the pause, because entries learn of new endpoints by it.
+	maxWatchPause = 2 * time.Second
+)
+
+// WatchPause returns the delay between two calls of a watch of the key-value store that
+// bring changes. A longer pause batches the changes of many endpoints into fewer calls.
+func (s *Settings) WatchPause() time.Duration {
+	limit := min(s.ConfigLimit, s.DrainLimit)
+	return min(time.Duration(watchPauseShare*float64(limit)), maxWatchPause)
 }
 
 // Register defines the settings in a configuration set.
@@ -41,6 +62,8 @@
 	set.DurationVar(&s.Grace, "grace", 8*time.Second, "time between SIGTERM and the forced end")
 	set.Float64Var(&s.RetryRatio, "retry-ratio", 0.1, "share of a service's requests that may be sent again")
 	set.Float64Var(&s.RetrySlack, "retry-slack", 0, "retries in 10s of all entries together beyond this share, 0 if not known")
+	set.DurationVar(&s.ConfigLimit, "config-limit", 2*time.Second, "time within which an accepted configuration must be in force")
+	set.DurationVar(&s.DrainLimit, "drain-limit", 2*time.Second, "time within which an endpoint that leaves must get no new requests")
 	set.Float64Var(&s.MemoryMB, "memory-mb", 0, "memory that the process may use, 0 for no bound")
 }
 
@@ -53,5 +76,7 @@
 	set.Requiref(s.Grace >= time.Second, "grace", "must be 1s or more")
 	set.Requiref(s.RetryRatio >= 0 && s.RetryRatio <= 1, "retry-ratio", "must be between 0 and 1")
 	set.Requiref(s.RetrySlack >= 0, "retry-slack", "must not be negative")
+	set.Requiref(s.ConfigLimit >= minChangeLimit, "config-limit", "must be %s or more", minChangeLimit)
+	set.Requiref(s.DrainLimit >= minChangeLimit, "drain-limit", "must be %s or more", minChangeLimit)
 	set.Requiref(s.MemoryMB >= 0, "memory-mb", "must not be negative")
 }
