pace: learn how slow servers are from the first events of all entries

Callers waited at servers that had turned slow (3.5 to 3.9 times as long for prompts, health check good) while other servers, also newly added ones, had nothing to do.

Cause: the choice of a server assumed one pace for all. One entry sees too little to notice: 6 model requests a second for 117 servers.

Entries now add up the expected and the actual times to first events in their updates of the demand. The sidecar of a server estimates its slowdown from the samples of all entries and reports it, and the choice multiplies the time for prompts by it. Samples fade within seconds, so a server that has recovered, or gets no requests, counts as usual again.

--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -109,6 +109,9 @@
 	// memory, loaded ones included, or 0 if it is not known. Loading one of these is
 	// about ten times as fast as from the weight store.
 	WarmCopies int
+	// Slowdown is the factor by which the server takes longer than usual for prompts, at
+	// least 1, or 0 if it is not known.
+	Slowdown float64
 }
 
 // PriorityClasses is the number of classes into which request priorities are grouped
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -10,6 +10,7 @@
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
+	"github.com/fescuecourse/fescuecourse/pkg/pace"
 )
 
 // demand counts this entry's requests to one model server, by adapter.
@@ -23,6 +24,8 @@
 	// processedParts holds the hashes of the shared prompt parts that the server has
 	// processed since the last update.
 	processedParts map[uint64]struct{}
+	// firstEvents are the times to the first events since the last update.
+	firstEvents pace.Samples
 }
 
 type adapterDemand struct {
@@ -197,9 +200,17 @@
 	}
 }
 
+// addFirstEvent records the expected and the actual time to the first event of an attempt.
+func (d *demand) addFirstEvent(expected, actual time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.firstEvents.Add(expected, actual)
+	d.dirty = true
+}
+
 // update returns the message for the sidecar and reports whether any count has
-// changed since the last update. It resets the counts of arrivals and the list of
-// prompt parts.
+// changed since the last update. It resets the counts of arrivals, the list of prompt
+// parts and the times to first events.
 func (d *demand) update(now time.Time, entry string, instance fleet.ID, backlog fleet.Backlog) (*fescuev1.DemandUpdate, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -229,5 +240,8 @@
 	}
 	m.ReadParts = slices.Collect(maps.Keys(d.processedParts))
 	clear(d.processedParts)
+	m.ExpectedFirstEventsMs = uint64(d.firstEvents.Expected.Milliseconds())
+	m.ActualFirstEventsMs = uint64(d.firstEvents.Actual.Milliseconds())
+	d.firstEvents = pace.Samples{}
 	return m, changed
 }
--- a/pkg/gateway/demand_test.go
+++ b/pkg/gateway/demand_test.go
@@ -68,3 +68,18 @@
 	assert.Equal(t, m.GetAdapters()[0].GetWaiting(), uint32(0))
 	assert.Equal(t, len(d.adapters), 0)
 }
+
+// Guards against times to first events that are told twice, or never because nothing else
+// has changed.
+func TestFirstEventsAreToldOnce(t *testing.T) {
+	d := newDemand()
+	d.addFirstEvent(100*time.Millisecond, 350*time.Millisecond)
+	d.addFirstEvent(50*time.Millisecond, 150*time.Millisecond)
+	m, changed := d.update(time.Now(), "e", "i", fleet.Backlog{})
+	assert.Assert(t, changed)
+	assert.Equal(t, m.GetExpectedFirstEventsMs(), uint64(150))
+	assert.Equal(t, m.GetActualFirstEventsMs(), uint64(500))
+	m, changed = d.update(time.Now(), "e", "i", fleet.Backlog{})
+	assert.Assert(t, !changed)
+	assert.Equal(t, m.GetActualFirstEventsMs(), uint64(0))
+}
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -244,6 +244,7 @@
 		CacheUsed:    int64(m.GetCacheUsed()),
 		CacheTotal:   int64(m.GetCacheTotal()),
 		WarmCopies:   int(m.GetWarmCopies()),
+		Slowdown:     float64(m.GetSlowdownPercent()) / 100,
 	}
 	for i, tokens := range m.GetBacklogTokens() {
 		s.Backlog[fleet.PriorityClass(i)] += int64(tokens)
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -154,6 +154,10 @@
 	key     fleet.AdapterKey
 	class   int
 	backlog int64
+	// sentAt is when the attempt began, and expected the time that a server of the usual
+	// pace takes to its first event.
+	sentAt   time.Time
+	expected time.Duration
 }
 
 // begin adds the attempt to the counters of its model server. The caller must call
@@ -164,6 +168,7 @@
 	}
 	c := &attemptCounts{runtime: x.endpoint.Runtime, demand: f.g.control.demandOf(x.endpoint), key: x.call.Key, class: fleet.PriorityClass(x.route.Priority)}
 	c.backlog = int64(max(x.call.PromptTokens-x.choice.CachedTokens, 0))
+	c.sentAt, c.expected = time.Now(), f.g.chooser.FirstEventTime(&x.choice, int(c.backlog))
 	c.runtime.Backlog[c.class].Add(c.backlog)
 	c.demand.start(c.key, c.backlog)
 	return c
@@ -178,6 +183,16 @@
 	c.backlog = 0
 }
 
+// recordPace records how long the first event of the attempt took. It does nothing for
+// later events.
+func (c *attemptCounts) recordPace() {
+	if c.demand == nil || c.sentAt.IsZero() {
+		return
+	}
+	c.demand.addFirstEvent(c.expected, time.Since(c.sentAt))
+	c.sentAt = time.Time{}
+}
+
 func (c *attemptCounts) end() {
 	if c.runtime == nil {
 		return
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -103,6 +103,7 @@
 // first event of an attempt shows. A resumed stream does not show which parts of the
 // prompt the server has processed, so none of them are recorded.
 func (f sendFilter) recordPromptProcessed(x *exchange, c *attemptCounts) {
+	c.recordPace()
 	c.promptDone()
 	if c.demand == nil || x.headSent || x.lastEventID != "" || x.call.LastEventID != "" {
 		return
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -185,6 +185,34 @@
 	return time.Duration(float64(tokens) / c.weights.TokensPerMS * float64(time.Millisecond))
 }
 
+// baseFirstEventTime is the time to the first event of a request without a prompt: the
+// network and one step of the server's batch.
+const baseFirstEventTime = 20 * time.Millisecond
+
+// FirstEventTime returns the time in which a server of the usual pace sends the first event
+// of a request that it was chosen for and of which it has to process the given number of
+// prompt tokens.
+func (c *Chooser) FirstEventTime(choice *Choice, tokens int) time.Duration {
+	d := baseFirstEventTime + c.PromptTime(int(choice.BacklogTokens)+tokens)
+	if choice.Source != nil {
+		d += c.weights.PrefixFetchTime
+	}
+	return d
+}
+
+// slowdown returns the factor by which a server takes longer than usual for prompts.
+func slowdown(st *fleet.Status) float64 {
+	if st == nil {
+		return 1
+	}
+	return max(st.Slowdown, 1)
+}
+
+// slowed returns a time as it is at a server with the given slowdown.
+func slowed(d time.Duration, slowdown float64) time.Duration {
+	return time.Duration(float64(d) * slowdown)
+}
+
 // Choose returns the server with the lowest cost, which is the estimated time to the
 // first event plus penalties. It reports false if no server can take the request.
 func (c *Chooser) Choose(r *Request, endpoints []*fleet.Endpoint) (Choice, bool) {
@@ -276,7 +304,8 @@
 	st := e.Runtime.Status()
 	choice.Resident = holds(st, r)
 	choice.BacklogTokens = backlogAhead(r, st, e)
-	cost := c.PromptTime(int(choice.BacklogTokens))
+	pace := slowdown(st)
+	cost := slowed(c.PromptTime(int(choice.BacklogTokens)), pace)
 	var from *source
 	if choice.Resident {
 		choice.Scope, choice.Status = scopeAt(e, st, r.Key), st
@@ -295,7 +324,7 @@
 		choice.Source, choice.SourceScope, choice.CachedTokens = from.endpoint, from.scope, from.tokens
 		cost += w.PrefixFetchTime
 	}
-	cost += c.PromptTime(r.PromptTokens - choice.CachedTokens)
+	cost += slowed(c.PromptTime(r.PromptTokens-choice.CachedTokens), pace)
 	cost += time.Duration(rank) * w.RankPenalty
 	cost += time.Duration(e.Runtime.Failures(r.Now) * float64(w.FailurePenalty))
 	cost += e.WarmupRemaining
--- a/pkg/locality/sim_test.go
+++ b/pkg/locality/sim_test.go
@@ -45,6 +45,14 @@
 	newWeightsAt time.Duration
 	// baseEvery makes every n-th request one for the base model itself, or 0 for none.
 	baseEvery int
+	// slow is the number of servers that take slowFactor times as long for prompts between
+	// slowFrom and slowUntil, while their reports stay good.
+	slow       int
+	slowFactor float64
+	slowFrom   time.Duration
+	slowUntil  time.Duration
+	// ignorePace hides the pace of the servers.
+	ignorePace bool
 	// ignoreSlack makes the servers load the adapters in the order of the oldest
 	// waiting request, without regard to the latency targets.
 	ignoreSlack bool
@@ -78,6 +86,10 @@
 	run    time.Duration
 	server *simServer
 	first  time.Duration
+	// startedAt is when the server got the request, and expected the time that it would
+	// take to the first event at the usual pace.
+	startedAt time.Time
+	expected  time.Duration
 	// read is the number of prompt tokens that the server has processed.
 	read float64
 	// version is the version of the adapter that served the request.
--- a/pkg/locality/simserver_test.go
+++ b/pkg/locality/simserver_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/pace"
 	"github.com/fescuecourse/fescuecourse/pkg/residency"
 )
 
@@ -28,6 +29,7 @@
 	modelBy     time.Time
 	inFlight    map[fleet.AdapterKey]int
 	promptQueue []*simRequest
+	pace        pace.Estimator
 	running     map[*simRequest]time.Time
 }
 
@@ -46,7 +48,7 @@
 	r.server = srv
 	srv.planner.Arrived(s.now, r.key, 1)
 	if srv.held(r.key) >= max(req.Version, 1) {
-		srv.start(r)
+		srv.start(s.now, r)
 		return
 	}
 	r.waited = true
@@ -75,8 +77,11 @@
 	v.modelBy = now.Add(reloadTime)
 }
 
-func (v *simServer) start(r *simRequest) {
+func (v *simServer) start(now time.Time, r *simRequest) {
 	v.inFlight[r.key]++
+	ahead := v.endpoint.Runtime.OwnBacklog().Ahead(r.priority())
+	r.startedAt = now
+	r.expected = baseFirstEventTime + time.Duration(float64(ahead+int64(r.prompt))/tokensPerMS*float64(time.Millisecond))
 	r.version = v.held(r.key)
 	v.endpoint.Runtime.Backlog[r.priority()].Add(int64(r.prompt))
 	v.promptQueue = append(v.promptQueue, r)
@@ -86,7 +91,7 @@
 // read advances the processing of the prompts in the queue of a server by one step
 // of time.
 func (s *sim) read(v *simServer) {
-	budget := tokensPerMS * float64(simStep/time.Millisecond)
+	budget := tokensPerMS * float64(simStep/time.Millisecond) / s.slowdown(v)
 	for budget > 0 && len(v.promptQueue) > 0 {
 		r := v.promptQueue[0]
 		used := min(budget, float64(r.prompt)-r.read)
@@ -97,11 +102,21 @@
 		}
 		v.promptQueue = v.promptQueue[1:]
 		r.first = s.now.Sub(r.at)
+		v.pace.Add(s.now, pace.Samples{Expected: r.expected, Actual: s.now.Sub(r.startedAt)})
 		v.endpoint.Runtime.Backlog[r.priority()].Add(-int64(r.prompt))
 		v.running[r] = s.now.Add(r.run)
 	}
 }
 
+// slowdown returns the factor by which a server now takes longer than usual.
+func (s *sim) slowdown(v *simServer) float64 {
+	since := s.now.Sub(s.started)
+	if since < s.l.slowFrom || since >= s.l.slowUntil || slices.Index(s.servers, v) >= s.l.slow {
+		return 1
+	}
+	return s.l.slowFactor
+}
+
 // advanceLoads advances all loads by one step of time. Loads from the weight store
 // share its bandwidth.
 func (s *sim) advanceLoads() {
@@ -129,7 +144,7 @@
 			v.copies = v.copies[max(0, len(v.copies)-maxWarmCopies):]
 			for _, r := range v.waiting[k] {
 				v.endpoint.Runtime.Waiting.Add(-1)
-				v.start(r)
+				v.start(s.now, r)
 			}
 			delete(v.waiting, k)
 		}
@@ -218,6 +233,9 @@
 		Backlog:    v.endpoint.Runtime.OwnBacklog(),
 		LoadTime:   v.planner.LoadLimiter().LoadTime(), LoadLimit: v.planner.LoadLimiter().Limit(),
 	}
+	if !s.l.ignorePace {
+		st.Slowdown = v.pace.Slowdown(s.now)
+	}
 	for k, version := range v.report.Residents {
 		st.Residents[k] = version
 	}
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -10,6 +10,7 @@
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/origin"
+	"github.com/fescuecourse/fescuecourse/pkg/pace"
 	"github.com/fescuecourse/fescuecourse/pkg/ratelimit"
 	"github.com/fescuecourse/fescuecourse/pkg/residency"
 )
@@ -48,6 +49,8 @@
 	// parts holds the prompt parts processed by the instance partsInstance.
 	parts         *partLog
 	partsInstance string
+	// pace estimates the slowdown of the instance partsInstance.
+	pace pace.Estimator
 	// origins holds where the streams began of which this sidecar keeps the record.
 	origins *origin.Registry
 	// limits divides the limits of servers among the entries.
@@ -113,6 +116,7 @@
 	p.update, p.updatedAt = m, time.Now()
 	if m.GetInstanceId() == h.partsInstance {
 		h.parts.add(time.Now(), p, m.GetReadParts())
+		h.pace.Add(time.Now(), firstEvents(m))
 	}
 	waiting := false
 	for _, a := range m.GetAdapters() {
@@ -123,6 +127,14 @@
 	return waiting
 }
 
+// firstEvents returns the times to first events of an update.
+func firstEvents(m *fescuev1.DemandUpdate) pace.Samples {
+	return pace.Samples{
+		Expected: time.Duration(m.GetExpectedFirstEventsMs()) * time.Millisecond,
+		Actual:   time.Duration(m.GetActualFirstEventsMs()) * time.Millisecond,
+	}
+}
+
 // announceBacklog publishes the backlog to all entries if it differs from the
 // published one by at least urgentBacklogChange. The caller holds mu.
 func (h *hub) announceBacklog() {
@@ -244,11 +256,12 @@
 	m.Entries = uint32(len(h.entries))
 	m.LimitPerSecond, m.Limited = h.limits.Limit(time.Now(), m.GetInstanceId())
 	if m.GetInstanceId() != h.partsInstance {
-		h.parts, h.partsInstance = newPartLog(), m.GetInstanceId()
+		h.parts, h.partsInstance, h.pace = newPartLog(), m.GetInstanceId(), pace.Estimator{}
 		for p := range h.entries {
 			p.position = 0
 		}
 	}
+	m.SlowdownPercent = uint32(100 * h.pace.Slowdown(time.Now()))
 	holdingsKey := holdingsKeyOf(m)
 	changed := holdingsKey != h.holdingsKey
 	if !changed && h.state != nil && sameUtilization(h.state, m) {
--- a/pkg/sidecar/state.go
+++ b/pkg/sidecar/state.go
@@ -57,15 +57,16 @@
 		WarmCopies:        m.GetWarmCopies(),
 		Limited:           m.GetLimited(),
 		LimitPerSecond:    m.GetLimitPerSecond(),
+		SlowdownPercent:   m.GetSlowdownPercent(),
 		HoldingsUnchanged: true,
 	}
 }
 
 // sameUtilization reports whether two states with the same holdings have the same
-// utilization figures, the same limit and the same number of entries. The load time and
+// utilization figures, pace, limit and number of entries. The load time and
 // the load limit are not compared.
 func sameUtilization(a, b *fescuev1.ServerState) bool {
-	return a.GetEntries() == b.GetEntries() && a.GetLimited() == b.GetLimited() && a.GetLimitPerSecond() == b.GetLimitPerSecond() &&
+	return a.GetSlowdownPercent() == b.GetSlowdownPercent() && a.GetEntries() == b.GetEntries() && a.GetLimited() == b.GetLimited() && a.GetLimitPerSecond() == b.GetLimitPerSecond() &&
 		a.GetFree() == b.GetFree() && a.GetEvictable() == b.GetEvictable() && a.GetWanted() == b.GetWanted() &&
 		a.GetInFlight() == b.GetInFlight() && a.GetQueued() == b.GetQueued() &&
 		slices.Equal(a.GetBacklogTokens(), b.GetBacklogTokens()) && a.GetCacheUsed() == b.GetCacheUsed()
