sidecar: tell entries only of changes that choices depend on

Cause: every start and end of a request changes the state of its server, and each sidecar sent such changes to all 68 entries up to five times a second.

Between heartbeats (500 ms) a sidecar now sends a state when the backlog changes by 1,000 tokens, the number of requests by 8, or the room, the loads, the limit or the pace. Holdings and large backlogs are sent at once as before.

--- a/pkg/sidecar/herd_test.go
+++ b/pkg/sidecar/herd_test.go
@@ -156,10 +156,24 @@
 	assert.Assert(t, at > before, "in time %.3f, at intervals %.3f", at, before)
 }
 
-// Guards against each small change of the backlog being sent to every entry.
+// Guards against each small change being sent to every entry: with many entries and
+// servers, these messages took more of a small entry than its requests.
 func TestSmallChangesWaitForTheInterval(t *testing.T) {
-	first := publishedState{message: &fescuev1.ServerState{}, backlog: 10_000}
-	small := publishedState{message: &fescuev1.ServerState{}, backlog: 10_000 + urgentBacklogChange - 1}
+	first := publishedState{message: &fescuev1.ServerState{InFlight: 5}, backlog: 10_000}
+	request := publishedState{message: &fescuev1.ServerState{InFlight: 6, CacheUsed: 800}, backlog: 10_000 + notableBacklogChange - 1}
+	assert.Assert(t, !due(&request, &first, heartbeatInterval-1), "one short request")
+	assert.Assert(t, due(&request, &first, heartbeatInterval))
+	for name, m := range map[string]*fescuev1.ServerState{
+		"room":     {InFlight: 5, Free: 1},
+		"loads":    {InFlight: 5, Wanted: 1},
+		"requests": {InFlight: 9, Queued: 4},
+		"limit":    {InFlight: 5, Limited: true},
+		"pace":     {InFlight: 5, SlowdownPercent: 250},
+	} {
+		assert.Assert(t, !due(&publishedState{message: m, backlog: 10_000}, &first, utilizationInterval-1), name)
+		assert.Assert(t, due(&publishedState{message: m, backlog: 10_000}, &first, utilizationInterval), name)
+	}
+	small := publishedState{message: &fescuev1.ServerState{InFlight: 5}, backlog: 10_000 + urgentBacklogChange - 1}
 	large := publishedState{message: &fescuev1.ServerState{}, backlog: 10_000 - urgentBacklogChange}
 	assert.Assert(t, !due(&small, &first, utilizationInterval-1))
 	assert.Assert(t, due(&small, &first, utilizationInterval))
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -17,9 +17,15 @@
 
 const (
 	// utilizationInterval is the minimum interval between messages that only carry
-	// changed utilization figures. Changed holdings, which are the models and adapters
-	// of the server, are sent at once.
+	// changed utilization figures on which choices depend. Other figures are sent with the
+	// next heartbeat. Changed holdings, which are the models and adapters of the server,
+	// are sent at once.
 	utilizationInterval = 200 * time.Millisecond
+	// notableBacklogChange is the change of the backlog, in prompt tokens, on which choices
+	// depend, and notableRequestsChange that of the number of requests. A server processes
+	// so many tokens in about 25 ms.
+	notableBacklogChange  = 1000
+	notableRequestsChange = 8
 	// heartbeatInterval is the interval at which an unchanged state is sent again.
 	heartbeatInterval = 500 * time.Millisecond
 	// urgentBacklogChange is the change of the backlog, in prompt tokens, from which
@@ -212,11 +218,28 @@
 		return true
 	case state.message == last.message:
 		return false
+	case absDiff(state.backlog, last.backlog) >= urgentBacklogChange:
+		return true
 	default:
-		return since >= utilizationInterval || absDiff(state.backlog, last.backlog) >= urgentBacklogChange
+		return since >= utilizationInterval && notable(state, last)
 	}
 }
 
+// notable reports whether choices depend on the difference between two states with the
+// same holdings. Most changes are the start or the end of single requests, which every
+// entry would be told of many times a second, for each of all servers.
+func notable(state, last *publishedState) bool {
+	a, b := state.message, last.message
+	return absDiff(state.backlog, last.backlog) >= notableBacklogChange ||
+		absDiff(requests(a), requests(b)) >= notableRequestsChange ||
+		a.GetFree() != b.GetFree() || a.GetEvictable() != b.GetEvictable() || a.GetWanted() != b.GetWanted() ||
+		a.GetLimited() != b.GetLimited() || a.GetLimitPerSecond() != b.GetLimitPerSecond() ||
+		a.GetSlowdownPercent() != b.GetSlowdownPercent()
+}
+
+// requests returns the number of running and queued requests of a state.
+func requests(m *fescuev1.ServerState) uint64 { return uint64(m.GetInFlight()) + uint64(m.GetQueued()) }
+
 // compactUpdate returns the compact form of a state, with the prompt parts that the
 // entry has not been told of.
 func (h *hub) compactUpdate(p *peer, state publishedState) *fescuev1.ServerState {
