--- a/pkg/gateway/link_test.go
+++ b/pkg/gateway/link_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/standin/fault"
 )
 
 // Guards against losing the versions of the weights between a sidecar and an entry, or
@@ -60,3 +61,51 @@
 	assert.Assert(t, second.After(first))
 	assert.Assert(t, second.Sub(reset) < linkBackoff, "opened after %v", second.Sub(reset))
 }
+
+// heartbeatServer is a sidecar that reports its state at each heartbeat.
+type heartbeatServer struct {
+	discardServer
+	instance string
+	opened   chan time.Time
+}
+
+func (s *heartbeatServer) Sync(stream grpc.BidiStreamingServer[fescuev1.DemandUpdate, fescuev1.ServerState]) error {
+	s.opened <- time.Now()
+	for stream.Send(&fescuev1.ServerState{InstanceId: s.instance}) == nil {
+		time.Sleep(linkTimeout / 4)
+	}
+	return nil
+}
+
+// Guards against a connection to a sidecar that falls silent for good, without a reset, and
+// keeps the entry from the state of a server that new connections would reach: in both
+// directions, and in the direction to the entry only.
+func TestSilentLinkIsReplaced(t *testing.T) {
+	for name, silence := range map[string]func(*fault.Relay) int{
+		"both directions": (*fault.Relay).Blackhole,
+		"to the entry":    (*fault.Relay).BlackholeResponses,
+	} {
+		t.Run(name, func(t *testing.T) {
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			w := newTestGateway(t, streamRoute)
+			e := w.serveVersion("v1", eventAfter("v1"))
+			sidecar := &heartbeatServer{instance: string(e.ID), opened: make(chan time.Time, 10)}
+			srv := grpc.NewServer()
+			fescuev1.RegisterResidencyServer(srv, sidecar)
+			go func() { _ = srv.Serve(lis) }() // ends with Stop
+			t.Cleanup(srv.Stop)
+			relay, err := fault.NewRelay(lis.Addr().String())
+			assert.NilError(t, err)
+			t.Cleanup(func() { assert.NilError(t, relay.Close()) })
+			w.runLink(e, relay.Addr())
+			<-sidecar.opened
+			time.Sleep(linkTimeout) // reports keep a sound stream open
+			assert.Equal(t, len(sidecar.opened), 0)
+			silent := time.Now()
+			assert.Assert(t, silence(relay) > 0)
+			second := <-sidecar.opened
+			assert.Assert(t, second.Sub(silent) < 2*linkTimeout, "replaced after %v", second.Sub(silent))
+		})
+	}
+}
