--- a/pkg/locality/slow_fleet_test.go
+++ b/pkg/locality/slow_fleet_test.go
@@ -35,17 +35,20 @@
 		"one in nine of a large fleet": {servers: 54, adapterSlots: 8, adapters: 24000, skew: 1.2, perSecond: 200, slow: 6, slowFactor: 3.9, fullRateLoads: 40},
 		"a third, much slower":         {servers: 18, adapterSlots: 9, adapters: 3000, skew: 1.2, perSecond: 60, slow: 6, slowFactor: 8},
 	} {
-		l.duration, l.slowFrom, l.slowUntil = 14*time.Second, 6*time.Second, 13*time.Second
-		blind := l
-		blind.ignorePace = true
-		learned, unknown := 0.0, 0.0
-		const seeds = 3
-		for seed := range uint64(seeds) {
-			learned += slowedInTime(l, seed) / seeds
-			unknown += slowedInTime(blind, seed) / seeds
-		}
-		t.Logf("%s: in time %.3f, without the pace %.3f", name, learned, unknown)
-		assert.Assert(t, learned > unknown, "%s: in time %.3f, without the pace %.3f", name, learned, unknown)
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l.duration, l.slowFrom, l.slowUntil = 14*time.Second, 6*time.Second, 13*time.Second
+			blind := l
+			blind.ignorePace = true
+			learned, unknown := 0.0, 0.0
+			const seeds = 3
+			for seed := range uint64(seeds) {
+				learned += slowedInTime(l, seed) / seeds
+				unknown += slowedInTime(blind, seed) / seeds
+			}
+			t.Logf("in time %.3f, without the pace %.3f", learned, unknown)
+			assert.Assert(t, learned > unknown, "in time %.3f, without the pace %.3f", learned, unknown)
+		})
 	}
 }
 
