--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
 )
@@ -30,6 +31,8 @@
 	// Resumes is the id of the request whose response brought the first event of the
 	// resumed stream, or empty if the headers do not say.
 	Resumes string
+	// APIKey is the API key of the caller, or empty if the headers have none.
+	APIKey string
 }
 
 // Attempt holds what the gateway adds to the headers of a request for one endpoint.
@@ -47,6 +50,8 @@
 	// FetchFrom is the address of a server that has parts of the prompt in its cache, or
 	// empty.
 	FetchFrom string
+	// Team is the team of the caller, or empty if the request belongs to none.
+	Team ident.Team
 }
 
 // Reply holds the fields parsed from the headers of a response.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -31,7 +31,9 @@
 	table   *route.Table
 	route   *route.Route
 	service *route.Service
-	body    []byte
+	// team is the team of the caller, or nil if the request belongs to none.
+	team *route.Team
+	body []byte
 
 	settlement *settle.Settlement
 	history    retry.History
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -68,6 +68,8 @@
 	// MaxEventGap is the longest gap between two events of a response that counts as in
 	// time.
 	MaxEventGap time.Duration
+	// Open means that requests need no API key, also if the configuration has teams.
+	Open bool
 }
 
 // Model is a base model of a service.
@@ -133,6 +135,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Teams lists the teams whose API keys authenticate requests. Without teams, requests
+	// need no key.
+	Teams []Team
 }
 
 // Table is a Config with indexes for lookups. It is immutable.
