gateway: an entry that starts is ready with a part of the status reports

Cause: an entry was not ready until every model server had reported, or 4 s had passed. A server that is down, leaves, or is replaced keeps all restarted entries unready for that time, and the larger the fleet, the surer there is one.

Change: an entry is ready once nine tenths of the servers of each service have reported, so that at most one in ten requests for an adapter with one copy causes a load that is not needed. After 1 s, within which servers that are up report, half are enough: those that have reported then get at most twice their load. The bound of 4 s stays, and counts from the first list of the store. Servers that leave are not waited for. Readiness is logged when it changes.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -34,9 +34,6 @@
 	// time that the operator sets for callers, so that the gateway does not close a
 	// connection that a caller is about to use.
 	idleTimeout = 10 * time.Minute
-	// startGrace is how long a new entry waits for the first status reports of the model
-	// servers before it reports ready without them.
-	startGrace = 4 * time.Second
 )
 
 // ConnectionKeepAlive returns the TCP keep-alive settings that detect an unreachable
@@ -65,6 +62,8 @@
 	callers  *callerConns
 	started  time.Time
 	stopping atomic.Bool
+	// readiness is why the entry was not ready at the last check, or nil before the first.
+	readiness atomic.Pointer[string]
 	// closing is set during shutdown, from the moment at which a new stream might not
 	// finish in time.
 	closing atomic.Bool
--- a/pkg/gateway/ready.go
+++ b/pkg/gateway/ready.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
+	"github.com/fescuecourse/fescuecourse/pkg/logging"
 )
 
 // gatewayMetrics holds the counters and histograms of a gateway.
@@ -53,7 +54,9 @@
 }
 
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if reason := g.unready(); reason != "" {
+	reason := g.unready()
+	g.logReadiness(reason)
+	if reason != "" {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = w.Write([]byte(reason)) // the load balancer may be gone
 		return
@@ -61,6 +64,18 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// logReadiness logs a readiness that differs from the one of the previous check.
+func (g *Gateway) logReadiness(reason string) {
+	if previous := g.readiness.Swap(&reason); previous != nil && *previous == reason {
+		return
+	}
+	g.log.For(logging.ComponentEntry).Info().
+		Str("reason", reason).
+		Bool("ready", reason == "").
+		Dur("after_ms", time.Since(g.started)).
+		Msg("readiness changed")
+}
+
 // unready returns why the entry is not ready to serve, or an empty string if it is.
 func (g *Gateway) unready() string {
 	if g.stopping.Load() {
@@ -73,24 +88,65 @@
 	if !g.control.synced() {
 		return "no endpoints are known"
 	}
-	if time.Since(g.started) < startGrace && !statesKnown(s) {
+	if !statesKnown(time.Since(g.knownSince()), s) {
 		return "the states of the model servers are not known yet"
 	}
 	return ""
 }
 
-// statesKnown reports whether a status report of each model server has arrived.
-func statesKnown(s *fleet.Snapshot) bool {
+// knownSince returns from when on the model servers can have reported to this entry.
+func (g *Gateway) knownSince() time.Time {
+	if at := g.control.syncedAt.Load(); at != nil && at.After(g.started) {
+		return *at
+	}
+	return g.started
+}
+
+const (
+	// reportTime is the time within which servers that are up report to a new entry.
+	reportTime = time.Second
+	// startGrace is how long a new entry waits for the first status reports of the model
+	// servers before it reports ready without them.
+	startGrace = 4 * time.Second
+	// wholeShare is the part of the model servers whose reports are as good as all: of ten
+	// requests for an adapter in one place, one at most causes a load that is not needed.
+	wholeShare = 0.9
+	// partialShare is the part that is enough after reportTime, when the rest is likely to be
+	// down: those that have reported get at most twice their load.
+	partialShare = 0.5
+)
+
+// statesKnown reports whether enough model servers of each service have reported.
+func statesKnown(waited time.Duration, s *fleet.Snapshot) bool {
 	for name, endpoints := range s.Services {
 		svc := s.Table.Service(name)
-		if svc == nil || svc.Engine == nil {
+		if svc != nil && svc.Engine != nil && !enoughReported(waited, endpoints) {
+			return false
+		}
+	}
+	return true
+}
+
+// enoughReported reports whether an entry knows the states of so many servers that it
+// chooses well, or has waited long enough. Servers that leave count for nothing, because
+// they get no new requests.
+func enoughReported(waited time.Duration, servers []*fleet.Endpoint) bool {
+	if waited >= startGrace {
+		return true
+	}
+	all, reported := 0, 0
+	for _, e := range servers {
+		if e.State != fleet.Ready {
 			continue
 		}
-		for _, e := range endpoints {
-			if e.Runtime.Status() == nil {
-				return false
-			}
+		all++
+		if e.Runtime.Status() != nil {
+			reported++
 		}
 	}
-	return true
+	share := wholeShare
+	if waited >= reportTime {
+		share = partialShare
+	}
+	return float64(reported) >= share*float64(all)
 }
--- a/pkg/gateway/ready_test.go
+++ b/pkg/gateway/ready_test.go
@@ -17,7 +17,7 @@
 	w := newTestGateway(t, streamRoute)
 	w.gateway.started = time.Now()
 	for i := range servers {
-		id := fleet.ID(fmt.Sprintf("s%d", i))
+		id := fleet.ID(fmt.Sprintf("s%03d", i)) // the directory is sorted by id
 		w.directory.SetEndpoint(time.Now(), fleet.Endpoint{ID: id, Service: modelService, Address: "127.0.0.1:1", Slots: 4, State: fleet.Ready, Born: 1})
 		if i >= silent {
 			w.directory.Snapshot().Services[modelService][i].Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now()})
@@ -39,3 +39,28 @@
 func TestReadyAlthoughOneOfManyServersIsSilent(t *testing.T) {
 	assert.Equal(t, startedBeside(t, 117, 1), "")
 }
+
+// Guards against an entry in a small fleet that waits the whole grace period for a server that
+// is down, and against one that is ready with too few servers although the rest may still report.
+func TestReadinessAsReportsArrive(t *testing.T) {
+	for _, c := range []struct {
+		waited          time.Duration
+		servers, silent int
+		ready           bool
+	}{
+		{0, 0, 0, true}, {0, 9, 1, false}, {0, 117, 12, false}, {0, 117, 11, true},
+		{reportTime, 9, 1, true}, {reportTime, 9, 4, true}, {reportTime, 9, 5, false},
+		{startGrace, 9, 9, true},
+	} {
+		var list []*fleet.Endpoint
+		for i := range c.servers {
+			e := &fleet.Endpoint{State: fleet.Ready, Runtime: fleet.NewRuntime()}
+			if i >= c.silent {
+				e.Runtime.SetStatus(&fleet.Status{})
+			}
+			list = append(list, e)
+		}
+		leaving := &fleet.Endpoint{State: fleet.Draining, Runtime: fleet.NewRuntime()}
+		assert.Equal(t, enoughReported(c.waited, append(list, leaving)), c.ready, "%+v", c)
+	}
+}
