gateway, route, credential: requests are authenticated by the API keys of teams

A configuration with teams now requires an API key on all routes that are not open. The team's name is set by the entry alone, its priority replaces that of the route, and servers see neither the key nor a name that a caller has sent. Without teams, Authorization is forwarded as before. pkg/bundle looks keys up with the same index.

--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -4,13 +4,13 @@
 package bundle
 
 import (
-	"crypto/sha256"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuecourse/fescuecourse/pkg/credential"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
 
@@ -48,8 +48,8 @@
 	version    ident.BundleVersion
 	deployment Deployment
 	teams      map[ident.Team]TeamPolicy
-	// keys maps the SHA-256 of an API key to the team that owns it.
-	keys     map[[sha256.Size]byte]ident.Team
+	// keys has the API keys of the teams.
+	keys     credential.Index[ident.Team]
 	adapters index
 	services map[string]bool
 	// routes maps the route of a rule to whether its requests are idempotent.
@@ -66,8 +66,7 @@
 
 // Authenticate returns the team that owns the API key, or false for an unknown key.
 func (b *Bundle) Authenticate(apiKey string) (ident.Team, bool) {
-	t, ok := b.keys[sha256.Sum256([]byte(apiKey))]
-	return t, ok
+	return b.keys.Find(apiKey)
 }
 
 // Team returns the policy of a team, or false for an unknown team.
--- a/pkg/bundle/parse.go
+++ b/pkg/bundle/parse.go
@@ -1,11 +1,11 @@
 package bundle
 
 import (
-	"crypto/sha256"
 	"encoding/hex"
 	"strconv"
 	"strings"
 
+	"github.com/fescuecourse/fescuecourse/pkg/credential"
 	"github.com/fescuecourse/fescuecourse/pkg/findings"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
@@ -64,7 +64,6 @@
 		positions: map[string]position{},
 		b: &Bundle{
 			teams:     map[ident.Team]TeamPolicy{},
-			keys:      map[[sha256.Size]byte]ident.Team{},
 			services:  map[string]bool{},
 			routes:    map[string]bool{},
 			reviewers: map[string][]byte{},
@@ -165,13 +164,14 @@
 
 func (p *parser) teamKey(r *sectionReader, t ident.Team, hash string) {
 	raw, err := hex.DecodeString(hash)
-	if !r.check(err == nil && len(raw) == sha256.Size, "key_sha256", "must be SHA-256 in hexadecimal") {
+	if !r.check(err == nil && len(raw) == credential.DigestSize, "key_sha256", "must be SHA-256 in hexadecimal") {
 		return
 	}
-	key := [sha256.Size]byte(raw)
-	other, taken := p.b.keys[key]
-	r.check(!taken || other == t, "key_sha256", "key belongs to team "+string(other)+" already")
-	p.b.keys[key] = t
+	key := credential.Digest(raw)
+	if !p.b.keys.Add(key, t) {
+		other, _ := p.b.keys.Owner(key)
+		r.check(false, "key_sha256", "key belongs to team "+string(other)+" already")
+	}
 }
 
 func (p *parser) adapter(r *sectionReader, name string) {
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -52,6 +52,8 @@
 	FetchFrom string
 	// Team is the team of the caller, or empty if the request belongs to none.
 	Team ident.Team
+	// HideAPIKey means that the endpoint must not see the API key of the caller.
+	HideAPIKey bool
 }
 
 // Reply holds the fields parsed from the headers of a response.
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -42,7 +42,7 @@
 		SoftwareVersion: x.software.Load(),
 		Prefix:          x.call.Prefix,
 		PromptTokens:    x.call.PromptTokens,
-		Priority:        x.route.Priority,
+		Priority:        x.priority(),
 		Zone:            f.g.set.Zone,
 		Excluded:        x.excluded,
 		Outdated:        x.outdated,
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -86,6 +86,15 @@
 // forModelServer reports whether the request goes to a service of model servers.
 func (x *exchange) forModelServer() bool { return x.service.Engine != nil }
 
+// priority returns the priority of the request: that of its team, if the team has one, else
+// that of its route.
+func (x *exchange) priority() int {
+	if x.team != nil && x.team.Priority != nil {
+		return *x.team.Priority
+	}
+	return x.route.Priority
+}
+
 // nextEventBy returns the time by which the response, or the next event of a stream,
 // must be sent. Afterwards the caller is gone.
 func (x *exchange) nextEventBy() time.Time {
@@ -227,6 +236,9 @@
 	if x.route != nil {
 		ev = ev.Str("route", x.route.Name).Uint("config", uint64(x.table.Version))
 	}
+	if x.team != nil {
+		ev = ev.Str("team", string(x.team.Name))
+	}
 	if x.call.LastEventID != "" {
 		ev = ev.Str("resumes", x.call.Resumes).Str("after_event", x.call.LastEventID)
 	}
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -166,7 +166,7 @@
 	if !x.forModelServer() {
 		return &attemptCounts{}
 	}
-	c := &attemptCounts{runtime: x.endpoint.Runtime, demand: f.g.control.demandOf(x.endpoint), key: x.call.Key, class: fleet.PriorityClass(x.route.Priority)}
+	c := &attemptCounts{runtime: x.endpoint.Runtime, demand: f.g.control.demandOf(x.endpoint), key: x.call.Key, class: fleet.PriorityClass(x.priority())}
 	c.backlog = int64(max(x.call.PromptTokens-x.choice.CachedTokens, 0))
 	c.sentAt, c.expected = time.Now(), f.g.chooser.FirstEventTime(&x.choice, int(c.backlog))
 	c.runtime.Backlog[c.class].Add(c.backlog)
@@ -253,8 +253,12 @@
 		Endpoint:    x.endpoint.ID,
 		Remaining:   time.Until(x.deadline),
 		Version:     max(x.version, x.choice.Scope.Version()),
-		Priority:    x.route.Priority,
+		Priority:    x.priority(),
 		LastEventID: x.lastEventID,
+		HideAPIKey:  x.table.Keyed(),
+	}
+	if x.team != nil {
+		a.Team = x.team.Name
 	}
 	if x.forModelServer() && x.choice.Source != nil {
 		a.FetchFrom = x.choice.Source.Address
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/fescuecourse/fescuecourse/pkg/credential"
 )
 
 // Kind is the kind of a route, which determines whether its requests may be repeated.
@@ -145,6 +147,7 @@
 	Config
 	hosts    map[string][]*Route
 	services map[string]*Service
+	keys     credential.Index[*Team]
 }
 
 // Compile returns the table of a configuration.
@@ -157,6 +160,11 @@
 	for i := range t.Services {
 		t.services[t.Services[i].Name] = &t.Services[i]
 	}
+	for i := range t.Teams {
+		for _, key := range t.Teams[i].Keys {
+			t.keys.Add(key, &t.Teams[i])
+		}
+	}
 	return t
 }
 
@@ -175,6 +183,15 @@
 	return best
 }
 
+// Team returns the team that holds an API key, or nil for an unknown key.
+func (t *Table) Team(apiKey string) *Team {
+	team, _ := t.keys.Find(apiKey)
+	return team
+}
+
+// Keyed reports whether requests need an API key, except on open routes.
+func (t *Table) Keyed() bool { return len(t.Teams) > 0 }
+
 // Service returns the service with the given name, or nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/pkg/route/team.go
+++ b/pkg/route/team.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuecourse/fescuecourse/pkg/credential"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 )
@@ -37,3 +39,33 @@
 	// Tokens.
 	PlainTokens float64
 }
+
+// CheckTeams returns an error that names the first wrong value of the teams, or nil. The
+// digests of keys are not named.
+func CheckTeams(teams []Team) error {
+	var (
+		names = map[ident.Team]bool{}
+		keys  credential.Index[ident.Team]
+	)
+	for i := range teams {
+		t := &teams[i]
+		switch {
+		case t.Name == "":
+			return errors.Newf("team %d has no name", i)
+		case names[t.Name]:
+			return errors.Newf("team %q is listed twice", t.Name)
+		case t.Priority != nil && *t.Priority < 0:
+			return errors.Newf("team %q has a negative priority", t.Name)
+		case t.Quota.PerSecond < 0 || t.Quota.Burst < 0 || t.Quota.PlainTokens < 0:
+			return errors.Newf("team %q has a negative quota", t.Name)
+		}
+		names[t.Name] = true
+		for n, key := range t.Keys {
+			if !keys.Add(key, t.Name) {
+				other, _ := keys.Owner(key)
+				return errors.Newf("key %d of team %q belongs to team %q", n, t.Name, other)
+			}
+		}
+	}
+	return nil
+}
