--- a/pkg/configcheck/routes.go
+++ b/pkg/configcheck/routes.go
@@ -7,8 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fescuecourse/fescuecourse/pkg/credential"
-	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
 )
 
@@ -163,23 +161,14 @@
 }
 
 func (t *routeCheck) teams() {
-	owners := map[credential.Digest]ident.Team{}
-	names := map[ident.Team]bool{}
+	if err := route.CheckTeams(t.config.Teams); err != nil {
+		t.addf(Invalid, "%v", err)
+	}
 	for i := range t.config.Teams {
 		team := &t.config.Teams[i]
-		if names[team.Name] {
-			t.addf(Invalid, "team %q is defined twice", team.Name)
-		}
-		names[team.Name] = true
 		if len(team.Keys) == 0 {
 			t.addf(Unreachable, "team %q has no API key, so that no request can belong to it", team.Name)
 		}
-		for _, k := range team.Keys {
-			if other, taken := owners[k]; taken && other != team.Name {
-				t.addf(Invalid, "team %q has an API key of team %q", team.Name, other)
-			}
-			owners[k] = team.Name
-		}
 		t.quota(team)
 	}
 }
@@ -188,9 +177,7 @@
 func (t *routeCheck) quota(team *route.Team) {
 	q := team.Quota
 	switch {
-	case q.PerSecond < 0 || q.Burst < 0 || q.PlainTokens < 0:
-		t.addf(Invalid, "team %q: values of the quota must not be negative", team.Name)
-	case q.PerSecond == 0:
+	case q.PerSecond <= 0:
 	case q.Unit == route.Requests && q.Burst < 1:
 		t.addf(Contradiction, "team %q: a burst of %g is below one request", team.Name, q.Burst)
 	case q.Unit == route.Tokens && q.Burst < q.PlainTokens:
--- a/pkg/configcheck/routes_test.go
+++ b/pkg/configcheck/routes_test.go
@@ -63,8 +63,8 @@
 		{"key of two teams", func(c *route.Config) {
 			c.Teams = append(c.Teams, c.Teams[0])
 			c.Teams[1].Name = "adwenpa"
-		}, `c.json: error: team "adwenpa" has an API key of team "tokachi"`},
-		{"negative rate", func(c *route.Config) { c.Teams[0].Quota.PerSecond = -1 }, `c.json: error: team "tokachi": values of the quota must not be negative`},
+		}, `c.json: error: key 0 of team "adwenpa" belongs to team "tokachi"`},
+		{"negative rate", func(c *route.Config) { c.Teams[0].Quota.PerSecond = -1 }, `c.json: error: team "tokachi" has a negative quota`},
 		{"burst below a request", func(c *route.Config) { c.Teams[0].Quota.Burst = 999 }, `c.json: contradiction: team "tokachi": a burst of 999 tokens is below the 1000 that one request may have`},
 		{"burst below a plain request", func(c *route.Config) { c.Teams[0].Quota.PlainTokens = 2000 }, `c.json: contradiction: team "tokachi": a burst of 1000 tokens is below the 2000 of a request without a model`},
 		{"burst below one", func(c *route.Config) { c.Teams[0].Quota = route.Quota{PerSecond: 1} }, `c.json: contradiction: team "tokachi": a burst of 0 is below one request`},
