gateway, sidecar, mirror: sidecars pass the operator's items on to entries without the store

Entries learned of configurations from the store alone: one that the store turns away kept revoked keys and refused added ones until it was served again.

Each sidecar names the highest revision of the operator's items in its status reports, with the messages that it sends anyway. An entry that lacks items gives the store the pause of its watch, or no time if a call has failed, and then reads them from a sidecar that reports them. They pass through the mirror like items of the store: revisions decide within an era, versions only increase, and items of another era are ignored. Nothing is asked while the store serves an entry in time.

A request with an unknown key waits up to 300 ms for a configuration that sidecars have reported. It is answered 503, not 401, while the entry may lack one, because callers do not repeat a request after 401. At most 64 requests wait at a time, and one question serves all of them.

--- a/pkg/gateway/authenticate_test.go
+++ b/pkg/gateway/authenticate_test.go
@@ -1,17 +1,20 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/pkg/credential"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/kv"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
 )
 
@@ -151,3 +154,51 @@
 	assert.Equal(t, got.count(), 2)
 	assert.Equal(t, got.last().Get("Team"), "a")
 }
+
+// Guards against a key that an entry refuses because it has not read the configuration that
+// adds it, and against one that still runs although that configuration lacks it.
+func TestUnknownKeyFetchesTheConfiguration(t *testing.T) {
+	w := newTestGateway(t, keyedRoute)
+	var got recorder
+	w.serve(plainService, got.handle)
+	w.setTeams(keyedTeam("a", "old"))
+	r := w.gateway.control.relay
+	r.patience = time.Minute
+	r.supply = func(_ context.Context, era kv.Era, pairs []kv.Pair) bool {
+		w.setTeams(keyedTeam("a", "new"))
+		r.read(era, pairs[0].ModRevision)
+		return true
+	}
+	r.report(t.Context(), (&relaySidecar{revision: 2}).link(), 2)
+	assert.Equal(t, w.do(http.MethodPost, "/o/x", map[string]string{"Key": "new"}).status, http.StatusOK)
+	assert.Equal(t, w.do(http.MethodPost, "/o/x", map[string]string{"Key": "old"}).status, http.StatusUnauthorized)
+}
+
+// Guards against callers that do not try again, because an entry that may lack a configuration
+// says that their key is wrong, and against wrong keys that occupy such an entry or make it
+// ask for each of them.
+func TestWrongKeysAtAnOutdatedEntry(t *testing.T) {
+	w := newTestGateway(t, keyedRoute)
+	w.setTeams(keyedTeam("a", "key"))
+	r, lost := w.gateway.control.relay, &relaySidecar{}
+	r.available = func() bool { return false }
+	resp := w.do(http.MethodPost, "/o/x", map[string]string{"Key": "wrong"})
+	assert.Equal(t, resp.status, http.StatusServiceUnavailable)
+	assert.Assert(t, resp.header.Get("Retry-After") != "")
+
+	r.report(t.Context(), lost.link(), 2)
+	var wg sync.WaitGroup
+	began := time.Now()
+	for range 3 * maxKeyWaiters {
+		wg.Go(func() {
+			req := httptest.NewRequest(http.MethodPost, "http://h.example/o/x", http.NoBody)
+			req.Header.Set("Key", "wrong")
+			resp := httptest.NewRecorder()
+			w.gateway.serve(resp, req)
+			assert.Check(t, resp.Code == http.StatusServiceUnavailable, "status %d", resp.Code)
+		})
+	}
+	wg.Wait()
+	assert.Assert(t, time.Since(began) < relayPause)
+	assert.Equal(t, lost.asked.Load(), int32(1))
+}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -98,6 +98,8 @@
 type Catalog interface {
 	// Prefix returns the prefix of all keys that the entry watches.
 	Prefix() string
+	// OperatorPrefix returns the prefix of the keys of the operator's items.
+	OperatorPrefix() string
 	// EndpointID returns the id of the endpoint that a key belongs to, or false if the
 	// key does not belong to an endpoint.
 	EndpointID(key string) (fleet.ID, bool)
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -48,6 +48,8 @@
 	originLinks sync.Map // *fleet.Runtime -> *originLink
 	// software is what the links announce to the sidecars.
 	software atomic.Pointer[softwareList]
+	// relay gets the operator's items that the store does not bring.
+	relay *operatorRelay
 	// syncedAt is when the first list of the store was applied, or nil before that.
 	syncedAt atomic.Pointer[time.Time]
 	// mirror watches the key-value store. It is set before running is closed and must
@@ -75,6 +77,8 @@
 		loads:     map[string]*atomic.Int64{},
 		running:   make(chan struct{}),
 	}
+	c.relay = newOperatorRelay(set.WatchPause()+storeMargin, c.log)
+	c.relay.available, c.relay.supply = c.storeAvailable, c.supply
 	c.snapshot.Store(c.directory.Snapshot())
 	c.reloads.Store(&reloads{})
 	c.changes.Handle("directory", c.onChanges)
@@ -112,6 +116,7 @@
 	if c.synced() && (changed || first) {
 		c.publish()
 	}
+	c.recordRevisions(ev.changes)
 }
 
 // synced reports whether the first list of the store was applied.
@@ -173,46 +178,6 @@
 	return true
 }
 
-// applyOperator applies an item of the operator, which is a configuration or an
-// adapter version, and reports whether the directory has changed.
-func (c *control) applyOperator(ch mirror.Change) bool {
-	p := &ch.Pair
-	item, err := c.catalog.Operator(*p)
-	switch {
-	case err != nil:
-		c.log.Error().Str("key", p.Key).Err(err).Msg("cannot decode the operator's item; the last valid one stays in force")
-	case item.Config != nil:
-		adopted := c.directory.SetConfig(*item.Config)
-		c.log.Info().
-			Uint("version", uint64(item.Config.Version)).
-			Uint("revision", uint64(p.ModRevision)).
-			Bool("adopted", adopted).
-			Msg("configuration read")
-		return adopted
-	case item.Adapter != nil:
-		adopted := c.directory.SetVersion(ch.Since, *item.Adapter)
-		c.log.Info().
-			Str("model", item.Adapter.Model).
-			Str("adapter", item.Adapter.Adapter).
-			Int("version", item.Adapter.Version).
-			Bool("in_first_list", ch.Since.IsZero()).
-			Dur("written_within_ms", writtenWithin(ch)).
-			Bool("adopted", adopted).
-			Msg("adapter version read")
-		return adopted
-	}
-	return false
-}
-
-// writtenWithin returns the longest time since the item of a change was written, or 0
-// if none is known.
-func writtenWithin(ch mirror.Change) time.Duration {
-	if ch.Since.IsZero() {
-		return 0
-	}
-	return time.Since(ch.Since)
-}
-
 // onResume handles the end of a suspension of the VM. It makes the status reports
 // older by the length of the suspension and reads the store again.
 func (c *control) onResume(slept time.Duration) {
@@ -268,7 +233,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, reloads: &c.reloads, prefixes: c.prefixes, share: c.share, origins: newOriginLink(), software: &c.software, log: c.log, cancel: cancel}
+	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, reloads: &c.reloads, prefixes: c.prefixes, share: c.share, origins: newOriginLink(), software: &c.software, relay: c.relay, log: c.log, cancel: cancel}
 	c.links[e.Runtime] = l
 	c.originLinks.Store(e.Runtime, l.origins)
 	go l.run(ctx)
--- a/pkg/gateway/control_test.go
+++ b/pkg/gateway/control_test.go
@@ -48,6 +48,8 @@
 
 func (plainCatalog) Prefix() string { return "" }
 
+func (plainCatalog) OperatorPrefix() string { return "config" }
+
 func (plainCatalog) EndpointID(key string) (fleet.ID, bool) {
 	id, ok := strings.CutPrefix(key, "vm/")
 	return fleet.ID(id), ok
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -100,7 +100,7 @@
 		budgets:  map[string]*retry.Budget{},
 	}
 	g.limits = newLimiter(g.origins, share, log)
-	g.handle = chain(routeFilter{g}, authFilter{g}, bodyFilter{g}, originFilter{g}, retryFilter{g}, endpointFilter{g}, sendFilter{g})
+	g.handle = chain(routeFilter{g}, authFilter{g, &atomic.Int32{}}, bodyFilter{g}, originFilter{g}, retryFilter{g}, endpointFilter{g}, sendFilter{g})
 	return g, nil
 }
 
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -49,6 +49,7 @@
 	share    *retry.Share
 	origins  *originLink
 	software *atomic.Pointer[softwareList]
+	relay    *operatorRelay
 	log      logging.Logger
 	cancel   context.CancelFunc
 	// conn is the connection of the current or the last stream. It stays open until the
@@ -132,6 +133,7 @@
 			return errors.Wrap(err, "receive status report")
 		}
 		silence.Reset(linkTimeout)
+		l.relay.report(ctx, l.origins, m.GetOperatorRevision())
 		if m.GetInstanceId() != string(l.endpoint.ID) {
 			l.otherInstance(m.GetInstanceId())
 			continue
--- a/pkg/gateway/origin_grpc_test.go
+++ b/pkg/gateway/origin_grpc_test.go
@@ -33,11 +33,6 @@
 func (silentServer) Order(context.Context, fleet.ID, residency.Order) error { return errSilent }
 func (silentServer) Instance(context.Context, string) (fleet.ID, error)     { return "", errSilent }
 
-// operatorCatalog is the part of plainCatalog that sidecars use.
-type operatorCatalog struct{ plainCatalog }
-
-func (operatorCatalog) OperatorPrefix() string { return "config" }
-
 // startSidecar runs a sidecar and returns its port.
 func startSidecar(t *testing.T) int {
 	t.Helper()
@@ -45,7 +40,7 @@
 	assert.NilError(t, err)
 	address := lis.Addr().String()
 	assert.NilError(t, lis.Close())
-	s := sidecar.New(sidecar.Settings{ID: "side", Listen: address}, kvstore.NewMemory(time.Now), operatorCatalog{}, silentServer{}, logging.Nop())
+	s := sidecar.New(sidecar.Settings{ID: "side", Listen: address}, kvstore.NewMemory(time.Now), plainCatalog{}, silentServer{}, logging.Nop())
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
@@ -128,7 +123,7 @@
 // runLink runs a link to the sidecar of a server at the given address until the test ends.
 func (w *testGateway) runLink(e *fleet.Endpoint, target string) {
 	ctx, cancel := context.WithCancel(w.t.Context())
-	l := &link{endpoint: e, target: target, demand: newDemand(), prefixes: w.gateway.prefixes, origins: newOriginLink(), software: &w.gateway.control.software, reloads: &w.gateway.control.reloads, log: logging.Nop()}
+	l := &link{endpoint: e, target: target, demand: newDemand(), prefixes: w.gateway.prefixes, origins: newOriginLink(), software: &w.gateway.control.software, reloads: &w.gateway.control.reloads, relay: w.gateway.control.relay, log: logging.Nop()}
 	l.loads.total = w.gateway.control.serviceLoads(modelService)
 	w.gateway.control.originLinks.Store(e.Runtime, l.origins)
 	done := make(chan struct{})
--- a/pkg/gateway/ready.go
+++ b/pkg/gateway/ready.go
@@ -18,9 +18,10 @@
 	// said that they leave.
 	backoffs, leaving metrics.Counter
 	// missingKeys and unknownKeys count the requests that were refused without an API key or
-	// with one that no team holds.
-	missingKeys, unknownKeys metrics.Counter
-	firstByte, loadWait      metrics.Histogram
+	// with one that no team holds, and undecidedKeys those with a key that only a newer
+	// configuration may have.
+	missingKeys, unknownKeys, undecidedKeys metrics.Counter
+	firstByte, loadWait                     metrics.Histogram
 }
 
 const histogramSamples = 1028
@@ -31,18 +32,19 @@
 		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(histogramSamples, 0.015))
 	}
 	return &gatewayMetrics{
-		requests:    metrics.GetOrRegisterCounter("gateway.requests", r),
-		answered:    metrics.GetOrRegisterCounter("gateway.answered", r),
-		refused:     metrics.GetOrRegisterCounter("gateway.refused", r),
-		failed:      metrics.GetOrRegisterCounter("gateway.failed", r),
-		retries:     metrics.GetOrRegisterCounter("gateway.retries", r),
-		loadWaits:   metrics.GetOrRegisterCounter("gateway.load_waits", r),
-		backoffs:    metrics.GetOrRegisterCounter("gateway.backoffs", r),
-		leaving:     metrics.GetOrRegisterCounter("gateway.leaving", r),
-		missingKeys: metrics.GetOrRegisterCounter("gateway.missing_keys", r),
-		unknownKeys: metrics.GetOrRegisterCounter("gateway.unknown_keys", r),
-		firstByte:   histogram("gateway.first_byte_ms"),
-		loadWait:    histogram("gateway.load_wait_ms"),
+		requests:      metrics.GetOrRegisterCounter("gateway.requests", r),
+		answered:      metrics.GetOrRegisterCounter("gateway.answered", r),
+		refused:       metrics.GetOrRegisterCounter("gateway.refused", r),
+		failed:        metrics.GetOrRegisterCounter("gateway.failed", r),
+		retries:       metrics.GetOrRegisterCounter("gateway.retries", r),
+		loadWaits:     metrics.GetOrRegisterCounter("gateway.load_waits", r),
+		backoffs:      metrics.GetOrRegisterCounter("gateway.backoffs", r),
+		leaving:       metrics.GetOrRegisterCounter("gateway.leaving", r),
+		missingKeys:   metrics.GetOrRegisterCounter("gateway.missing_keys", r),
+		undecidedKeys: metrics.GetOrRegisterCounter("gateway.undecided_keys", r),
+		unknownKeys:   metrics.GetOrRegisterCounter("gateway.unknown_keys", r),
+		firstByte:     histogram("gateway.first_byte_ms"),
+		loadWait:      histogram("gateway.load_wait_ms"),
 	}
 }
 
--- a/pkg/gateway/version_test.go
+++ b/pkg/gateway/version_test.go
@@ -49,6 +49,8 @@
 // the adapter NAME of the model "m".
 type versionCatalog struct{ plainCatalog }
 
+func (versionCatalog) OperatorPrefix() string { return "version/" }
+
 func (versionCatalog) Operator(p kv.Pair) (fleet.OperatorItem, error) {
 	name, ok := strings.CutPrefix(p.Key, "version/")
 	if !ok {
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -41,7 +41,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	restored := m.enterEra(first.era, first.Revision)
-	c := &connection{Mirror: m, ctx: ctx, outage: m.unavailable, lastMessage: time.Now(), confirm: time.NewTimer(0)}
+	c := &connection{Mirror: m, ctx: ctx, outage: m.unavailable.Load(), lastMessage: time.Now(), confirm: time.NewTimer(0)}
 	defer c.confirm.Stop()
 	if c.outage {
 		c.restartGrace()
@@ -80,6 +80,12 @@
 		return ok && c.onEvent(&ev)
 	case p := <-c.pages():
 		return c.onPage(p)
+	case s := <-c.supplied:
+		for i := range s.pairs {
+			c.reading.onPut(s.pairs[i].Key)
+		}
+		c.applySupply(s)
+		return true
 	case <-c.confirm.C:
 		c.confirmMissing()
 		return true
--- a/pkg/mirror/list.go
+++ b/pkg/mirror/list.go
@@ -172,7 +172,7 @@
 		}
 	}
 	mass := float64(len(lacking)) > max(1, massLossShare*float64(len(c.items)))
-	if c.synced && (c.unavailable || r.restored || mass) {
+	if c.synced && (c.unavailable.Load() || r.restored || mass) {
 		c.keep(time.Now(), lacking)
 	} else {
 		c.remove(slices.DeleteFunc(lacking, func(key string) bool { return !c.missing[key].IsZero() }))
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -7,11 +7,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
-	"github.com/fescuecourse/fescuecourse/pkg/wait"
 )
 
 const (
@@ -39,6 +39,8 @@
 	// Since is a time before which the item was not written. It is zero if none is
 	// known, which is the case for all items of the first list.
 	Since time.Time
+	// Era is the era of the revision of Pair.
+	Era kv.Era
 }
 
 // Mirror keeps a local copy of one prefix.
@@ -54,7 +56,9 @@
 	// synced is true once the first list is complete.
 	synced bool
 	// unavailable is true from the first failed call until the copy is complete again.
-	unavailable bool
+	unavailable atomic.Bool
+	// supplied has items that were read by other processes.
+	supplied chan supply
 	// current is a time at which the copy was complete: the start of the last list or
 	// the arrival of the last event. Items that a list adds may have been written at any
 	// time since then.
@@ -73,16 +77,20 @@
 // apply with nil.
 func New(store kv.Store, prefix string, apply func([]Change), log logging.Logger) *Mirror {
 	return &Mirror{
-		store:   store,
-		prefix:  prefix,
-		apply:   apply,
-		log:     log.With("prefix", prefix),
-		items:   map[string]kv.Pair{},
-		missing: map[string]time.Time{},
-		refresh: make(chan struct{}, 1),
+		store:    store,
+		prefix:   prefix,
+		apply:    apply,
+		log:      log.With("prefix", prefix),
+		items:    map[string]kv.Pair{},
+		missing:  map[string]time.Time{},
+		refresh:  make(chan struct{}, 1),
+		supplied: make(chan supply),
 	}
 }
 
+// Available reports whether no call has failed since the copy was last complete.
+func (m *Mirror) Available() bool { return !m.unavailable.Load() }
+
 // Refresh makes the mirror read the items again. It is needed when the watch may
 // have died without an error.
 func (m *Mirror) Refresh() {
@@ -96,9 +104,9 @@
 func (m *Mirror) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		first, err := hedged(ctx, m.readFirst, m.reportUnavailable)
+		first, err := m.connect(ctx)
 		if err != nil {
-			wait.For(ctx, backoff)
+			m.pause(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
@@ -107,21 +115,54 @@
 	}
 }
 
+// connect reads the first page of the items. Meanwhile it applies supplied items.
+func (m *Mirror) connect(ctx context.Context) (page, error) {
+	done := make(chan result[page], 1)
+	go func() {
+		p, err := hedged(ctx, m.readFirst, m.reportUnavailable)
+		done <- result[page]{value: p, err: err}
+	}()
+	for {
+		select {
+		case r := <-done:
+			return r.value, r.err
+		case s := <-m.supplied:
+			m.applySupply(s)
+		}
+	}
+}
+
+// pause waits for the given time, or until ctx ends. Meanwhile it applies supplied items.
+func (m *Mirror) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case s := <-m.supplied:
+			m.applySupply(s)
+		}
+	}
+}
+
 // reportUnavailable logs the first failure of an outage, of a call that took the given
 // time.
 func (m *Mirror) reportUnavailable(err error, took time.Duration) {
-	if !m.unavailable {
+	if !m.unavailable.Load() {
 		m.log.Warn().Err(err).Dur("took_ms", took).Dur("copy_age_ms", time.Since(m.current)).Msg("dependency lost: key-value service")
 	}
-	m.unavailable = true
+	m.unavailable.Store(true)
 }
 
 // reportComplete records that the copy was complete at the given time.
 func (m *Mirror) reportComplete(at time.Time) {
-	if m.unavailable || !m.synced {
+	if m.unavailable.Load() || !m.synced {
 		m.log.Info().Int("items", len(m.items)).Int("missing", len(m.missing)).Uint("revision", uint64(m.revision)).Msg("dependency regained: key-value service")
 	}
-	m.unavailable = false
+	m.unavailable.Store(false)
 	m.current = at
 	if !m.synced {
 		m.synced = true
@@ -161,7 +202,7 @@
 			continue
 		}
 		m.items[p.Key] = p
-		changes = append(changes, Change{Pair: p, Restored: restored, Since: since})
+		changes = append(changes, Change{Pair: p, Restored: restored, Since: since, Era: m.era})
 	}
 	if len(changes) > 0 {
 		m.apply(changes)
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -61,6 +61,8 @@
 	origins *origin.Registry
 	// limits divides the limits of servers among the entries.
 	limits *ratelimit.Divider
+	// operator holds the operator's items.
+	operator operatorItems
 }
 
 // peer is one connected entry.
@@ -277,6 +279,7 @@
 	defer h.mu.Unlock()
 	m.BacklogTokens = h.sumBacklog()
 	m.Entries = uint32(len(h.entries))
+	m.OperatorRevision = h.operator.latest()
 	m.LimitPerSecond, m.Limited = h.limits.Limit(time.Now(), m.GetInstanceId())
 	if m.GetInstanceId() != h.partsInstance {
 		h.parts, h.partsInstance, h.pace = newPartLog(), m.GetInstanceId(), pace.Estimator{}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -145,6 +145,7 @@
 // onOperatorItems adopts changed configurations and adapter versions. If an item is
 // deleted or its new value is malformed, its last valid value stays in force.
 func (s *Sidecar) onOperatorItems(changes []mirror.Change) {
+	s.hub.operator.apply(changes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	log := s.log.For(logging.ComponentRoute)
--- a/pkg/sidecar/state.go
+++ b/pkg/sidecar/state.go
@@ -58,15 +58,17 @@
 		Limited:           m.GetLimited(),
 		LimitPerSecond:    m.GetLimitPerSecond(),
 		SlowdownPercent:   m.GetSlowdownPercent(),
+		OperatorRevision:  m.GetOperatorRevision(),
 		HoldingsUnchanged: true,
 	}
 }
 
 // sameUtilization reports whether two states with the same holdings have the same
-// utilization figures, pace, limit and number of entries. The load time and
+// utilization figures, pace, limit, number of entries and operator's items. The load time and
 // the load limit are not compared.
 func sameUtilization(a, b *fescuev1.ServerState) bool {
-	return a.GetSlowdownPercent() == b.GetSlowdownPercent() && a.GetEntries() == b.GetEntries() && a.GetLimited() == b.GetLimited() && a.GetLimitPerSecond() == b.GetLimitPerSecond() &&
+	return a.GetOperatorRevision() == b.GetOperatorRevision() &&
+		a.GetSlowdownPercent() == b.GetSlowdownPercent() && a.GetEntries() == b.GetEntries() && a.GetLimited() == b.GetLimited() && a.GetLimitPerSecond() == b.GetLimitPerSecond() &&
 		a.GetFree() == b.GetFree() && a.GetEvictable() == b.GetEvictable() && a.GetWanted() == b.GetWanted() &&
 		a.GetInFlight() == b.GetInFlight() && a.GetQueued() == b.GetQueued() &&
 		slices.Equal(a.GetBacklogTokens(), b.GetBacklogTokens()) && a.GetCacheUsed() == b.GetCacheUsed()
