gateway: a success response cannot deny that its request ran

A response whose header says that the request did not run was trusted with any status. A success with that header was answered 503, and the request was sent to another server, also if it may run only once.

Only a refusal is trusted now; the result of such a success is unknown (502). The property test draws what up to three servers do with a request that may run once (19 ways, plain and streaming) and the caller's time. It checks that a status that promises no run is true, also later, that a request runs at most once, and that no valid request gets another 3xx or 4xx. It failed without the change; the other ways did not break it.

Checked: go test -race -count 5 ./pkg/gateway -run TestRefusedRequestsHaveNotRun.

--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -302,6 +302,9 @@
 		x.admission.Answered()
 	}
 	switch {
+	case reply.NotRun && status < http.StatusMultipleChoices:
+		ex.Abort() // only a refusal can be trusted to say so
+		return result{end: retry.Unknown, status: status, detail: "the endpoint denies a run in a success response"}
 	case reply.NotRun:
 		return f.refused(x, conn, ex, reply)
 	case impliesNotRun(status):
