--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -102,7 +102,7 @@
 
 // relatedScope describes which log lines are related to a request: those within a
 // period of time that are about the same endpoints or adapters, or whose message
-// contains "dependency" or "configuration".
+// contains "dependency", "configuration" or "operator's item".
 type relatedScope struct {
 	endpoints, adapters map[string]bool
 	from, to            time.Time
@@ -124,7 +124,8 @@
 		return false
 	}
 	related := s.endpoints[l.str("endpoint")] || s.endpoints[l.str("instance")] || s.adapters[l.str("adapter")]
-	return related || strings.Contains(l.str("message"), "dependency") || strings.Contains(l.str("message"), "configuration")
+	return related || strings.Contains(l.str("message"), "dependency") || strings.Contains(l.str("message"), "configuration") ||
+		strings.Contains(l.str("message"), "operator's item")
 }
 
 // formatLine returns the time, prefix and message of a line and then its other fields,
