--- a/pkg/ratelimit/divider.go
+++ b/pkg/ratelimit/divider.go
@@ -59,10 +59,9 @@
 	servers map[Server]*bucket
 }
 
-// bucket is a token bucket with the state of one server's limit.
+// bucket has the permits and the state of one server's limit.
 type bucket struct {
-	tokens    float64
-	updatedAt time.Time
+	tokens Bucket
 	// firstAt is when an entry first chose this divider first, and lastAt when one last did.
 	firstAt, lastAt time.Time
 	perSecond       float64
@@ -88,12 +87,10 @@
 		b.chosen(now)
 	}
 	rate := b.rate(now)
-	b.tokens = min(b.tokens+rate*now.Sub(b.updatedAt).Seconds(), burst)
-	b.updatedAt = now
-	if b.tokens < 1 {
-		return Grant{RetryAfter: time.Duration((1 - b.tokens) / rate * float64(time.Second))}
+	b.tokens.Refill(now, rate, burst)
+	if !b.tokens.Take(1) {
+		return Grant{RetryAfter: b.tokens.Wait(1, rate)}
 	}
-	b.tokens--
 	return Grant{Granted: true}
 }
 
@@ -126,11 +123,11 @@
 		return b
 	}
 	for other, b := range d.servers {
-		if now.Sub(b.updatedAt) > retention {
+		if now.Sub(b.tokens.updatedAt) > retention {
 			delete(d.servers, other)
 		}
 	}
-	b := &bucket{updatedAt: now}
+	b := &bucket{tokens: NewBucket(now, 0)}
 	d.servers[s] = b
 	return b
 }
