--- a/pkg/ratelimit/bucket.go
+++ b/pkg/ratelimit/bucket.go
@@ -18,10 +18,10 @@
 		b.tokens += perSecond * elapsed.Seconds()
 		b.updatedAt = now
 	}
-	b.tokens = max(min(b.tokens, capacity), 0)
+	b.tokens = min(b.tokens, max(capacity, 0))
 }
 
-// Tokens returns the tokens at the time of the last refill.
+// Tokens returns the tokens at the time of the last refill. They are negative after Overdraw.
 func (b *Bucket) Tokens() float64 { return b.tokens }
 
 // Take removes n tokens, or none if there are fewer. It reports whether it did.
@@ -33,6 +33,9 @@
 	return true
 }
 
+// Overdraw removes n tokens, also if there are fewer.
+func (b *Bucket) Overdraw(n float64) { b.tokens -= n }
+
 // Wait returns the time until there are n tokens.
 func (b *Bucket) Wait(n, perSecond float64) time.Duration {
 	return time.Duration(max(n-b.tokens, 0) / perSecond * float64(time.Second))
