gateway, sidecar: quotas of teams, refused before the body is read

Cause: as above; a request of a team over its quota took places and loads of others. Change: quotaFilter after authentication, LeaseCredit in the sidecar, settings quota-window, quota-overage and quota-slack, metrics for each team, a log line for each refusal. A request waits for keepers only if the local credit is too small. net/http reads up to 256 KiB of an unread body before it sends a response, so that a refusal waited for a slow caller; quotaFilter switches that off. The test of the rendered settings knows optional sections.

--- a/pkg/daemon/rendered_test.go
+++ b/pkg/daemon/rendered_test.go
@@ -23,6 +23,9 @@
 	"bounds.retrySlack":       38.26,
 	"bounds.configApplyMs":    4000,
 	"bounds.drainMs":          2000.5,
+	"bounds.quotaWindowS":     8.5,
+	"bounds.quotaOverage":     0.1,
+	"bounds.quotaSlack":       110000,
 	"limits.memoryMb":         216.5,
 }
 
@@ -34,14 +37,22 @@
 	"capital":  func(f float64) string { return strconv.FormatFloat(f, 'E', 6, 64) },
 }
 
-var placeholder = regexp.MustCompile(`\{\{([^}]*)\}\}`)
+var (
+	placeholder = regexp.MustCompile(`\{\{([^}]*)\}\}`)
+	section     = regexp.MustCompile(`(?s)\{\{#([^}]*)\}\}(.*?)\{\{/[^}]*\}\}`)
+)
 
-// render fills a template in with figures of one form and with text for all else.
-func render(t *testing.T, template string, form func(float64) string) string {
+// render fills a template in with figures of one form and with text for all else. Sections are
+// rendered if optional is set.
+func render(t *testing.T, template string, form func(float64) string, optional bool) string {
 	t.Helper()
 	text, err := os.ReadFile(filepath.Join("..", "..", "deploy", template))
 	assert.NilError(t, err)
-	return placeholder.ReplaceAllStringFunc(string(text), func(p string) string {
+	kept := ""
+	if optional {
+		kept = "$2"
+	}
+	return placeholder.ReplaceAllStringFunc(section.ReplaceAllString(string(text), kept), func(p string) string {
 		name := placeholder.FindStringSubmatch(p)[1]
 		if f, ok := figures[name]; ok {
 			return form(f)
@@ -55,14 +66,16 @@
 func TestTemplatesTakeFiguresInEveryForm(t *testing.T) {
 	for template, role := range map[string]*role{"entry.ini": newRoutedEntryRole(), "endpoint.ini": newRoutedEndpointRole()} {
 		for name, form := range forms {
-			t.Run(fmt.Sprintf("%s/%s", template, name), func(t *testing.T) {
-				set := config.NewSet(template, io.Discard)
-				role.settings.Register(set)
-				path := write(t, t.TempDir(), "settings.ini", render(t, template, form))
-				assert.NilError(t, set.Parse([]string{"-config", path}))
-				role.check(set)
-				assert.NilError(t, set.Err())
-			})
+			for _, optional := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s/%s/%v", template, name, optional), func(t *testing.T) {
+					set := config.NewSet(template, io.Discard)
+					role.settings.Register(set)
+					path := write(t, t.TempDir(), "settings.ini", render(t, template, form, optional))
+					assert.NilError(t, set.Parse([]string{"-config", path}))
+					role.check(set)
+					assert.NilError(t, set.Err())
+				})
+			}
 		}
 	}
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -33,7 +33,9 @@
 	service *route.Service
 	// team is the team of the caller, or nil if the request belongs to none.
 	team *route.Team
-	body []byte
+	// quota is what the request has used of the quota of its team.
+	quota quotaUse
+	body  []byte
 
 	settlement *settle.Settlement
 	history    retry.History
@@ -227,6 +229,9 @@
 	if x.route != nil {
 		ev = ev.Str("route", x.route.Name).Uint("config", uint64(x.table.Version))
 	}
+	if x.quota.cost > 0 {
+		ev = ev.Float("quota_cost", x.quota.cost).Dur("quota_wait_ms", x.quota.waited).Bool("quota_refunded", x.quota.refunded)
+	}
 	if x.call.LastEventID != "" {
 		ev = ev.Str("resumes", x.call.Resumes).Str("after_event", x.call.LastEventID)
 	}
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -22,6 +22,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/origin"
+	"github.com/fescuecourse/fescuecourse/pkg/quota"
 	"github.com/fescuecourse/fescuecourse/pkg/ratelimit"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
 )
@@ -200,6 +201,9 @@
 	fescuev1.ResidencyClient
 	registry *origin.Registry
 	divider  *ratelimit.Divider
+	keeper   *quota.Keeper
+	// leases counts the requests for credit.
+	leases atomic.Int32
 	// unreachable makes questions wait until their time ends.
 	unreachable atomic.Bool
 	// delay is the time before permits are answered, in nanoseconds.
@@ -209,7 +213,7 @@
 }
 
 func newFakeSidecar() *fakeSidecar {
-	return &fakeSidecar{registry: origin.NewRegistry(), divider: ratelimit.NewDivider()}
+	return &fakeSidecar{registry: origin.NewRegistry(), divider: ratelimit.NewDivider(), keeper: quota.NewKeeper()}
 }
 
 func (s *fakeSidecar) TakePermit(ctx context.Context, q *fescuev1.TakePermitRequest, _ ...grpc.CallOption) (*fescuev1.TakePermitResponse, error) {
@@ -232,6 +236,25 @@
 	return &fescuev1.TakePermitResponse{Granted: g.Granted, RetryAfterMs: uint32(g.RetryAfter.Milliseconds()), Ended: g.Ended}, nil
 }
 
+func (s *fakeSidecar) LeaseCredit(ctx context.Context, r *fescuev1.LeaseCreditRequest, _ ...grpc.CallOption) (*fescuev1.LeaseCreditResponse, error) {
+	s.leases.Add(1)
+	if s.unreachable.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(time.Duration(s.delay.Load()))
+	g := s.keeper.Lease(time.Now(), quota.Demand{
+		Entry:    r.GetEntryId(),
+		Team:     r.GetTeam(),
+		Limit:    quota.Limit{PerSecond: r.GetRatePerSecond(), Burst: r.GetBurst(), Version: r.GetConfigVersion()},
+		Needed:   r.GetNeeded(),
+		Expected: r.GetExpected(),
+		Unspent:  r.GetUnspent(),
+		Lifetime: time.Duration(r.GetLifetimeMs()) * time.Millisecond,
+	})
+	return &fescuev1.LeaseCreditResponse{Granted: g.Credit, RetryAfterMs: uint32(g.RetryAfter.Milliseconds()), SpentPerSecond: g.SpentPerSecond}, nil
+}
+
 func (s *fakeSidecar) FindOrigin(ctx context.Context, q *fescuev1.FindOriginRequest, _ ...grpc.CallOption) (*fescuev1.FindOriginResponse, error) {
 	s.asked.Add(1)
 	if s.unreachable.Load() {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -57,6 +57,7 @@
 	prefixes *locality.PrefixIndex
 	origins  *originTracker
 	limits   *limiter
+	quotas   *quotas
 	metrics  *gatewayMetrics
 	handle   next
 	// spread is the number of choices among plain endpoints so far. Each choice starts
@@ -100,7 +101,8 @@
 		budgets:  map[string]*retry.Budget{},
 	}
 	g.limits = newLimiter(g.origins, share, log)
-	g.handle = chain(routeFilter{g}, bodyFilter{g}, originFilter{g}, retryFilter{g}, endpointFilter{g}, sendFilter{g})
+	g.quotas = newQuotas(&set, g.origins, log)
+	g.handle = chain(routeFilter{g}, quotaFilter{g}, bodyFilter{g}, originFilter{g}, retryFilter{g}, endpointFilter{g}, sendFilter{g})
 	return g, nil
 }
 
@@ -217,6 +219,7 @@
 	}
 	g.log.For(logging.ComponentEntry).Warn().Dur("suspended_ms", slept).Msg("VM was suspended")
 	g.skipBudgets(slept)
+	g.quotas.drop()
 	g.pool.Sweep(func(string) bool { return false })
 	<-g.control.running
 	g.control.onResume(slept)
@@ -244,6 +247,7 @@
 			}
 		}
 		g.limits.forget(known)
+		g.quotas.retain(g.control.snapshot.Load().Table)
 		g.pool.Sweep(func(key string) bool { return keep[key] })
 	}
 }
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -30,6 +30,11 @@
 	// DrainLimit the time within which an endpoint that leaves must get no new requests.
 	ConfigLimit time.Duration
 	DrainLimit  time.Duration
+	// QuotaWindow is the period in which the use of a team may exceed its quota by the
+	// fraction QuotaOverage and by QuotaSlack, in the unit of the quota.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
 }
 
 const (
@@ -40,6 +45,10 @@
 	minChangeLimit = 500 * time.Millisecond
 	// maxWatchPause limits the pause, because entries learn of new endpoints by it.
 	maxWatchPause = 2 * time.Second
+	// defaultQuotaWindow is the default of QuotaWindow, and minQuotaWindow its minimum: leases
+	// of credit last for a window and have to be longer than the messages that renew them.
+	defaultQuotaWindow = 8 * time.Second
+	minQuotaWindow     = time.Second
 )
 
 // WatchPause returns the delay between two calls of a watch of the key-value store that
@@ -64,6 +73,9 @@
 	set.Float64Var(&s.RetrySlack, "retry-slack", 0, "retries in 10s of all entries together beyond this share, 0 if not known")
 	set.DurationVar(&s.ConfigLimit, "config-limit", 2*time.Second, "time within which an accepted configuration must be in force")
 	set.DurationVar(&s.DrainLimit, "drain-limit", 2*time.Second, "time within which an endpoint that leaves must get no new requests")
+	set.DurationVar(&s.QuotaWindow, "quota-window", defaultQuotaWindow, "period in which the use of a team is compared with its quota")
+	set.Float64Var(&s.QuotaOverage, "quota-overage", 0, "fraction by which the use of a team may exceed its quota in each quota-window")
+	set.Float64Var(&s.QuotaSlack, "quota-slack", 0, "use of a team beyond that in each quota-window, in the unit of its quota")
 	set.Float64Var(&s.MemoryMB, "memory-mb", 0, "memory that the process may use, 0 for no bound")
 }
 
@@ -78,5 +90,8 @@
 	set.Requiref(s.RetrySlack >= 0, "retry-slack", "must not be negative")
 	set.Requiref(s.ConfigLimit >= minChangeLimit, "config-limit", "must be %s or more", minChangeLimit)
 	set.Requiref(s.DrainLimit >= minChangeLimit, "drain-limit", "must be %s or more", minChangeLimit)
+	set.Requiref(s.QuotaWindow >= minQuotaWindow, "quota-window", "must be %s or more", minQuotaWindow)
+	set.Requiref(s.QuotaOverage >= 0, "quota-overage", "must not be negative")
+	set.Requiref(s.QuotaSlack >= 0, "quota-slack", "must not be negative")
 	set.Requiref(s.MemoryMB >= 0, "memory-mb", "must not be negative")
 }
--- a/pkg/origin/holders.go
+++ b/pkg/origin/holders.go
@@ -56,7 +56,7 @@
 func byHost(servers []*fleet.Endpoint) map[string]*fleet.Endpoint {
 	out := make(map[string]*fleet.Endpoint, len(servers))
 	for _, e := range servers {
-		name := hostOf(e)
+		name := HostOf(e)
 		if other := out[name]; other == nil || e.ID < other.ID {
 			out[name] = e
 		}
@@ -64,9 +64,9 @@
 	return out
 }
 
-// hostOf returns the host of the address of a server, or the whole address if it names no
+// HostOf returns the host of the address of a server, or the whole address if it names no
 // port.
-func hostOf(e *fleet.Endpoint) string {
+func HostOf(e *fleet.Endpoint) string {
 	host, _, err := net.SplitHostPort(e.Address)
 	if err != nil {
 		return e.Address
--- a/pkg/origin/holders_test.go
+++ b/pkg/origin/holders_test.go
@@ -107,7 +107,7 @@
 	var after []*fleet.Endpoint
 	for i, e := range before {
 		next := *e
-		next.ID, next.Address = fleet.ID(fmt.Sprintf("i-new%d", 97*i%30)), hostOf(e)+":81"
+		next.ID, next.Address = fleet.ID(fmt.Sprintf("i-new%d", 97*i%30)), HostOf(e)+":81"
 		after = append(after, &next)
 	}
 	old, both, restarted := NewHolders(before), NewHolders(append(slices.Clone(before), after...)), NewHolders(after)
@@ -121,7 +121,7 @@
 func hosts(list []*fleet.Endpoint) []string {
 	var out []string
 	for _, e := range list {
-		out = append(out, hostOf(e))
+		out = append(out, HostOf(e))
 	}
 	return out
 }
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -11,6 +11,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/origin"
 	"github.com/fescuecourse/fescuecourse/pkg/pace"
+	"github.com/fescuecourse/fescuecourse/pkg/quota"
 	"github.com/fescuecourse/fescuecourse/pkg/ratelimit"
 	"github.com/fescuecourse/fescuecourse/pkg/residency"
 )
@@ -61,6 +62,8 @@
 	origins *origin.Registry
 	// limits divides the limits of servers among the entries.
 	limits *ratelimit.Divider
+	// quotas grants parts of the quotas of teams to the entries.
+	quotas *quota.Keeper
 }
 
 // peer is one connected entry.
@@ -79,7 +82,7 @@
 }
 
 func newHub(wake chan struct{}) *hub {
-	return &hub{wake: wake, entries: map[*peer]struct{}{}, queriedIDs: map[string]bool{}, parts: newPartLog(), origins: origin.NewRegistry(), limits: ratelimit.NewDivider()}
+	return &hub{wake: wake, entries: map[*peer]struct{}{}, queriedIDs: map[string]bool{}, parts: newPartLog(), origins: origin.NewRegistry(), limits: ratelimit.NewDivider(), quotas: quota.NewKeeper()}
 }
 
 // Sync implements fescuev1.ResidencyServer. It returns when the stream ends or
