--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -102,7 +102,7 @@
 	}
 	g.limits = newLimiter(g.origins, share, log)
 	g.quotas = newQuotas(&set, g.origins, log)
-	g.handle = chain(routeFilter{g}, quotaFilter{g}, bodyFilter{g}, originFilter{g}, retryFilter{g}, endpointFilter{g}, sendFilter{g})
+	g.handle = chain(routeFilter{g}, authFilter{g}, quotaFilter{g}, bodyFilter{g}, originFilter{g}, retryFilter{g}, endpointFilter{g}, sendFilter{g})
 	return g, nil
 }
 
