--- a/pkg/gateway/quota_test.go
+++ b/pkg/gateway/quota_test.go
@@ -66,18 +66,29 @@
 	assert.Check(t, statuses[http.StatusOK] >= 8 && statuses[http.StatusOK] <= 21, "%v", statuses)
 	assert.Equal(t, statuses[http.StatusOK]+statuses[http.StatusTooManyRequests], 40)
 
+	for range 5 { // on one connection
+		req, err := http.NewRequest(http.MethodPost, w.front.URL+"/p/x", strings.NewReader("body"))
+		assert.NilError(t, err)
+		req.Host = "h.example"
+		refusal, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		assert.Equal(t, refusal.StatusCode, http.StatusTooManyRequests)
+		assert.Check(t, !refusal.Close, "the connection is closed")
+		_, _ = io.Copy(io.Discard, refusal.Body)
+		assert.NilError(t, refusal.Body.Close())
+	}
 	body, unsent := io.Pipe()
 	defer unsent.Close()
 	req, err := http.NewRequest(http.MethodPost, w.front.URL+"/p/x", body)
 	assert.NilError(t, err)
 	req.Host = "h.example"
 	began := time.Now()
-	resp, err := http.DefaultClient.Do(req)
+	refusal, err := http.DefaultClient.Do(req)
 	assert.NilError(t, err)
-	defer resp.Body.Close()
-	assert.Equal(t, resp.StatusCode, http.StatusTooManyRequests)
+	defer refusal.Body.Close()
+	assert.Equal(t, refusal.StatusCode, http.StatusTooManyRequests)
 	assert.Check(t, time.Since(began) < time.Second)
-	wait, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	wait, err := strconv.ParseFloat(refusal.Header.Get("Retry-After"), 64)
 	assert.NilError(t, err)
 	assert.Check(t, wait > 0.1 && wait <= 12, "%v s", wait)
 }
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -13,7 +13,7 @@
 	maxKeepers = 4
 	// usedTolerance is the part of the tolerance that keepers grant. The rest covers credit
 	// that no keeper counts: that of new keepers, of refunds and of entries out of contact.
-	usedTolerance = 0.5
+	usedTolerance = 0.7
 	// useMemory is the time constant of averages of use.
 	useMemory = 4 * time.Second
 )
