--- a/pkg/gateway/quotalease.go
+++ b/pkg/gateway/quotalease.go
@@ -12,6 +12,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/origin"
 	"github.com/fescuecourse/fescuecourse/pkg/quota"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
+	"github.com/fescuecourse/fescuecourse/pkg/wait"
 )
 
 const (
@@ -19,6 +20,10 @@
 	leaseTimeout = 100 * time.Millisecond
 	// hedgeDelay is the time without an answer after which the next keeper is asked, too.
 	hedgeDelay = 10 * time.Millisecond
+	// silentWait is the longest time that a request waits while most keepers do not answer, and
+	// silentPause the pause before they are asked again.
+	silentWait  = 500 * time.Millisecond
+	silentPause = 20 * time.Millisecond
 	// largeRequestTokens is the size of a long prompt with its output, in tokens.
 	largeRequestTokens = 40_000
 )
@@ -86,13 +91,20 @@
 }
 
 // acquire takes the cost of a request from the quota. It waits for an answer of the keepers
-// only if the local credit is too small.
+// only if the local credit is too small, and longer if most of them do not answer: after a loss
+// of power, entries may be back before sidecars are.
 func (t *teamQuota) acquire(ctx context.Context, cost float64) (r quota.Refusal, admitted bool) {
-	if t.account.Spend(time.Now(), cost) || t.await(ctx, cost) {
-		t.refill()
-		return quota.Refusal{}, true
+	began := time.Now()
+	for {
+		if t.account.Spend(time.Now(), cost) || t.await(ctx, cost) {
+			t.refill()
+			return quota.Refusal{}, true
+		}
+		r, admitted = t.account.Refuse(time.Now(), cost)
+		if admitted || r.Cause != quota.NoKeeper || time.Since(began) > silentWait || !wait.For(ctx, silentPause) {
+			return r, admitted
+		}
 	}
-	return t.account.Refuse(time.Now(), cost)
 }
 
 // await waits until there is enough credit for a request. It reports false if the keepers do
--- a/pkg/quota/refusal.go
+++ b/pkg/quota/refusal.go
@@ -9,7 +9,7 @@
 const (
 	// OverQuota means that the keepers have no credit.
 	OverQuota Cause = iota
-	// NoKeeper means that no keeper answers, and the entry has spent its leases.
+	// NoKeeper means that most keepers do not answer, and the entry has spent its leases.
 	NoKeeper
 )
 
@@ -32,7 +32,7 @@
 }
 
 // Refuse decides on a request for which the local credit is too small although the keepers
-// were asked. While none of them answers, it is admitted as long as the entry has spent less
+// were asked. While none of them answers, the request is admitted as long as the entry has spent less
 // than its recent use in trustTime.
 func (a *Account) Refuse(now time.Time, cost float64) (r Refusal, admitted bool) {
 	a.mu.Lock()
@@ -46,13 +46,13 @@
 		}
 	}
 	r.Credit = a.credit(now)
-	if r.Silent == len(a.keepers) {
+	if len(a.keepers) == 0 || 2*r.Silent > len(a.keepers) {
 		r.Cause = NoKeeper
-		if a.trust >= cost {
-			a.trust -= cost
-			a.count(now, cost)
-			return r, true
-		}
+	}
+	if r.Silent == len(a.keepers) && a.trust >= cost {
+		a.trust -= cost
+		a.count(now, cost)
+		return r, true
 	}
 	r.RetryAfter = a.retryAfter(now, cost-r.Credit)
 	return r, false
