soak, standin: teams with API keys

The soak's configuration had no teams, so neither keys nor their changes were tested with processes.

The configuration now lists two teams, one of which gets new keys in place of its old ones among the planned changes. Callers of plain servers also use its revoked keys. Checked are: a request runs for the team of its key only, no server sees a key, no valid key is answered 401 (unless it is new and a fault may hide it), and after the faults no request runs with a key that was revoked more than 3 s before it was sent. The test of suspended entries sends a key as well, because the testbed's configuration needs one.

Two tests more in pkg/gateway: resumed streams are authenticated, and an entry without a configuration does not judge keys.

--- a/pkg/gateway/authenticate_test.go
+++ b/pkg/gateway/authenticate_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/pkg/credential"
+	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
@@ -202,3 +203,30 @@
 	assert.Assert(t, time.Since(began) < relayPause)
 	assert.Equal(t, lost.asked.Load(), int32(1))
 }
+
+// Guards against a revoked key that can still resume streams, and against a resumed stream that
+// loses its team.
+func TestResumedStreamIsAuthenticated(t *testing.T) {
+	w := newTestGateway(t, streamRoute)
+	var got recorder
+	e := w.serve(modelService, func(rw http.ResponseWriter, r *http.Request) {
+		got.handle(rw, r)
+		_, _ = io.WriteString(rw, secondEvent)
+	})
+	setResident(e, adapterKey, 1)
+	resume := map[string]string{"Key": "key", "Model": adapterKey.Model + "/" + adapterKey.Name, "Last-Event-Id": "1", "Resumes": "r0"}
+	w.setTeams(keyedTeam("a", "key"))
+	assert.Equal(t, w.do(http.MethodPost, streamRoute.Prefix+"x", resume).status, http.StatusOK)
+	assert.Equal(t, got.last().Get("Team"), "a")
+	w.setTeams(keyedTeam("a", "other"))
+	assert.Equal(t, w.do(http.MethodPost, streamRoute.Prefix+"x", resume).status, http.StatusUnauthorized)
+	assert.Equal(t, got.count(), 1)
+}
+
+// Guards against an entry that has restarted and refuses valid keys before it has read the
+// configuration.
+func TestRestartedEntryDoesNotJudgeKeys(t *testing.T) {
+	w := newTestGateway(t, keyedRoute)
+	w.gateway.control.snapshot.Store(fleet.NewDirectory().Snapshot())
+	assert.Equal(t, w.do(http.MethodPost, "/o/x", map[string]string{"Key": "key"}).status, http.StatusServiceUnavailable)
+}
--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -58,7 +58,7 @@
 // except when ctx ends first.
 func (c *caller) call(ctx context.Context) {
 	r := randomRoute(c.rng)
-	t := &target{route: r, entry: c.tb.randomEntry(c.rng)}
+	t := &target{route: r, entry: c.tb.randomEntry(c.rng), key: c.tb.keys.pick(c.rng, r.service)}
 	if r.service == modelService {
 		t.adapter, t.prompt = requestedAdapter(c.rng), prompt(c.rng, c.name, c.count)
 	}
@@ -86,6 +86,7 @@
 	route   testRoute
 	entry   *entryProcess
 	adapter string
+	key     *testKey
 	prompt  []platform.PromptPart
 }
 
@@ -95,7 +96,7 @@
 func (c *caller) attempt(ctx context.Context, t *target, s *streamRecord) *requestRecord {
 	c.count++
 	rec := &requestRecord{
-		id: fmt.Sprintf("%s-%d", c.name, c.count), route: t.route, adapter: t.adapter, sent: time.Now(), lastEvent: s.lastEvent,
+		id: fmt.Sprintf("%s-%d", c.name, c.count), route: t.route, adapter: t.adapter, key: t.key, sent: time.Now(), lastEvent: s.lastEvent,
 	}
 	ctx, cancel := context.WithTimeout(ctx, callerTimeout+maxFaultDuration)
 	defer cancel()
@@ -135,7 +136,7 @@
 	}
 	// Without GetBody, net/http cannot send a body a second time.
 	req.GetBody = nil
-	headers := platform.ClientRequest{ID: rec.id, Host: hostName, Timeout: callerTimeout, Entry: t.entry.name}
+	headers := platform.ClientRequest{ID: rec.id, Host: hostName, Timeout: callerTimeout, Entry: t.entry.name, APIKey: t.key.key}
 	if t.route.service == modelService {
 		headers.Model, headers.Adapter, headers.Prompt = modelName, t.adapter, t.prompt
 	}
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -70,6 +70,7 @@
 	{"release", func(tb *testbed, rng *rand.Rand) func() { tb.release(rng); return nil }},
 	{"weights version", func(tb *testbed, _ *rand.Rand) func() { tb.publishWeights(); return nil }},
 	{"configuration", func(tb *testbed, _ *rand.Rand) func() { tb.writeConfig(); return nil }},
+	{"key", func(tb *testbed, _ *rand.Rand) func() { tb.rotateKey(); return nil }},
 	{"adapter version", func(tb *testbed, rng *rand.Rand) func() { tb.publishVersion(adapterName(rng)); return nil }},
 	{"adapter versions in a row", func(tb *testbed, rng *rand.Rand) func() {
 		adapter := adapterName(rng)
--- a/pkg/soak/history.go
+++ b/pkg/soak/history.go
@@ -17,6 +17,7 @@
 	id             string
 	route          testRoute
 	adapter        string
+	key            *testKey
 	sent           time.Time
 	inRecovery     bool
 	status         int
@@ -36,7 +37,12 @@
 
 // denied reports whether the status is an error that a repetition does not change.
 func (r *requestRecord) denied() bool {
-	return r.status == http.StatusNotFound || r.status == http.StatusBadRequest
+	switch r.status {
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound:
+		return true
+	default:
+		return false
+	}
 }
 
 // reportedNotRun reports whether the status states that the request did not run.
@@ -144,7 +150,7 @@
 	default:
 		out.Unknown++
 	}
-	if !r.inRecovery {
+	if !r.inRecovery || r.isRevoked() {
 		return
 	}
 	out.RecoveryRequests++
@@ -164,7 +170,8 @@
 	if !idempotent && r.reportedNotRun() && len(runs) > 0 {
 		out = append(out, fmt.Sprintf("answered %d although it ran", r.status))
 	}
-	if r.denied() {
+	out = append(out, checkKey(r, runs)...)
+	if r.denied() && !r.mayLackKey() {
 		out = append(out, fmt.Sprintf("denied with %d", r.status))
 	}
 	if r.route.service == modelService && r.status == http.StatusOK {
--- a/pkg/soak/suspend_test.go
+++ b/pkg/soak/suspend_test.go
@@ -70,7 +70,7 @@
 		s.t.Error(err)
 		return rec
 	}
-	headers := platform.ClientRequest{ID: id, Host: hostName, Timeout: suspendTimeout, Model: modelName, Adapter: adapter}
+	headers := platform.ClientRequest{ID: id, Host: hostName, Timeout: suspendTimeout, Model: modelName, Adapter: adapter, APIKey: steadyKey}
 	headers.Apply(req)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/pkg/soak/testbed.go
+++ b/pkg/soak/testbed.go
@@ -45,6 +45,8 @@
 	port    int
 	// newestSoftware is the number of the newest software version of the model servers.
 	newestSoftware int
+	// keys are the API keys of the teams.
+	keys *keyring
 	delayed
 	// placement is held while model servers are added, drained or restarted.
 	placement sync.Mutex
@@ -67,7 +69,7 @@
 }
 
 func newTestbed(o *Options) (*testbed, error) {
-	tb := &testbed{o: o, started: time.Now(), store: platform.NewStore(), versions: map[string]int{}, stopped: map[*platform.Server]bool{}, newestSoftware: 2, weights: 1}
+	tb := &testbed{o: o, started: time.Now(), store: platform.NewStore(), versions: map[string]int{}, stopped: map[*platform.Server]bool{}, keys: newKeyring(), newestSoftware: 2, weights: 1}
 	storeRelay, err := fault.NewRelay(tb.store.Address())
 	if err != nil {
 		return nil, err
@@ -231,6 +233,7 @@
 	c := &platform.Config{
 		Version: tb.configVersion, ModelService: modelService, Model: modelName,
 		Adapters: adapters, MaxAdapters: maxAdapters, PlainService: plainService,
+		Tenants: tb.keys.tenants(),
 	}
 	for _, r := range testRoutes {
 		c.Routes = append(c.Routes, platform.Route{
--- a/standin/platform/client.go
+++ b/standin/platform/client.go
@@ -30,6 +30,8 @@
 	Resumes     string
 	// Entry names the entry that the client asks, for the records of the servers.
 	Entry string
+	// APIKey is sent in the Authorization header, unless it is empty.
+	APIKey string
 }
 
 // PromptPart is one part of a prompt. Requests with the same ID share it.
@@ -47,6 +49,9 @@
 	r.Header.Set("X-Fescuecourse-Request-Id", c.ID)
 	r.Header.Set("X-Fescuecourse-Deadline-Ms", fmt.Sprint(c.Timeout.Milliseconds()))
 	r.Header.Set("Test-Entry", c.Entry)
+	if c.APIKey != "" {
+		r.Header.Set("Authorization", "Token "+c.APIKey)
+	}
 	if c.Model == "" {
 		return
 	}
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -19,6 +19,12 @@
 	Resumable   bool   `json:"resumable"`
 }
 
+// Tenant is a tenant of the operator's configuration.
+type Tenant struct {
+	Name    string   `json:"name"`
+	APIKeys []string `json:"apiKeys"`
+}
+
 // Config is a configuration with one service of model servers and one service of
 // plain servers.
 type Config struct {
@@ -34,6 +40,7 @@
 	MaxAdapters int
 	// PlainService is the name of the service of plain servers.
 	PlainService string
+	Tenants      []Tenant
 }
 
 // PutConfig stores the operator's configuration.
@@ -42,11 +49,15 @@
 	if err != nil {
 		panic(err) // marshaling these types cannot fail
 	}
+	tenants, err := json.Marshal(c.Tenants)
+	if err != nil {
+		panic(err) // marshaling these types cannot fail
+	}
 	model := fmt.Sprintf(`{"name":%q,"weightsMb":10.0,"loadTimeS":0.1,"adapters":%d,"adapterSizeMb":1.0}`, c.Model, c.Adapters)
 	engine := fmt.Sprintf(`{"slots":8,"kvCacheTokens":100000,"models":[%s],"weightsMb":100.0,"maxAdapters":%d,"loadsPerS":100}`, model, c.MaxAdapters)
 	services := fmt.Sprintf(`{"name":%q,"healthPath":"/health","maxConnections":100,"engine":%s},{"name":%q,"healthPath":"/health","maxConnections":100}`, c.ModelService, engine, c.PlainService)
 	const limits = `{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000}`
-	s.Put("op/config", fmt.Sprintf(`{"version":%d,"routes":%s,"services":[%s],"limits":%s}`, c.Version, routes, services, limits))
+	s.Put("op/config", fmt.Sprintf(`{"version":%d,"routes":%s,"services":[%s],"limits":%s,"tenants":%s}`, c.Version, routes, services, limits, tenants))
 }
 
 // PutVersion stores the current version of an adapter.
--- a/standin/platform/requests.go
+++ b/standin/platform/requests.go
@@ -17,6 +17,9 @@
 	Version  int
 	Weights  int
 	Software string
+	// Tenant is the tenant that the request names, and KeySeen is set if it shows an API key.
+	Tenant  string
+	KeySeen bool
 	// LastEventID is the event after which a resumed stream goes on, and Resumes the id
 	// of the client attempt that brought the first event of the stream.
 	LastEventID string
@@ -110,6 +113,8 @@
 		Software:    s.cfg.software(),
 		LastEventID: r.Header.Get("Last-Event-Id"),
 		Resumes:     r.Header.Get("Resumes"),
+		Tenant:      r.Header.Get("X-Fescuecourse-Tenant"),
+		KeySeen:     r.Header.Get("Authorization") != "",
 	}
 	if s.cfg.Model != "" && !s.resolve(r, run) {
 		return nil, http.StatusMisdirectedRequest
