quota: buckets of settled keepers start full

Change: a bucket starts full if the keeper's process and the hosts of the model servers have not changed within the lifetime of a lease; the entry tells how long it has known no change.

--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -221,7 +221,7 @@
 }
 
 func newFakeSidecar() *fakeSidecar {
-	return &fakeSidecar{registry: origin.NewRegistry(), divider: ratelimit.NewDivider(), keeper: quota.NewKeeper()}
+	return &fakeSidecar{registry: origin.NewRegistry(), divider: ratelimit.NewDivider(), keeper: quota.NewKeeper(time.Now())}
 }
 
 func (s *fakeSidecar) TakePermit(ctx context.Context, q *fescuev1.TakePermitRequest, _ ...grpc.CallOption) (*fescuev1.TakePermitResponse, error) {
@@ -259,6 +259,7 @@
 		Expected: r.GetExpected(),
 		Unspent:  r.GetUnspent(),
 		Lifetime: time.Duration(r.GetLifetimeMs()) * time.Millisecond,
+		Settled:  time.Duration(r.GetSettledMs()) * time.Millisecond,
 	})
 	return &fescuev1.LeaseCreditResponse{Granted: g.Credit, RetryAfterMs: uint32(g.RetryAfter.Milliseconds()), SpentPerSecond: g.SpentPerSecond}, nil
 }
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -40,6 +40,8 @@
 type holderChoice struct {
 	snapshot *fleet.Snapshot
 	holders  *origin.Holders
+	// settledAt is when the hosts among which the holders are chosen last changed.
+	settledAt time.Time
 }
 
 func newOriginTracker(c *control, log logging.Logger) *originTracker {
@@ -53,14 +55,23 @@
 
 // currentHolders returns the choice of holders among the servers of the directory. Plain
 // servers have no sidecars.
-func (t *originTracker) currentHolders() *origin.Holders {
+func (t *originTracker) currentHolders() *origin.Holders { return t.currentChoice().holders }
+
+// settledAt returns when the hosts among which the holders are chosen last changed.
+func (t *originTracker) settledAt() time.Time { return t.currentChoice().settledAt }
+
+func (t *originTracker) currentChoice() *holderChoice {
 	snapshot := t.control.snapshot.Load()
-	choice := t.holders.Load()
-	if choice == nil || choice.snapshot != snapshot {
-		choice = &holderChoice{snapshot: snapshot, holders: origin.NewHolders(modelServers(snapshot))}
-		t.holders.Store(choice)
+	last := t.holders.Load()
+	if last != nil && last.snapshot == snapshot {
+		return last
+	}
+	choice := &holderChoice{snapshot: snapshot, holders: origin.NewHolders(modelServers(snapshot)), settledAt: time.Now()}
+	if last != nil && last.holders.SameHosts(choice.holders) {
+		choice.settledAt = last.settledAt
 	}
-	return choice.holders
+	t.holders.Store(choice)
+	return choice
 }
 
 // modelServers returns the servers of all services with models.
--- a/pkg/gateway/quotalease.go
+++ b/pkg/gateway/quotalease.go
@@ -24,6 +24,8 @@
 	// silentPause the pause before they are asked again.
 	silentWait  = 500 * time.Millisecond
 	silentPause = 20 * time.Millisecond
+	// maxSettled limits what is reported of the time since the last change of the sidecars.
+	maxSettled = time.Hour
 	// largeRequestTokens is the size of a long prompt with its output, in tokens.
 	largeRequestTokens = 40_000
 )
@@ -79,7 +81,7 @@
 		t.keepers[origin.HostOf(e)] = e
 		names = append(names, origin.HostOf(e))
 	}
-	t.account.SetLimit(limit, names)
+	t.account.SetLimit(limit, names, t.quotas.origins.settledAt())
 }
 
 // largeRequest returns the cost of a request that each keeper should be able to grant.
@@ -255,6 +257,7 @@
 		Expected:      d.Expected,
 		Unspent:       d.Unspent,
 		LifetimeMs:    uint32(d.Lifetime.Milliseconds()),
+		SettledMs:     uint32(min(d.Settled, maxSettled).Milliseconds()),
 	})
 }
 
--- a/pkg/origin/holders.go
+++ b/pkg/origin/holders.go
@@ -28,6 +28,8 @@
 type Holders struct {
 	servers []hashedServer
 	zones   int
+	// hosts is the sum of the hashes of the hosts, which does not depend on their order.
+	hosts uint64
 }
 
 // hashedServer is a server with the hash of its host and the index of its zone.
@@ -45,12 +47,18 @@
 		if _, ok := zones[e.Zone]; !ok {
 			zones[e.Zone] = len(zones)
 		}
+		h.hosts += ident.MixHashes(xxhash.Sum64String(name), uint64(len(name)))
 		h.servers = append(h.servers, hashedServer{server: e, hash: xxhash.Sum64String(name), zone: zones[e.Zone]})
 	}
 	h.zones = len(zones)
 	return h
 }
 
+// SameHosts reports whether two choices are among the same hosts.
+func (h *Holders) SameHosts(other *Holders) bool {
+	return len(h.servers) == len(other.servers) && h.hosts == other.hosts
+}
+
 // byHost returns one server of each host, that with the lowest id. A server that restarts
 // under a new id is listed twice until its old item expires, and both share a sidecar.
 func byHost(servers []*fleet.Endpoint) map[string]*fleet.Endpoint {
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -44,6 +44,8 @@
 	limit   Limit
 	part    Limit
 	keepers []*source
+	// settledAt is when the sidecars of the fleet last changed.
+	settledAt time.Time
 	// current is the index of the keeper that is asked first.
 	current int
 	// trust is what may be spent while no keeper answers.
@@ -86,14 +88,15 @@
 }
 
 // SetLimit sets the quota and its keepers, in the order of their choice, which is the same at
-// all entries. Leases of a higher quota end.
-func (a *Account) SetLimit(l Limit, keepers []string) {
+// all entries, and the time at which the sidecars of the fleet last changed. Leases of a higher
+// quota end.
+func (a *Account) SetLimit(l Limit, keepers []string, settledAt time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if l.PerSecond < a.limit.PerSecond || l.Burst < a.limit.Burst {
 		a.dropLeases()
 	}
-	a.limit = l
+	a.limit, a.settledAt = l, settledAt
 	if !slices.EqualFunc(a.keepers, keepers, func(s *source, name string) bool { return s.name == name }) {
 		a.setKeepers(keepers)
 	}
--- a/pkg/quota/asking.go
+++ b/pkg/quota/asking.go
@@ -91,7 +91,7 @@
 func (a *Account) ask(now time.Time, s *source, needed, expected float64) Ask {
 	return Ask{Keeper: s.name, SentAt: now, Demand: Demand{
 		Entry: a.entry, Team: a.team, Limit: a.part,
-		Needed: needed, Expected: expected, Unspent: s.unspent(now), Lifetime: a.tolerance.Window,
+		Needed: needed, Expected: expected, Unspent: s.unspent(now), Lifetime: a.tolerance.Window, Settled: now.Sub(a.settledAt),
 	}}
 }
 
--- a/pkg/quota/keeper.go
+++ b/pkg/quota/keeper.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// initialShare is the part of its capacity with which the bucket of a team starts. Another
-	// sidecar, or an earlier process of this one, may have granted all of its own just before.
-	initialShare = 0.5
+	// unsettledShare is the part of its capacity with which the bucket of a team starts if
+	// another sidecar, or an earlier process of this one, may have granted all of its own within
+	// the lifetime of a lease.
+	unsettledShare = 0.5
 	// reserveShare is the part of the capacity that is not granted ahead of use, because many
 	// entries could hold all of it while one of them needs some.
 	reserveShare = 0.5
@@ -26,6 +27,8 @@
 // that entries have not spent never exceed the burst together, so that in each window entries
 // spend at most the burst and what the rate adds. It is safe for concurrent use.
 type Keeper struct {
+	started time.Time
+
 	mu    sync.Mutex
 	teams map[string]*allotment
 }
@@ -48,8 +51,8 @@
 	expiresAt time.Time
 }
 
-// NewKeeper returns a Keeper that has granted nothing.
-func NewKeeper() *Keeper { return &Keeper{teams: map[string]*allotment{}} }
+// NewKeeper returns a Keeper of a process that starts now.
+func NewKeeper(now time.Time) *Keeper { return &Keeper{started: now, teams: map[string]*allotment{}} }
 
 // Lease grants the needed credit and a part of the expected credit, or nothing if there is too
 // little. A demand larger than reserveShare of the capacity is granted when so much is there,
@@ -79,7 +82,7 @@
 		}
 		a = &allotment{
 			limit:  d.Limit,
-			bucket: ratelimit.NewBucket(now, d.Limit.Burst*initialShare),
+			bucket: ratelimit.NewBucket(now, d.Limit.Burst*k.initialShare(now, d)),
 			leases: map[string]outstanding{},
 		}
 		k.teams[d.Team] = a
@@ -88,6 +91,14 @@
 	return a
 }
 
+// initialShare returns the part of its capacity with which a bucket starts.
+func (k *Keeper) initialShare(now time.Time, d *Demand) float64 {
+	if now.Sub(k.started) < d.Lifetime || d.Settled < d.Lifetime {
+		return unsettledShare
+	}
+	return 1
+}
+
 // report records what an entry has spent since its last request.
 func (a *allotment) report(now time.Time, d *Demand) {
 	last := a.leases[d.Entry]
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -65,6 +65,8 @@
 	Unspent float64
 	// Lifetime is the time until the lease expires.
 	Lifetime time.Duration
+	// Settled is for how long the entry has known no change of the sidecars of the fleet.
+	Settled time.Duration
 }
 
 // Grant is the answer of a keeper to a Demand.
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -63,9 +63,9 @@
 func TestLossOfAKeeper(t *testing.T) {
 	const perSecond = 258_000
 	faults := map[string]func(s *simulation){
-		"killed":   func(s *simulation) { s.keepers[0].keeper = NewKeeper() },
+		"killed":   func(s *simulation) { s.keepers[0].keeper = NewKeeper(s.now) },
 		"frozen":   func(s *simulation) { s.keepers[0].frozen = true },
-		"replaced": func(s *simulation) { s.keepers = s.keepers[1:]; s.configure() },
+		"replaced": func(s *simulation) { s.keepers, s.settledAt = s.keepers[1:], s.now; s.configure() },
 		"cut off": func(s *simulation) {
 			for _, e := range s.entries[:11] {
 				e.cut["side-0"] = true
@@ -163,7 +163,7 @@
 	switch rapid.SampledFrom([]string{"", "restart", "freeze", "cut", "heal", "replace", "entries", "lost"}).Draw(t, "fault") {
 	case "restart":
 		s.run(500*time.Millisecond, 0)
-		s.keepers[i].keeper = NewKeeper()
+		s.keepers[i].keeper = NewKeeper(s.now)
 	case "freeze":
 		s.keepers[i].frozen = true
 	case "cut":
@@ -181,6 +181,7 @@
 		}
 	case "replace":
 		s.keepers = append(s.keepers[:i:i], s.keepers[i+1:]...)
+		s.settledAt = s.now
 		s.configure()
 	case "entries":
 		for j := range s.entries {
@@ -200,7 +201,7 @@
 func TestNewKeeperStartsWithAPartOfItsCapacity(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := Demand{Entry: "e", Team: simTeam, Limit: limitOf(1000), Needed: 400, Lifetime: time.Second}
-	k := NewKeeper()
+	k := NewKeeper(now)
 	assert.Equal(t, k.Lease(now, d).Credit, 400.0)
 	assert.Equal(t, k.Lease(now, d).Credit, 0.0)
 }
@@ -209,9 +210,9 @@
 // counts them longer.
 func TestLeaseExpires(t *testing.T) {
 	now := time.Unix(1000, 0)
-	k := NewKeeper()
+	k := NewKeeper(now)
 	a := NewAccount("e", simTeam, Tolerance{Window: time.Second})
-	a.SetLimit(limitOf(1000), []string{"k"})
+	a.SetLimit(limitOf(1000), []string{"k"}, now)
 	q, ok := a.Next(now, []float64{100}, nil)
 	assert.Assert(t, ok)
 	a.Granted(now, &q, k.Lease(now, q.Demand))
@@ -225,7 +226,7 @@
 // told to return at the same moment.
 func TestRefusedCallersReturnInTurn(t *testing.T) {
 	now := time.Unix(1000, 0)
-	k := NewKeeper()
+	k := NewKeeper(now)
 	d := Demand{Entry: "e", Team: simTeam, Limit: limitOf(1000), Needed: 400, Lifetime: 8 * time.Second}
 	k.Lease(now, d)
 	for i := range 3 {
--- a/pkg/quota/simulation_test.go
+++ b/pkg/quota/simulation_test.go
@@ -22,11 +22,13 @@
 // simulation is a fleet of entries and of sidecars, the first of which are the keepers of one
 // team. Answers to requests ahead of use arrive after refillDelay.
 type simulation struct {
-	random  *rand.Rand
-	now     time.Time
-	limit   Limit
-	keepers []*simKeeper
-	entries []*simEntry
+	random *rand.Rand
+	now    time.Time
+	limit  Limit
+	// settledAt is when the sidecars last changed.
+	settledAt time.Time
+	keepers   []*simKeeper
+	entries   []*simEntry
 	// weights are the parts of the traffic that the entries get.
 	weights  []float64
 	admitted []admission
@@ -63,9 +65,9 @@
 
 func newSimulation(entries, sidecars int, l Limit, seed uint64) *simulation {
 	start := time.Unix(1000, 0)
-	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), now: start, limit: l, central: ratelimit.NewBucket(start, l.Burst)}
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), now: start, limit: l, settledAt: start.Add(-time.Minute), central: ratelimit.NewBucket(start, l.Burst)}
 	for i := range sidecars {
-		s.keepers = append(s.keepers, &simKeeper{name: fmt.Sprintf("side-%d", i), keeper: NewKeeper()})
+		s.keepers = append(s.keepers, &simKeeper{name: fmt.Sprintf("side-%d", i), keeper: NewKeeper(s.now.Add(-time.Minute))})
 	}
 	for i := range entries {
 		s.entries = append(s.entries, &simEntry{})
@@ -88,7 +90,7 @@
 	}
 	for _, e := range s.entries {
 		if e.account != nil {
-			e.account.SetLimit(s.limit, names)
+			e.account.SetLimit(s.limit, names, s.settledAt)
 		}
 	}
 }
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -82,7 +82,7 @@
 }
 
 func newHub(wake chan struct{}) *hub {
-	return &hub{wake: wake, entries: map[*peer]struct{}{}, queriedIDs: map[string]bool{}, parts: newPartLog(), origins: origin.NewRegistry(), limits: ratelimit.NewDivider(), quotas: quota.NewKeeper()}
+	return &hub{wake: wake, entries: map[*peer]struct{}{}, queriedIDs: map[string]bool{}, parts: newPartLog(), origins: origin.NewRegistry(), limits: ratelimit.NewDivider(), quotas: quota.NewKeeper(time.Now())}
 }
 
 // Sync implements fescuev1.ResidencyServer. It returns when the stream ends or
--- a/pkg/sidecar/quotas.go
+++ b/pkg/sidecar/quotas.go
@@ -21,6 +21,7 @@
 		Expected: r.GetExpected(),
 		Unspent:  r.GetUnspent(),
 		Lifetime: time.Duration(r.GetLifetimeMs()) * time.Millisecond,
+		Settled:  time.Duration(r.GetSettledMs()) * time.Millisecond,
 	})
 	return &fescuev1.LeaseCreditResponse{
 		Granted:        g.Credit,
