--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -247,6 +247,7 @@
 			}
 		}
 		g.limits.forget(known)
+		g.origins.currentChoice() // notices changes of the hosts also while there are no requests
 		g.quotas.retain(g.control.snapshot.Load().Table)
 		g.pool.Sweep(func(key string) bool { return keep[key] })
 	}
--- a/pkg/gateway/quota_test.go
+++ b/pkg/gateway/quota_test.go
@@ -216,3 +216,27 @@
 	assert.Check(t, resp.header.Get("Retry-After") != "" && time.Since(began) < time.Second)
 	assert.Check(t, strings.Contains(resp.body, "quota"))
 }
+
+// Guards against an entry that counts the time since the last change of the fleet from its
+// first request, so that keepers start with a part of their capacity for no reason.
+func TestFleetSettlesWithoutRequests(t *testing.T) {
+	w := newTestGateway(t, plainRoute)
+	w.sidecars(2)
+	before := w.gateway.origins.settledAt()
+	w.publish()
+	assert.Equal(t, w.gateway.origins.settledAt(), before, "the hosts are the same")
+	w.sidecars(1)
+	assert.Assert(t, w.gateway.origins.settledAt().After(before))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.gateway.sweep(ctx)
+	w.sidecars(1)
+	noticed := func() bool { return w.gateway.origins.holders.Load().snapshot == w.gateway.control.snapshot.Load() }
+	for range 100 {
+		if noticed() {
+			break
+		}
+		time.Sleep(sweepInterval / 5)
+	}
+	assert.Assert(t, noticed())
+}
