gateway, sidecar: a resumed stream continues only where the software versions of its time are known

Cause: an entry took "no record and one version" for "one version only" as soon as one sidecar had answered and its own directory was 3 s old. If all entries and the sidecars asked were lost together just after the last server of the old version had left, the directory, the records and the lists of versions were empty of it, and the stream continued at the new version. The same happened while an entry had not yet heard of a version at which another entry had begun the stream and was killed before a sidecar had the origin.

Change: entries tell the sidecars for how long they have known the software versions of all servers, and sidecars keep the longest such time and name it with their answer. Without a record, a stream continues at the only version if a sidecar knows the versions of the last 30 s (the longest time that a caller waits where it names none, or the route's limit if longer). Before the first start of the whole system no stream can have begun; the setting first-start says so. A new mix of versions is announced to the sidecars at once, not within 150 ms, so that they know of a version before its first event. In return, an entry that starts needs no complete directory if a sidecar remembers.

Ruled out: asking the store for its history, because its events have no times and it may be shorter than stated; a record that a sidecar acknowledges before the first event, which costs each stream a message; waiting before a new version is used.

Changed: the fakes of sidecars name for how long they know the versions; TestNewEntryContinuesAtTheOnlyVersionOnceSettled, which took a new sidecar's empty memory for knowledge, becomes TestNewEntryContinuesAtTheOnlyVersion (at once with a sidecar that remembers) and TestNewFleetContinuesOnlyYoungStreams (refused without one); TestTemplatesTakeFiguresInEveryForm renders sections, present and absent.

--- a/pkg/daemon/rendered_test.go
+++ b/pkg/daemon/rendered_test.go
@@ -36,11 +36,22 @@
 
 var placeholder = regexp.MustCompile(`\{\{([^}]*)\}\}`)
 
-// render fills a template in with figures of one form and with text for all else.
-func render(t *testing.T, template string, form func(float64) string) string {
+// section matches text that is rendered for a value that is true (#) or that is not (^).
+var section = regexp.MustCompile(`\{\{([#^])\w+\}\}([^{]*)\{\{/\w+\}\}`)
+
+// render fills a template in with figures of one form and with text for all else. The values
+// of sections are all true or all absent.
+func render(t *testing.T, template string, form func(float64) string, present bool) string {
 	t.Helper()
 	text, err := os.ReadFile(filepath.Join("..", "..", "deploy", template))
 	assert.NilError(t, err)
+	text = section.ReplaceAllFunc(text, func(s []byte) []byte {
+		parts := section.FindSubmatch(s)
+		if (parts[1][0] == '#') == present {
+			return parts[2]
+		}
+		return nil
+	})
 	return placeholder.ReplaceAllStringFunc(string(text), func(p string) string {
 		name := placeholder.FindStringSubmatch(p)[1]
 		if f, ok := figures[name]; ok {
@@ -55,14 +66,16 @@
 func TestTemplatesTakeFiguresInEveryForm(t *testing.T) {
 	for template, role := range map[string]*role{"entry.ini": newRoutedEntryRole(), "endpoint.ini": newRoutedEndpointRole()} {
 		for name, form := range forms {
-			t.Run(fmt.Sprintf("%s/%s", template, name), func(t *testing.T) {
-				set := config.NewSet(template, io.Discard)
-				role.settings.Register(set)
-				path := write(t, t.TempDir(), "settings.ini", render(t, template, form))
-				assert.NilError(t, set.Parse([]string{"-config", path}))
-				role.check(set)
-				assert.NilError(t, set.Err())
-			})
+			for _, present := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/%t", template, name, present), func(t *testing.T) {
+					set := config.NewSet(template, io.Discard)
+					role.settings.Register(set)
+					path := write(t, t.TempDir(), "settings.ini", render(t, template, form, present))
+					assert.NilError(t, set.Parse([]string{"-config", path}))
+					role.check(set)
+					assert.NilError(t, set.Err())
+				})
+			}
 		}
 	}
 }
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -268,7 +268,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, reloads: &c.reloads, prefixes: c.prefixes, share: c.share, origins: newOriginLink(), software: &c.software, log: c.log, cancel: cancel}
+	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, reloads: &c.reloads, prefixes: c.prefixes, share: c.share, origins: newOriginLink(), software: &c.software, softwareKnownFor: c.softwareKnownFor, log: c.log, cancel: cancel}
 	c.links[e.Runtime] = l
 	c.originLinks.Store(e.Runtime, l.origins)
 	go l.run(ctx)
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -208,8 +208,11 @@
 	asked atomic.Int32
 }
 
+// newFakeSidecar returns a sidecar that has known all software versions for long.
 func newFakeSidecar() *fakeSidecar {
-	return &fakeSidecar{registry: origin.NewRegistry(), divider: ratelimit.NewDivider()}
+	s := &fakeSidecar{registry: origin.NewRegistry(), divider: ratelimit.NewDivider()}
+	s.registry.VersionsKnown(time.Now(), origin.Retention)
+	return s
 }
 
 func (s *fakeSidecar) TakePermit(ctx context.Context, q *fescuev1.TakePermitRequest, _ ...grpc.CallOption) (*fescuev1.TakePermitResponse, error) {
@@ -241,7 +244,7 @@
 	now := time.Now()
 	o, found := s.registry.Find(now, origin.StreamID(q.GetStream()))
 	versions := s.registry.Versions(now, q.GetService())
-	return &fescuev1.FindOriginResponse{Found: found, Service: o.Service, SoftwareVersion: o.SoftwareVersion, ServiceVersions: versions}, nil
+	return &fescuev1.FindOriginResponse{Found: found, Service: o.Service, SoftwareVersion: o.SoftwareVersion, ServiceVersions: versions, SoftwareKnownMs: uint32(s.registry.VersionsKnownFor(now).Milliseconds())}, nil
 }
 
 // setResident makes a model server report the adapter as resident.
--- a/pkg/gateway/fleetlink_test.go
+++ b/pkg/gateway/fleetlink_test.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		known.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Models: map[string]int{adapterKey.Model: 1}, Residents: fleetAdapters()})
-		l := &link{entry: "e", endpoint: known, demand: e.gateway.control.demandOf(known), reloads: &e.gateway.control.reloads, origins: newOriginLink(), software: &e.gateway.control.software, log: logging.Nop()}
+		l := &link{entry: "e", endpoint: known, demand: e.gateway.control.demandOf(known), reloads: &e.gateway.control.reloads, origins: newOriginLink(), software: &e.gateway.control.software, softwareKnownFor: e.gateway.control.softwareKnownFor, log: logging.Nop()}
 		l.loads.total = e.gateway.control.serviceLoads(modelService)
 		e.gateway.control.originLinks.Store(known.Runtime, l.origins)
 		s.links.Go(func() { s.runLink(e, l, v) })
@@ -100,6 +100,7 @@
 			c.server.registry.Add(origin.Record{Stream: origin.StreamID(id), Origin: origin.Origin{Service: o.GetService(), SoftwareVersion: o.GetSoftwareVersion()}, At: time.Now()})
 		}
 	}
+	c.server.registry.VersionsKnown(time.Now(), time.Duration(m.GetSoftwareKnownMs())*time.Millisecond)
 	return nil
 }
 
--- a/pkg/gateway/fleetsim_test.go
+++ b/pkg/gateway/fleetsim_test.go
@@ -94,6 +94,7 @@
 	}
 	for range fleetEntries {
 		e := s.startEntry()
+		e.gateway.control.set.FirstStart = true
 		for _, v := range s.servers {
 			s.addEndpoint(e, v)
 		}
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -49,8 +49,10 @@
 	share    *retry.Share
 	origins  *originLink
 	software *atomic.Pointer[softwareList]
-	log      logging.Logger
-	cancel   context.CancelFunc
+	// softwareKnownFor returns for how long the entry has known all software versions.
+	softwareKnownFor func(now time.Time) time.Duration
+	log              logging.Logger
+	cancel           context.CancelFunc
 	// conn is the connection of the current or the last stream. It stays open until the
 	// next stream, because questions for origins use it meanwhile.
 	conn *grpc.ClientConn
@@ -191,6 +193,7 @@
 		now := time.Now()
 		m, changed := l.demand.update(now, l.entry, l.endpoint.ID, l.endpoint.Runtime.OwnBacklog())
 		m.LoadsElsewhere = uint32(l.loads.elsewhere())
+		m.SoftwareKnownMs = uint32(l.softwareKnownFor(now).Milliseconds())
 		origins, next := l.origins.since(position)
 		software, announce := announced.next(now, l.software.Load())
 		m.ReloadModel = (*l.reloads.Load())[l.endpoint.ID]
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -116,22 +116,6 @@
 	}
 }
 
-// originAnswer is what this entry and the holders know of the origin of a stream.
-type originAnswer struct {
-	origin origin.Origin
-	found  bool
-	// source is the server whose sidecar knows the origin, or empty if the entry itself does.
-	source fleet.ID
-	// asked and answered are the numbers of sidecars that were asked and that answered.
-	asked, answered int
-	// versions are the software versions at which the stream may have begun if the origin
-	// is not known: those of the service that servers run or streams began at recently.
-	versions []string
-	// settlesIn is for how long the entry's directory may still be incomplete, so that
-	// versions lacks some and other servers are holders.
-	settlesIn time.Duration
-}
-
 // find looks up the origin of the stream that a request resumes, at this entry and then
 // at the holders and the former holders in parallel. The first positive answer counts.
 func (t *originTracker) find(ctx context.Context, x *exchange) originAnswer {
@@ -153,6 +137,9 @@
 		}()
 	}
 	a.asked = len(candidates)
+	if a.asked == 0 && a.settlesIn == 0 {
+		a.knownFor = t.control.softwareKnownFor(now)
+	}
 	for range candidates {
 		if a.add(<-replies) {
 			break
@@ -163,12 +150,6 @@
 	return a
 }
 
-// holderReply is the reply of one holder, or nil if it did not answer in time.
-type holderReply struct {
-	holder  fleet.ID
-	message *fescuev1.FindOriginResponse
-}
-
 // ask sends a question to the sidecar of one holder.
 func (t *originTracker) ask(ctx context.Context, e *fleet.Endpoint, q *fescuev1.FindOriginRequest) holderReply {
 	var client fescuev1.ResidencyClient
@@ -186,58 +167,6 @@
 	return holderReply{holder: e.ID, message: m}
 }
 
-// add takes over the reply of a holder and reports whether it has the origin.
-func (a *originAnswer) add(r holderReply) bool {
-	if r.message == nil {
-		return false
-	}
-	a.answered++
-	a.versions = append(a.versions, r.message.GetServiceVersions()...)
-	if !r.message.GetFound() {
-		return false
-	}
-	a.origin = origin.Origin{Service: r.message.GetService(), SoftwareVersion: r.message.GetSoftwareVersion()}
-	a.found, a.source = true, r.holder
-	return true
-}
-
-// outcome returns what is known of the origin, for logs: "unavailable" if it is not known
-// and a holder did not answer.
-func (a *originAnswer) outcome() string {
-	switch {
-	case a.found:
-		return "known"
-	case a.answered < a.asked:
-		return "unavailable"
-	default:
-		return "unknown"
-	}
-}
-
-// singleVersion returns the software version at which a stream of unknown origin must have
-// begun if the directory is complete and there is only one version. An entry that cannot
-// reach any holder does not know of a version that it has not seen itself.
-func (a *originAnswer) singleVersion() (string, bool) {
-	if len(a.versions) != 1 || a.asked > 0 && a.answered == 0 {
-		return "", false
-	}
-	return a.versions[0], true
-}
-
-// onlyVersion returns the software version at which a stream of unknown origin must have
-// begun, if there is only one.
-func (a *originAnswer) onlyVersion() (string, bool) {
-	version, ok := a.singleVersion()
-	return version, ok && a.settlesIn == 0
-}
-
-// needsDirectory reports whether a stream could continue if the directory were known to
-// be complete.
-func (a *originAnswer) needsDirectory() bool {
-	_, ok := a.singleVersion()
-	return !a.found && ok && a.settlesIn > 0
-}
-
 // originFilter restricts a request that resumes a stream to servers of the software
 // version that began it, and refuses it if that version is not known.
 type originFilter struct{ g *Gateway }
@@ -248,7 +177,7 @@
 	}
 	began := time.Now()
 	a := f.g.origins.find(ctx, x)
-	if a.needsDirectory() && f.awaitDirectory(ctx, x) {
+	if a.needsDirectory(streamAge(x.route)) && f.awaitDirectory(ctx, x) {
 		a = f.g.origins.find(ctx, x)
 	}
 	fail := f.restrict(x, &a)
@@ -273,13 +202,14 @@
 // restrict sets the service and the software version at which a resumed stream continues.
 func (f originFilter) restrict(x *exchange, a *originAnswer) *failure {
 	if !a.found {
-		version, ok := a.onlyVersion()
+		within := streamAge(x.route)
+		version, ok := a.onlyVersion(within)
 		switch {
 		case ok:
 			x.software.Store(&version)
 			x.originUnknown = true
 			return nil
-		case a.needsDirectory():
+		case a.needsDirectory(within):
 			return notRun("the servers are not all known yet", a.settlesIn)
 		case a.answered < a.asked:
 			return notRun("the server that began the stream cannot be determined now", retryAfterOrigin)
@@ -314,6 +244,7 @@
 		Int("holders_asked", a.asked).
 		Int("holders_answered", a.answered).
 		Str("service_versions", strings.Join(a.versions, ",")).
+		Dur("versions_known_for_ms", a.knownFor).
 		Dur("directory_settles_in_ms", a.settlesIn).
 		Bool("refused", fail != nil).
 		Dur("took_ms", took).
--- a/pkg/gateway/origin_grpc_test.go
+++ b/pkg/gateway/origin_grpc_test.go
@@ -17,6 +17,7 @@
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/origin"
 	"github.com/fescuecourse/fescuecourse/pkg/residency"
 	"github.com/fescuecourse/fescuecourse/pkg/sidecar"
 	"github.com/fescuecourse/fescuecourse/standin/kvstore"
@@ -122,13 +123,13 @@
 type answeringServer struct{ discardServer }
 
 func (answeringServer) FindOrigin(context.Context, *fescuev1.FindOriginRequest) (*fescuev1.FindOriginResponse, error) {
-	return &fescuev1.FindOriginResponse{}, nil
+	return &fescuev1.FindOriginResponse{SoftwareKnownMs: uint32(origin.Retention.Milliseconds())}, nil
 }
 
 // runLink runs a link to the sidecar of a server at the given address until the test ends.
 func (w *testGateway) runLink(e *fleet.Endpoint, target string) {
 	ctx, cancel := context.WithCancel(w.t.Context())
-	l := &link{endpoint: e, target: target, demand: newDemand(), prefixes: w.gateway.prefixes, origins: newOriginLink(), software: &w.gateway.control.software, reloads: &w.gateway.control.reloads, log: logging.Nop()}
+	l := &link{endpoint: e, target: target, demand: newDemand(), prefixes: w.gateway.prefixes, origins: newOriginLink(), software: &w.gateway.control.software, softwareKnownFor: nothingKnown, reloads: &w.gateway.control.reloads, log: logging.Nop()}
 	l.loads.total = w.gateway.control.serviceLoads(modelService)
 	w.gateway.control.originLinks.Store(e.Runtime, l.origins)
 	done := make(chan struct{})
--- a/pkg/gateway/origin_settle_test.go
+++ b/pkg/gateway/origin_settle_test.go
@@ -64,15 +64,30 @@
 	})
 }
 
-// Guards against refusing all streams at a new entry of a service that has one version.
-func TestNewEntryContinuesAtTheOnlyVersionOnceSettled(t *testing.T) {
+// Guards against refusing, or holding until the directory is complete, the streams of a
+// service that has one version, at a new entry whose sidecars have known all versions for
+// long.
+func TestNewEntryContinuesAtTheOnlyVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, e := newPartialFleet(t)
-		r := s.resume(e, directorySettleTime+continueMargin)
+		s.servers[fleetServers-1].registry.VersionsKnown(time.Now(), streamAge(&streamRoute))
+		r := s.resume(e, time.Second)
 		assert.Assert(t, r.fail == nil, "%+v", r.fail)
 		assert.Equal(t, r.version, "v2")
+		assert.Equal(t, r.took, time.Duration(0))
+	})
+}
+
+// Guards against an entry that takes what it and its sidecars know since their start for all
+// that served before, and against refusing for longer than streams last.
+func TestNewFleetContinuesOnlyYoungStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, e := newPartialFleet(t)
+		r := s.resume(e, 5*time.Second)
+		assert.Assert(t, r.fail != nil, "continued at %s", r.version)
 		assert.Equal(t, r.took, directorySettleTime)
-		assert.Equal(t, s.resume(e, time.Second).took, time.Duration(0))
+		time.Sleep(streamAge(&streamRoute) + unchangedInterval)
+		assert.Equal(t, s.resume(e, time.Second).version, "v2")
 	})
 }
 
--- a/pkg/gateway/originlink.go
+++ b/pkg/gateway/originlink.go
@@ -17,7 +17,8 @@
 // originLink holds the origins that one sidecar has to keep for this entry, and the
 // client for questions to it.
 type originLink struct {
-	// due holds a value if an update has to be sent at once, because of a new origin.
+	// due holds a value if an update has to be sent at once, because of a new origin or a new
+	// software version.
 	due chan struct{}
 	// opened is closed when the first connection is opened.
 	opened chan struct{}
@@ -76,11 +77,16 @@
 	if !atOnce || l.senders == 0 {
 		return false
 	}
+	l.makeDue()
+	return true
+}
+
+// makeDue makes the next update due at once.
+func (l *originLink) makeDue() {
 	select {
 	case l.due <- struct{}{}:
 	default:
 	}
-	return true
 }
 
 // trim drops the origins that are older than origin.Retention, and the oldest one while
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -30,6 +30,9 @@
 	// DrainLimit the time within which an endpoint that leaves must get no new requests.
 	ConfigLimit time.Duration
 	DrainLimit  time.Duration
+	// FirstStart is true if the process starts together with the whole system for the first
+	// time, so that no stream has begun before.
+	FirstStart bool
 }
 
 const (
@@ -64,6 +67,7 @@
 	set.Float64Var(&s.RetrySlack, "retry-slack", 0, "retries in 10s of all entries together beyond this share, 0 if not known")
 	set.DurationVar(&s.ConfigLimit, "config-limit", 2*time.Second, "time within which an accepted configuration must be in force")
 	set.DurationVar(&s.DrainLimit, "drain-limit", 2*time.Second, "time within which an endpoint that leaves must get no new requests")
+	set.BoolVar(&s.FirstStart, "first-start", false, "whether the whole system starts for the first time")
 	set.Float64Var(&s.MemoryMB, "memory-mb", 0, "memory that the process may use, 0 for no bound")
 }
 
--- a/pkg/gateway/software.go
+++ b/pkg/gateway/software.go
@@ -42,8 +42,29 @@
 func (c *control) show(s *fleet.Snapshot) {
 	c.snapshot.Store(s)
 	list := mixedSoftware(time.Now(), s)
-	if previous := c.software.Load(); previous == nil || previous.key != list.key {
-		c.software.Store(list)
+	if previous := c.software.Load(); previous != nil && previous.key == list.key {
+		return
+	}
+	c.software.Store(list)
+	// The sidecars must know of a new version before a stream can begin there: the entry may
+	// be lost with the origin of the stream, and others may not have heard of the version.
+	c.originLinks.Range(func(_, l any) bool {
+		l.(*originLink).makeDue() //nolint:forcetypeassert // only links are stored
+		return true
+	})
+}
+
+// softwareKnownFor returns for how long this entry has known the software versions of all
+// servers, at most origin.Retention.
+func (c *control) softwareKnownFor(now time.Time) time.Duration {
+	at := c.syncedAt.Load()
+	switch {
+	case at == nil:
+		return 0
+	case c.set.FirstStart:
+		return origin.Retention
+	default:
+		return min(now.Sub(*at), origin.Retention)
 	}
 }
 
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -55,6 +55,9 @@
 	head  int
 	// lastSeen maps each origin to the time at which it was last recorded or seen.
 	lastSeen map[Origin]time.Time
+	// knownSince is the time from which on Versions lacks no software version that served
+	// beside another one, or zero if that is not known.
+	knownSince time.Time
 }
 
 // NewRegistry returns an empty Registry.
@@ -83,6 +86,28 @@
 	r.lastSeen[o] = now
 }
 
+// VersionsKnown records that the software versions seen are all that served beside another
+// one within the given time.
+func (r *Registry) VersionsKnown(now time.Time, within time.Duration) {
+	since := now.Add(-within)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.knownSince.IsZero() || since.Before(r.knownSince) {
+		r.knownSince = since
+	}
+}
+
+// VersionsKnownFor returns for how long Versions lacks no software version that served beside
+// another one, at most Retention.
+func (r *Registry) VersionsKnownFor(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.knownSince.IsZero() {
+		return 0
+	}
+	return min(now.Sub(r.knownSince), Retention)
+}
+
 // Find returns the origin of a stream, or false if it is not known.
 func (r *Registry) Find(now time.Time, s StreamID) (Origin, bool) {
 	r.mu.Lock()
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -116,7 +116,7 @@
 // record stores the demand of an entry. It reports whether any of its requests wait
 // for a load.
 func (h *hub) record(p *peer, m *fescuev1.DemandUpdate) bool {
-	h.recordOrigins(time.Now(), m.GetStreamOrigins())
+	h.recordOrigins(time.Now(), m)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p.update, p.updatedAt = m, time.Now()
--- a/pkg/sidecar/origins.go
+++ b/pkg/sidecar/origins.go
@@ -8,11 +8,11 @@
 	"github.com/fescuecourse/fescuecourse/pkg/origin"
 )
 
-// recordOrigins records the streams that an entry reports as begun. They need not have
-// begun at the server beside this sidecar. Origins without streams announce software
-// versions.
-func (h *hub) recordOrigins(now time.Time, origins []*fescuev1.StreamOrigins) {
-	for _, o := range origins {
+// recordOrigins records the streams that an entry reports as begun, and for how long it
+// knows the software versions. The streams need not have begun at the server beside this
+// sidecar. Origins without streams announce software versions.
+func (h *hub) recordOrigins(now time.Time, m *fescuev1.DemandUpdate) {
+	for _, o := range m.GetStreamOrigins() {
 		h.origins.Seen(now, origin.Origin{Service: o.GetService(), SoftwareVersion: o.GetSoftwareVersion()})
 		for _, stream := range o.GetStreams() {
 			h.origins.Add(origin.Record{
@@ -22,6 +22,7 @@
 			})
 		}
 	}
+	h.origins.VersionsKnown(now, time.Duration(m.GetSoftwareKnownMs())*time.Millisecond)
 }
 
 // FindOrigin implements fescuev1.ResidencyServer.
@@ -33,5 +34,6 @@
 		Service:         o.Service,
 		SoftwareVersion: o.SoftwareVersion,
 		ServiceVersions: h.origins.Versions(now, r.GetService()),
+		SoftwareKnownMs: uint32(h.origins.VersionsKnownFor(now).Milliseconds()),
 	}, nil
 }
