gateway: origins of new streams go to sidecars of servers that stay

Cause: the holders of a stream's origin were chosen among all listed servers.

Change: an entry sends new origins to the holders among the servers that do not leave, and asks for them at the candidates among all listed servers and at these holders.

--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -36,47 +36,10 @@
 	holders  atomic.Pointer[holderChoice]
 }
 
-// holderChoice is the choice of holders among the model servers of a snapshot.
-type holderChoice struct {
-	snapshot *fleet.Snapshot
-	holders  *origin.Holders
-}
-
 func newOriginTracker(c *control, log logging.Logger) *originTracker {
 	return &originTracker{control: c, log: log.For(logging.ComponentRoute), registry: origin.NewRegistry()}
 }
 
-// holdersOf returns the servers whose sidecars keep the origin of a stream.
-func (t *originTracker) holdersOf(s origin.StreamID) []*fleet.Endpoint {
-	return t.currentHolders().Of(s)
-}
-
-// currentHolders returns the choice of holders among the servers of the directory. Plain
-// servers have no sidecars.
-func (t *originTracker) currentHolders() *origin.Holders {
-	snapshot := t.control.snapshot.Load()
-	choice := t.holders.Load()
-	if choice == nil || choice.snapshot != snapshot {
-		choice = &holderChoice{snapshot: snapshot, holders: origin.NewHolders(modelServers(snapshot))}
-		t.holders.Store(choice)
-	}
-	return choice.holders
-}
-
-// modelServers returns the servers of all services with models.
-func modelServers(s *fleet.Snapshot) []*fleet.Endpoint {
-	var out []*fleet.Endpoint
-	if s.Table == nil {
-		return nil
-	}
-	for name, endpoints := range s.Services {
-		if svc := s.Table.Service(name); svc != nil && svc.Engine != nil {
-			out = append(out, endpoints...)
-		}
-	}
-	return out
-}
-
 // link returns the link to the sidecar of a server, or nil if there is none.
 func (t *originTracker) link(e *fleet.Endpoint) *originLink {
 	l, ok := t.control.originLinks.Load(e.Runtime)
@@ -129,7 +92,7 @@
 	a.versions = append(a.versions, t.control.snapshot.Load().SoftwareVersions(now, service)...)
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	candidates := t.currentHolders().Candidates(stream)
+	candidates := t.candidatesOf(stream)
 	replies := make(chan holderReply, len(candidates))
 	for _, e := range candidates {
 		go func() {
--- a/pkg/gateway/origin_fleet_test.go
+++ b/pkg/gateway/origin_fleet_test.go
@@ -160,6 +160,44 @@
 	})
 }
 
+// Guards against records that are lost with the servers that a release replaces, while they
+// are listed as leaving or when they are gone.
+func TestOriginsAreFoundAfterServersLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams = 300
+		s := newFleetSim(t, 1)
+		t.Cleanup(s.stop)
+		first, second := s.entries[0], s.entries[1]
+		time.Sleep(time.Second)
+		old := s.servers[:fleetServers*2/3]
+		for _, v := range old {
+			v.item.State = fleet.Draining
+			first.directory.SetEndpoint(time.Now(), v.item)
+		}
+		first.gateway.control.show(first.directory.Snapshot())
+		for i := range streams {
+			s.begin(first, fmt.Sprint(i))
+		}
+		time.Sleep(demandInterval + time.Millisecond)
+		first.kill()
+		found := func() (n int) {
+			for i := range streams {
+				x := s.exchange(second, Call{RequestID: "r", Resumes: fmt.Sprint(i), LastEventID: "1"})
+				if second.gateway.origins.find(t.Context(), x).found {
+					n++
+				}
+			}
+			return n
+		}
+		assert.Assert(t, found() >= streams*9/10, "%d of %d before the second entry knows", found(), streams)
+		for _, v := range old {
+			s.removeEndpoint(second, v)
+			close(v.gone)
+		}
+		assert.Equal(t, found(), streams)
+	})
+}
+
 // restartServers restarts all servers under new ids. Their sidecars go on running.
 func (s *fleetSim) restartServers() {
 	for i, old := range slices.Clone(s.servers) {
