--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -45,6 +45,7 @@
 var entryFaults = []action{
 	{"kill entry", func(tb *testbed, rng *rand.Rand) func() { tb.entryToHit(rng).signal(syscall.SIGKILL); return nil }},
 	{"kill entries in a row", func(tb *testbed, rng *rand.Rand) func() { tb.signalInRow(rng, syscall.SIGKILL); return nil }},
+	{"kill all entries during a release", func(tb *testbed, rng *rand.Rand) func() { tb.killAllDuringRelease(rng); return nil }},
 	{"stop entry", func(tb *testbed, rng *rand.Rand) func() { tb.entryToHit(rng).signal(syscall.SIGTERM); return nil }},
 	{"stop entries in a row", func(tb *testbed, rng *rand.Rand) func() { tb.signalInRow(rng, syscall.SIGTERM); return nil }},
 	{"hang up entry", func(tb *testbed, rng *rand.Rand) func() { tb.entryToHit(rng).signal(syscall.SIGHUP); return nil }},
@@ -223,6 +224,17 @@
 	tb.inRow(func(i int) { hit[i].signal(sig) })
 }
 
+// killAllDuringRelease replaces a server and kills all entries at once, before the old server
+// has left or after.
+func (tb *testbed) killAllDuringRelease(rng *rand.Rand) {
+	tb.release(rng)
+	tb.later(time.Duration(rng.Int64N(int64(maxFaultDuration))), func() {
+		for _, e := range tb.entries {
+			e.signal(syscall.SIGKILL)
+		}
+	})
+}
+
 // injectModelServerFaults sets the faults of a random model server and returns a
 // function that clears them.
 func (tb *testbed) injectModelServerFaults(rng *rand.Rand, f platform.ServerFaults) func() {
