--- a/pkg/daemon/rendered_test.go
+++ b/pkg/daemon/rendered_test.go
@@ -37,22 +37,25 @@
 	"capital":  func(f float64) string { return strconv.FormatFloat(f, 'E', 6, 64) },
 }
 
-var (
-	placeholder = regexp.MustCompile(`\{\{([^}]*)\}\}`)
-	section     = regexp.MustCompile(`(?s)\{\{#([^}]*)\}\}(.*?)\{\{/[^}]*\}\}`)
-)
+var placeholder = regexp.MustCompile(`\{\{([^}]*)\}\}`)
+
+// section matches text that is rendered for a value that is true (#) or that is not (^).
+var section = regexp.MustCompile(`(?s)\{\{([#^])[^}]*\}\}(.*?)\{\{/[^}]*\}\}`)
 
-// render fills a template in with figures of one form and with text for all else. Sections are
-// rendered if optional is set.
-func render(t *testing.T, template string, form func(float64) string, optional bool) string {
+// render fills a template in with figures of one form and with text for all else. The values
+// of sections are all true or all absent.
+func render(t *testing.T, template string, form func(float64) string, present bool) string {
 	t.Helper()
 	text, err := os.ReadFile(filepath.Join("..", "..", "deploy", template))
 	assert.NilError(t, err)
-	kept := ""
-	if optional {
-		kept = "$2"
-	}
-	return placeholder.ReplaceAllStringFunc(section.ReplaceAllString(string(text), kept), func(p string) string {
+	text = section.ReplaceAllFunc(text, func(s []byte) []byte {
+		parts := section.FindSubmatch(s)
+		if (parts[1][0] == '#') == present {
+			return parts[2]
+		}
+		return nil
+	})
+	return placeholder.ReplaceAllStringFunc(string(text), func(p string) string {
 		name := placeholder.FindStringSubmatch(p)[1]
 		if f, ok := figures[name]; ok {
 			return form(f)
@@ -66,11 +69,11 @@
 func TestTemplatesTakeFiguresInEveryForm(t *testing.T) {
 	for template, role := range map[string]*role{"entry.ini": newRoutedEntryRole(), "endpoint.ini": newRoutedEndpointRole()} {
 		for name, form := range forms {
-			for _, optional := range []bool{true, false} {
-				t.Run(fmt.Sprintf("%s/%s/%v", template, name, optional), func(t *testing.T) {
+			for _, present := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/%t", template, name, present), func(t *testing.T) {
 					set := config.NewSet(template, io.Discard)
 					role.settings.Register(set)
-					path := write(t, t.TempDir(), "settings.ini", render(t, template, form, optional))
+					path := write(t, t.TempDir(), "settings.ini", render(t, template, form, present))
 					assert.NilError(t, set.Parse([]string{"-config", path}))
 					role.check(set)
 					assert.NilError(t, set.Err())
--- a/pkg/gateway/limit.go
+++ b/pkg/gateway/limit.go
@@ -144,7 +144,7 @@
 	if own := l.origins.link(e); own != nil {
 		out = append(out, own)
 	}
-	for _, holder := range l.origins.holdersOf(origin.ID(string(e.ID))) {
+	for _, holder := range l.origins.currentHolders().listed.Of(origin.ID(string(e.ID))) {
 		if link := l.origins.link(holder); link != nil && holder.Runtime != e.Runtime && len(out) < dividers {
 			out = append(out, link)
 		}
--- a/pkg/gateway/quota_test.go
+++ b/pkg/gateway/quota_test.go
@@ -222,11 +222,11 @@
 func TestFleetSettlesWithoutRequests(t *testing.T) {
 	w := newTestGateway(t, plainRoute)
 	w.sidecars(2)
-	before := w.gateway.origins.settledAt()
+	before := w.gateway.origins.currentHolders().settledAt
 	w.publish()
-	assert.Equal(t, w.gateway.origins.settledAt(), before, "the hosts are the same")
+	assert.Equal(t, w.gateway.origins.currentHolders().settledAt, before, "the hosts are the same")
 	w.sidecars(1)
-	assert.Assert(t, w.gateway.origins.settledAt().After(before))
+	assert.Assert(t, w.gateway.origins.currentHolders().settledAt.After(before))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go w.gateway.sweep(ctx)
--- a/pkg/gateway/quotalease.go
+++ b/pkg/gateway/quotalease.go
@@ -65,7 +65,8 @@
 
 // update sets the limit and the keepers if the configuration or the fleet has changed.
 func (t *teamQuota) update(team *route.Team, version int64) {
-	holders := t.quotas.origins.currentHolders()
+	choice := t.quotas.origins.currentHolders()
+	holders := choice.listed
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if version < t.version || t.team == team && t.holders == holders {
@@ -81,7 +82,7 @@
 		t.keepers[origin.HostOf(e)] = e
 		names = append(names, origin.HostOf(e))
 	}
-	t.account.SetLimit(limit, names, t.quotas.origins.settledAt())
+	t.account.SetLimit(limit, names, choice.settledAt)
 }
 
 // largeRequest returns the cost of a request that each keeper should be able to grant.
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -35,6 +35,9 @@
 	QuotaWindow  time.Duration
 	QuotaOverage float64
 	QuotaSlack   float64
+	// FirstStart is true if the process starts together with the whole system for the first
+	// time, so that no stream has begun before.
+	FirstStart bool
 }
 
 const (
@@ -76,6 +79,7 @@
 	set.DurationVar(&s.QuotaWindow, "quota-window", defaultQuotaWindow, "period in which the use of a team is compared with its quota")
 	set.Float64Var(&s.QuotaOverage, "quota-overage", 0, "fraction by which the use of a team may exceed its quota in each quota-window")
 	set.Float64Var(&s.QuotaSlack, "quota-slack", 0, "use of a team beyond that in each quota-window, in the unit of its quota")
+	set.BoolVar(&s.FirstStart, "first-start", false, "whether the whole system starts for the first time")
 	set.Float64Var(&s.MemoryMB, "memory-mb", 0, "memory that the process may use, 0 for no bound")
 }
 
