quota: less credit is leased ahead of use

Change: credit is granted ahead only from the upper quarter of the capacity, and only to entries with a request of the team in two seconds or more.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -11,9 +11,9 @@
 const (
 	// aheadTime is the use that a lease covers ahead.
 	aheadTime = time.Second
-	// refillRequests is the number of requests per second from which credit is asked for ahead
-	// of use. With fewer, a message for each request costs less.
-	refillRequests = 0.5
+	// aheadRequests is the number of requests per second from which credit is asked for ahead of
+	// use. With fewer, most of it would not be used before the lease expires.
+	aheadRequests = 0.5
 	// refillPause is the time without such a request after a keeper had too little for it.
 	refillPause = time.Second
 	// jointShare is the part of a keeper's burst up to which the costs of several waiting
--- a/pkg/quota/asking.go
+++ b/pkg/quota/asking.go
@@ -3,14 +3,13 @@
 import "time"
 
 // expected returns the credit that is kept ahead of use: the use of aheadTime, and at least a
-// request of the usual size if another one is likely to come before the lease expires.
+// request of the usual size, but none if requests are rare. Other entries would lack it.
 func (a *Account) expected(now time.Time) float64 {
 	perSecond, requests := a.used.perSecond(now), a.requests.perSecond(now)
-	ahead := perSecond * aheadTime.Seconds()
-	if requests*a.tolerance.Window.Seconds() >= 1 {
-		ahead = max(ahead, perSecond/requests)
+	if requests < aheadRequests {
+		return 0
 	}
-	return ahead
+	return max(perSecond*aheadTime.Seconds(), perSecond/requests)
 }
 
 // Next returns the request for the credit that waiting requests need, whose costs are given, to
@@ -67,7 +66,7 @@
 		return Ask{}, false
 	}
 	expected, credit := a.expected(now), a.credit(now)
-	if a.requests.perSecond(now) < refillRequests || credit >= expected/2 {
+	if expected <= 0 || credit >= expected/2 {
 		return Ask{}, false
 	}
 	for i := range a.keepers {
--- a/pkg/quota/keeper.go
+++ b/pkg/quota/keeper.go
@@ -14,7 +14,9 @@
 	unsettledShare = 0.5
 	// reserveShare is the part of the capacity that is not granted ahead of use, because many
 	// entries could hold all of it while one of them needs some.
-	reserveShare = 0.5
+	reserveShare = 0.75
+	// largeShare is the part of the capacity at which larger requests are granted.
+	largeShare = 0.5
 	// aheadShare is the part of the other available credit that an entry gets ahead of use.
 	aheadShare = 0.25
 	// maxLifetime limits the lifetime of leases.
@@ -55,7 +57,7 @@
 func NewKeeper(now time.Time) *Keeper { return &Keeper{started: now, teams: map[string]*allotment{}} }
 
 // Lease grants the needed credit and a part of the expected credit, or nothing if there is too
-// little. A demand larger than reserveShare of the capacity is granted when so much is there,
+// little. A demand larger than largeShare of the capacity is granted when so much is there,
 // and the bucket is overdrawn.
 func (k *Keeper) Lease(now time.Time, d Demand) Grant {
 	k.mu.Lock()
@@ -129,7 +131,7 @@
 // grant takes credit from the bucket and records the lease.
 func (a *allotment) grant(now time.Time, d *Demand) Grant {
 	available, reserve := a.bucket.Tokens(), reserveShare*a.limit.Burst
-	if required := min(d.Needed, reserve); available < required || available <= 0 {
+	if required := min(d.Needed, largeShare*a.limit.Burst); available < required || available <= 0 {
 		return Grant{RetryAfter: a.promise(now, required-available, d.Lifetime), SpentPerSecond: a.spent.perSecond(now)}
 	}
 	ahead := max(0, min(d.Expected, (available-d.Needed-reserve)*aheadShare))
