gateway: one lookup less for wrong keys, and no hurry left over from earlier requests

The filter looked an unknown key up twice also when no newer configuration had come, and a request that had waited for one could end the next wait for the store. docs/platform.md names the mechanism, docs/design/credentials.md what happens when the store drops its history.

--- a/pkg/gateway/authenticate.go
+++ b/pkg/gateway/authenticate.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
-	"github.com/fescuecourse/fescuecourse/pkg/route"
 )
 
 const (
@@ -48,33 +47,39 @@
 // an entry that has lost touch with the store or with what sidecars report does not answer
 // that the key is wrong, because callers do not try again then.
 func (f authFilter) unknown(ctx context.Context, x *exchange, next next) *failure {
-	if x.team = f.inNewerConfig(ctx, x); x.team != nil {
-		return next(ctx, x)
+	f.awaitNewerConfig(ctx, x)
+	if newer := f.g.control.snapshot.Load().Table; newer != x.table {
+		x.team = newer.Team(x.call.APIKey)
 	}
-	if f.g.control.relay.mayLackItems() {
+	switch {
+	case x.team != nil:
+		return next(ctx, x)
+	case f.g.control.relay.mayLackItems():
 		f.g.metrics.undecidedKeys.Inc(1)
 		return notRun("the API key is unknown here, and the configuration may be outdated", retryAfterOutdated)
+	default:
+		f.g.metrics.unknownKeys.Inc(1)
+		return rejected(http.StatusUnauthorized, "the API key is not valid")
 	}
-	f.g.metrics.unknownKeys.Inc(1)
-	return rejected(http.StatusUnauthorized, "the API key is not valid")
 }
 
-// inNewerConfig returns the team that holds the key in a configuration that sidecars have
-// reported and that the entry lacks, or nil. It waits a short time for it.
-func (f authFilter) inNewerConfig(ctx context.Context, x *exchange) *route.Team {
-	if _, behind := f.g.control.relay.behind(); behind {
-		defer f.waiters.Add(-1)
-		if f.waiters.Add(1) > maxKeyWaiters {
-			return nil
-		}
-		began := time.Now()
-		waitCtx, cancel := context.WithTimeout(ctx, keyWait)
-		defer cancel()
-		f.g.control.relay.await(waitCtx)
-		f.g.log.For(logging.ComponentRoute).Info().
-			Str("request", x.call.RequestID).
-			Dur("took_ms", time.Since(began)).
-			Msg("waited for a newer configuration because of an unknown API key")
+// awaitNewerConfig waits a short time for a configuration that sidecars have reported and that
+// the entry lacks, unless too many requests wait for it.
+func (f authFilter) awaitNewerConfig(ctx context.Context, x *exchange) {
+	if _, behind := f.g.control.relay.behind(); !behind {
+		return
+	}
+	waiters := f.waiters.Add(1)
+	defer f.waiters.Add(-1)
+	if waiters > maxKeyWaiters {
+		return
 	}
-	return f.g.control.snapshot.Load().Table.Team(x.call.APIKey)
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, keyWait)
+	defer cancel()
+	f.g.control.relay.await(ctx)
+	f.g.log.For(logging.ComponentRoute).Info().
+		Str("request", x.call.RequestID).
+		Dur("took_ms", time.Since(began)).
+		Msg("waited for a newer configuration because of an unknown API key")
 }
--- a/pkg/gateway/operatorrelay.go
+++ b/pkg/gateway/operatorrelay.go
@@ -80,6 +80,10 @@
 		r.reported, r.source = revision, source
 	}
 	if !r.running {
+		select {
+		case <-r.hurry: // left over from an earlier request
+		default:
+		}
 		r.running = true
 		go r.catchUp(ctx)
 	}
--- a/pkg/gateway/operatorrelay_test.go
+++ b/pkg/gateway/operatorrelay_test.go
@@ -174,3 +174,17 @@
 	store.separate(false)
 	newest(3)
 }
+
+// Guards against a question to a sidecar without a wait for the store, because of a request that
+// needed an earlier item.
+func TestRelayForgetsEarlierHurry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, s := newTestRelay(true), &relaySidecar{revision: 2}
+		r.hurry <- struct{}{}
+		r.report(t.Context(), s.link(), 2)
+		time.Sleep(testPatience / 2)
+		assert.Equal(t, s.asked.Load(), int32(0))
+		time.Sleep(testPatience)
+		assert.Equal(t, s.asked.Load(), int32(1))
+	})
+}
