--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -64,6 +64,8 @@
 	limits *ratelimit.Divider
 	// quotas grants parts of the quotas of teams to the entries.
 	quotas *quota.Keeper
+	// operator holds the operator's items.
+	operator operatorItems
 }
 
 // peer is one connected entry.
@@ -280,6 +282,7 @@
 	defer h.mu.Unlock()
 	m.BacklogTokens = h.sumBacklog()
 	m.Entries = uint32(len(h.entries))
+	m.OperatorRevision = h.operator.latest()
 	m.LimitPerSecond, m.Limited = h.limits.Limit(time.Now(), m.GetInstanceId())
 	if m.GetInstanceId() != h.partsInstance {
 		h.parts, h.partsInstance, h.pace = newPartLog(), m.GetInstanceId(), pace.Estimator{}
