sidecar, gateway: reports tell the others' work from the own and what waits for loads

Cause: an entry knew of other entries' work only the sum over all entries, its own older share included, and took the larger of that sum and its own count. Nobody knew of prompts that wait for an adapter to be loaded.

Updates of an entry are numbered, and each report names the last update that its sums include; balance.Ledger subtracts the own work as of that update. Entries report the tokens that wait for each adapter, and the sidecar adds them up. A large change of the waiting tokens is announced at once like one of the backlog; since they become backlog when the load is done, that moment needs no further announcement. Entries name themselves only in the first update of a stream, which saves more bytes than the number takes.

Nothing chooses by it yet. demand.update takes the own work instead of the backlog, and waiter.move the tokens: two tests changed their arguments.

--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -112,6 +112,11 @@
 	// Slowdown is the factor by which the server takes longer than usual for prompts, at
 	// least 1, or 0 if it is not known.
 	Slowdown float64
+	// Entries is the number of entries that report to the sidecar.
+	Entries int
+	// Others is the work of all other entries at the server, or nil if the report does not
+	// tell it from that of this process.
+	Others *Work
 }
 
 // PriorityClasses is the number of classes into which request priorities are grouped
@@ -149,6 +154,8 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
+	// waitingTokens holds the prompt tokens of waiting requests, by AdapterKey.Hash.
+	waitingTokens map[uint64]Backlog
 	// warm maps each adapter version of which the server is expected to keep a copy
 	// in main memory to the time at which the server last had it loaded.
 	warm     map[warmKey]time.Time
@@ -164,7 +171,7 @@
 
 // NewRuntime returns an empty record for a new lifetime.
 func NewRuntime() *Runtime {
-	return &Runtime{changed: make(chan struct{}), warm: map[warmKey]time.Time{}}
+	return &Runtime{changed: make(chan struct{}), warm: map[warmKey]time.Time{}, waitingTokens: map[uint64]Backlog{}}
 }
 
 // inherit takes over what the server has asked for in its responses. The record r must not be
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -91,7 +91,7 @@
 // adapter.
 func (f endpointFilter) chooseModelServer(ctx context.Context, x *exchange) *failure {
 	began := time.Now()
-	w := waiter{times: waitTimes{began: x.started, loadBy: f.loadBy(x)}}
+	w := waiter{times: waitTimes{began: x.started, loadBy: f.loadBy(x)}, priority: x.route.Priority}
 	defer w.stop()
 	for {
 		s := f.g.control.snapshot.Load()
@@ -123,7 +123,7 @@
 			return notRun("the loads ahead take longer than the caller waits", retryAfter)
 		}
 		changed := choice.Endpoint.Runtime.Changed()
-		if w.move(f.g.control.demandOf(choice.Endpoint), choice.Endpoint, x.call.Key, x.version) {
+		if w.move(f.g.control.demandOf(choice.Endpoint), choice.Endpoint, x.call.Key, x.version, int64(x.call.PromptTokens-choice.CachedTokens)) {
 			f.waiting(x, &choice)
 		}
 		if !waitChange(ctx, changed) {
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -211,16 +211,13 @@
 // update returns the message for the sidecar and reports whether any count has
 // changed since the last update. It resets the counts of arrivals, the list of prompt
 // parts and the times to first events.
-func (d *demand) update(now time.Time, entry string, instance fleet.ID, backlog fleet.Backlog) (*fescuev1.DemandUpdate, bool) {
+func (d *demand) update(now time.Time, instance fleet.ID, own fleet.Work) (*fescuev1.DemandUpdate, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.endPreloads(now)
 	changed := d.dirty
 	d.dirty = false
-	m := &fescuev1.DemandUpdate{EntryId: entry, InstanceId: string(instance)}
-	for _, tokens := range backlog {
-		m.BacklogTokens = append(m.BacklogTokens, uint64(max(tokens, 0)))
-	}
+	m := &fescuev1.DemandUpdate{InstanceId: string(instance), BacklogTokens: own.Backlog.Tokens()}
 	for k, a := range d.adapters {
 		row := &fescuev1.AdapterDemand{
 			Model:    k.Model,
@@ -237,6 +234,9 @@
 			delete(d.adapters, k)
 		}
 		m.Adapters = append(m.Adapters, row)
+		if len(own.Waiting) > 0 {
+			m.WaitingTokens = append(m.WaitingTokens, own.Waiting[k.Hash()].Tokens()...)
+		}
 	}
 	m.ReadParts = slices.Collect(maps.Keys(d.processedParts))
 	clear(d.processedParts)
--- a/pkg/gateway/demand_test.go
+++ b/pkg/gateway/demand_test.go
@@ -31,13 +31,13 @@
 	now := time.Now()
 	began := now.Add(-2 * time.Second)
 	w := waiter{times: waitTimes{began: began}}
-	w.move(first, &fleet.Endpoint{Runtime: fleet.NewRuntime()}, k, 0)
+	w.move(first, &fleet.Endpoint{Runtime: fleet.NewRuntime()}, k, 0, 0)
 	second.wait(waitTimes{began: now.Add(-time.Second)}, k, 0) // a younger request waits there already
-	w.move(second, &fleet.Endpoint{Runtime: fleet.NewRuntime()}, k, 0)
-	m, _ := second.update(now, "e1", "i-1", fleet.Backlog{})
+	w.move(second, &fleet.Endpoint{Runtime: fleet.NewRuntime()}, k, 0, 0)
+	m, _ := second.update(now, "i-1", fleet.Work{})
 	assert.Equal(t, m.GetAdapters()[0].GetWaitedMs(), uint32(2000))
 	assert.Equal(t, m.GetAdapters()[0].GetWaiting(), uint32(2))
-	m, _ = first.update(now, "e1", "i-1", fleet.Backlog{})
+	m, _ = first.update(now, "i-1", fleet.Work{})
 	assert.Equal(t, m.GetAdapters()[0].GetWaiting(), uint32(0))
 }
 
@@ -49,7 +49,7 @@
 	now := time.Now()
 	assert.Assert(t, d.askPreload(now, k, 3))
 	assert.Equal(t, len(d.urgent), 1)
-	m, changed := d.update(now, "e1", "i-1", fleet.Backlog{})
+	m, changed := d.update(now, "i-1", fleet.Work{})
 	assert.Assert(t, changed)
 	row := m.GetAdapters()[0]
 	assert.Equal(t, row.GetWaiting(), uint32(1))
@@ -60,10 +60,10 @@
 	now = now.Add(locality.PreloadTimeout - time.Millisecond)
 	assert.Assert(t, !d.askPreload(now, k, 3))
 	now = now.Add(locality.PreloadTimeout - time.Millisecond)
-	m, _ = d.update(now, "e1", "i-1", fleet.Backlog{})
+	m, _ = d.update(now, "i-1", fleet.Work{})
 	assert.Equal(t, m.GetAdapters()[0].GetWaiting(), uint32(1))
 
-	m, changed = d.update(now.Add(time.Millisecond), "e1", "i-1", fleet.Backlog{})
+	m, changed = d.update(now.Add(time.Millisecond), "i-1", fleet.Work{})
 	assert.Assert(t, changed)
 	assert.Equal(t, m.GetAdapters()[0].GetWaiting(), uint32(0))
 	assert.Equal(t, len(d.adapters), 0)
@@ -75,11 +75,11 @@
 	d := newDemand()
 	d.addFirstEvent(100*time.Millisecond, 350*time.Millisecond)
 	d.addFirstEvent(50*time.Millisecond, 150*time.Millisecond)
-	m, changed := d.update(time.Now(), "e", "i", fleet.Backlog{})
+	m, changed := d.update(time.Now(), "i", fleet.Work{})
 	assert.Assert(t, changed)
 	assert.Equal(t, m.GetExpectedFirstEventsMs(), uint64(150))
 	assert.Equal(t, m.GetActualFirstEventsMs(), uint64(500))
-	m, changed = d.update(time.Now(), "e", "i", fleet.Backlog{})
+	m, changed = d.update(time.Now(), "i", fleet.Work{})
 	assert.Assert(t, !changed)
 	assert.Equal(t, m.GetActualFirstEventsMs(), uint64(0))
 }
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/balance"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/grpcconn"
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
@@ -123,7 +124,8 @@
 	if err != nil {
 		return errors.Wrap(err, "open stream")
 	}
-	go l.send(ctx, cancel, stream)
+	ledger := &balance.Ledger{}
+	go l.send(ctx, cancel, recorded{stream, ledger})
 	defer l.loads.set(0)
 	var last *fleet.Status // the last status received on this stream
 	for {
@@ -144,6 +146,7 @@
 		l.share.Observe(now, int(m.GetEntries()))
 		l.prefixes.RecordParts(now, l.endpoint.Runtime, m.GetReadParts())
 		next := status(now, m)
+		next.Others = ledger.Others(m.GetCoveredUpdate(), balance.Reported(m))
 		if m.GetHoldingsUnchanged() {
 			if last == nil {
 				continue
@@ -174,6 +177,18 @@
 	l.endpoint.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Down: true})
 }
 
+// recorded is a stream whose updates a ledger numbers.
+type recorded struct {
+	grpc.BidiStreamingClient[fescuev1.DemandUpdate, fescuev1.ServerState]
+	ledger *balance.Ledger
+}
+
+// Send implements grpc.BidiStreamingClient.
+func (r recorded) Send(m *fescuev1.DemandUpdate) error {
+	m.Number = r.ledger.Sent(balance.WorkOf(m))
+	return r.BidiStreamingClient.Send(m) //nolint:wrapcheck // an error of the stream
+}
+
 // send sends updates of the demand until ctx ends or the stream fails.
 func (l *link) send(ctx context.Context, cancel context.CancelFunc, stream grpc.BidiStreamingClient[fescuev1.DemandUpdate, fescuev1.ServerState]) {
 	defer cancel()
@@ -189,13 +204,17 @@
 	var announced announcement
 	for {
 		now := time.Now()
-		m, changed := l.demand.update(now, l.entry, l.endpoint.ID, l.endpoint.Runtime.OwnBacklog())
+		own := l.endpoint.Runtime.OwnWork()
+		m, changed := l.demand.update(now, l.endpoint.ID, own)
 		m.LoadsElsewhere = uint32(l.loads.elsewhere())
 		origins, next := l.origins.since(position)
 		software, announce := announced.next(now, l.software.Load())
 		m.ReloadModel = (*l.reloads.Load())[l.endpoint.ID]
 		if changed || announce || len(origins) > 0 || m.ReloadModel != reload || now.Sub(sent) >= unchangedInterval {
 			m.StreamOrigins = append(origins, software...)
+			if sent.IsZero() {
+				m.EntryId = l.entry
+			}
 			if err := stream.Send(m); err != nil {
 				return
 			}
@@ -245,10 +264,9 @@
 		CacheTotal:   int64(m.GetCacheTotal()),
 		WarmCopies:   int(m.GetWarmCopies()),
 		Slowdown:     float64(m.GetSlowdownPercent()) / 100,
+		Entries:      int(m.GetEntries()),
 	}
-	for i, tokens := range m.GetBacklogTokens() {
-		s.Backlog[fleet.PriorityClass(i)] += int64(tokens)
-	}
+	s.Backlog = fleet.BacklogOf(m.GetBacklogTokens())
 	for _, a := range m.GetResidents() {
 		s.Residents[fleet.AdapterKey{Model: a.GetModel(), Name: a.GetAdapter()}] = int(a.GetVersion())
 	}
--- a/pkg/gateway/waiter.go
+++ b/pkg/gateway/waiter.go
@@ -46,6 +46,10 @@
 	// since is when the request started to wait at the current endpoint.
 	since time.Time
 	key   fleet.AdapterKey
+	// priority is that of the request, and tokens the number of prompt tokens that the
+	// current endpoint will have to process for it.
+	priority int
+	tokens   int64
 }
 
 // maxLoadWait is how long a request waits at one server for a load to start before it
@@ -75,15 +79,24 @@
 	return c
 }
 
-// move counts the request as waiting at the given server instead of the previous one.
-// It reports false if the request already waits there.
-func (w *waiter) move(d *demand, e *fleet.Endpoint, k fleet.AdapterKey, version int) bool {
+// at returns the server where the request waits, or nil.
+func (w *waiter) at() *fleet.Runtime {
+	if w.demand == nil {
+		return nil
+	}
+	return w.endpoint.Runtime
+}
+
+// move counts the request as waiting at the given server, which will have to process the
+// given number of prompt tokens for it, instead of the previous one. It reports false if the
+// request already waits there.
+func (w *waiter) move(d *demand, e *fleet.Endpoint, k fleet.AdapterKey, version int, tokens int64) bool {
 	if w.demand == d {
 		return false
 	}
 	w.stop()
-	w.demand, w.endpoint, w.key, w.since = d, e, k, time.Now()
-	e.Runtime.Waiting.Add(1)
+	w.demand, w.endpoint, w.key, w.since, w.tokens = d, e, k, time.Now(), tokens
+	e.Runtime.StartWait(k, w.priority, tokens)
 	d.wait(w.times, k, version)
 	return true
 }
@@ -91,7 +104,7 @@
 func (w *waiter) stop() {
 	if w.demand != nil {
 		w.demand.endWait(w.times, w.key)
-		w.endpoint.Runtime.Waiting.Add(-1)
+		w.endpoint.Runtime.EndWait(w.key, w.priority, w.tokens)
 	}
 	w.demand = nil
 }
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -45,7 +45,7 @@
 	state       *fescuev1.ServerState
 	compact     *fescuev1.ServerState // state without its models and adapters
 	holdingsKey string                // holdingsKeyOf(state)
-	backlog     uint64                // sum of state.BacklogTokens
+	backlog     uint64                // workTokens(state)
 	// queriedIDs are the ids, other than queriedInstance, that entries have named
 	// and that have led to a query of the server's id. The set is cleared when the
 	// server's id changes.
@@ -75,6 +75,9 @@
 	// position is the position in the log of prompt parts of the next part to send to
 	// the entry.
 	position int
+	// covered is the number of the last update of the entry that the sums of the published
+	// state include.
+	covered uint64
 }
 
 func newHub(wake chan struct{}) *hub {
@@ -143,27 +146,19 @@
 // announceBacklog publishes the backlog to all entries if it differs from the
 // published one by at least urgentBacklogChange. The caller holds mu.
 func (h *hub) announceBacklog() {
-	sum := h.sumBacklog()
-	if h.state == nil || absDiff(totalTokens(sum), h.backlog) < urgentBacklogChange {
+	if h.state == nil || absDiff(h.workTokens(time.Now()), h.backlog) < urgentBacklogChange {
 		return
 	}
 	m, ok := proto.Clone(h.state).(*fescuev1.ServerState)
 	if !ok {
 		return // not reached: a clone has the type of its original
 	}
-	m.BacklogTokens = sum
-	h.state, h.compact, h.backlog = m, withoutHoldings(m), totalTokens(sum)
+	h.setSums(m)
+	h.cover()
+	h.state, h.compact, h.backlog = m, withoutHoldings(m), workTokens(m)
 	h.notifyAll()
 }
 
-func totalTokens(tokens []uint64) uint64 {
-	sum := uint64(0)
-	for _, n := range tokens {
-		sum += n
-	}
-	return sum
-}
-
 func absDiff(a, b uint64) uint64 { return max(a, b) - min(a, b) }
 
 // notifyAll wakes the senders of all entries. The caller holds mu.
@@ -187,13 +182,13 @@
 		at   time.Time
 	)
 	for {
-		state, now := h.current(), time.Now()
+		state, now := h.currentFor(p), time.Now()
 		if state.message != nil && due(&state, &last, now.Sub(at)) {
 			message := state.message
 			if state.holdingsKey == last.holdingsKey {
 				message = h.compactUpdate(p, state)
 			}
-			if err := stream.Send(message); err != nil {
+			if err := stream.Send(covering(message, state.covered)); err != nil {
 				return err //nolint:wrapcheck // a status of the stream
 			}
 			last, at = state, now
@@ -261,11 +256,27 @@
 	compact     *fescuev1.ServerState
 	holdingsKey string
 	backlog     uint64
+	// covered is that of the entry to which the state is sent.
+	covered uint64
+}
+
+// currentFor returns the published state for an entry.
+func (h *hub) currentFor(p *peer) publishedState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	state := h.published()
+	state.covered = p.covered
+	return state
 }
 
 func (h *hub) current() publishedState {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.published()
+}
+
+// published returns the published state. The caller holds mu.
+func (h *hub) published() publishedState {
 	return publishedState{message: h.state, compact: h.compact, holdingsKey: h.holdingsKey, backlog: h.backlog}
 }
 
@@ -274,7 +285,7 @@
 func (h *hub) publish(m *fescuev1.ServerState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	m.BacklogTokens = h.sumBacklog()
+	h.setSums(m)
 	m.Entries = uint32(len(h.entries))
 	m.LimitPerSecond, m.Limited = h.limits.Limit(time.Now(), m.GetInstanceId())
 	if m.GetInstanceId() != h.partsInstance {
@@ -289,7 +300,8 @@
 	if !changed && h.state != nil && sameUtilization(h.state, m) {
 		return
 	}
-	h.state, h.compact, h.holdingsKey, h.backlog = m, withoutHoldings(m), holdingsKey, totalTokens(m.GetBacklogTokens())
+	h.cover()
+	h.state, h.compact, h.holdingsKey, h.backlog = m, withoutHoldings(m), holdingsKey, workTokens(m)
 	if changed {
 		h.notifyAll()
 	}
--- a/pkg/sidecar/state.go
+++ b/pkg/sidecar/state.go
@@ -58,10 +58,23 @@
 		Limited:           m.GetLimited(),
 		LimitPerSecond:    m.GetLimitPerSecond(),
 		SlowdownPercent:   m.GetSlowdownPercent(),
+		OperatorRevision:  m.GetOperatorRevision(),
+		Waiting:           m.GetWaiting(),
 		HoldingsUnchanged: true,
 	}
 }
 
+// covering returns a copy of a state for an entry whose updates up to the given one its sums
+// include. The copies for all entries share the lists of the state.
+func covering(m *fescuev1.ServerState, update uint64) *fescuev1.ServerState {
+	c := withoutHoldings(m)
+	c.Models, c.ModelVersions = m.GetModels(), m.GetModelVersions()
+	c.Residents, c.Coming = m.GetResidents(), m.GetComing()
+	c.ReadParts, c.HoldingsUnchanged = m.GetReadParts(), m.GetHoldingsUnchanged()
+	c.CoveredUpdate = update
+	return c
+}
+
 // sameUtilization reports whether two states with the same holdings have the same
 // utilization figures, pace, limit and number of entries. The load time and
 // the load limit are not compared.
@@ -69,5 +82,5 @@
 	return a.GetSlowdownPercent() == b.GetSlowdownPercent() && a.GetEntries() == b.GetEntries() && a.GetLimited() == b.GetLimited() && a.GetLimitPerSecond() == b.GetLimitPerSecond() &&
 		a.GetFree() == b.GetFree() && a.GetEvictable() == b.GetEvictable() && a.GetWanted() == b.GetWanted() &&
 		a.GetInFlight() == b.GetInFlight() && a.GetQueued() == b.GetQueued() &&
-		slices.Equal(a.GetBacklogTokens(), b.GetBacklogTokens()) && a.GetCacheUsed() == b.GetCacheUsed()
+		slices.Equal(a.GetBacklogTokens(), b.GetBacklogTokens()) && slices.EqualFunc(a.GetWaiting(), b.GetWaiting(), sameWaiting) && a.GetCacheUsed() == b.GetCacheUsed()
 }
--- a/pkg/sidecar/sums.go
+++ b/pkg/sidecar/sums.go
@@ -1,9 +1,12 @@
 package sidecar
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/balance"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/residency"
 )
@@ -20,6 +23,77 @@
 	return sum
 }
 
+// sumWaiting returns the prompt tokens that wait for loads, by the hash of the adapter. The
+// caller holds mu.
+func (h *hub) sumWaiting(now time.Time) map[uint64]fleet.Backlog {
+	sum := map[uint64]fleet.Backlog{}
+	for p := range h.entries {
+		for k, tokens := range balance.WaitingOf(p.update, p.waitingTokens(now)) {
+			sum[k] = sum[k].Add(tokens)
+		}
+	}
+	return sum
+}
+
+// setSums sets the sums of a state over the entries. The caller holds mu.
+func (h *hub) setSums(m *fescuev1.ServerState) {
+	m.BacklogTokens = h.sumBacklog()
+	waiting := h.sumWaiting(time.Now())
+	m.Waiting = make([]*fescuev1.WaitingPrompts, 0, len(waiting))
+	for _, k := range slices.Sorted(maps.Keys(waiting)) {
+		m.Waiting = append(m.Waiting, &fescuev1.WaitingPrompts{Adapter: k, Tokens: waiting[k].Tokens()})
+	}
+}
+
+// cover records that the published sums include the latest update of each entry. The caller
+// holds mu.
+func (h *hub) cover() {
+	for p := range h.entries {
+		p.covered = p.update.GetNumber()
+	}
+}
+
+// workTokens returns the prompt tokens of a state that are at the server or wait for it.
+func workTokens(m *fescuev1.ServerState) uint64 {
+	sum := totalTokens(m.GetBacklogTokens())
+	for _, w := range m.GetWaiting() {
+		sum += totalTokens(w.GetTokens())
+	}
+	return sum
+}
+
+// workTokens returns the workTokens of a state that would be published now. The caller
+// holds mu.
+func (h *hub) workTokens(now time.Time) uint64 {
+	sum := uint64(0)
+	for p := range h.entries {
+		sum += totalTokens(p.update.GetBacklogTokens()) + totalTokens(p.waitingTokens(now))
+	}
+	return sum
+}
+
+// waitingTokens returns the prompt tokens that wait for loads according to the latest update,
+// or none if it is stale: an entry that is frozen would otherwise keep the others from the
+// server for as long as its connection lasts.
+func (p *peer) waitingTokens(now time.Time) []uint64 {
+	if now.Sub(p.updatedAt) >= staleUpdateAge {
+		return nil
+	}
+	return p.update.GetWaitingTokens()
+}
+
+func totalTokens(tokens []uint64) uint64 {
+	sum := uint64(0)
+	for _, n := range tokens {
+		sum += n
+	}
+	return sum
+}
+
+func sameWaiting(a, b *fescuev1.WaitingPrompts) bool {
+	return a.GetAdapter() == b.GetAdapter() && slices.Equal(a.GetTokens(), b.GetTokens())
+}
+
 // hasWaitingRequests reports whether any request waits for a load.
 func (h *hub) hasWaitingRequests() bool {
 	h.mu.Lock()
