locality, gateway: choose by chance among servers that only old reports tell apart

Cause: entries with the same reports all chose the same server, and learned of prompts that waited for a load only when these were sent.

The choice counts the own requests up to date beside the others' as last reported, and the prompts of others that wait at a server for the same adapter. Among servers that are equal in all but the load, those below the level to which the others have filled them up since the reports are taken with the same chance. The rank of a server directs only loads where several entries share the servers. An entry alone chooses the lowest cost as before.

The fakes of the virtual-time tests learn several entries with views of their own. No existing test changed its checks.

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 )
@@ -31,3 +33,38 @@
 	}
 	assert.Assert(t, l.Others(2, tokens(40)) == nil, "an update that is too old")
 }
+
+// Guards against choices that are not the best one although nothing is uncertain, as with an
+// entry alone, and against options that only old reports make look good.
+func TestSpread(t *testing.T) {
+	ms := time.Millisecond
+	options := func() []Option {
+		return []Option{{Index: 0, Cost: 50 * ms}, {Index: 1, Cost: 10 * ms}, {Index: 2, Cost: 30 * ms}, {Index: 3, Cost: 400 * ms}}
+	}
+	for incoming, want := range map[time.Duration]int{0: 1, 15 * ms: 1, 25 * ms: 2, 40 * ms: 3, 900 * ms: 4} {
+		sorted := options()
+		chosen, equal := Spread(sorted, incoming, 0.999)
+		assert.Equal(t, equal, want, "incoming %v", incoming)
+		assert.Equal(t, chosen, want-1)
+		assert.Equal(t, sorted[0].Index, 1)
+	}
+}
+
+// Guards against choices outside of the options, and against options above the level.
+func TestSpreadStaysBelowTheLevel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		costs := rapid.SliceOfN(rapid.IntRange(0, 1000), 1, 40).Draw(t, "costs")
+		incoming := time.Duration(rapid.IntRange(0, 500).Draw(t, "incoming"))
+		options := make([]Option, len(costs))
+		for i, c := range costs {
+			options[i] = Option{Index: i, Cost: time.Duration(c)}
+		}
+		chosen, equal := Spread(options, incoming, rapid.Float64Range(0, 0.999).Draw(t, "draw"))
+		assert.Assert(t, chosen < equal && equal <= len(options))
+		mean := time.Duration(0)
+		for _, o := range options[:equal] {
+			mean += o.Cost
+		}
+		assert.Assert(t, equal == 1 || options[equal-1].Cost <= mean/time.Duration(equal)+incoming)
+	})
+}
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
@@ -47,6 +48,7 @@
 		Excluded:        x.excluded,
 		Outdated:        x.outdated,
 		NoSource:        len(x.outdated) > 0,
+		Draw:            rand.Float64(),
 	}
 }
 
@@ -98,6 +100,7 @@
 		r := f.request(x)
 		f.setVersions(r, s.Versions[x.call.Key])
 		r.Reloading = f.g.control.reloads.Load().ids()
+		r.WaitsAt = w.at()
 		x.version = r.Version
 		choice, ok := f.g.chooser.Choose(r, s.Services[x.service.Name])
 		if !ok {
@@ -166,7 +169,8 @@
 		f.g.metrics.loadWait.Update(waited.Milliseconds())
 	}
 	c := &x.choice
-	f.g.log.For(logging.ComponentPlacement).Info().
+	f.g.metrics.choices.chosen(c)
+	ev := f.g.log.For(logging.ComponentPlacement).Info().
 		Str("request", x.call.RequestID).
 		Str("endpoint", string(c.Endpoint.ID)).
 		Str("software_version", c.Endpoint.SoftwareVersion).
@@ -183,8 +187,8 @@
 		Uint("backlog_tokens", uint64(max(c.BacklogTokens, 0))).
 		Dur("cost_ms", c.Cost).
 		Dur("status_age_ms", c.StatusAge).
-		Dur("load_wait_ms", waited).
-		Msg("placed")
+		Dur("load_wait_ms", waited)
+	logSpread(ev, c).Msg("placed")
 }
 
 // fetchFrom returns the id of the server from which cached prompt parts are fetched,
@@ -204,7 +208,8 @@
 		Int("version", x.version).
 		Int("candidates", c.Candidates).
 		Dur("cost_ms", c.Cost).
-		Dur("status_age_ms", c.StatusAge)
+		Dur("status_age_ms", c.StatusAge).
+		Uint("waiting_tokens", uint64(max(c.WaitingTokens, 0)))
 	if st := c.Endpoint.Runtime.Status(); st != nil {
 		ev = ev.Int("free", st.Free).Int("evictable", st.Evictable).Int("coming", len(st.Loading)).Int("wanted", st.PendingLoads)
 	}
--- a/pkg/gateway/ready.go
+++ b/pkg/gateway/ready.go
@@ -18,6 +18,7 @@
 	// said that they leave.
 	backoffs, leaving   metrics.Counter
 	firstByte, loadWait metrics.Histogram
+	choices             choiceMetrics
 }
 
 const histogramSamples = 1028
@@ -38,6 +39,7 @@
 		leaving:   metrics.GetOrRegisterCounter("gateway.leaving", r),
 		firstByte: histogram("gateway.first_byte_ms"),
 		loadWait:  histogram("gateway.load_wait_ms"),
+		choices:   newChoiceMetrics(r, histogram),
 	}
 }
 
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -158,6 +158,10 @@
 	// pace takes to its first event.
 	sentAt   time.Time
 	expected time.Duration
+	// nextBest is the time in which another server was expected to send the first event, or 0
+	// if there was none.
+	nextBest time.Duration
+	choices  *choiceMetrics
 }
 
 // begin adds the attempt to the counters of its model server. The caller must call
@@ -170,6 +174,7 @@
 	c.backlog = int64(max(x.call.PromptTokens-x.choice.CachedTokens, 0))
 	c.sentAt, c.expected = time.Now(), f.g.chooser.FirstEventTime(&x.choice, int(c.backlog))
 	c.runtime.Backlog[c.class].Add(c.backlog)
+	c.nextBest, c.choices = x.choice.NextBest, &f.g.metrics.choices
 	c.demand.start(c.key, c.backlog)
 	return c
 }
@@ -189,7 +194,9 @@
 	if c.demand == nil || c.sentAt.IsZero() {
 		return
 	}
-	c.demand.addFirstEvent(c.expected, time.Since(c.sentAt))
+	took := time.Since(c.sentAt)
+	c.demand.addFirstEvent(c.expected, took)
+	c.choices.firstEvent(took, c.nextBest)
 	c.sentAt = time.Time{}
 }
 
--- a/pkg/locality/cost.go
+++ b/pkg/locality/cost.go
@@ -13,9 +13,11 @@
 	choice := Choice{Endpoint: e}
 	st := e.Runtime.Status()
 	choice.Resident = holds(st, r)
-	choice.BacklogTokens = backlogAhead(r, st, e)
+	choice.BacklogTokens = c.backlogAhead(r, st, e)
 	pace := slowdown(st)
-	cost := slowed(c.PromptTime(int(choice.BacklogTokens)), pace)
+	choice.WaitingTokens = waitingAhead(r, st, e)
+	choice.load = slowed(c.PromptTime(int(choice.BacklogTokens+choice.WaitingTokens)), pace)
+	cost := choice.load
 	var from *source
 	if choice.Resident {
 		choice.Scope, choice.Status = scopeAt(e, st, r.Key), st
@@ -35,7 +37,9 @@
 		cost += w.PrefixFetchTime
 	}
 	cost += slowed(c.PromptTime(r.PromptTokens-choice.CachedTokens), pace)
-	cost += time.Duration(rank) * w.RankPenalty
+	if !choice.Resident || !shared(st) {
+		cost += time.Duration(rank) * w.RankPenalty
+	}
 	cost += time.Duration(e.Runtime.Failures(r.Now) * float64(w.FailurePenalty))
 	cost += e.WarmupRemaining
 	if e.Zone != r.Zone {
@@ -46,7 +50,9 @@
 		if choice.StatusAge > lateStatusAge {
 			cost += w.LateReportPenalty
 		}
-		cost += time.Duration(max(st.InFlight+st.Queued-e.Slots, 0)) * overCapacityPenalty
+		full := time.Duration(max(st.InFlight+st.Queued-e.Slots, 0)) * overCapacityPenalty
+		cost += full
+		choice.load += full
 	}
 	choice.Cost = cost
 	return choice
@@ -66,22 +72,71 @@
 	return ok && version >= r.Version
 }
 
+// shared reports whether other entries are known to use the server too, and how much.
+func shared(st *fleet.Status) bool { return st != nil && st.Others != nil && st.Entries > 1 }
+
 // backlogAhead returns the number of prompt tokens that a server processes before
-// those of the request. For each priority class it uses the larger of the last
-// reported sum over all entries and this entry's own count. A less urgent prompt that
-// is being processed is interrupted only at the end of a chunk.
-func backlogAhead(r *Request, st *fleet.Status, e *fleet.Endpoint) int64 {
+// those of the request: this entry's own, and those of the others as last reported. If the
+// report does not tell them from the own ones, the larger of the reported sum and the own
+// count is used for each priority class.
+func (c *Chooser) backlogAhead(r *Request, st *fleet.Status, e *fleet.Endpoint) int64 {
 	all := e.Runtime.OwnBacklog()
-	if st != nil {
+	switch {
+	case st == nil:
+	case st.Others != nil:
+		all = all.Add(processed(st.Others.Backlog, c.processedTokens(r.Now.Sub(st.ReceivedAt), slowdown(st))))
+	default:
 		for i, tokens := range st.Backlog {
 			all[i] = max(all[i], tokens)
 		}
 	}
-	urgent := all.Ahead(r.Priority)
-	rest := all.Ahead(fleet.PriorityClasses-1) - urgent
+	return ahead(all, r.Priority)
+}
+
+// unreportedTokens is the change of a backlog that a sidecar reports at once. Until it does, the
+// backlog has changed by less.
+const unreportedTokens = 4000
+
+// processedTokens returns the number of prompt tokens that a server may have processed since a
+// report of the given age without a further report.
+func (c *Chooser) processedTokens(age time.Duration, slowdown float64) int64 {
+	processed := max(age, 0).Seconds() * 1000 * c.weights.TokensPerMS / slowdown
+	return min(int64(processed), unreportedTokens)
+}
+
+// processed returns a backlog after the given number of tokens have been processed, the most
+// urgent ones first.
+func processed(b fleet.Backlog, tokens int64) fleet.Backlog {
+	for i := range b {
+		done := min(b[i], tokens)
+		b[i] -= done
+		tokens -= done
+	}
+	return b
+}
+
+// ahead returns the number of tokens of a backlog that a server processes before a request
+// with the given priority. A less urgent prompt that is being processed is interrupted only
+// at the end of a chunk.
+func ahead(all fleet.Backlog, priority int) int64 {
+	urgent := all.Ahead(priority)
+	rest := all.Total() - urgent
 	return urgent + min(rest, chunkTokens)
 }
 
+// waitingAhead returns the number of prompt tokens that wait for the server to load the
+// adapter of the request and are processed before it. They are all sent at the moment when the
+// adapter is loaded, and the backlog does not include them until then. Requests that wait at
+// the same server have taken each other into account when they started to wait. It is 0 for an
+// entry that has the servers for itself.
+func waitingAhead(r *Request, st *fleet.Status, e *fleet.Endpoint) int64 {
+	if !shared(st) || r.WaitsAt == e.Runtime {
+		return 0
+	}
+	adapter := r.Key.Hash()
+	return ahead(e.Runtime.OwnWaiting(adapter).Add(st.Others.Waiting[adapter]), r.Priority)
+}
+
 // loadCost estimates the time until the server has loaded the adapter, plus
 // penalties.
 func (c *Chooser) loadCost(r *Request, e *fleet.Endpoint, st *fleet.Status) time.Duration {
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -50,6 +50,11 @@
 	Outdated []*fleet.Status
 	// NoSource means that no cached parts of the prompt are fetched for this request.
 	NoSource bool
+	// WaitsAt is the server where the request waits for its adapter to be loaded, or nil.
+	WaitsAt *fleet.Runtime
+	// Draw is a random number in [0, 1) for the choice among servers that are about equally
+	// good. 0 chooses the one with the lowest cost.
+	Draw float64
 }
 
 // Choice is the chosen server, with the values that led to the choice for logging.
@@ -64,11 +69,27 @@
 	Status *fleet.Status
 	// Cost is the estimated time to the first event, including penalties.
 	Cost time.Duration
+	// load is the part of the cost that follows from the load of the server.
+	load time.Duration
 	// CachedTokens is the number of prompt tokens that the server is expected to have in
 	// its cache or to fetch from Source.
 	CachedTokens  int
 	BacklogTokens int64
+	// WaitingTokens is the number of prompt tokens of other requests that wait for the
+	// server to load the adapter and are processed first.
+	WaitingTokens int64
 	Candidates    int
+	// Equal is the number of servers that were about equally good, Incoming the work that
+	// the other entries are expected to have sent to each of them since the report, and
+	// Lowest the lowest cost.
+	Equal    int
+	Incoming time.Duration
+	Lowest   time.Duration
+	// NextBest is the lowest cost of the other servers that have the adapter loaded, or 0 if
+	// there is none.
+	NextBest time.Duration
+	// Unevenness is the ratio of the highest backlog to the mean one, or 0 if there is none.
+	Unevenness float64
 	// Source is the server to fetch cached parts of the prompt from, or nil. They were
 	// processed in SourceScope, which equals Scope if Resident is true.
 	Source      *fleet.Endpoint
@@ -124,9 +145,12 @@
 }
 
 // Choose returns the server with the lowest cost, which is the estimated time to the
-// first event plus penalties. It reports false if no server can take the request.
+// first event plus penalties, or one that is about as good. It reports false if no server
+// can take the request.
 func (c *Chooser) Choose(r *Request, endpoints []*fleet.Endpoint) (Choice, bool) {
 	best := Choice{Cost: math.MaxInt64}
+	var resident []Choice
+	var load utilization
 	order := ranks(r.Key, endpoints)
 	prompt := &promptHashes{parts: r.Prefix}
 	sources := c.sources(r, endpoints, prompt)
@@ -137,6 +161,7 @@
 			continue
 		}
 		candidates++
+		load.add(r.Now, e.Runtime.Status())
 		choice := c.estimate(r, e, order[i], sources, prompt)
 		if renewed && choice.Resident && !current(e, r) {
 			choice.Cost += c.outdatedPenalty(r)
@@ -144,11 +169,17 @@
 		if slices.Contains(r.Reloading, e.ID) {
 			choice.Cost += reloadingPenalty
 		}
+		if choice.Resident {
+			resident = append(resident, choice)
+		}
 		if choice.Cost < best.Cost {
 			best = choice
 		}
 	}
-	best.Candidates = candidates
+	if best.Resident {
+		best = spread(r, best, resident, load.incoming())
+	}
+	best.Candidates, best.Unevenness = candidates, load.unevenness()
 	best.Preload = c.preload(r, endpoints)
 	return best, best.Endpoint != nil
 }
--- a/pkg/locality/sim_test.go
+++ b/pkg/locality/sim_test.go
@@ -53,6 +53,28 @@
 	slowUntil  time.Duration
 	// ignorePace hides the pace of the servers.
 	ignorePace bool
+	// entries is the number of entries that share the servers, each of which knows the work
+	// of the others only from reports, or 0 for one that knows all work at once.
+	entries int
+	// reportEvery is the interval of the reports on servers, or 0 for statusInterval.
+	reportEvery time.Duration
+	// sumsOnly makes the reports give only sums over all entries, which does not tell the work
+	// of an entry from that of the others.
+	sumsOnly bool
+	// newFrom is when the second half of the servers joins, or 0 if all are there from the
+	// start.
+	newFrom time.Duration
+	// urgentReports makes servers report large changes of their backlog at once.
+	urgentReports bool
+	// reportsLost is the fraction of reports that do not arrive.
+	reportsLost float64
+	// burstEvery is the interval at which one request for each server arrives at the same
+	// moment, or 0 for none.
+	burstEvery time.Duration
+	// hotShare is the fraction of the requests that is for one adapter.
+	hotShare float64
+	// speeds are the speeds of the servers in turn, or none for 1 each.
+	speeds []float64
 	// ignoreSlack makes the servers load the adapters in the order of the oldest
 	// waiting request, without regard to the latency targets.
 	ignoreSlack bool
@@ -86,6 +108,8 @@
 	run    time.Duration
 	server *simServer
 	first  time.Duration
+	// entry holds what the entry of the request knows of the server.
+	entry *fleet.Runtime
 	// startedAt is when the server got the request, and expected the time that it would
 	// take to the first event at the usual pace.
 	startedAt time.Time
@@ -144,7 +168,12 @@
 	// without is the highest number of servers without a model at a time.
 	without int
 	all     []*simRequest
-	choose  func(r *Request, s *sim) (*simServer, bool)
+	// views holds the servers as each entry knows them, and view is that of the entry that
+	// chooses now.
+	views  [][]*fleet.Endpoint
+	view   int
+	rng    *rand.Rand
+	choose func(r *Request, s *sim) (*simServer, bool)
 }
 
 func newSim(l workload, choose func(r *Request, s *sim) (*simServer, bool)) *sim {
@@ -162,6 +191,9 @@
 }
 
 func (s *sim) endpoints() []*fleet.Endpoint {
+	if len(s.views) > 0 {
+		return s.views[s.view]
+	}
 	out := make([]*fleet.Endpoint, len(s.servers))
 	for i, srv := range s.servers {
 		out[i] = srv.endpoint
@@ -173,6 +205,8 @@
 // came in time, and the number of loads from the weight store.
 func (s *sim) simulate(seed uint64) (inTime float64, storeLoads int) {
 	rng := rand.New(rand.NewPCG(seed, 1))
+	s.rng = rand.New(rand.NewPCG(seed, 2))
+	s.addViews()
 	weights := make([]float64, s.l.adapters)
 	total := 0.0
 	for i := range weights {
@@ -189,6 +223,8 @@
 			s.dispatch(r)
 			next = next.Add(time.Duration(rng.ExpFloat64() / s.l.perSecond * float64(time.Second)))
 		}
+		s.join()
+		s.burst(rng, weights, total, start)
 		s.renew()
 		s.reload()
 		s.step()
@@ -209,6 +245,9 @@
 		x -= weights[i]
 		i++
 	}
+	if s.l.hotShare > 0 && s.rng.Float64() < s.l.hotShare {
+		i = 0
+	}
 	if s.l.shift > 0 {
 		i = (i + int(at.Sub(start)/s.l.shift)) % len(weights)
 	}
@@ -233,8 +272,8 @@
 			}
 		}
 		s.planLoads(v)
-		if st := v.endpoint.Runtime.Status(); st == nil || s.now.Sub(st.ReceivedAt) >= statusInterval {
-			v.endpoint.Runtime.SetStatus(v.state(s))
+		if s.reportDue(v) {
+			s.report(v)
 		}
 	}
 }
@@ -255,7 +294,7 @@
 
 func (s *sim) find(e *fleet.Endpoint) *simServer {
 	for _, v := range s.servers {
-		if v.endpoint == e {
+		if e != nil && v.endpoint.ID == e.ID {
 			return v
 		}
 	}
--- a/pkg/locality/simserver_test.go
+++ b/pkg/locality/simserver_test.go
@@ -34,6 +34,7 @@
 }
 
 func (s *sim) dispatch(r *simRequest) {
+	s.view = s.rng.IntN(max(len(s.views), 1))
 	req := &Request{Now: s.now, Key: r.key, PromptTokens: r.prompt, Priority: r.priority()}
 	req.Version, req.Upcoming = s.versions[r.key].Required(s.now), s.versions[r.key].Required(s.now.Add(RenewalLead))
 	req.Reloading = s.reloading
@@ -46,6 +47,7 @@
 		return
 	}
 	r.server = srv
+	r.entry = s.entryView(srv)
 	srv.planner.Arrived(s.now, r.key, 1)
 	if srv.held(r.key) >= max(req.Version, 1) {
 		srv.start(s.now, r)
@@ -54,7 +56,9 @@
 	r.waited = true
 	r.uncovered = !slices.ContainsFunc(s.servers, func(v *simServer) bool { return v.report.Residents[r.key] >= max(req.Version, 1) })
 	srv.waiting[r.key] = append(srv.waiting[r.key], r)
-	srv.endpoint.Runtime.Waiting.Add(1)
+	for _, known := range r.views() {
+		known.StartWait(r.key, r.priority(), int64(r.prompt))
+	}
 }
 
 // held returns the version of an adapter, or of the base model, at a server, or 0 if the
@@ -83,7 +87,9 @@
 	r.startedAt = now
 	r.expected = baseFirstEventTime + time.Duration(float64(ahead+int64(r.prompt))/tokensPerMS*float64(time.Millisecond))
 	r.version = v.held(r.key)
-	v.endpoint.Runtime.Backlog[r.priority()].Add(int64(r.prompt))
+	for _, known := range r.views() {
+		known.Backlog[r.priority()].Add(int64(r.prompt))
+	}
 	v.promptQueue = append(v.promptQueue, r)
 	slices.SortStableFunc(v.promptQueue, func(a, b *simRequest) int { return a.priority() - b.priority() })
 }
@@ -103,7 +109,9 @@
 		v.promptQueue = v.promptQueue[1:]
 		r.first = s.now.Sub(r.at)
 		v.pace.Add(s.now, pace.Samples{Expected: r.expected, Actual: s.now.Sub(r.startedAt)})
-		v.endpoint.Runtime.Backlog[r.priority()].Add(-int64(r.prompt))
+		for _, known := range r.views() {
+			known.Backlog[r.priority()].Add(-int64(r.prompt))
+		}
 		v.running[r] = s.now.Add(r.run)
 	}
 }
@@ -111,6 +119,9 @@
 // slowdown returns the factor by which a server now takes longer than usual.
 func (s *sim) slowdown(v *simServer) float64 {
 	since := s.now.Sub(s.started)
+	if len(s.l.speeds) > 0 {
+		return 1 / s.l.speeds[slices.Index(s.servers, v)%len(s.l.speeds)]
+	}
 	if since < s.l.slowFrom || since >= s.l.slowUntil || slices.Index(s.servers, v) >= s.l.slow {
 		return 1
 	}
@@ -143,7 +154,9 @@
 			v.copies = append(slices.DeleteFunc(v.copies, func(c fleet.AdapterKey) bool { return c == k }), k)
 			v.copies = v.copies[max(0, len(v.copies)-maxWarmCopies):]
 			for _, r := range v.waiting[k] {
-				v.endpoint.Runtime.Waiting.Add(-1)
+				for _, known := range r.views() {
+					known.EndWait(r.key, r.priority(), int64(r.prompt))
+				}
 				v.start(s.now, r)
 			}
 			delete(v.waiting, k)
--- a/pkg/locality/weights.go
+++ b/pkg/locality/weights.go
@@ -27,7 +27,8 @@
 	// load that waits there in excess of the room.
 	QueuedLoadPenalty time.Duration
 	// RankPenalty is multiplied by the rank of the server for the adapter and added. The
-	// preferred server has rank 0.
+	// preferred server has rank 0. Where several entries share the servers, it only directs
+	// loads: added to servers that have the adapter, it would be that much uneven load.
 	RankPenalty time.Duration
 	// FailurePenalty is added for each recent failure of the server.
 	FailurePenalty time.Duration
