locality: a server's running streams share its steps with the prompts that it reads

An urgent request counted such a server as free, since it need not wait for less urgent prompts itself.

The time for which a server would read without pause beyond half of the gap between events that the route permits is added to its cost. It counts only where entries share the servers.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -48,6 +48,7 @@
 		Excluded:        x.excluded,
 		Outdated:        x.outdated,
 		NoSource:        len(x.outdated) > 0,
+		MaxEventGap:     x.route.MaxEventGap,
 		Draw:            rand.Float64(),
 	}
 }
--- a/pkg/locality/cost.go
+++ b/pkg/locality/cost.go
@@ -37,6 +37,9 @@
 		cost += w.PrefixFetchTime
 	}
 	cost += slowed(c.PromptTime(r.PromptTokens-choice.CachedTokens), pace)
+	pauses := c.pausePenalty(r, e, &choice, st)
+	cost += pauses
+	choice.load += pauses
 	if !choice.Resident || !shared(st) {
 		cost += time.Duration(rank) * w.RankPenalty
 	}
@@ -75,6 +78,23 @@
 // shared reports whether other entries are known to use the server too, and how much.
 func shared(st *fleet.Status) bool { return st != nil && st.Others != nil && st.Entries > 1 }
 
+// pauseShare is the share of the permitted gap between two events for which a server may read
+// prompts without pause. Its streams have other delays, and its pace varies.
+const pauseShare = 0.5
+
+// pausePenalty returns the time by which a server reads prompts without pause for longer than
+// its running streams tolerate, with the prompt of the request. A server that reads a piece of
+// a prompt in each step of its batch produces the tokens of its streams that much more slowly,
+// however urgent they are. Requests of one service have similar permitted gaps.
+func (c *Chooser) pausePenalty(r *Request, e *fleet.Endpoint, choice *Choice, st *fleet.Status) time.Duration {
+	if !shared(st) || st.InFlight == 0 || r.MaxEventGap == 0 {
+		return 0
+	}
+	tokens := e.Runtime.OwnBacklog().Total() + st.Others.Backlog.Total() + choice.WaitingTokens
+	reading := slowed(c.PromptTime(int(tokens)+r.PromptTokens-choice.CachedTokens), slowdown(st))
+	return max(reading-time.Duration(pauseShare*float64(r.MaxEventGap)), 0)
+}
+
 // backlogAhead returns the number of prompt tokens that a server processes before
 // those of the request: this entry's own, and those of the others as last reported. If the
 // report does not tell them from the own ones, the larger of the reported sum and the own
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -52,6 +52,9 @@
 	NoSource bool
 	// WaitsAt is the server where the request waits for its adapter to be loaded, or nil.
 	WaitsAt *fleet.Runtime
+	// MaxEventGap is the longest gap between two events of a response that its caller accepts,
+	// or 0 if it is not known.
+	MaxEventGap time.Duration
 	// Draw is a random number in [0, 1) for the choice among servers that are about equally
 	// good. 0 chooses the one with the lowest cost.
 	Draw float64
--- a/pkg/locality/shared_test.go
+++ b/pkg/locality/shared_test.go
@@ -24,6 +24,19 @@
 	return c
 }
 
+// Guards against streams that pause for longer than their callers accept, because their server
+// reads one long prompt after the other while another server reads none. An urgent request does
+// not wait for these prompts, but its stream shares the steps of the server with them.
+func TestStreamsAvoidServersThatReadForLong(t *testing.T) {
+	now := time.Now()
+	for entries, want := range map[int]fleet.ID{1: "reading", 22: "urgent"} {
+		reading := sharedServer("reading", now, entries, fleet.Work{Backlog: fleet.Backlog{0, 0, 40_000}})
+		urgent := sharedServer("urgent", now, entries, fleet.Work{Backlog: fleet.Backlog{4000}})
+		c := chosen(t, &Request{Now: now, Key: testKey, PromptTokens: 800, MaxEventGap: 500 * time.Millisecond}, reading, urgent)
+		assert.Equal(t, c.Endpoint.ID, want, "%d entries", entries)
+	}
+}
+
 // Guards against a chance that moves requests away from the server that has their prompt, is
 // near or has not failed, and against one without other entries.
 func TestOnlyTheLoadIsSpread(t *testing.T) {
