sidecar: reports that repeat no holdings leave out the use of the cache

Cause: the number of the covered update and the waiting prompts made reports longer, and their bytes shall not grow. Nothing reads the use of the cache, and it stays in reports with holdings.

--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -152,6 +152,7 @@
 				continue
 			}
 			next.Models, next.Residents, next.Loading = last.Models, last.Residents, last.Loading
+			next.CacheUsed, next.CacheTotal = last.CacheUsed, last.CacheTotal
 		}
 		last = next
 		if m.GetLimited() {
--- a/pkg/sidecar/state.go
+++ b/pkg/sidecar/state.go
@@ -37,7 +37,8 @@
 }
 
 // withoutHoldings returns a copy of a state without the models and adapters, which
-// change far less often than the other fields.
+// change far less often than the other fields, and without the use of the cache, on which no
+// choice depends.
 func withoutHoldings(m *fescuev1.ServerState) *fescuev1.ServerState {
 	return &fescuev1.ServerState{
 		InstanceId:        m.GetInstanceId(),
@@ -46,8 +47,6 @@
 		InFlight:          m.GetInFlight(),
 		Queued:            m.GetQueued(),
 		BacklogTokens:     m.GetBacklogTokens(),
-		CacheUsed:         m.GetCacheUsed(),
-		CacheTotal:        m.GetCacheTotal(),
 		Wanted:            m.GetWanted(),
 		Down:              m.GetDown(),
 		Draining:          m.GetDraining(),
@@ -70,6 +69,7 @@
 	c := withoutHoldings(m)
 	c.Models, c.ModelVersions = m.GetModels(), m.GetModelVersions()
 	c.Residents, c.Coming = m.GetResidents(), m.GetComing()
+	c.CacheUsed, c.CacheTotal = m.GetCacheUsed(), m.GetCacheTotal()
 	c.ReadParts, c.HoldingsUnchanged = m.GetReadParts(), m.GetHoldingsUnchanged()
 	c.CoveredUpdate = update
 	return c
