--- a/pkg/locality/spread.go
+++ b/pkg/locality/spread.go
@@ -37,10 +37,9 @@
 // utilization sums up the reports on the servers of a service.
 type utilization struct {
 	servers int
-	// busy is the number of servers that process prompts of other entries, and age the sum of
-	// the ages of their reports.
-	busy int
-	age  time.Duration
+	// busyAge is the sum of the ages of the reports on servers that process prompts of other
+	// entries.
+	busyAge time.Duration
 	// highest and sum are those of the backlogs.
 	highest, sum int64
 }
@@ -53,15 +52,16 @@
 	u.highest = max(u.highest, st.Backlog.Total())
 	u.sum += st.Backlog.Total()
 	if st.Others != nil && st.Others.Backlog.Total() > 0 {
-		u.busy++
-		u.age += now.Sub(st.ReceivedAt) + reportDelay
+		u.busyAge += now.Sub(st.ReceivedAt) + reportDelay
 	}
 }
 
 // incoming returns the work that the other entries are expected to have sent to each server,
 // on average, since its report. They send as much as the servers process for them: the share
 // of the servers that are busy with it is the share of the time for which work arrives.
-func (u *utilization) incoming() time.Duration { return u.age / time.Duration(max(u.servers, 1)) }
+func (u *utilization) incoming() time.Duration {
+	return u.busyAge / time.Duration(max(u.servers, 1))
+}
 
 // unevenness returns the ratio of the highest backlog to the mean one, or 0 if there is none.
 func (u *utilization) unevenness() float64 {
