--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
@@ -47,6 +48,8 @@
 		Excluded:        x.excluded,
 		Outdated:        x.outdated,
 		NoSource:        len(x.outdated) > 0,
+		MaxEventGap:     x.route.MaxEventGap,
+		Draw:            rand.Float64(),
 	}
 }
 
@@ -91,13 +94,14 @@
 // adapter.
 func (f endpointFilter) chooseModelServer(ctx context.Context, x *exchange) *failure {
 	began := time.Now()
-	w := waiter{times: waitTimes{began: x.started, loadBy: f.loadBy(x)}}
+	w := waiter{times: waitTimes{began: x.started, loadBy: f.loadBy(x)}, priority: x.priority()}
 	defer w.stop()
 	for {
 		s := f.g.control.snapshot.Load()
 		r := f.request(x)
 		f.setVersions(r, s.Versions[x.call.Key])
 		r.Reloading = f.g.control.reloads.Load().ids()
+		r.WaitsAt = w.at()
 		x.version = r.Version
 		choice, ok := f.g.chooser.Choose(r, s.Services[x.service.Name])
 		if !ok {
@@ -123,7 +127,7 @@
 			return notRun("the loads ahead take longer than the caller waits", retryAfter)
 		}
 		changed := choice.Endpoint.Runtime.Changed()
-		if w.move(f.g.control.demandOf(choice.Endpoint), choice.Endpoint, x.call.Key, x.version) {
+		if w.move(f.g.control.demandOf(choice.Endpoint), choice.Endpoint, x.call.Key, x.version, int64(x.call.PromptTokens-choice.CachedTokens)) {
 			f.waiting(x, &choice)
 		}
 		if !waitChange(ctx, changed) {
@@ -166,7 +170,8 @@
 		f.g.metrics.loadWait.Update(waited.Milliseconds())
 	}
 	c := &x.choice
-	f.g.log.For(logging.ComponentPlacement).Info().
+	f.g.metrics.choices.chosen(c)
+	ev := f.g.log.For(logging.ComponentPlacement).Info().
 		Str("request", x.call.RequestID).
 		Str("endpoint", string(c.Endpoint.ID)).
 		Str("software_version", c.Endpoint.SoftwareVersion).
@@ -183,8 +188,8 @@
 		Uint("backlog_tokens", uint64(max(c.BacklogTokens, 0))).
 		Dur("cost_ms", c.Cost).
 		Dur("status_age_ms", c.StatusAge).
-		Dur("load_wait_ms", waited).
-		Msg("placed")
+		Dur("load_wait_ms", waited)
+	logSpread(ev, c).Msg("placed")
 }
 
 // fetchFrom returns the id of the server from which cached prompt parts are fetched,
@@ -204,7 +209,8 @@
 		Int("version", x.version).
 		Int("candidates", c.Candidates).
 		Dur("cost_ms", c.Cost).
-		Dur("status_age_ms", c.StatusAge)
+		Dur("status_age_ms", c.StatusAge).
+		Uint("waiting_tokens", uint64(max(c.WaitingTokens, 0)))
 	if st := c.Endpoint.Runtime.Status(); st != nil {
 		ev = ev.Int("free", st.Free).Int("evictable", st.Evictable).Int("coming", len(st.Loading)).Int("wanted", st.PendingLoads)
 	}
--- a/pkg/gateway/ready.go
+++ b/pkg/gateway/ready.go
@@ -23,6 +23,7 @@
 	// configuration may have.
 	missingKeys, unknownKeys, undecidedKeys metrics.Counter
 	firstByte, loadWait                     metrics.Histogram
+	choices                                 choiceMetrics
 }
 
 const histogramSamples = 1028
@@ -46,6 +47,7 @@
 		unknownKeys:   metrics.GetOrRegisterCounter("gateway.unknown_keys", r),
 		firstByte:     histogram("gateway.first_byte_ms"),
 		loadWait:      histogram("gateway.load_wait_ms"),
+		choices:       newChoiceMetrics(r, histogram),
 	}
 }
 
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -50,6 +50,14 @@
 	Outdated []*fleet.Status
 	// NoSource means that no cached parts of the prompt are fetched for this request.
 	NoSource bool
+	// WaitsAt is the server where the request waits for its adapter to be loaded, or nil.
+	WaitsAt *fleet.Runtime
+	// MaxEventGap is the longest gap between two events of a response that its caller accepts,
+	// or 0 if it is not known.
+	MaxEventGap time.Duration
+	// Draw is a random number in [0, 1) for the choice among servers that are about equally
+	// good. 0 chooses the one with the lowest cost.
+	Draw float64
 }
 
 // Choice is the chosen server, with the values that led to the choice for logging.
@@ -64,11 +72,27 @@
 	Status *fleet.Status
 	// Cost is the estimated time to the first event, including penalties.
 	Cost time.Duration
+	// load is the part of the cost that follows from the load of the server.
+	load time.Duration
 	// CachedTokens is the number of prompt tokens that the server is expected to have in
 	// its cache or to fetch from Source.
 	CachedTokens  int
 	BacklogTokens int64
+	// WaitingTokens is the number of prompt tokens of other requests that wait for the
+	// server to load the adapter and are processed first.
+	WaitingTokens int64
 	Candidates    int
+	// Equal is the number of servers that were about equally good, Incoming the work that
+	// the other entries are expected to have sent to each of them since the report, and
+	// Lowest the lowest cost.
+	Equal    int
+	Incoming time.Duration
+	Lowest   time.Duration
+	// NextBest is the lowest cost of the other servers that have the adapter loaded, or 0 if
+	// there is none.
+	NextBest time.Duration
+	// Unevenness is the ratio of the highest backlog to the mean one, or 0 if there is none.
+	Unevenness float64
 	// Source is the server to fetch cached parts of the prompt from, or nil. They were
 	// processed in SourceScope, which equals Scope if Resident is true.
 	Source      *fleet.Endpoint
@@ -80,96 +104,6 @@
 	Preload *fleet.Endpoint
 }
 
-// Weights holds the parameters of the cost model.
-type Weights struct {
-	// TokensPerMS is the number of prompt tokens that a server processes per
-	// millisecond.
-	TokensPerMS float64
-	// Load is the duration of a load from the weight store, used where the server
-	// reports none. WarmLoad is the duration of a load from the copy in the
-	// server's main memory.
-	Load     time.Duration
-	WarmLoad time.Duration
-	// StorePenalty is added for a load from the weight store. The whole fleet shares the
-	// store's bandwidth, so each load delays the loads for other requests.
-	StorePenalty time.Duration
-	// EvictionPenalty is added if the load requires an eviction: the evicted adapter
-	// must be loaded again for a later request, and the server's cached prompts for it
-	// are lost.
-	EvictionPenalty time.Duration
-	// ContentionPenalty is added if the load requires an eviction, divided by the number
-	// of adapters that the server could still load. It directs loads to servers with few
-	// adapters in use.
-	ContentionPenalty time.Duration
-	// QueuedLoadPenalty is added, at a server without room for another adapter, for each
-	// load that waits there in excess of the room.
-	QueuedLoadPenalty time.Duration
-	// RankPenalty is multiplied by the rank of the server for the adapter and added. The
-	// preferred server has rank 0.
-	RankPenalty time.Duration
-	// FailurePenalty is added for each recent failure of the server.
-	FailurePenalty time.Duration
-	// LateReportPenalty is added for a server whose last status report is late: its VM
-	// may be stalled or unreachable.
-	LateReportPenalty time.Duration
-	// RemoteZonePenalty is added for a server in another availability zone.
-	RemoteZonePenalty time.Duration
-	// OutdatedPenalty is added for a server whose version of the adapter is about to be
-	// outdated while another server has a current one. Without new requests, the server
-	// can replace it.
-	OutdatedPenalty time.Duration
-	// PrefixFetchTime is the time that a server takes to fetch cached parts of a prompt
-	// from another server.
-	PrefixFetchTime time.Duration
-}
-
-// DefaultWeights returns weights for engines that process a prompt of 9,000 tokens in
-// 250 ms and load an adapter in about the same time.
-func DefaultWeights() Weights {
-	return Weights{
-		TokensPerMS:       38,
-		Load:              300 * time.Millisecond,
-		StorePenalty:      300 * time.Millisecond,
-		WarmLoad:          60 * time.Millisecond,
-		EvictionPenalty:   120 * time.Millisecond,
-		ContentionPenalty: 100 * time.Millisecond,
-		QueuedLoadPenalty: 60 * time.Millisecond,
-		RankPenalty:       40 * time.Millisecond,
-		FailurePenalty:    250 * time.Millisecond,
-		LateReportPenalty: 400 * time.Millisecond,
-		RemoteZonePenalty: 15 * time.Millisecond,
-		OutdatedPenalty:   150 * time.Millisecond,
-		PrefixFetchTime:   20 * time.Millisecond,
-	}
-}
-
-// Limits and fixed penalties of the cost model.
-const (
-	// chunkTokens is the number of prompt tokens that a server processes without
-	// interruption.
-	chunkTokens = 2048
-	// maxRank is the highest rank, which limits the penalty for the rank.
-	maxRank = 5
-	// lateStatusAge is the age from which a status report is late. Reports arrive at
-	// least every 500 ms, so a late one means that its sender has a problem.
-	lateStatusAge = time.Second
-	// staleStatusAge is the age of a status report above which the server is treated as
-	// having no room for a load.
-	staleStatusAge = 2 * time.Second
-	// noRoomPenalty is the cost of a load at a server that has no room for another
-	// adapter now.
-	noRoomPenalty = 3 * time.Second
-	// oldVersionPenalty is added for a server that has an older version of the adapter
-	// loaded: it cannot replace that version before the requests that use it have ended.
-	oldVersionPenalty = time.Second
-	// limitedLoadPenalty is added for a load at a server that names a limit: it takes only a
-	// few of the requests for the adapter.
-	limitedLoadPenalty = 2 * time.Second
-	// overCapacityPenalty is added for each request at a server beyond its number of
-	// slots.
-	overCapacityPenalty = 30 * time.Millisecond
-)
-
 // Chooser chooses model servers. It is safe for concurrent use.
 type Chooser struct {
 	weights  Weights
@@ -214,9 +148,12 @@
 }
 
 // Choose returns the server with the lowest cost, which is the estimated time to the
-// first event plus penalties. It reports false if no server can take the request.
+// first event plus penalties, or one that is about as good. It reports false if no server
+// can take the request.
 func (c *Chooser) Choose(r *Request, endpoints []*fleet.Endpoint) (Choice, bool) {
 	best := Choice{Cost: math.MaxInt64}
+	var resident []Choice
+	var load utilization
 	order := ranks(r.Key, endpoints)
 	prompt := &promptHashes{parts: r.Prefix}
 	sources := c.sources(r, endpoints, prompt)
@@ -227,6 +164,7 @@
 			continue
 		}
 		candidates++
+		load.add(r.Now, e.Runtime.Status())
 		choice := c.estimate(r, e, order[i], sources, prompt)
 		if renewed && choice.Resident && !current(e, r) {
 			choice.Cost += c.outdatedPenalty(r)
@@ -234,11 +172,17 @@
 		if slices.Contains(r.Reloading, e.ID) {
 			choice.Cost += reloadingPenalty
 		}
+		if choice.Resident {
+			resident = append(resident, choice)
+		}
 		if choice.Cost < best.Cost {
 			best = choice
 		}
 	}
-	best.Candidates = candidates
+	if best.Resident {
+		best = spread(r, best, resident, load.incoming())
+	}
+	best.Candidates, best.Unevenness = candidates, load.unevenness()
 	best.Preload = c.preload(r, endpoints)
 	return best, best.Endpoint != nil
 }
@@ -296,112 +240,3 @@
 	}
 	return out
 }
-
-// estimate returns the cost of serving the request at one server.
-func (c *Chooser) estimate(r *Request, e *fleet.Endpoint, rank int, sources sources, prompt *promptHashes) Choice {
-	w := &c.weights
-	choice := Choice{Endpoint: e}
-	st := e.Runtime.Status()
-	choice.Resident = holds(st, r)
-	choice.BacklogTokens = backlogAhead(r, st, e)
-	pace := slowdown(st)
-	cost := slowed(c.PromptTime(int(choice.BacklogTokens)), pace)
-	var from *source
-	if choice.Resident {
-		choice.Scope, choice.Status = scopeAt(e, st, r.Key), st
-		choice.CachedTokens = c.prefixes.cachedTokens(r.Now, e.Runtime, r.Prefix, prompt.in(choice.Scope))
-		if settled(st, r) {
-			from = sources.find(choice.Scope, choice.CachedTokens)
-		}
-	} else {
-		cost += c.loadCost(r, e, st)
-		if e.Runtime.Limited() {
-			cost += limitedLoadPenalty
-		}
-		from = sources.findNewest(e, weightsAt(st, r.Key.Model))
-	}
-	if from != nil {
-		choice.Source, choice.SourceScope, choice.CachedTokens = from.endpoint, from.scope, from.tokens
-		cost += w.PrefixFetchTime
-	}
-	cost += slowed(c.PromptTime(r.PromptTokens-choice.CachedTokens), pace)
-	cost += time.Duration(rank) * w.RankPenalty
-	cost += time.Duration(e.Runtime.Failures(r.Now) * float64(w.FailurePenalty))
-	cost += e.WarmupRemaining
-	if e.Zone != r.Zone {
-		cost += w.RemoteZonePenalty
-	}
-	if st != nil {
-		choice.StatusAge = r.Now.Sub(st.ReceivedAt)
-		if choice.StatusAge > lateStatusAge {
-			cost += w.LateReportPenalty
-		}
-		cost += time.Duration(max(st.InFlight+st.Queued-e.Slots, 0)) * overCapacityPenalty
-	}
-	choice.Cost = cost
-	return choice
-}
-
-// holds reports whether the server has the adapter, or the base model if no adapter
-// is requested, loaded in a version that may serve the request.
-func holds(st *fleet.Status, r *Request) bool {
-	if st == nil || slices.Contains(r.Outdated, st) {
-		return false
-	}
-	if r.Key.Name == "" {
-		_, ok := st.Models[r.Key.Model]
-		return ok
-	}
-	version, ok := st.Residents[r.Key]
-	return ok && version >= r.Version
-}
-
-// backlogAhead returns the number of prompt tokens that a server processes before
-// those of the request. For each priority class it uses the larger of the last
-// reported sum over all entries and this entry's own count. A less urgent prompt that
-// is being processed is interrupted only at the end of a chunk.
-func backlogAhead(r *Request, st *fleet.Status, e *fleet.Endpoint) int64 {
-	all := e.Runtime.OwnBacklog()
-	if st != nil {
-		for i, tokens := range st.Backlog {
-			all[i] = max(all[i], tokens)
-		}
-	}
-	urgent := all.Ahead(r.Priority)
-	rest := all.Ahead(fleet.PriorityClasses-1) - urgent
-	return urgent + min(rest, chunkTokens)
-}
-
-// loadCost estimates the time until the server has loaded the adapter, plus
-// penalties.
-func (c *Chooser) loadCost(r *Request, e *fleet.Endpoint, st *fleet.Status) time.Duration {
-	w := &c.weights
-	if st == nil || r.Now.Sub(st.ReceivedAt) > staleStatusAge {
-		return noRoomPenalty
-	}
-	fetch := st.LoadTime
-	if fetch == 0 {
-		fetch = w.Load
-	}
-	if version, ok := st.Loading[r.Key]; ok && version >= r.Version {
-		return fetch / 2
-	}
-	if _, old := st.Residents[r.Key]; old {
-		return fetch + oldVersionPenalty
-	}
-	wanted := max(st.PendingLoads, int(e.Runtime.Waiting.Load()))
-	room := st.Free + st.Evictable - wanted
-	if room <= 0 {
-		return noRoomPenalty + time.Duration(-room)*w.QueuedLoadPenalty
-	}
-	cost := w.WarmLoad
-	if !e.Runtime.HeldRecently(r.Key, r.Version) {
-		cost = fetch + w.StorePenalty
-	}
-	ahead := len(st.Loading) + wanted
-	cost += fetch * time.Duration(ahead) / time.Duration(max(st.LoadLimit, 1))
-	if st.Free > wanted {
-		return cost
-	}
-	return cost + w.EvictionPenalty + w.ContentionPenalty/time.Duration(room)
-}
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -13,7 +13,6 @@
 	"github.com/fescuecourse/fescuecourse/pkg/pace"
 	"github.com/fescuecourse/fescuecourse/pkg/quota"
 	"github.com/fescuecourse/fescuecourse/pkg/ratelimit"
-	"github.com/fescuecourse/fescuecourse/pkg/residency"
 )
 
 const (
@@ -47,7 +46,7 @@
 	state       *fescuev1.ServerState
 	compact     *fescuev1.ServerState // state without its models and adapters
 	holdingsKey string                // holdingsKeyOf(state)
-	backlog     uint64                // sum of state.BacklogTokens
+	backlog     uint64                // workTokens(state)
 	// queriedIDs are the ids, other than queriedInstance, that entries have named
 	// and that have led to a query of the server's id. The set is cleared when the
 	// server's id changes.
@@ -81,6 +80,9 @@
 	// position is the position in the log of prompt parts of the next part to send to
 	// the entry.
 	position int
+	// covered is the number of the last update of the entry that the sums of the published
+	// state include.
+	covered uint64
 }
 
 func newHub(wake chan struct{}) *hub {
@@ -149,27 +151,19 @@
 // announceBacklog publishes the backlog to all entries if it differs from the
 // published one by at least urgentBacklogChange. The caller holds mu.
 func (h *hub) announceBacklog() {
-	sum := h.sumBacklog()
-	if h.state == nil || absDiff(totalTokens(sum), h.backlog) < urgentBacklogChange {
+	if h.state == nil || absDiff(h.workTokens(time.Now()), h.backlog) < urgentBacklogChange {
 		return
 	}
 	m, ok := proto.Clone(h.state).(*fescuev1.ServerState)
 	if !ok {
 		return // not reached: a clone has the type of its original
 	}
-	m.BacklogTokens = sum
-	h.state, h.compact, h.backlog = m, withoutHoldings(m), totalTokens(sum)
+	h.setSums(m)
+	h.cover()
+	h.state, h.compact, h.backlog = m, withoutHoldings(m), workTokens(m)
 	h.notifyAll()
 }
 
-func totalTokens(tokens []uint64) uint64 {
-	sum := uint64(0)
-	for _, n := range tokens {
-		sum += n
-	}
-	return sum
-}
-
 func absDiff(a, b uint64) uint64 { return max(a, b) - min(a, b) }
 
 // notifyAll wakes the senders of all entries. The caller holds mu.
@@ -193,13 +187,13 @@
 		at   time.Time
 	)
 	for {
-		state, now := h.current(), time.Now()
+		state, now := h.currentFor(p), time.Now()
 		if state.message != nil && due(&state, &last, now.Sub(at)) {
 			message := state.message
 			if state.holdingsKey == last.holdingsKey {
 				message = h.compactUpdate(p, state)
 			}
-			if err := stream.Send(message); err != nil {
+			if err := stream.Send(covering(message, state.covered)); err != nil {
 				return err //nolint:wrapcheck // a status of the stream
 			}
 			last, at = state, now
@@ -267,11 +261,27 @@
 	compact     *fescuev1.ServerState
 	holdingsKey string
 	backlog     uint64
+	// covered is that of the entry to which the state is sent.
+	covered uint64
+}
+
+// currentFor returns the published state for an entry.
+func (h *hub) currentFor(p *peer) publishedState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	state := h.published()
+	state.covered = p.covered
+	return state
 }
 
 func (h *hub) current() publishedState {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.published()
+}
+
+// published returns the published state. The caller holds mu.
+func (h *hub) published() publishedState {
 	return publishedState{message: h.state, compact: h.compact, holdingsKey: h.holdingsKey, backlog: h.backlog}
 }
 
@@ -280,7 +290,7 @@
 func (h *hub) publish(m *fescuev1.ServerState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	m.BacklogTokens = h.sumBacklog()
+	h.setSums(m)
 	m.Entries = uint32(len(h.entries))
 	m.OperatorRevision = h.operator.latest()
 	m.LimitPerSecond, m.Limited = h.limits.Limit(time.Now(), m.GetInstanceId())
@@ -296,38 +306,13 @@
 	if !changed && h.state != nil && sameUtilization(h.state, m) {
 		return
 	}
-	h.state, h.compact, h.holdingsKey, h.backlog = m, withoutHoldings(m), holdingsKey, totalTokens(m.GetBacklogTokens())
+	h.cover()
+	h.state, h.compact, h.holdingsKey, h.backlog = m, withoutHoldings(m), holdingsKey, workTokens(m)
 	if changed {
 		h.notifyAll()
 	}
 }
 
-// sumBacklog returns the backlog of all entries in tokens, by priority class. The
-// caller holds mu.
-func (h *hub) sumBacklog() []uint64 {
-	sum := make([]uint64, fleet.PriorityClasses)
-	for p := range h.entries {
-		for i, tokens := range p.update.GetBacklogTokens() {
-			sum[fleet.PriorityClass(i)] += tokens
-		}
-	}
-	return sum
-}
-
-// hasWaitingRequests reports whether any request waits for a load.
-func (h *hub) hasWaitingRequests() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for p := range h.entries {
-		for _, a := range p.update.GetAdapters() {
-			if a.GetWaiting() > 0 {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // namesOtherInstance reports whether an entry names an instance other than the given
 // one. Either the server has restarted, or the entry still lists an earlier lifetime
 // of it. Each id is reported once per lifetime, so that it causes a single query of
@@ -348,76 +333,3 @@
 	}
 	return found
 }
-
-// demand returns the demand of all entries by adapter and passes new arrivals to the
-// planner.
-func (h *hub) demand(now time.Time, planner *residency.Planner) map[fleet.AdapterKey]residency.Demand {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	out := map[fleet.AdapterKey]residency.Demand{}
-	for p := range h.entries {
-		for k, n := range p.arrivals {
-			planner.Arrived(now, k, n)
-		}
-		clear(p.arrivals)
-		age := now.Sub(p.updatedAt)
-		for _, a := range p.update.GetAdapters() {
-			k := adapterKey(a)
-			out[k] = addDemand(out[k], a, age)
-		}
-	}
-	return out
-}
-
-// staleUpdateAge is the age of an entry's update from which its number of loads no
-// longer counts. Entries send an update at least every second; one that is frozen would
-// otherwise hold the loads of the server back.
-const staleUpdateAge = 2500 * time.Millisecond
-
-// loadsElsewhere returns the number of adapters that the other servers are loading. An
-// entry that is cut off from some servers knows of fewer, so the highest number counts.
-func (h *hub) loadsElsewhere(now time.Time) int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	most := uint32(0)
-	for p := range h.entries {
-		if now.Sub(p.updatedAt) < staleUpdateAge {
-			most = max(most, p.update.GetLoadsElsewhere())
-		}
-	}
-	return int(most)
-}
-
-// reloadModel returns the base model that all connected entries agree the server may
-// reload, or an empty string. Entries without a recent update are left out: they are
-// frozen or cut off, and send no requests.
-func (h *hub) reloadModel(now time.Time) string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	agreed := ""
-	for p := range h.entries {
-		if p.update != nil && now.Sub(p.updatedAt) >= staleUpdateAge {
-			continue
-		}
-		model := p.update.GetReloadModel()
-		if model == "" || agreed != "" && model != agreed {
-			return ""
-		}
-		agreed = model
-	}
-	return agreed
-}
-
-// addDemand adds the demand of one entry, reported the given time ago.
-func addDemand(d residency.Demand, a *fescuev1.AdapterDemand, age time.Duration) residency.Demand {
-	d.InFlight += int(a.GetInFlight())
-	d.Waiting += int(a.GetWaiting())
-	d.Version = max(d.Version, int(a.GetVersion()))
-	if a.GetWaiting() > 0 {
-		d.Waited = max(d.Waited, time.Duration(a.GetWaitedMs())*time.Millisecond+age)
-	}
-	for _, ms := range a.GetSlackMs() {
-		d.Slacks = append(d.Slacks, time.Duration(ms)*time.Millisecond-age)
-	}
-	return d
-}
