gateway: the closing log line of a request names its longest gap

Cause: on deployments with a longest permitted gap between events, a stream that pauses longer than that is as late as one whose first event is, but no log shows it.

Change: the closing line of each request has longest_gap_ms.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -79,6 +79,10 @@
 	// firstByte is the time from started to the start of the response, or 0 before it.
 	firstByte   time.Duration
 	lastEventID string
+	// lastEvent is when the last event of a stream was sent to the caller, and longestGap the
+	// longest time between two of them.
+	lastEvent  time.Time
+	longestGap time.Duration
 	// cause is why the request ended before its response was complete.
 	cause endcause.Cause
 }
@@ -95,6 +99,16 @@
 	return x.deadline
 }
 
+// eventSent records that an event of a stream was sent to the caller.
+func (x *exchange) eventSent() {
+	now := time.Now()
+	if !x.lastEvent.IsZero() {
+		x.longestGap = max(x.longestGap, now.Sub(x.lastEvent))
+	}
+	x.lastEvent = now
+	x.stall.eventSent()
+}
+
 // avoid keeps further attempts away from the endpoint of a failed attempt: until its next
 // status report if only the last one was outdated, else for the rest of the request.
 func (x *exchange) avoid(e *fleet.Endpoint) {
@@ -220,6 +234,7 @@
 		Str("outcome", outcome.String()).
 		Dur("took_ms", time.Since(x.started)).
 		Dur("first_byte_ms", x.firstByte).
+		Dur("longest_gap_ms", x.longestGap).
 		Int("sends", x.sends).
 		Int("ran_weights", x.weightsVersion).
 		Str("framing", x.framing.String()).
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -65,7 +65,7 @@
 		return err
 	}
 	s.relayed = true
-	s.x.stall.eventSent()
+	s.x.eventSent()
 	s.buffered = append(s.buffered[:0], s.buffered[n:]...)
 	return nil
 }
