sidecar, locality: reports of idle servers cover the latest updates

Cause: found in review. A state with unchanged sums was not published, and the number of the covered update stayed with it. After 32 updates entries no longer keep the one that it names, so that the others' work at an idle server was unknown until some figure changed.

Change: the covered update advances with equal sums too. The change of a backlog that is reported at once is one constant for the sidecar and for the choice.

--- a/pkg/fleet/work.go
+++ b/pkg/fleet/work.go
@@ -6,6 +6,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// UrgentBacklogChange is the change of a server's backlog, in prompt tokens, from which its
+// sidecar reports it at once. It is about 100 ms of work for a server. With a delay, other
+// entries would choose the same server in the meantime.
+const UrgentBacklogChange = 4000
+
 // Hash returns a hash that identifies the adapter in messages between processes.
 func (k AdapterKey) Hash() uint64 { return xxhash.Sum64String(k.Model + "/" + k.Name) }
 
--- a/pkg/locality/cost.go
+++ b/pkg/locality/cost.go
@@ -85,7 +85,8 @@
 // pausePenalty returns the time by which a server reads prompts without pause for longer than
 // its running streams tolerate, with the prompt of the request. A server that reads a piece of
 // a prompt in each step of its batch produces the tokens of its streams that much more slowly,
-// however urgent they are. Requests of one service have similar permitted gaps.
+// however urgent they are. The gap that the
+// request permits stands for those of the running streams, which are not known.
 func (c *Chooser) pausePenalty(r *Request, e *fleet.Endpoint, choice *Choice, st *fleet.Status) time.Duration {
 	if !shared(st) || st.InFlight == 0 || r.MaxEventGap == 0 {
 		return 0
@@ -113,15 +114,11 @@
 	return ahead(all, r.Priority)
 }
 
-// unreportedTokens is the change of a backlog that a sidecar reports at once. Until it does, the
-// backlog has changed by less.
-const unreportedTokens = 4000
-
 // processedTokens returns the number of prompt tokens that a server may have processed since a
-// report of the given age without a further report.
+// report of the given age without a further report, which a larger change would have caused.
 func (c *Chooser) processedTokens(age time.Duration, slowdown float64) int64 {
 	processed := max(age, 0).Seconds() * 1000 * c.weights.TokensPerMS / slowdown
-	return min(int64(processed), unreportedTokens)
+	return min(int64(processed), fleet.UrgentBacklogChange)
 }
 
 // processed returns a backlog after the given number of tokens have been processed, the most
--- a/pkg/locality/simentry_test.go
+++ b/pkg/locality/simentry_test.go
@@ -39,9 +39,6 @@
 	return []*fleet.Runtime{r.server.endpoint.Runtime, r.entry}
 }
 
-// urgentChange is the change of a backlog that servers report at once.
-const urgentChange = 4000
-
 // reportDue reports whether a server sends its state now.
 func (s *sim) reportDue(v *simServer) bool {
 	st := v.endpoint.Runtime.Status()
@@ -49,7 +46,7 @@
 		return true
 	}
 	change := v.endpoint.Runtime.OwnBacklog().Total() - st.Backlog.Total()
-	return s.l.urgentReports && max(change, -change) >= urgentChange
+	return s.l.urgentReports && max(change, -change) >= fleet.UrgentBacklogChange
 }
 
 // report sends the state of a server to all entries.
--- a/pkg/sidecar/herd_test.go
+++ b/pkg/sidecar/herd_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 )
 
 // Parameters of the simulation: the entries of a large deployment send long prompts
@@ -173,8 +174,8 @@
 		assert.Assert(t, !due(&publishedState{message: m, backlog: 10_000}, &first, utilizationInterval-1), name)
 		assert.Assert(t, due(&publishedState{message: m, backlog: 10_000}, &first, utilizationInterval), name)
 	}
-	small := publishedState{message: &fescuev1.ServerState{InFlight: 5}, backlog: 10_000 + urgentBacklogChange - 1}
-	large := publishedState{message: &fescuev1.ServerState{}, backlog: 10_000 - urgentBacklogChange}
+	small := publishedState{message: &fescuev1.ServerState{InFlight: 5}, backlog: 10_000 + fleet.UrgentBacklogChange - 1}
+	large := publishedState{message: &fescuev1.ServerState{}, backlog: 10_000 - fleet.UrgentBacklogChange}
 	assert.Assert(t, !due(&small, &first, utilizationInterval-1))
 	assert.Assert(t, due(&small, &first, utilizationInterval))
 	assert.Assert(t, due(&large, &first, 0))
--- a/pkg/sidecar/hub.go
+++ b/pkg/sidecar/hub.go
@@ -28,10 +28,6 @@
 	notableRequestsChange = 8
 	// heartbeatInterval is the interval at which an unchanged state is sent again.
 	heartbeatInterval = 500 * time.Millisecond
-	// urgentBacklogChange is the change of the backlog, in prompt tokens, from which
-	// it is sent at once. It is about 100 ms of work for a server. With a delay, other
-	// entries would choose the same server in the meantime.
-	urgentBacklogChange = 4000
 )
 
 // hub implements the gRPC service for entries: it collects their demand and sends
@@ -149,9 +145,9 @@
 }
 
 // announceBacklog publishes the backlog to all entries if it differs from the
-// published one by at least urgentBacklogChange. The caller holds mu.
+// published one by at least fleet.UrgentBacklogChange. The caller holds mu.
 func (h *hub) announceBacklog() {
-	if h.state == nil || absDiff(h.workTokens(time.Now()), h.backlog) < urgentBacklogChange {
+	if h.state == nil || absDiff(h.workTokens(time.Now()), h.backlog) < fleet.UrgentBacklogChange {
 		return
 	}
 	m, ok := proto.Clone(h.state).(*fescuev1.ServerState)
@@ -217,7 +213,7 @@
 		return true
 	case state.message == last.message:
 		return false
-	case absDiff(state.backlog, last.backlog) >= urgentBacklogChange:
+	case absDiff(state.backlog, last.backlog) >= fleet.UrgentBacklogChange:
 		return true
 	default:
 		return since >= utilizationInterval && notable(state, last)
@@ -303,10 +299,10 @@
 	m.SlowdownPercent = uint32(100 * h.pace.Slowdown(time.Now()))
 	holdingsKey := holdingsKeyOf(m)
 	changed := holdingsKey != h.holdingsKey
+	h.cover() // also if the sums are the same, because entries keep only their last updates
 	if !changed && h.state != nil && sameUtilization(h.state, m) {
 		return
 	}
-	h.cover()
 	h.state, h.compact, h.holdingsKey, h.backlog = m, withoutHoldings(m), holdingsKey, workTokens(m)
 	if changed {
 		h.notifyAll()
