quota: refusals ahead of use and very low rates do not move the Retry-After

Cause: found in review. A keeper counted a denied request ahead of use among the callers that return, and a rate close to zero overflowed the time until its credit is there. Answers for a higher rate counted after the rate was lowered with the same burst.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -14,7 +14,7 @@
 	// aheadRequests is the number of requests per second from which credit is asked for ahead of
 	// use. With fewer, most of it would not be used before the lease expires.
 	aheadRequests = 0.5
-	// refillPause is the time without such a request after a keeper had too little for it.
+	// refillPause is how long no credit is asked for ahead of use after a keeper had too little.
 	refillPause = time.Second
 	// jointShare is the part of a keeper's burst up to which the costs of several waiting
 	// requests are asked for together.
--- a/pkg/quota/asking.go
+++ b/pkg/quota/asking.go
@@ -12,9 +12,10 @@
 	return max(perSecond*aheadTime.Seconds(), perSecond/requests)
 }
 
-// Next returns the request for the credit that waiting requests need, whose costs are given, to
-// a keeper that has not been tried. It asks for several of them at once, but only for the
-// first if that was denied. It reports false if there is none or if the local credit is enough for the first.
+// Next returns a request to a keeper that is not in tried, for the credit that the waiting
+// requests with the given costs need. It asks for several of them together, or for the first
+// alone if the keeper has denied the sum. It reports false if the local credit is enough for the
+// first, or no keeper is left.
 func (a *Account) Next(now time.Time, costs []float64, tried map[string]bool) (Ask, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -99,7 +100,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.answered(q)
-	if s == nil || q.Demand.Limit.Version < a.part.Version && q.Demand.Limit.Burst > a.part.Burst {
+	if s == nil || q.Demand.Limit.Version < a.part.Version && (q.Demand.Limit.Burst > a.part.Burst || q.Demand.Limit.PerSecond > a.part.PerSecond) {
 		return // of a keeper or of a quota that is no longer in force
 	}
 	s.silentUntil, s.spentPerSecond = time.Time{}, g.SpentPerSecond
--- a/pkg/quota/keeper.go
+++ b/pkg/quota/keeper.go
@@ -131,6 +131,9 @@
 // grant takes credit from the bucket and records the lease.
 func (a *allotment) grant(now time.Time, d *Demand) Grant {
 	available, reserve := a.bucket.Tokens(), reserveShare*a.limit.Burst
+	if d.Needed <= 0 && available <= 0 {
+		return Grant{SpentPerSecond: a.spent.perSecond(now)} // no caller waits for this credit
+	}
 	if required := min(d.Needed, largeShare*a.limit.Burst); available < required || available <= 0 {
 		return Grant{RetryAfter: a.promise(now, required-available, d.Lifetime), SpentPerSecond: a.spent.perSecond(now)}
 	}
@@ -157,8 +160,11 @@
 	if a.promisedAt.Before(now) {
 		a.promisedAt = now
 	}
-	wait := time.Duration(missing / a.limit.PerSecond * float64(time.Second))
-	a.promisedAt = a.promisedAt.Add(min(wait, most))
+	wait := most
+	if seconds := missing / a.limit.PerSecond; seconds < most.Seconds() {
+		wait = time.Duration(seconds * float64(time.Second))
+	}
+	a.promisedAt = a.promisedAt.Add(wait)
 	if latest := now.Add(most); a.promisedAt.After(latest) {
 		a.promisedAt = latest
 	}
--- a/pkg/quota/refusal.go
+++ b/pkg/quota/refusal.go
@@ -31,9 +31,9 @@
 	Denied, Silent int
 }
 
-// Refuse decides on a request for which the local credit is too small although the keepers
-// were asked. While none of them answers, the request is admitted as long as the entry has spent less
-// than its recent use in trustTime.
+// Refuse decides on a request for which neither the local credit nor the keepers' is enough. If
+// no keeper answers, it admits requests up to the entry's use in trustTime before the last
+// answer.
 func (a *Account) Refuse(now time.Time, cost float64) (r Refusal, admitted bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
