gateway, mirror: unconfirmed reports of the operator's items end with their link

Cause: found in review. A report that no sidecar could confirm any more, because its link had ended, kept wrong keys at 503; items of another era that were ignored still marked their keys as read in a list that was under way; a waiting prompt that is cached whole could count negative.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -127,7 +127,7 @@
 			return notRun("the loads ahead take longer than the caller waits", retryAfter)
 		}
 		changed := choice.Endpoint.Runtime.Changed()
-		if w.move(f.g.control.demandOf(choice.Endpoint), choice.Endpoint, x.call.Key, x.version, int64(x.call.PromptTokens-choice.CachedTokens)) {
+		if w.move(f.g.control.demandOf(choice.Endpoint), choice.Endpoint, x.call.Key, x.version, int64(max(x.call.PromptTokens-choice.CachedTokens, 0))) {
 			f.waiting(x, &choice)
 		}
 		if !waitChange(ctx, changed) {
--- a/pkg/gateway/operatorrelay.go
+++ b/pkg/gateway/operatorrelay.go
@@ -150,10 +150,12 @@
 	r.reported, r.source = 0, nil
 }
 
+// stopped ends catching up. Reports that are still unconfirmed are dropped; the next ones start
+// it again.
 func (r *operatorRelay) stopped() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.running = false
+	r.running, r.reported, r.source = false, 0, nil
 }
 
 // lacking returns the revision of the entry, the link to the sidecar that has reported the
--- a/pkg/gateway/originanswer.go
+++ b/pkg/gateway/originanswer.go
@@ -74,9 +74,9 @@
 }
 
 // onlyVersion returns the software version at which a stream of unknown origin must have
-// begun, if there is only one and all are known that served within the given time, in which
-// the stream began. No record and no other version mean nothing at processes that have just
-// started.
+// begun. There is one if only one version is known, and all versions that served within the
+// given time, in which the stream began, are known. A process that has just started knows
+// neither origins nor versions, so that it cannot tell.
 func (a *originAnswer) onlyVersion(within time.Duration) (string, bool) {
 	version, ok := a.singleVersion()
 	return version, ok && a.knownFor >= within
@@ -89,8 +89,9 @@
 	return !a.found && single && a.knownFor < within && a.settlesIn > 0
 }
 
-// streamAge returns how long ago a stream of a route that is resumed may have begun. Callers
-// wait as long for a whole response. A shorter limit of the route may be new.
+// streamAge returns how long ago a stream that is resumed may have begun: the time limit of its
+// route, and at least the default one, because the configuration may have shortened the limit
+// since.
 func streamAge(r *route.Route) time.Duration {
 	return min(max(r.Timeout, defaultTimeLimit), origin.Retention)
 }
--- a/pkg/gateway/ready.go
+++ b/pkg/gateway/ready.go
@@ -117,12 +117,12 @@
 	// startGrace is how long a new entry waits for the first status reports of the model
 	// servers before it reports ready without them.
 	startGrace = 4 * time.Second
-	// wholeShare is the part of the model servers whose reports are as good as all: of ten
-	// requests for an adapter in one place, one at most causes a load that is not needed.
-	wholeShare = 0.9
-	// partialShare is the part that is enough after reportTime, when the rest is likely to be
-	// down: those that have reported get at most twice their load.
-	partialShare = 0.5
+	// promptShare is the part of the model servers that must have reported at first. For an
+	// adapter that one server holds, at most one request in ten then causes a needless load.
+	promptShare = 0.9
+	// graceShare is the part that suffices after reportTime: the others are probably down, and
+	// those that have reported get at most twice their load.
+	graceShare = 0.5
 )
 
 // statesKnown reports whether enough model servers of each service have reported.
@@ -153,9 +153,9 @@
 			reported++
 		}
 	}
-	share := wholeShare
+	share := promptShare
 	if waited >= reportTime {
-		share = partialShare
+		share = graceShare
 	}
 	return float64(reported) >= share*float64(all)
 }
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -81,8 +81,10 @@
 	case p := <-c.pages():
 		return c.onPage(p)
 	case s := <-c.supplied:
-		for i := range s.pairs {
-			c.reading.onPut(s.pairs[i].Key)
+		if s.era == c.era {
+			for i := range s.pairs {
+				c.reading.onPut(s.pairs[i].Key)
+			}
 		}
 		c.applySupply(s)
 		return true
