--- a/pkg/configcheck/bundle.go
+++ b/pkg/configcheck/bundle.go
@@ -7,9 +7,6 @@
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
 )
 
-// minReviewers is the number of reviewers who have to sign a bundle.
-const minReviewers = 2
-
 // Bundle checks the text of a bundle. against is the text in force, or empty if there is
 // none to compare with.
 func Bundle(file, text, against string) *Report {
@@ -42,8 +39,8 @@
 			r.checkRule(file, b, sections, s)
 		}
 	}
-	if reviewers > 0 && reviewers < minReviewers {
-		r.addf(Contradiction, file, 0, "%d reviewer is defined, but the next version needs the signatures of %d", reviewers, minReviewers)
+	if reviewers > 0 && reviewers < bundle.RequiredReviewers {
+		r.addf(Contradiction, file, 0, "%d reviewer is defined, but the next version needs the signatures of %d", reviewers, bundle.RequiredReviewers)
 	}
 }
 
--- a/pkg/configcheck/compare.go
+++ b/pkg/configcheck/compare.go
@@ -8,7 +8,8 @@
 	"github.com/fescuecourse/fescuecourse/pkg/route"
 )
 
-// compareRoutes records what differs from the configuration in force.
+// compareRoutes records what differs from the configuration in force in routes, services and
+// teams. Engines and limits of connections are not compared.
 func (r *Report) compareRoutes(older, newer *route.Config) {
 	compareItems(r, "route", older.Routes, newer.Routes, func(x *route.Route) string { return x.Name }, r.compareRoute)
 	compareItems(r, "service", older.Services, newer.Services, func(x *route.Service) string { return x.Name }, r.compareService)
@@ -92,6 +93,10 @@
 		r.Changes = append(r.Changes, Change{Effect: Refuses, Item: "teams", What: "added: requests need an API key"})
 		return
 	}
+	if len(older.Teams) > 0 && len(newer.Teams) == 0 {
+		r.Changes = append(r.Changes, Change{Effect: Accepts, Item: "teams", What: "removed: requests need no API key"})
+		return
+	}
 	compareItems(r, "team", older.Teams, newer.Teams, func(x *route.Team) string { return string(x.Name) }, r.compareTeam)
 }
 
--- a/pkg/configcheck/routes.go
+++ b/pkg/configcheck/routes.go
@@ -154,8 +154,9 @@
 			continue
 		}
 		room := s.Engine.WeightMB - m.WeightMB
-		if need := m.AdapterMB * float64(s.Engine.MaxAdapters); m.Adapters > 0 && need > room {
-			t.addf(Contradiction, "service %q: %d adapters of model %q need %g MB, but its weights leave %g MB", s.Name, s.Engine.MaxAdapters, m.Name, need, room)
+		most := min(m.Adapters, s.Engine.MaxAdapters)
+		if need := m.AdapterMB * float64(most); need > room {
+			t.addf(Contradiction, "service %q: %d adapters of model %q need %g MB, but its weights leave %g MB", s.Name, most, m.Name, need, room)
 		}
 	}
 }
--- a/pkg/configcheck/routes_test.go
+++ b/pkg/configcheck/routes_test.go
@@ -103,6 +103,14 @@
 	assert.Equal(t, strings.Join(Routes("c.json", newer, older).Lines(), "\n"), want)
 }
 
+// Guards against a report that requests are refused although they need no API key any more.
+func TestRemovingAllTeamsRefusesNothing(t *testing.T) {
+	newer := validConfig()
+	newer.Version, newer.Teams = 3, nil
+	want := "This change accepts requests that are refused now, or raises a limit:\n  teams removed: requests need no API key"
+	assert.Equal(t, strings.Join(Routes("c.json", newer, validConfig()).Lines(), "\n"), want)
+}
+
 // Guards against a configuration that every node would ignore because its version is not
 // higher than the one in force.
 func TestVersionMustRise(t *testing.T) {
