review: a stale order overfills a restarted server (LIMIT), case 3

Cause: an order that got no response may be carried out seconds later, and a server may start again under its id with `sequence` 0. All orders carry the same generation number, so only `expected` protects the new lifetime, and it matches as soon as `sequence` has the same value again.

Done: a script with six model servers; one order gets no response, its server crashes, starts again under its id and is filled again, and the order arrives 8 s after it was sent.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -9,6 +9,7 @@
 )
 
 var cases = map[string]func(*bed) (int, error){
+	"stale-order":    staleOrder,
 	"lost-origins":   lostOrigins,
 	"joined-streams": joinedStreams,
 }
