review: a new lifetime under the same id counts as the old software version (ORDER), case 4

Cause: an entry takes the states from the process beside a server for those of the lifetime in the store's item if the id is the same. The message has no `born`, so that a server that has started again under its id with newer software counts as one of the old version until the item arrives.

Done: a script with six model servers; the store turns three of five entries away, one server crashes and starts again under its id with v2, and the clients take its streams up again.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -12,6 +12,7 @@
 	"stale-order":    staleOrder,
 	"lost-origins":   lostOrigins,
 	"joined-streams": joinedStreams,
+	"in-place":       inPlace,
 }
 
 func main() {
@@ -28,7 +29,7 @@
 		fmt.Fprintln(os.Stderr, "no such case:", name)
 		return cannotRun
 	}
-	b, err := newBed(program, record, os.Getenv("TROUBLE") != "0")
+	b, err := newBed(program, record, os.Getenv("TROUBLE") != "0" && os.Getenv("TROUBLE") != "crash")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return cannotRun
--- a/review/_standin/server.go
+++ b/review/_standin/server.go
@@ -278,7 +278,7 @@
 	w.Header().Set("X-Fescuecourse-Instance-Id", s.id)
 	model, adapter, _ := strings.Cut(r.Header.Get("X-Fescuecourse-Model"), "/")
 	s.mu.Lock()
-	life := s.life
+	life, software := s.life, s.software
 	expect, version := r.Header.Get("X-Fescuecourse-Expect-Instance"), r.Header.Get("X-Fescuecourse-Expect-Version")
 	if expect != "" && expect != s.id || model != modelName || !s.model || adapter != "" && !s.adapters[adapter] || version != "" && version != "1" {
 		s.mu.Unlock()
@@ -310,7 +310,7 @@
 	if last := r.Header.Get("Last-Event-Id"); last != "" {
 		from, _ = strconv.Atoi(last)
 	}
-	s.b.note("server %s (%s): runs %s for %s, after event %d", s.id, s.software, id, adapter, from)
+	s.b.note("server %s (%s): runs %s for %s, after event %d", s.id, software, id, adapter, from)
 	w.Header().Set("X-Fescuecourse-Server-Stamp", s.id+".1")
 	w.Header().Set("X-Fescuecourse-Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -326,7 +326,7 @@
 			panic(http.ErrAbortHandler)
 		case <-time.After(s.gap):
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %d %s %s\n\n", i, i, s.software, s.id)
+		fmt.Fprintf(w, "id: %d\ndata: %d %s %s\n\n", i, i, software, s.id)
 		w.(http.Flusher).Flush()
 	}
 }
--- a/review/_standin/streams.go
+++ b/review/_standin/streams.go
@@ -84,10 +84,13 @@
 	if a.last == 0 {
 		return false, nil
 	}
+	t := &takenUp{first: a, last: a, joined: len(a.software) > 1}
 	if a.complete {
+		if t.joined {
+			return true, t
+		}
 		return true, nil
 	}
-	t := &takenUp{first: a, last: a}
 	software := a.software
 	last := a.last
 	for try := range tries {
