--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(*bed) (int, error){
 	"stale-order":    staleOrder,
 	"lost-origins":   lostOrigins,
+	"changed-path":   changedPath,
 	"joined-streams": joinedStreams,
 	"in-place":       inPlace,
 }
