review: case 3 waits until the adapter to be replaced is idle

In the one that was traced, the last adapter had been loaded but its stream not begun when the script took it for idle, so that no adapter could be unloaded for the rare one.

Done: the adapters are asked for one after the other, and the script waits a second after the last.

--- a/review/_standin/staleorder.go
+++ b/review/_standin/staleorder.go
@@ -61,18 +61,21 @@
 	for i := 1; i <= servers*maxAdapters; i++ {
 		name := fmt.Sprintf("a%d", i)
 		clients.Go(func() {
-			for n := 0; !ended.Load(); n++ {
+			for n := i; !ended.Load(); n++ {
 				if name == last && paused.Load() {
 					time.Sleep(50 * time.Millisecond)
 					continue
 				}
-				a := b.ask(f.entries[(i+n)%2].listen, name, 15*time.Second, 0, "", f.servers[0].events)
+				a := b.ask(f.entries[n%2].listen, name, 15*time.Second, 0, "", f.servers[0].events)
 				if !a.complete {
 					time.Sleep(max(a.retryAfter, 200*time.Millisecond))
 				}
 			}
 		})
-		time.Sleep(100 * time.Millisecond)
+		// One after the other, so that each adapter is loaded once.
+		for began := time.Now(); f.holders(name) == 0 && time.Since(began) < 3*time.Second; {
+			time.Sleep(20 * time.Millisecond)
+		}
 	}
 	defer func() {
 		ended.Store(true)
@@ -87,6 +90,7 @@
 		}
 	}
 	b.note("each server holds nine adapters")
+	time.Sleep(time.Second) // the stream of the last adapter begins
 	paused.Store(true)
 	for began := time.Now(); f.uses(last); time.Sleep(20 * time.Millisecond) {
 		if time.Since(began) > 10*time.Second {
@@ -143,6 +147,19 @@
 	return false
 }
 
+// holders returns the number of servers that hold an adapter.
+func (f *fleet) holders(adapter string) int {
+	n := 0
+	for _, s := range f.servers {
+		s.mu.Lock()
+		if s.adapters[adapter] {
+			n++
+		}
+		s.mu.Unlock()
+	}
+	return n
+}
+
 // uses reports whether a request runs for an adapter at any server.
 func (f *fleet) uses(adapter string) bool {
 	for _, s := range f.servers {
