gateway: a stream of unknown origin continues only where the store confirms the directory

Cause: an entry claimed to know all versions since its first list, also while the store turned it away; a sidecar kept the longest claim without an end, as its own; and the entry asked the sidecar in order not to rely on itself. On the log shows versions_known_for_ms=60000 from sidecars that had run for less than a second. The related paths are a sidecar that has run for long but that entries in step cannot reach, and an entry that stood still.

Change: claims are periods with two ends, from a list that can hide no change to the last answer of the store (mirror.Followed). A sidecar joins them and adds no time (origin.Period). Before a stream of unknown origin continues, the store confirms the directory with one shared read of its revision (mirror.Confirm); without it the request is refused, with Retry-After. Messages carry the period in a new field.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -52,10 +52,21 @@
 	relay *operatorRelay
 	// syncedAt is when the first list of the store was applied, or nil before that.
 	syncedAt atomic.Pointer[time.Time]
-	// mirror watches the key-value store. It is set before running is closed and must
-	// not be read earlier.
+	// mirror watches the key-value store.
 	mirror  *mirror.Mirror
 	running chan struct{}
+	// source is what the directory is read from: the mirror, except in tests.
+	source directorySource
+}
+
+// directorySource is a copy of the servers' items in the store.
+type directorySource interface {
+	// Followed returns the period of which the directory has seen all items, or false if there
+	// is none.
+	Followed() (since, until time.Time, ok bool)
+	// Confirm returns when the directory has all items that were written before the call, or
+	// fails if that cannot be known.
+	Confirm(ctx context.Context) error
 }
 
 func newControl(set *Settings, store kv.Store, catalog Catalog, prefixes *locality.PrefixIndex, share *retry.Share, log logging.Logger) (*control, error) {
@@ -79,6 +90,9 @@
 	}
 	c.relay = newOperatorRelay(set.WatchPause()+storeMargin, c.log)
 	c.relay.available, c.relay.supply = c.storeAvailable, c.supply
+	// Publish fails only once the bus has stopped.
+	c.mirror = mirror.New(store, catalog.Prefix(), func(ch []mirror.Change) { _ = c.changes.Publish(storeEvent{changes: ch}) }, c.log)
+	c.source = c.mirror
 	c.snapshot.Store(c.directory.Snapshot())
 	c.reloads.Store(&reloads{})
 	c.changes.Handle("directory", c.onChanges)
@@ -91,8 +105,6 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = c.bus.Run(ctx) }) // returns when ctx ends
 	<-c.bus.Running()
-	// Publish fails only once ctx has ended.
-	c.mirror = mirror.New(c.store, c.catalog.Prefix(), func(ch []mirror.Change) { _ = c.changes.Publish(storeEvent{changes: ch}) }, c.log)
 	close(c.running)
 	wg.Go(func() { c.mirror.Run(ctx) })
 	wg.Go(func() { c.runReloads(ctx) })
@@ -233,7 +245,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, reloads: &c.reloads, prefixes: c.prefixes, share: c.share, origins: newOriginLink(), software: &c.software, relay: c.relay, softwareKnownFor: c.softwareKnownFor, log: c.log, cancel: cancel}
+	l := &link{entry: c.set.ID, endpoint: e, target: target, demand: c.demandOf(e), loads: loadCount{total: c.serviceLoads(e.Service)}, reloads: &c.reloads, prefixes: c.prefixes, share: c.share, origins: newOriginLink(), software: &c.software, relay: c.relay, softwareKnown: c.softwareKnown, log: c.log, cancel: cancel}
 	c.links[e.Runtime] = l
 	c.originLinks.Store(e.Runtime, l.origins)
 	go l.run(ctx)
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -108,10 +108,11 @@
 	return fleet.NamedLimit{Named: err == nil, PerSecond: perSecond}
 }
 
-// fakeCatalog has no methods of its own and is never called: tests set the snapshot
-// themselves.
+// fakeCatalog decodes nothing: tests set the snapshot themselves.
 type fakeCatalog struct{ Catalog }
 
+func (fakeCatalog) Prefix() string { return "" }
+
 // testGateway is a gateway with fake servers on loopback addresses.
 type testGateway struct {
 	t         *testing.T
@@ -137,6 +138,7 @@
 	assert.NilError(t, err)
 	synced := time.Now().Add(-directorySettleTime)
 	g.control.syncedAt.Store(&synced)
+	g.control.source = currentSource{g.control}
 	w := &testGateway{t: t, gateway: g, directory: fleet.NewDirectory()}
 	w.directory.SetConfig(route.Config{Version: 1, Routes: routes, Services: []route.Service{
 		{Name: plainService},
@@ -220,10 +222,29 @@
 	asked atomic.Int32
 }
 
+// lastMinute is the period of which a process knows all software versions if it has been up
+// for long.
+func lastMinute(now time.Time) origin.Period {
+	return origin.Period{Since: now.Add(-origin.Retention), Until: now}
+}
+
+// currentSource is a source of the directory that is always current.
+type currentSource struct{ control *control }
+
+func (s currentSource) Followed() (since, until time.Time, ok bool) {
+	at := s.control.syncedAt.Load()
+	if at == nil {
+		return time.Time{}, time.Time{}, false
+	}
+	return *at, time.Now(), true
+}
+
+func (s currentSource) Confirm(context.Context) error { return nil }
+
 // newFakeSidecar returns a sidecar that has known all software versions for long.
 func newFakeSidecar() *fakeSidecar {
 	s := &fakeSidecar{registry: origin.NewRegistry(), divider: ratelimit.NewDivider(), keeper: quota.NewKeeper(time.Now())}
-	s.registry.VersionsKnown(time.Now(), origin.Retention)
+	s.registry.VersionsKnown(lastMinute(time.Now()))
 	return s
 }
 
@@ -276,7 +297,7 @@
 	now := time.Now()
 	o, found := s.registry.Find(now, origin.StreamID(q.GetStream()))
 	versions := s.registry.Versions(now, q.GetService())
-	return &fescuev1.FindOriginResponse{Found: found, Service: o.Service, SoftwareVersion: o.SoftwareVersion, ServiceVersions: versions, SoftwareKnownMs: uint32(s.registry.VersionsKnownFor(now).Milliseconds())}, nil
+	return &fescuev1.FindOriginResponse{Found: found, Service: o.Service, SoftwareVersion: o.SoftwareVersion, ServiceVersions: versions, SoftwareKnown: origin.EncodePeriod(now, s.registry.KnownPeriod())}, nil
 }
 
 // setResident makes a model server report the adapter as resident.
--- a/pkg/gateway/fleetlink_test.go
+++ b/pkg/gateway/fleetlink_test.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		known.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Models: map[string]int{adapterKey.Model: 1}, Residents: fleetAdapters()})
-		l := &link{entry: "e", endpoint: known, demand: e.gateway.control.demandOf(known), reloads: &e.gateway.control.reloads, origins: newOriginLink(), software: &e.gateway.control.software, softwareKnownFor: e.gateway.control.softwareKnownFor, log: logging.Nop()}
+		l := &link{entry: "e", endpoint: known, demand: e.gateway.control.demandOf(known), reloads: &e.gateway.control.reloads, origins: newOriginLink(), software: &e.gateway.control.software, softwareKnown: e.gateway.control.softwareKnown, log: logging.Nop()}
 		l.loads.total = e.gateway.control.serviceLoads(modelService)
 		e.gateway.control.originLinks.Store(known.Runtime, l.origins)
 		s.links.Go(func() { s.runLink(e, l, v) })
@@ -43,8 +43,8 @@
 // runLink keeps a link connected while its entry runs and the server has not left.
 func (s *fleetSim) runLink(e *fleetEntry, l *link, v *fleetServer) {
 	for e.ctx.Err() == nil && !v.hasLeft() {
-		if !s.isCutOff(v) {
-			conn := s.connect(v)
+		if !s.isCutOff(e, v) {
+			conn := s.connect(e, v)
 			l.origins.connected(conn)
 			ctx, cancel := context.WithCancel(e.ctx)
 			l.send(ctx, cancel, conn)
@@ -54,10 +54,10 @@
 	}
 }
 
-func (s *fleetSim) connect(v *fleetServer) *fleetConn {
+func (s *fleetSim) connect(e *fleetEntry, v *fleetServer) *fleetConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &fleetConn{sim: s, server: v, registry: v.registry}
+	return &fleetConn{sim: s, entry: e, server: v, registry: v.registry}
 }
 
 func (v *fleetServer) hasLeft() bool {
@@ -69,10 +69,11 @@
 	}
 }
 
-func (s *fleetSim) isCutOff(v *fleetServer) bool {
+// isCutOff reports whether an entry cannot reach the sidecar of a server.
+func (s *fleetSim) isCutOff(e *fleetEntry, v *fleetServer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return v.cutOff || v.hasLeft()
+	return v.cutOff || v.hiddenFrom[e] || v.hasLeft()
 }
 
 // fleetConn is the connection of an entry to a sidecar.
@@ -80,13 +81,14 @@
 	fescuev1.ResidencyClient
 	grpc.BidiStreamingClient[fescuev1.DemandUpdate, fescuev1.ServerState]
 	sim    *fleetSim
+	entry  *fleetEntry
 	server *fleetServer
 	// registry is that of the sidecar's process when the connection was opened.
 	registry *origin.Registry
 }
 
 func (c *fleetConn) Send(m *fescuev1.DemandUpdate) error {
-	if c.sim.isCutOff(c.server) {
+	if c.sim.isCutOff(c.entry, c.server) {
 		return errCutOff
 	}
 	c.sim.mu.Lock()
@@ -100,7 +102,7 @@
 			c.server.registry.Add(origin.Record{Stream: origin.StreamID(id), Origin: origin.Origin{Service: o.GetService(), SoftwareVersion: o.GetSoftwareVersion()}, At: time.Now()})
 		}
 	}
-	c.server.registry.VersionsKnown(time.Now(), time.Duration(m.GetSoftwareKnownMs())*time.Millisecond)
+	c.server.registry.VersionsKnown(origin.DecodePeriod(time.Now(), m.GetSoftwareKnown()))
 	return nil
 }
 
@@ -108,6 +110,6 @@
 	c.sim.mu.Lock()
 	sidecar := &fakeSidecar{registry: c.server.registry}
 	c.sim.mu.Unlock()
-	sidecar.unreachable.Store(c.sim.isCutOff(c.server))
+	sidecar.unreachable.Store(c.sim.isCutOff(c.entry, c.server))
 	return sidecar.FindOrigin(ctx, q, opts...)
 }
--- a/pkg/gateway/fleetsim_test.go
+++ b/pkg/gateway/fleetsim_test.go
@@ -53,6 +53,8 @@
 	gone chan struct{}
 	// cutOff is true while entries cannot reach the sidecar.
 	cutOff bool
+	// hiddenFrom has the entries that cannot reach the sidecar while others can.
+	hiddenFrom map[*fleetEntry]bool
 }
 
 // fleetEntry is an entry that runs the product's filters and links.
@@ -61,6 +63,10 @@
 	directory *fleet.Directory
 	ctx       context.Context
 	kill      context.CancelFunc
+	// pending are the times of the changes that the entry has not yet read from the store.
+	pending []time.Time
+	// away is true while the store turns the entry away.
+	away bool
 }
 
 // fleetSim is a fleet in virtual time. Events of its parts share mu.
@@ -106,7 +112,7 @@
 // addServer starts a server in the place of another one.
 func (s *fleetSim) addServer(place int, version string) *fleetServer {
 	s.next++
-	v := &fleetServer{registry: origin.NewRegistry(), gone: make(chan struct{})}
+	v := &fleetServer{registry: origin.NewRegistry(), gone: make(chan struct{}), hiddenFrom: map[*fleetEntry]bool{}}
 	v.item = fleet.Endpoint{
 		ID:              fleet.ID(fmt.Sprintf("i-%d", s.next)),
 		Service:         modelService,
@@ -136,6 +142,7 @@
 	e.gateway.control.show(e.directory.Snapshot())
 	synced := time.Now()
 	e.gateway.control.syncedAt.Store(&synced)
+	e.gateway.control.source = fleetSource{sim: s, entry: e}
 	return e
 }
 
@@ -150,8 +157,8 @@
 	versions := []string{"v1", "v2", "v3"}
 	v := s.addServer(place, versions[s.rng.IntN(len(versions))])
 	for _, e := range s.entries {
-		s.afterDelay(func() { s.addEndpoint(e, v) })
-		s.afterDelay(func() { s.removeEndpoint(e, old) })
+		s.change(e, func() { s.addEndpoint(e, v) })
+		s.change(e, func() { s.removeEndpoint(e, old) })
 	}
 }
 
--- a/pkg/gateway/link.go
+++ b/pkg/gateway/link.go
@@ -17,6 +17,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/grpcconn"
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/origin"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
 	"github.com/fescuecourse/fescuecourse/pkg/wait"
 )
@@ -51,10 +52,10 @@
 	origins  *originLink
 	software *atomic.Pointer[softwareList]
 	relay    *operatorRelay
-	// softwareKnownFor returns for how long the entry has known all software versions.
-	softwareKnownFor func(now time.Time) time.Duration
-	log              logging.Logger
-	cancel           context.CancelFunc
+	// softwareKnown returns the period of which the entry knows all software versions.
+	softwareKnown func() origin.Period
+	log           logging.Logger
+	cancel        context.CancelFunc
 	// conn is the connection of the current or the last stream. It stays open until the
 	// next stream, because questions for origins use it meanwhile.
 	conn *grpc.ClientConn
@@ -212,7 +213,7 @@
 		own := l.endpoint.Runtime.OwnWork()
 		m, changed := l.demand.update(now, l.endpoint.ID, own)
 		m.LoadsElsewhere = uint32(l.loads.elsewhere())
-		m.SoftwareKnownMs = uint32(l.softwareKnownFor(now).Milliseconds())
+		m.SoftwareKnown = origin.EncodePeriod(now, l.softwareKnown())
 		origins, next := l.origins.since(position)
 		software, announce := announced.next(now, l.software.Load())
 		m.ReloadModel = (*l.reloads.Load())[l.endpoint.ID]
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -20,7 +20,7 @@
 	// originTimeout limits the questions for the origin of a stream.
 	originTimeout = 200 * time.Millisecond
 	// retryAfterOrigin is the Retry-After value when the sidecars that may know the origin
-	// of a stream did not answer.
+	// of a stream, or the store, did not answer.
 	retryAfterOrigin = 300 * time.Millisecond
 	// continueMargin is the part of the caller's time that a wait for the directory leaves
 	// for the second lookup and for the next event.
@@ -100,19 +100,36 @@
 		}()
 	}
 	a.asked = len(candidates)
-	if a.asked == 0 && a.settlesIn == 0 {
-		a.knownFor = t.control.softwareKnownFor(now)
-	}
 	for range candidates {
 		if a.add(<-replies) {
 			break
 		}
 	}
-	slices.Sort(a.versions)
-	a.versions = slices.Compact(a.versions)
+	a.addVersions(nil)
 	return a
 }
 
+// confirm makes sure that an answer which leaves one software version lacks none that joined
+// before the request, by way of an entry that is lost or of one that this entry cannot reach.
+func (t *originTracker) confirm(ctx context.Context, x *exchange, a *originAnswer) {
+	if _, single := a.singleVersion(); a.found || !single {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.nextEventBy().Add(-continueMargin))
+	defer cancel()
+	now := time.Now()
+	if err := t.control.source.Confirm(ctx); err != nil {
+		t.log.Warn().Str("request", x.call.RequestID).Err(err).Msg("cannot confirm that the directory is current")
+		a.unconfirmed = true
+		return
+	}
+	a.addVersions(t.control.snapshot.Load().SoftwareVersions(now, x.service.Name))
+	own := t.control.softwareKnown()
+	own.Until = now // confirmed
+	a.known = append(a.known, own)
+	a.knownFor = origin.KnownFor(now, a.known)
+}
+
 // ask sends a question to the sidecar of one holder.
 func (t *originTracker) ask(ctx context.Context, e *fleet.Endpoint, q *fescuev1.FindOriginRequest) holderReply {
 	var client fescuev1.ResidencyClient
@@ -139,9 +156,9 @@
 		return next(ctx, x)
 	}
 	began := time.Now()
-	a := f.g.origins.find(ctx, x)
+	a := f.lookUp(ctx, x)
 	if a.needsDirectory(streamAge(x.route)) && f.awaitDirectory(ctx, x) {
-		a = f.g.origins.find(ctx, x)
+		a = f.lookUp(ctx, x)
 	}
 	fail := f.restrict(x, &a)
 	f.logAnswer(x, &a, time.Since(began), fail)
@@ -151,6 +168,14 @@
 	return next(ctx, x)
 }
 
+// lookUp finds out where the stream of a request began or, if that is not known, what the
+// versions are at which it may have begun.
+func (f originFilter) lookUp(ctx context.Context, x *exchange) originAnswer {
+	a := f.g.origins.find(ctx, x)
+	f.g.origins.confirm(ctx, x, &a)
+	return a
+}
+
 // awaitDirectory waits until the directory counts as complete. It reports false, without a
 // wait if possible, if the caller would be gone by then.
 func (f originFilter) awaitDirectory(ctx context.Context, x *exchange) bool {
@@ -174,6 +199,8 @@
 			return nil
 		case a.needsDirectory(within):
 			return notRun("the servers are not all known yet", a.settlesIn)
+		case a.unconfirmed:
+			return notRun("the servers cannot be listed now", retryAfterOrigin)
 		case a.answered < a.asked:
 			return notRun("the server that began the stream cannot be determined now", retryAfterOrigin)
 		default:
@@ -208,6 +235,7 @@
 		Int("holders_answered", a.answered).
 		Str("service_versions", strings.Join(a.versions, ",")).
 		Dur("versions_known_for_ms", a.knownFor).
+		Bool("unconfirmed", a.unconfirmed).
 		Dur("directory_settles_in_ms", a.settlesIn).
 		Bool("refused", fail != nil).
 		Dur("took_ms", took).
--- a/pkg/gateway/origin_bench_test.go
+++ b/pkg/gateway/origin_bench_test.go
@@ -109,7 +109,7 @@
 		defer conn.Close()
 		stream, err := fescuev1.NewResidencyClient(conn).Sync(ctx)
 		assert.NilError(b, err)
-		l := &link{endpoint: &fleet.Endpoint{Runtime: fleet.NewRuntime()}, demand: newDemand(), origins: newOriginLink(), software: &atomic.Pointer[softwareList]{}, softwareKnownFor: nothingKnown, reloads: noReloads(), log: logging.Nop()}
+		l := &link{endpoint: &fleet.Endpoint{Runtime: fleet.NewRuntime()}, demand: newDemand(), origins: newOriginLink(), software: &atomic.Pointer[softwareList]{}, softwareKnown: nothingKnown, reloads: noReloads(), log: logging.Nop()}
 		l.loads.total = &atomic.Int64{}
 		links[i] = l.origins
 		go l.send(ctx, cancel, countingStream{BidiStreamingClient: stream, sent: &sent})
@@ -144,5 +144,6 @@
 	return p
 }
 
-// nothingKnown is the time for which an entry that has just started knows the software versions.
-func nothingKnown(time.Time) time.Duration { return 0 }
+// nothingKnown is the period of which an entry that has just started knows the software
+// versions.
+func nothingKnown() origin.Period { return origin.Period{} }
--- a/pkg/gateway/origin_grpc_test.go
+++ b/pkg/gateway/origin_grpc_test.go
@@ -118,13 +118,13 @@
 type answeringServer struct{ discardServer }
 
 func (answeringServer) FindOrigin(context.Context, *fescuev1.FindOriginRequest) (*fescuev1.FindOriginResponse, error) {
-	return &fescuev1.FindOriginResponse{SoftwareKnownMs: uint32(origin.Retention.Milliseconds())}, nil
+	return &fescuev1.FindOriginResponse{SoftwareKnown: origin.EncodePeriod(time.Now(), lastMinute(time.Now()))}, nil
 }
 
 // runLink runs a link to the sidecar of a server at the given address until the test ends.
 func (w *testGateway) runLink(e *fleet.Endpoint, target string) {
 	ctx, cancel := context.WithCancel(w.t.Context())
-	l := &link{endpoint: e, target: target, demand: newDemand(), prefixes: w.gateway.prefixes, origins: newOriginLink(), software: &w.gateway.control.software, softwareKnownFor: nothingKnown, relay: w.gateway.control.relay, reloads: &w.gateway.control.reloads, log: logging.Nop()}
+	l := &link{endpoint: e, target: target, demand: newDemand(), prefixes: w.gateway.prefixes, origins: newOriginLink(), software: &w.gateway.control.software, softwareKnown: nothingKnown, relay: w.gateway.control.relay, reloads: &w.gateway.control.reloads, log: logging.Nop()}
 	l.loads.total = w.gateway.control.serviceLoads(modelService)
 	w.gateway.control.originLinks.Store(e.Runtime, l.origins)
 	done := make(chan struct{})
--- a/pkg/gateway/origin_settle_test.go
+++ b/pkg/gateway/origin_settle_test.go
@@ -70,7 +70,7 @@
 func TestNewEntryContinuesAtTheOnlyVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, e := newPartialFleet(t)
-		s.servers[fleetServers-1].registry.VersionsKnown(time.Now(), streamAge(&streamRoute))
+		s.servers[fleetServers-1].registry.VersionsKnown(origin.Period{Since: time.Now().Add(-streamAge(&streamRoute)), Until: time.Now()})
 		r := s.resume(e, time.Second)
 		assert.Assert(t, r.fail == nil, "%+v", r.fail)
 		assert.Equal(t, r.version, "v2")
--- a/pkg/gateway/originanswer.go
+++ b/pkg/gateway/originanswer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
@@ -20,11 +21,15 @@
 	// versions are the software versions at which the stream may have begun if the origin
 	// is not known: those of the service that servers run or streams began at recently.
 	versions []string
-	// knownFor is for how long versions is known to lack no version that served beside another
-	// one: the longest time that a sidecar names, or that of the entry in a fleet without
-	// sidecars. What the entry itself has seen is not enough beside sidecars, because it may
-	// learn late of a version at which another entry begins streams.
+	// known are the periods of which versions lacks no version that served beside another one:
+	// those that sidecars name, and that of which this entry has followed the list of servers.
+	known []origin.Period
+	// knownFor is for how long versions lacks none, up to the question. It is 0 unless the
+	// entry has confirmed that its directory is current: what a process knew before, be it
+	// this entry or one that told a sidecar, says nothing of the versions that joined since.
 	knownFor time.Duration
+	// unconfirmed is true if the entry tried that without success.
+	unconfirmed bool
 	// settlesIn is for how long the entry's directory may still be incomplete, so that
 	// versions lacks some and other servers are holders.
 	settlesIn time.Duration
@@ -43,7 +48,7 @@
 	}
 	a.answered++
 	a.versions = append(a.versions, r.message.GetServiceVersions()...)
-	a.knownFor = max(a.knownFor, time.Duration(r.message.GetSoftwareKnownMs())*time.Millisecond)
+	a.known = append(a.known, origin.DecodePeriod(time.Now(), r.message.GetSoftwareKnown()))
 	if !r.message.GetFound() {
 		return false
 	}
@@ -65,6 +70,13 @@
 	}
 }
 
+// addVersions adds software versions at which the stream may have begun.
+func (a *originAnswer) addVersions(versions []string) {
+	a.versions = append(a.versions, versions...)
+	slices.Sort(a.versions)
+	a.versions = slices.Compact(a.versions)
+}
+
 // singleVersion returns the only software version that is known, if there is one.
 func (a *originAnswer) singleVersion() (string, bool) {
 	if len(a.versions) != 1 {
--- a/pkg/gateway/originlink_test.go
+++ b/pkg/gateway/originlink_test.go
@@ -53,7 +53,7 @@
 func startSending(t *testing.T, d *demand, origins *originLink) *recordingStream {
 	t.Helper()
 	s := &recordingStream{began: time.Now()}
-	l := &link{endpoint: &fleet.Endpoint{Runtime: fleet.NewRuntime()}, demand: d, origins: origins, software: &atomic.Pointer[softwareList]{}, softwareKnownFor: nothingKnown, reloads: noReloads(), log: logging.Nop()}
+	l := &link{endpoint: &fleet.Endpoint{Runtime: fleet.NewRuntime()}, demand: d, origins: origins, software: &atomic.Pointer[softwareList]{}, softwareKnown: nothingKnown, reloads: noReloads(), log: logging.Nop()}
 	l.loads.total = &atomic.Int64{}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
--- a/pkg/gateway/software.go
+++ b/pkg/gateway/software.go
@@ -54,18 +54,17 @@
 	})
 }
 
-// softwareKnownFor returns for how long this entry has known the software versions of all
-// servers, at most origin.Retention.
-func (c *control) softwareKnownFor(now time.Time) time.Duration {
-	at := c.syncedAt.Load()
-	switch {
-	case at == nil:
-		return 0
-	case c.set.FirstStart:
-		return origin.Retention
-	default:
-		return min(now.Sub(*at), origin.Retention)
+// softwareKnown returns the period of which this entry knows the software versions of all
+// servers, because it has followed their list itself.
+func (c *control) softwareKnown() origin.Period {
+	since, until, ok := c.source.Followed()
+	if !ok {
+		return origin.Period{}
 	}
+	if at := c.syncedAt.Load(); c.set.FirstStart && at != nil && !since.After(*at) {
+		since = since.Add(-origin.Retention) // no stream has begun before
+	}
+	return origin.Period{Since: since, Until: until}
 }
 
 // announcement is what a connection to a sidecar has announced last.
--- a/pkg/gateway/software_test.go
+++ b/pkg/gateway/software_test.go
@@ -45,7 +45,7 @@
 			c.show(w.directory.Snapshot())
 		}
 		add("i-1", "v1")
-		l := &link{endpoint: &fleet.Endpoint{Runtime: fleet.NewRuntime()}, demand: newDemand(), origins: newOriginLink(), software: &c.software, softwareKnownFor: nothingKnown, reloads: &c.reloads, log: logging.Nop()}
+		l := &link{endpoint: &fleet.Endpoint{Runtime: fleet.NewRuntime()}, demand: newDemand(), origins: newOriginLink(), software: &c.software, softwareKnown: nothingKnown, reloads: &c.reloads, log: logging.Nop()}
 		l.loads.total = c.serviceLoads(modelService)
 		s := &recordedStream{began: time.Now()}
 		go l.send(t.Context(), func() {}, s)
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -74,7 +74,7 @@
 	case <-c.ctx.Done():
 		return false
 	case <-c.refresh:
-		c.revision = 0
+		c.revision, c.interrupted = 0, true
 		return false
 	case ev, ok := <-events:
 		return ok && c.onEvent(&ev)
--- a/pkg/mirror/list.go
+++ b/pkg/mirror/list.go
@@ -178,6 +178,8 @@
 		c.remove(slices.DeleteFunc(lacking, func(key string) bool { return !c.missing[key].IsZero() }))
 	}
 	c.revision = r.revision
+	c.progress.listed(r.began, !c.interrupted)
+	c.interrupted = false
 	c.reportComplete(r.began)
 	c.scheduleConfirm(time.Now())
 }
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -70,6 +70,13 @@
 	era kv.Era
 	// refresh is a request for a new connection.
 	refresh chan struct{}
+	// interrupted is true, until a list of all items is complete, if changes may have been
+	// missed for a time that the clock does not show: while the process was suspended, or
+	// because the service returned to an earlier copy.
+	interrupted bool
+	// progress is how far the copy has followed the service.
+	progress  *progress
+	confirmer confirmer
 }
 
 // New returns a mirror that passes each change to apply, in order, from the
@@ -85,6 +92,7 @@
 		missing:  map[string]time.Time{},
 		refresh:  make(chan struct{}, 1),
 		supplied: make(chan supply),
+		progress: newProgress(),
 	}
 }
 
@@ -168,6 +176,7 @@
 		m.synced = true
 		m.apply(nil)
 	}
+	m.progress.advance(at, m.era, m.revision)
 }
 
 // enterEra records the era of a list. If the service has returned to an earlier copy
@@ -183,7 +192,7 @@
 		p.ModRevision = 0
 		m.items[key] = p
 	}
-	m.revision = 0
+	m.revision, m.interrupted = 0, true
 	m.log.Warn().
 		Uint("era", uint64(era)).
 		Uint("previous_era", uint64(previous)).
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -55,9 +55,9 @@
 	head  int
 	// lastSeen maps each origin to the time at which it was last recorded or seen.
 	lastSeen map[Origin]time.Time
-	// knownSince is the time from which on Versions lacks no software version that served
-	// beside another one, or zero if that is not known.
-	knownSince time.Time
+	// known is the period of which Versions lacks no software version that served beside
+	// another one.
+	known Period
 }
 
 // NewRegistry returns an empty Registry.
@@ -87,25 +87,19 @@
 }
 
 // VersionsKnown records that the software versions seen are all that served beside another
-// one within the given time.
-func (r *Registry) VersionsKnown(now time.Time, within time.Duration) {
-	since := now.Add(-within)
+// one within the period.
+func (r *Registry) VersionsKnown(p Period) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.knownSince.IsZero() || since.Before(r.knownSince) {
-		r.knownSince = since
-	}
+	r.known = r.known.join(p)
 }
 
-// VersionsKnownFor returns for how long Versions lacks no software version that served beside
-// another one, at most Retention.
-func (r *Registry) VersionsKnownFor(now time.Time) time.Duration {
+// KnownPeriod returns the period of which Versions lacks no version that served beside
+// another one. It ends with the last VersionsKnown: the registry knows nothing by itself.
+func (r *Registry) KnownPeriod() Period {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.knownSince.IsZero() {
-		return 0
-	}
-	return min(now.Sub(r.knownSince), Retention)
+	return r.known
 }
 
 // Find returns the origin of a stream, or false if it is not known.
--- /dev/null
+++ b/pkg/origin/seed_test.go
@@ -0,0 +1,3 @@
+package origin
+
+import _ "github.com/fescuecourse/fescuecourse/internal/fixedseed" // fixed seed for property tests
--- a/pkg/sidecar/origins.go
+++ b/pkg/sidecar/origins.go
@@ -8,8 +8,8 @@
 	"github.com/fescuecourse/fescuecourse/pkg/origin"
 )
 
-// recordOrigins records the streams that an entry reports as begun, and for how long it
-// knows the software versions. The streams need not have begun at the server beside this
+// recordOrigins records the streams that an entry reports as begun, and the period of which
+// it knows the software versions. The streams need not have begun at the server beside this
 // sidecar. Origins without streams announce software versions.
 func (h *hub) recordOrigins(now time.Time, m *fescuev1.DemandUpdate) {
 	for _, o := range m.GetStreamOrigins() {
@@ -22,7 +22,7 @@
 			})
 		}
 	}
-	h.origins.VersionsKnown(now, time.Duration(m.GetSoftwareKnownMs())*time.Millisecond)
+	h.origins.VersionsKnown(origin.DecodePeriod(now, m.GetSoftwareKnown()))
 }
 
 // FindOrigin implements fescuev1.ResidencyServer.
@@ -34,6 +34,6 @@
 		Service:         o.Service,
 		SoftwareVersion: o.SoftwareVersion,
 		ServiceVersions: h.origins.Versions(now, r.GetService()),
-		SoftwareKnownMs: uint32(h.origins.VersionsKnownFor(now).Milliseconds()),
+		SoftwareKnown:   origin.EncodePeriod(now, h.origins.KnownPeriod()),
 	}, nil
 }
