gateway, bus: a panic is counted and logged, and neither cuts a caller nor stops control

Callers had their connections closed without an answer when a filter panicked: net/http recovers the panic, and no counter or line of the log of requests showed it. A panic in a handler of a control event was worse: watermill recovers it and delivers the event again, for ever, so that the directory would have stood still. No event that causes it is known.

Change: the gateway turns a panic into "not run" if nothing was sent, else into 502 with an unknown outcome, and the bus goes on with the next event. Both violate the new invariant no_panic, which counts it and logs the stack.

--- a/pkg/bus/bus.go
+++ b/pkg/bus/bus.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/ThreeDotsLabs/watermill"
 	"github.com/ThreeDotsLabs/watermill/message"
-	"github.com/ThreeDotsLabs/watermill/message/router/middleware"
 	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
 	"github.com/cockroachdb/errors"
+
+	"github.com/fescuecourse/fescuecourse/pkg/invariant"
 )
 
 // Bus is a set of in-process topics with a router that delivers their events.
@@ -18,14 +20,14 @@
 	router *message.Router
 }
 
-// New returns a bus. Handlers must be added before Run.
+// New returns a bus. Handlers must be added before Run. If a handler panics, the event counts
+// as handled: delivered again, it would cause the next panic and hold up all that follow.
 func New() (*Bus, error) {
 	logger := watermill.NopLogger{}
 	router, err := message.NewRouter(message.RouterConfig{}, logger)
 	if err != nil {
 		return nil, errors.Wrap(err, "create router")
 	}
-	router.AddMiddleware(middleware.Recoverer)
 	// If Publish did not wait for the acknowledgement, watermill would deliver each
 	// message in a separate goroutine and the order of events would be lost.
 	config := gochannel.Config{BlockPublishUntilSubscriberAck: true, PreserveContext: true}
@@ -71,8 +73,16 @@
 func (t Topic[T]) Handle(handler string, fn func(T)) {
 	t.bus.router.AddConsumerHandler(handler, t.name, t.bus.pubsub, func(msg *message.Message) error {
 		if v, ok := msg.Context().Value(valueKey{}).(T); ok {
+			defer t.recover()
 			fn(v)
 		}
 		return nil
 	})
 }
+
+// recover ends a panic of a handler of the topic.
+func (t Topic[T]) recover() {
+	if p := recover(); p != nil {
+		invariant.Check(false, invariant.NoPanic, "handler of %s: %v\n%s", t.name, p, debug.Stack())
+	}
+}
--- a/pkg/bus/bus_test.go
+++ b/pkg/bus/bus_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/pkg/bus"
+	"github.com/fescuecourse/fescuecourse/pkg/invariant"
 )
 
 func start(tb testing.TB, b *bus.Bus) {
@@ -66,3 +67,26 @@
 	}
 	close(in)
 }
+
+// Guards against control that stops after an event that its handler cannot bear: the event was
+// delivered again and again, and those that followed were never handled.
+func TestPanicHoldsUpNoLaterEvent(t *testing.T) {
+	b, err := bus.New()
+	assert.NilError(t, err)
+	topic := bus.NewTopic[int](b, "numbers")
+	got := make(chan int, 3)
+	topic.Handle("collect", func(n int) {
+		if n == 1 {
+			panic("fault in a handler")
+		}
+		got <- n
+	})
+	start(t, b)
+	before := invariant.Violations()
+	for i := range 3 {
+		assert.NilError(t, topic.Publish(i))
+	}
+	assert.Equal(t, <-got, 0)
+	assert.Equal(t, <-got, 2)
+	assert.Equal(t, invariant.Violations(), before+1)
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
+	"github.com/fescuecourse/fescuecourse/pkg/invariant"
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
@@ -195,7 +197,7 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	fail := g.handle(r.Context(), x)
+	fail := g.handleSafely(r.Context(), x)
 	g.settle(x, fail)
 	if x.complete {
 		if x.endsByClose {
@@ -268,6 +270,25 @@
 	ev.Msg("request ended")
 }
 
+// handleSafely passes a request through the filters. If one panics, the request fails: it is
+// not left to net/http, which closes the connection of the caller without a trace in the
+// logs and metrics of requests.
+func (g *Gateway) handleSafely(ctx context.Context, x *exchange) (fail *failure) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		invariant.Check(false, invariant.NoPanic, "request %s: %v\n%s", x.call.RequestID, p, debug.Stack())
+		fail = notRun("the entry failed before it sent the request", 0)
+		if x.settlement != nil && x.settlement.Sent() {
+			fail = &failure{status: http.StatusBadGateway, reason: "the entry failed while it handled the request"}
+			x.history.Record(retry.Unknown)
+		}
+	}()
+	return g.handle(ctx, x)
+}
+
 func rejected(status int, reason string) *failure { return &failure{status: status, reason: reason} }
 
 // notRun returns the failure for a request that has not run and will not run. The
--- a/pkg/invariant/invariant.go
+++ b/pkg/invariant/invariant.go
@@ -41,6 +41,8 @@
 	SlotsWithinCapacity Name = "slots_within_capacity"
 	// QueueAccounting means that the queue and its index hold the same number of attempts.
 	QueueAccounting Name = "queue_accounting"
+	// NoPanic means that no handler of a request or of a control event panics.
+	NoPanic Name = "no_panic"
 	// UnknownOnlyAfterSend means that the outcome is unknown only if an attempt was sent.
 	UnknownOnlyAfterSend Name = "unknown_only_after_send"
 )
--- a/pkg/settle/settle.go
+++ b/pkg/settle/settle.go
@@ -25,6 +25,9 @@
 // outcome must not be ident.Unknown.
 func (s *Settlement) MarkSent() { s.sent.Store(true) }
 
+// Sent reports whether an attempt has been sent to an endpoint.
+func (s *Settlement) Sent() bool { return s.sent.Load() }
+
 // Settle sets the outcome and counts it in the metrics. A second call violates an
 // invariant and has no effect.
 func (s *Settlement) Settle(o ident.Outcome) {
