--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -158,8 +158,11 @@
 // directory has changed.
 func (c *control) applyServer(id fleet.ID, ch mirror.Change) bool {
 	if ch.Deleted {
+		if !c.directory.RemoveEndpoint(time.Now(), id) {
+			return false
+		}
 		c.log.Info().Str("endpoint", string(id)).Msg("endpoint gone")
-		return c.directory.RemoveEndpoint(time.Now(), id)
+		return true
 	}
 	e, err := c.catalog.Endpoint(ch.Pair)
 	if err != nil {
--- a/pkg/locality/locality_test.go
+++ b/pkg/locality/locality_test.go
@@ -267,3 +267,15 @@
 		})
 	}
 }
+
+// Guards against a crash, and against a load, for a server of which nothing is known yet: it
+// has just registered and not reported. A cost below that of a server without room led there.
+func TestNoPreloadAtAServerThatHasNotReported(t *testing.T) {
+	for _, warmup := range []time.Duration{0, -time.Hour} {
+		list := endpoints(1)
+		list[0].Runtime = fleet.NewRuntime()
+		list[0].WarmupRemaining = warmup
+		c := choose(t, Request{Version: 1, Upcoming: 2}, list)
+		assert.Assert(t, c.Preload == nil)
+	}
+}
--- a/pkg/locality/renewal.go
+++ b/pkg/locality/renewal.go
@@ -38,7 +38,11 @@
 	if !ok || choice.Cost >= noRoomPenalty {
 		return nil
 	}
-	if _, held := choice.Endpoint.Runtime.Status().Residents[r.Key]; held {
+	st := choice.Endpoint.Runtime.Status()
+	if st == nil {
+		return nil // what it holds is not known yet
+	}
+	if _, held := st.Residents[r.Key]; held {
 		return nil // its sidecar replaces the copy as soon as it is idle
 	}
 	return choice.Endpoint
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -22,6 +22,8 @@
 }
 
 const (
+	// oddItems is the number of items that another writer stores at once.
+	oddItems = 8
 	// maxFaultDuration bounds the duration of a fault that is ended by an undo function.
 	maxFaultDuration = 4 * time.Second
 	// stallLimit is the gap in a stream after which entries end it: four times the
@@ -159,10 +161,17 @@
 	{"link silent", func(tb *testbed, rng *rand.Rand) func() { tb.randomLink(rng).blackhole(); return nil }},
 	{"link one way", func(tb *testbed, rng *rand.Rand) func() { tb.randomLink(rng).blackholeResponses(); return nil }},
 	{"link slow", func(tb *testbed, rng *rand.Rand) func() { return tb.randomLink(rng).slow(150 * time.Millisecond) }},
-	// Another writer stores a malformed server registration.
-	{"foreign entry", func(tb *testbed, rng *rand.Rand) func() {
-		key := tb.store.PutMalformedServer(rng.IntN(9))
-		return func() { tb.store.Remove(key) }
+	// Another writer stores items among those of the servers that name none.
+	{"foreign entries", func(tb *testbed, rng *rand.Rand) func() {
+		var keys []string
+		for range oddItems {
+			keys = append(keys, tb.store.PutOddServer(rng, modelService))
+		}
+		return func() {
+			for _, key := range keys {
+				tb.store.Remove(key)
+			}
+		}
 	}},
 }
 
--- a/pkg/soak/history.go
+++ b/pkg/soak/history.go
@@ -223,8 +223,8 @@
 	return out
 }
 
-// violations returns the violations that the servers observed, and unexpected exits of
-// processes.
+// violations returns the violations that the servers observed, unexpected exits of processes,
+// and what their logs show.
 func (tb *testbed) violations() []string {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
@@ -238,10 +238,10 @@
 		}
 	}
 	for _, p := range tb.sidecars {
-		out = append(out, exitViolations(p)...)
+		out = append(out, slices.Concat(exitViolations(p), logViolations(p))...)
 	}
 	for _, e := range tb.entries {
-		out = append(out, exitViolations(e.process)...)
+		out = append(out, slices.Concat(exitViolations(e.process), logViolations(e.process))...)
 	}
 	return out
 }
--- a/pkg/soak/process.go
+++ b/pkg/soak/process.go
@@ -38,6 +38,9 @@
 	if err := os.WriteFile(path, []byte(strings.Join(settings, "\n")+"\n"), 0o600); err != nil {
 		return nil, errors.Wrap(err, "write settings")
 	}
+	if err := os.Remove(o.logPath(name)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, errors.Wrap(err, "remove the log of an earlier run")
+	}
 	p := &process{o: o, name: name, args: []string{role, "-config", path}}
 	return p, p.start()
 }
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -69,11 +69,3 @@
 func (s *Store) PutWeightsVersion(model string, version int) {
 	s.Put("op/version/"+model, fmt.Sprintf(`{"model":%q,"version":%d}`, model, version))
 }
-
-// PutMalformedServer stores a server registration with an address of a wrong type
-// and returns its key.
-func (s *Store) PutMalformedServer(n int) string {
-	key := fmt.Sprintf("servers/x-%d", n)
-	s.Put(key, `{"service":"pool","address":7}`)
-	return key
-}
