upstream: a response that a server repeats is nobody's

Callers of requests that may run only once were told "not run" although the server had run them, or had them run twice at one server, when a faulty server wrote an earlier refusal once more on a kept connection.

Cause: a response without a request id was accepted on connections that had carried other requests, and a refused request was sent again on the same connection, where the repeated refusal has the same id. Besides, the head of any response was decoded into the state of the current request, and a sidecar took a repeated report for a restart of its server.

Change: a response without an id counts only as the first one on its connection, and one connection carries a request once. Only the own head becomes the state of the request. A report that seems older is read once more. Requests without an id get a new connection.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -86,8 +86,9 @@
 	// Forward returns the headers to send to an endpoint: those of the caller, changed
 	// for the attempt.
 	Forward(h http.Header, a *Attempt) http.Header
-	// Mine reports whether a response belongs to the request with the given id.
-	Mine(h http.Header, requestID string) bool
+	// ResponseID returns the id of the request that a response names, or an empty string if it
+	// names none.
+	ResponseID(h http.Header) string
 	// Reply parses the status and the headers of a response.
 	Reply(status int, h http.Header) Reply
 	// ReadyPath returns the URL path of the readiness check.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -46,6 +46,8 @@
 	outdated []*fleet.Status
 	// sends is the number of attempts that were started for the request.
 	sends int
+	// carriedBy are the connections on which the request was sent.
+	carriedBy []*upstream.Conn
 	// arrived is true once an attempt may have reached a server.
 	arrived bool
 	// software is the software version at which the stream of the request began, or nil if
@@ -63,7 +65,7 @@
 	// admission is the right to send the attempt to a server that has asked for a backoff, or
 	// nil.
 	admission *fleet.Admission
-	// reply is what the head of the last response says.
+	// reply is what the head of the last response to the request says.
 	reply Reply
 	// weightsVersion is the version of the base model's weights that the response names,
 	// or 0 if it names none.
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -80,7 +80,7 @@
 	return out
 }
 
-func (fakeHeaders) Mine(h http.Header, id string) bool { return h.Get("Id") == "" || h.Get("Id") == id }
+func (fakeHeaders) ResponseID(h http.Header) string { return h.Get("Id") }
 
 func (fakeHeaders) Reply(status int, h http.Header) Reply {
 	weights, err := strconv.Atoi(h.Get("Weights"))
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -10,8 +10,8 @@
 // observe records what the reply says about its server. It is called for each response that
 // arrives on the connection of an attempt, before any decision on its status, also for one to
 // another request.
-func (g *Gateway) observe(x *exchange) {
-	e, reply := x.endpoint, &x.reply
+func (g *Gateway) observe(x *exchange, reply *Reply) {
+	e := x.endpoint
 	if reply.Instance != "" && reply.Instance != e.ID {
 		return // another server has taken over the address
 	}
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -210,7 +210,7 @@
 
 func (f sendFilter) attempt(ctx context.Context, x *exchange, c *attemptCounts) result {
 	e := x.endpoint
-	conn, err := f.g.pool.Get(ctx, poolKey(e), e.Address)
+	conn, err := f.connect(ctx, x)
 	if err != nil {
 		if endcause.Of(ctx) == endcause.None {
 			e.Runtime.Ban(time.Now().Add(unreachableBan))
@@ -229,6 +229,7 @@
 		return result{end: retry.NotRun, unsent: true, detail: "the retry budget is spent"}
 	}
 	x.settlement.MarkSent()
+	x.carriedBy = append(x.carriedBy, conn)
 	ex, err := conn.Send(ctx, f.request(x))
 	x.arrived = x.arrived || !errors.Is(err, upstream.ErrNotSent)
 	if err != nil {
@@ -241,6 +242,15 @@
 	return f.receive(ctx, x, conn, ex, c)
 }
 
+// connect returns a connection to the endpoint of a request, on which its response can be told
+// from those that the endpoint repeats.
+func (f sendFilter) connect(ctx context.Context, x *exchange) (*upstream.Conn, error) {
+	if x.call.RequestID == "" {
+		return f.g.pool.Dial(ctx, x.endpoint.Address)
+	}
+	return f.g.pool.Get(ctx, poolKey(x.endpoint), x.endpoint.Address, x.carriedBy)
+}
+
 // withCause adds the cause to the result of an attempt that got no complete
 // response, if ctx has ended. Only a caller that is gone changes the result. After any
 // other cause the request is as uncertain as if the connection had failed.
@@ -273,17 +283,21 @@
 	if a.LastEventID == "" {
 		a.LastEventID = x.call.LastEventID
 	}
-	id := x.call.RequestID
 	return &upstream.Request{
 		Method: x.r.Method,
 		Target: x.r.RequestURI,
 		Host:   x.r.Host,
 		Header: f.g.headers.Forward(x.r.Header, a),
 		Body:   x.body,
-		Mine:   func(h http.Header) bool { return f.g.headers.Mine(h, id) },
-		OnHead: func(status int, h http.Header) {
-			x.reply = f.g.headers.Reply(status, h)
-			f.g.observe(x)
+		ID:     x.call.RequestID,
+
+		ResponseID: f.g.headers.ResponseID,
+		OnHead: func(status int, h http.Header, own bool) {
+			reply := f.g.headers.Reply(status, h)
+			f.g.observe(x, &reply)
+			if own {
+				x.reply = reply
+			}
 		},
 	}
 }
--- a/pkg/sidecar/report.go
+++ b/pkg/sidecar/report.go
@@ -19,6 +19,9 @@
 	defer cancel()
 	log := s.log.For(logging.ComponentEndpoint)
 	r, err := s.server.Report(call)
+	if err == nil && s.isOlder(&r) {
+		r, err = s.server.Report(call)
+	}
 	if s.backsOff(err) {
 		return false
 	}
@@ -50,6 +53,13 @@
 	return true
 }
 
+// isOlder reports whether a report seems to be from before the last one. A faulty server may
+// repeat an earlier response, which is taken for the one to the next request on its connection;
+// a server that has restarted says the same when it is asked again.
+func (s *Sidecar) isOlder(r *residency.Report) bool {
+	return s.report != nil && r.Born == s.report.Born && r.Sequence < s.report.Sequence
+}
+
 // resetForRestart discards what is known about the previous lifetime of the server.
 func (s *Sidecar) resetForRestart() {
 	s.instance, s.plannerInstance = "", ""
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -24,6 +24,8 @@
 	reports int
 	// backoff is the time for which the server asks for a backoff, or 0.
 	backoff time.Duration
+	// repeated are earlier reports that are returned before the current one.
+	repeated []residency.Report
 }
 
 func (s *fakeServer) Report(context.Context) (residency.Report, error) {
@@ -31,6 +33,11 @@
 	if s.backoff > 0 {
 		return residency.Report{}, &upstream.BackoffError{For: s.backoff}
 	}
+	if len(s.repeated) > 0 {
+		r := s.repeated[0]
+		s.repeated = s.repeated[1:]
+		return r, nil
+	}
 	return s.report, nil
 }
 
@@ -147,3 +154,18 @@
 	s.step(t.Context())
 	assert.Assert(t, !s.hub.state.GetDraining())
 }
+
+// Guards against taking a report that the server repeats for a restart: what is known of the
+// lifetime would be lost, and orders would be based on what the server held before.
+func TestRepeatedReportIsNoRestart(t *testing.T) {
+	srv := &fakeServer{id: "i-1", report: residency.Report{Born: 1, Sequence: 3}}
+	s, snap := newTestSidecar(t, srv)
+	srv.report.Sequence = 5
+	assert.Assert(t, s.readReport(t.Context(), snap))
+	planner := s.planner
+	srv.repeated = []residency.Report{{Born: 1, Sequence: 3}}
+	assert.Assert(t, s.readReport(t.Context(), snap))
+	assert.Assert(t, s.planner == planner, "the planner was replaced")
+	assert.Equal(t, s.report.Sequence, int64(5))
+	assert.Equal(t, srv.asked, 1)
+}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -44,6 +44,9 @@
 	maxHeadBytes = 64 << 10
 )
 
+// errUnnamed means that a response names no request and may be a late one to another request.
+var errUnnamed = errors.New("the response names no request, and the connection has carried others")
+
 // errHeadTooLarge means that a response has more than maxHeadBytes before its body.
 var errHeadTooLarge = errors.New("the head of the response is too large")
 
@@ -78,11 +81,15 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Mine reports whether a response with the given header belongs to this request.
-	Mine func(http.Header) bool
+	// ID identifies the request. It is empty if the caller gave it no id; its response then
+	// names none, so that it needs a new connection.
+	ID string
+	// ResponseID returns the id of the request that a response with the given header names, or
+	// an empty string if it names none.
+	ResponseID func(http.Header) string
 	// OnHead is called with the status and the header of each final response that is read,
-	// also of one that is skipped. It may be nil.
-	OnHead func(status int, h http.Header)
+	// and whether it is the response to this request or is skipped. It may be nil.
+	OnHead func(status int, h http.Header, own bool)
 }
 
 // Conn is a connection to an endpoint. One attempt at a time may use it.
@@ -170,7 +177,7 @@
 		x.Abort()
 		return nil, errors.Mark(err, ErrIncomplete)
 	}
-	x.Response = resp
+	x.Response, x.named = resp, r.ResponseID(resp.Header) != ""
 	return x, nil
 }
 
@@ -197,9 +204,11 @@
 	return errors.Wrap(c.writer.Flush(), "write request")
 }
 
-// read returns the response to the request. It skips informational responses and
-// responses to earlier requests.
+// read returns the response to the request. It skips informational responses and responses to
+// other requests. One that names no request ends the exchange if it may be to an earlier
+// request: waiting for another one would hold the caller of a server that names none.
 func (c *Conn) read(r *Request) (*http.Response, error) {
+	first := !c.reused
 	for range maxSkippedResponses {
 		c.limiter.expectHead(true)
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
@@ -207,11 +216,19 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
-		if resp.StatusCode >= http.StatusOK && r.OnHead != nil {
-			r.OnHead(resp.StatusCode, resp.Header)
-		}
-		if resp.StatusCode >= http.StatusOK && r.Mine(resp.Header) {
-			return resp, nil
+		if resp.StatusCode >= http.StatusOK {
+			id := r.ResponseID(resp.Header)
+			own := id == r.ID || id == "" && first
+			if r.OnHead != nil {
+				r.OnHead(resp.StatusCode, resp.Header, own)
+			}
+			switch {
+			case own:
+				return resp, nil
+			case id == "":
+				return nil, errUnnamed
+			}
+			first = false
 		}
 		if _, err := io.CopyN(io.Discard, resp.Body, maxSkippedBytes); !errors.Is(err, io.EOF) {
 			return nil, errors.New("a response to another request is too long")
@@ -223,8 +240,11 @@
 // Exchange is a request whose response header has been received.
 type Exchange struct {
 	Response *http.Response
-	conn     *Conn
-	stop     func() bool
+	// named is true if the response names the request. If the endpoint names none, another
+	// request on the connection could not be given its response.
+	named bool
+	conn  *Conn
+	stop  func() bool
 }
 
 // Abort gives up the exchange and resets the connection.
@@ -237,7 +257,7 @@
 // whether the connection can carry another request; if not, the connection is
 // closed.
 func (x *Exchange) Finish() bool {
-	if !x.stop() || x.Response.Close || !x.bodySent() || FramingOf(x.Response) == FramedByClose {
+	if !x.stop() || x.Response.Close || !x.named || !x.bodySent() || FramingOf(x.Response) == FramedByClose {
 		x.conn.Close()
 		return false
 	}
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,11 +26,18 @@
 }
 
 // Get returns an idle connection stored under key, which identifies one lifetime of
-// an endpoint, or else a new connection to address. Errors are marked ErrNotSent.
-func (p *Pool) Get(ctx context.Context, key, address string) (*Conn, error) {
-	if c := p.take(key); c != nil {
+// an endpoint, or else a new connection to address. It returns none of those that have carried
+// the same request before: a response that the endpoint repeats would be taken for the one to the
+// new attempt. Errors are marked ErrNotSent.
+func (p *Pool) Get(ctx context.Context, key, address string, carried []*Conn) (*Conn, error) {
+	if c := p.take(key, carried); c != nil {
 		return c, nil
 	}
+	return p.Dial(ctx, address)
+}
+
+// Dial returns a new connection to address. Errors are marked ErrNotSent.
+func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
 	c, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "connect to endpoint"), ErrNotSent)
@@ -37,26 +45,34 @@
 	return newConn(c), nil
 }
 
-// take removes and returns the most recently used connection that is still usable.
-// It closes the unusable ones and returns nil if none is left.
-func (p *Pool) take(key string) *Conn {
+// take removes and returns the most recently used connection that is still usable and not
+// among those that have carried the request. It closes the unusable ones and returns nil if none
+// is left.
+func (p *Pool) take(key string, carried []*Conn) *Conn {
 	for {
-		p.mu.Lock()
-		list := p.idle[key]
-		if len(list) == 0 {
-			p.mu.Unlock()
-			return nil
-		}
-		c := list[len(list)-1]
-		p.idle[key] = list[:len(list)-1]
-		p.mu.Unlock()
-		if time.Since(c.idleSince) < c.idleLimit && c.reusable() {
+		c := p.pop(key, carried)
+		if c == nil || time.Since(c.idleSince) < c.idleLimit && c.reusable() {
 			return c
 		}
 		c.Close()
 	}
 }
 
+// pop removes and returns the most recently used connection that is not among the given ones,
+// or returns nil if there is none.
+func (p *Pool) pop(key string, except []*Conn) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[key]
+	for i, c := range slices.Backward(list) {
+		if !slices.Contains(except, c) {
+			p.idle[key] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // Put returns a connection to the pool. Its last exchange must have finished
 // cleanly.
 func (p *Pool) Put(key string, c *Conn) {
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -58,13 +58,15 @@
 		Host:   "h.example",
 		Header: http.Header{"Id": {id}},
 		Body:   []byte("body"),
-		Mine:   func(h http.Header) bool { return h.Get("Id") == id },
+		ID:     id,
+
+		ResponseID: func(h http.Header) string { return h.Get("Id") },
 	}
 }
 
 // exchange sends one request over the pool and returns the response body.
 func exchange(ctx context.Context, p *Pool, address, id string) (string, error) {
-	c, err := p.Get(ctx, "k", address)
+	c, err := p.Get(ctx, "k", address, nil)
 	if err != nil {
 		return "", err
 	}
@@ -101,7 +103,7 @@
 	p := NewPool(time.Second, net.KeepAliveConfig{})
 	req := request("r1")
 	req.Header["User-Agent"] = []string{""}
-	c, err := p.Get(t.Context(), "k", address)
+	c, err := p.Get(t.Context(), "k", address, nil)
 	assert.NilError(t, err)
 	_, err = c.Send(t.Context(), req)
 	assert.NilError(t, err)
@@ -191,7 +193,7 @@
 	req.Body = make([]byte, 8<<20)
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	c, err := NewPool(time.Second, net.KeepAliveConfig{}).Get(ctx, "k", address)
+	c, err := NewPool(time.Second, net.KeepAliveConfig{}).Get(ctx, "k", address, nil)
 	assert.NilError(t, err)
 	x, err := c.Send(ctx, req)
 	assert.NilError(t, err)
@@ -245,3 +247,83 @@
 	assert.Equal(t, keepAliveLimit(http.Header{}), defaultIdleLimit)
 	assert.Equal(t, keepAliveLimit(http.Header{"Keep-Alive": {"timeout=x"}}), defaultIdleLimit)
 }
+
+// Guards against a response that names no request and is taken for that of the current one,
+// although it may be a late one to an earlier request on the connection, and against a wait for
+// another response: a server may name none when it refuses.
+func TestUnnamedResponseOnAKeptConnectionIsNobodys(t *testing.T) {
+	address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		answer(c, readRequest(r), "first")
+		readRequest(r)
+		fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+		readRequest(r)
+	})
+	p := NewPool(time.Second, net.KeepAliveConfig{})
+	_, err := exchange(t.Context(), p, address, "r1")
+	assert.NilError(t, err)
+	_, err = exchange(t.Context(), p, address, "r2")
+	assert.Assert(t, errors.Is(err, ErrIncomplete), "%v", err)
+}
+
+// Guards against requests that cannot be given their responses because the server names none and
+// their connection has carried others.
+func TestConnectionOfUnnamedResponsesIsNotReused(t *testing.T) {
+	address := startServer(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != "" {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+		}
+	})
+	p := NewPool(time.Second, net.KeepAliveConfig{})
+	for _, want := range []string{"1", "2", "3"} {
+		body, err := exchange(t.Context(), p, address, "r"+want)
+		assert.NilError(t, err)
+		assert.Equal(t, body, want)
+	}
+}
+
+// Guards against a head that is decoded into the state of a request before it is known that it
+// is the head of its response.
+func TestHeadOfASkippedResponseIsMarked(t *testing.T) {
+	address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		id := readRequest(r)
+		answer(c, "other", "x")
+		answer(c, id, "x")
+	})
+	c, err := NewPool(time.Second, net.KeepAliveConfig{}).Get(t.Context(), "k", address, nil)
+	assert.NilError(t, err)
+	var own []bool
+	req := request("r1")
+	req.OnHead = func(_ int, _ http.Header, mine bool) { own = append(own, mine) }
+	_, err = c.Send(t.Context(), req)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, own, []bool{false, true})
+}
+
+// Guards against a second attempt of a request on a connection that has carried it before: a
+// response that the endpoint repeats has the same id.
+func TestConnectionCarriesARequestOnce(t *testing.T) {
+	address := startServer(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for id := readRequest(r); id != ""; id = readRequest(r) {
+			answer(c, id, fmt.Sprint(n))
+		}
+	})
+	p := NewPool(time.Second, net.KeepAliveConfig{})
+	get := func(carried ...*Conn) *Conn {
+		c, err := p.Get(t.Context(), "k", address, carried)
+		assert.NilError(t, err)
+		return c
+	}
+	first, second := get(), get()
+	for _, c := range []*Conn{first, second} {
+		x, err := c.Send(t.Context(), request("r1"))
+		assert.NilError(t, err)
+		_, err = io.ReadAll(x.Response.Body)
+		assert.NilError(t, err)
+		assert.Assert(t, x.Finish())
+		p.Put("k", c)
+	}
+	assert.Equal(t, get(second), first)
+	third := get(first, second)
+	assert.Assert(t, third != first && third != second)
+	assert.Equal(t, get(first), second)
+}
