upstream: the target of a request is sent byte for byte

Cause: the target was put into url.URL.Opaque, to which net/http adds the scheme if it begins with two slashes. Change: pkg/upstream writes the request line itself; a target that would end the line is not sent at all.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -5,12 +5,12 @@
 
 import (
 	"bufio"
-	"bytes"
+	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"syscall"
@@ -164,7 +164,7 @@
 func (c *Conn) Send(ctx context.Context, r *Request) (*Exchange, error) {
 	x := &Exchange{conn: c}
 	x.stop = context.AfterFunc(ctx, c.reset)
-	if err := ctx.Err(); err != nil {
+	if err := cmp.Or(ctx.Err(), r.check()); err != nil {
 		x.Abort()
 		return nil, errors.Mark(err, ErrNotSent)
 	}
@@ -184,26 +184,58 @@
 // write writes a request, in the background if its body is longer than
 // maxSyncBodyBytes.
 func (c *Conn) write(r *Request) error {
-	u := &url.URL{Scheme: "http", Host: r.Host, Opaque: r.Target}
-	req := &http.Request{Method: r.Method, URL: u, Host: r.Host, Header: r.Header, ContentLength: int64(len(r.Body)), ProtoMajor: 1, ProtoMinor: 1}
-	if len(r.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(r.Body))
-	}
 	if len(r.Body) <= maxSyncBodyBytes {
-		return c.flush(req)
+		return c.flush(r)
 	}
 	c.writeDone = make(chan error, 1)
-	go func() { c.writeDone <- c.flush(req) }()
+	go func() { c.writeDone <- c.flush(r) }()
+	return nil
+}
+
+// errMalformed means that a request line or a header line would hold bytes that end it.
+var errMalformed = errors.New("the request cannot be written in one line each")
+
+// check returns an error for a request that would be read as another one.
+func (r *Request) check() error {
+	ends := func(c rune) bool { return c <= ' ' || c == 0x7f }
+	if r.Method == "" || r.Target == "" || strings.ContainsFunc(r.Method+r.Target+r.Host, ends) {
+		return errMalformed
+	}
 	return nil
 }
 
-func (c *Conn) flush(req *http.Request) error {
-	if err := req.Write(c.writer); err != nil {
+// flush writes a request. net/http is not used for the request line, because it changes a
+// target that begins with two slashes.
+func (c *Conn) flush(r *Request) error {
+	fmt.Fprintf(c.writer, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	if len(r.Body) > 0 || hasBodyByDefault(r.Method) {
+		fmt.Fprintf(c.writer, "Content-Length: %d\r\n", len(r.Body))
+	}
+	if err := r.Header.WriteSubset(c.writer, r.omitted()); err != nil {
 		return errors.Wrap(err, "write request")
 	}
+	_, _ = c.writer.WriteString("\r\n") // Flush returns the first error
+	_, _ = c.writer.Write(r.Body)
 	return errors.Wrap(c.writer.Flush(), "write request")
 }
 
+// omitted returns the headers that flush writes itself or does not send. An empty User-Agent
+// stands for none.
+func (r *Request) omitted() map[string]bool {
+	return map[string]bool{
+		"Host":              true,
+		"Content-Length":    true,
+		"Transfer-Encoding": true,
+		"Trailer":           true,
+		"User-Agent":        r.Header.Get("User-Agent") == "",
+	}
+}
+
+// hasBodyByDefault reports whether a request of the method has a length also without a body.
+func hasBodyByDefault(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
 // read returns the response to the request. It skips informational responses and responses to
 // other requests. One that names no request ends the exchange if it may be to an earlier
 // request: waiting for another one would hold the caller of a server that names none.
--- /dev/null
+++ b/pkg/upstream/seed_test.go
@@ -0,0 +1,3 @@
+package upstream
+
+import _ "github.com/fescuecourse/fescuecourse/internal/fixedseed" // fixed seed for property tests
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // startServer starts a server that handles each connection with fn, which gets the number
@@ -327,3 +328,58 @@
 	assert.Assert(t, third != first && third != second)
 	assert.Equal(t, get(first), second)
 }
+
+// Guards against a target that is changed on its way, so that the endpoint runs another request
+// than the caller sent: net/http turned "//host/path" into "http://host/path".
+func TestTargetIsSentAsItCame(t *testing.T) {
+	got := make(chan string, 1)
+	address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			got <- line
+			for line != "\r\n" && err == nil {
+				line, err = r.ReadString('\n')
+			}
+			if _, err := r.Discard(len("body")); err != nil {
+				return
+			}
+			answer(c, "r1", "x")
+		}
+	})
+	p := NewPool(time.Second, net.KeepAliveConfig{})
+	send := func(target string) string {
+		c, err := p.Get(t.Context(), "k", address, nil)
+		assert.NilError(t, err)
+		req := request("r1")
+		req.Target = target
+		x, err := c.Send(t.Context(), req)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(x.Response.Body)
+		assert.NilError(t, err)
+		if x.Finish() {
+			p.Put("k", c)
+		}
+		return <-got
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.SliceOfN(rapid.SampledFrom([]string{"/", "//", "host", ":80", "..", ".", "%2F", "%", "%zz", "?", "?x=1", "#", ";", "*", "http:", "a", "\u00e9", "\\", "\""}), 1, 8).Draw(t, "target")
+		target := strings.Join(parts, "")
+		assert.Equal(t, send(target), "POST "+target+" HTTP/1.1\r\n")
+	})
+}
+
+// Guards against a request that an endpoint reads as two.
+func TestTargetsThatEndTheLineAreNotSent(t *testing.T) {
+	address := startServer(t, func(_ int, _ net.Conn, _ *bufio.Reader) {})
+	for _, target := range []string{"", "/a b", "/a\r\nX: y", "/a\x00", "/a\n"} {
+		c, err := NewPool(time.Second, net.KeepAliveConfig{}).Get(t.Context(), "k", address, nil)
+		assert.NilError(t, err)
+		req := request("r1")
+		req.Target = target
+		_, err = c.Send(t.Context(), req)
+		assert.Assert(t, errors.Is(err, ErrNotSent), "%q: %v", target, err)
+	}
+}
