gateway: a request whose caller leaves before the send has not run

Its outcome was recorded as unknown, although nothing was sent: the attempt that failed to connect was counted as a send. No caller saw it, because they had left; the counts of outcomes were wrong.

TestCallerWhoLeavesBeforeTheSendHasNotRun fails before ("unknown") and passes now.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -148,6 +148,10 @@
 	return x.route.Kind == route.Idempotent || x.route.Kind == route.Streaming && x.route.Resumable
 }
 
+// sent reports whether an attempt of the request was sent, at least in part. An attempt that
+// found no connection was not.
+func (x *exchange) sent() bool { return x.settlement != nil && x.settlement.Sent() }
+
 // result describes how one attempt ended.
 type result struct {
 	end    retry.Result
@@ -230,7 +234,7 @@
 // settle records the outcome of a request in metrics and writes its closing log line.
 func (g *Gateway) settle(x *exchange, fail *failure) {
 	outcome := x.history.Outcome()
-	if x.sends == 0 && outcome == ident.Unknown {
+	if !x.sent() && outcome == ident.Unknown {
 		outcome = ident.NotRun // the caller left before anything was sent
 	}
 	switch {
@@ -283,7 +287,7 @@
 		}
 		invariant.Check(false, invariant.NoPanic, "request %s: %v\n%s", x.call.RequestID, p, debug.Stack())
 		fail = notRun("the entry failed before it sent the request", 0)
-		if x.settlement != nil && x.settlement.Sent() {
+		if x.sent() {
 			fail = &failure{status: http.StatusBadGateway, reason: "the entry failed while it handled the request"}
 			x.history.Record(retry.Unknown)
 		}
