--- a/review/_standin2/bed.go
+++ b/review/_standin2/bed.go
@@ -161,6 +161,15 @@
 	return cmd
 }
 
+// memory returns the anonymous memory of a process in bytes, or 0 if it has ended.
+func memory(cmd *exec.Cmd) int64 {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
+	_, rest, _ := strings.Cut(string(text), "RssAnon:")
+	var kb int64
+	fmt.Sscan(rest, &kb)
+	return kb << 10
+}
+
 // entry starts an entry and returns its address for callers and that for readiness.
 func (b *bed) entry(name, host, zone string) (front, ready string) {
 	front, ready = fmt.Sprintf("%s:%d", host, freePort(host)), fmt.Sprintf("%s:%d", host, freePort(host))
--- a/review/_standin2/config.go
+++ b/review/_standin2/config.go
@@ -29,6 +29,7 @@
 		"routes": []any{
 			route("/chat/", "streaming", modelService, 15000, 800, 2, true),
 			route("/notes/", "streaming", modelService, 10000, 1000, 1, false),
+			route("/feed/", "streaming", plainService, 15000, 800, 2, true),
 			route("/sale/", "non_idempotent", plainService, 1000, 150, 1, false),
 			route("/code/", "idempotent", plainService, 1000, 150, 2, false),
 		},
--- a/review/_standin2/divider.go
+++ b/review/_standin2/divider.go
@@ -16,6 +16,8 @@
 	// window is the window of the rule, and contact is contactMs.
 	window  = 4 * time.Second
 	contact = 3 * time.Second
+	// turnedAwayFor is how long the store turns one entry away, as in the site file.
+	turnedAwayFor = 9 * time.Second
 )
 
 // dividerCase: plain servers in need name a limit. Empty model servers are added while the store
--- a/review/_standin2/order.go
+++ b/review/_standin2/order.go
@@ -8,39 +8,29 @@
 	"time"
 )
 
-func init() {
-	cases["software"] = func(b *bed) { softwareCase(b, turnedAway) }
-	cases["drill"] = func(b *bed) { softwareCase(b, drill) }
-}
-
-// Disruptions of softwareCase.
-const (
-	turnedAway = iota
-	drill
-)
+func init() { cases["drill"] = drillCase }
 
 const (
-	// turnedAwayFor is how long the store turns one entry away, as in the site file.
-	turnedAwayFor = 9 * time.Second
 	// drillAway is how long the store is away in the drill, and rewriteAfter when the operator
 	// and the servers have written their items again, counted from its return.
 	drillAway    = time.Second
 	rewriteAfter = 1200 * time.Millisecond
 )
 
-// softwareCase: the servers of a service get new software one after the other. Each drains, ends
-// and starts again under its id. Meanwhile the store turns one entry away, or comes back from a
-// copy some seconds old.
-func softwareCase(b *bed, kind int) {
+// drillCase: the servers of two services get new software one after the other. Each drains, ends
+// and starts again under its id. Meanwhile the store comes back from a copy some seconds old.
+func drillCase(b *bed) {
 	hosts := []string{"127.0.11.1", "127.0.11.2"}
 	b.port = sharedPort(hosts...)
 	b.writeConfig(3)
-	var servers []*server
+	var models, plain []*server
 	for i, h := range hosts {
 		s := startServer(b.st, b.rec, serverConfig{id: fmt.Sprintf("i-%d", i+1), service: modelService, host: h, zone: "accra-a", software: "v1", slots: 64,
 			model: modelName, startsWithModel: true, maxAdapters: maxAdapters, modelLoad: modelDisk, adapterLoad: adapterLoad, events: 60, eventGap: 100 * time.Millisecond})
-		servers = append(servers, s)
+		models = append(models, s)
 		b.endpoint(fmt.Sprintf("side-accra-a-%d", i+1), s)
+		plain = append(plain, startServer(b.st, b.rec, serverConfig{id: fmt.Sprintf("i-%d", i+11), service: plainService, host: fmt.Sprintf("127.0.13.%d", i+1),
+			zone: "accra-a", software: "v1", slots: 64, events: 60, eventGap: 100 * time.Millisecond}))
 	}
 	names := []string{"front-accra-a-1", "front-accra-b-1"}
 	var fronts []string
@@ -49,39 +39,44 @@
 		fronts = append(fronts, front)
 		awaitReady(ready)
 	}
-	clients := b.startClients(fronts, names)
-	time.Sleep(3 * time.Second)
-	if b.trouble && kind == turnedAway {
-		b.rec.log("the store turns %s away (503)", names[0])
-		b.st.turnAway(names[0], true)
-		time.AfterFunc(turnedAwayFor, func() {
-			b.rec.log("the store serves %s again", names[0])
-			b.st.turnAway(names[0], false)
-		})
+	paths := []string{"/chat/x", "/feed/x"} // to the model servers and to the plain ones
+	var all []*clients
+	for _, path := range paths {
+		all = append(all, b.startClients(fronts, names, path))
 	}
+	time.Sleep(3 * time.Second)
 	var copied snapshot
-	for i, s := range servers {
+	for i := range models {
+		pair := []*server{models[i], plain[i]}
 		time.Sleep(500 * time.Millisecond)
 		if i == 0 {
 			copied = b.st.copy()
 		}
-		s.drain()
-		if b.trouble && kind == drill && i == 1 {
-			time.AfterFunc(700*time.Millisecond, func() { b.drill(copied, servers) })
+		for _, s := range pair {
+			s.drain()
+		}
+		if b.trouble && i == 1 {
+			time.AfterFunc(700*time.Millisecond, func() { b.drill(copied, append(models, plain...)) })
 		}
 		time.Sleep(2500 * time.Millisecond) // drainMs and a little longer
-		s.end()
+		for _, s := range pair {
+			s.end()
+		}
 		time.Sleep(200 * time.Millisecond)
-		s.begin("v2", false)
+		for _, s := range pair {
+			s.begin("v2", false)
+		}
 		if i == 0 {
 			time.Sleep(1300 * time.Millisecond)
 		}
 	}
 	time.Sleep(3 * time.Second)
-	mixed := clients.stop()
-	b.rec.log("%d streams hold events of two software versions; more than two break ORDER", mixed)
-	if mixed > 2 {
-		b.rec.broken("ORDER: %d streams hold events from servers of two software versions of one service", mixed)
+	for i, c := range all {
+		mixed := c.stop()
+		b.rec.log("%s: %d streams hold events of two software versions; more than two break ORDER", paths[i], mixed)
+		if mixed > 2 {
+			b.rec.broken("ORDER: %s: %d streams hold events from servers of two software versions of one service", paths[i], mixed)
+		}
 	}
 }
 
@@ -109,7 +104,7 @@
 	mixed int
 }
 
-func (b *bed) startClients(fronts, names []string) *clients {
+func (b *bed) startClients(fronts, names []string, path string) *clients {
 	c := &clients{done: make(chan struct{})}
 	for entry := range fronts {
 		c.wg.Go(func() {
@@ -117,10 +112,10 @@
 				select {
 				case <-c.done:
 					return
-				case <-time.After(150 * time.Millisecond):
+				case <-time.After(200 * time.Millisecond):
 				}
 				c.wg.Go(func() {
-					if b.stream(context.Background(), fronts, names, entry, fmt.Sprintf("%d-%d", entry+1, n)) {
+					if b.stream(fronts, names, entry, n, path) {
 						c.mu.Lock()
 						c.mixed++
 						c.mu.Unlock()
@@ -142,16 +137,19 @@
 
 // stream plays one client: a stream and, if it breaks off, one resumption at the other entry. It
 // reports whether its events are of two software versions.
-func (b *bed) stream(ctx context.Context, fronts, names []string, entry int, number string) bool {
+func (b *bed) stream(fronts, names []string, entry, number int, path string) bool {
 	const budget = 15 * time.Second
 	began := time.Now()
 	versions := map[string]string{} // to the first event of the version
 	last := ""
-	first := "r" + number
+	first := fmt.Sprintf("%s-%d-%d", path[1:5], entry+1, number)
 	for try := range 2 {
 		at := (entry + try) % len(fronts)
 		id := first
-		headers := promptHeaders("a"+string('1'+number[len(number)-1]%3), fmt.Sprintf("%x", 4096+len(number)))
+		headers := map[string]string{}
+		if path == "/chat/x" {
+			headers = promptHeaders(fmt.Sprintf("a%d", number%3+1), fmt.Sprintf("%x", 4096+number))
+		}
 		if try > 0 {
 			id += "-again"
 			if last != "" {
@@ -159,7 +157,7 @@
 			}
 		}
 		b.rec.log("sent: %s to %s, after event %q", id, names[at], last)
-		a := call(ctx, fronts[at], hostName, "POST", "/chat/x", id, budget-time.Since(began), headers, "prompt")
+		a := call(context.Background(), fronts[at], hostName, "POST", path, id, budget-time.Since(began), headers, "prompt")
 		for _, e := range a.events {
 			_, v, _ := strings.Cut(e.data, "software ")
 			if _, seen := versions[v]; !seen {
--- a/review/_standin2/server.go
+++ b/review/_standin2/server.go
@@ -28,6 +28,8 @@
 	events          int
 	eventGap        time.Duration
 	work            time.Duration
+	// firstEvent is the time that the server takes to read a prompt.
+	firstEvent time.Duration
 	// limit is what the server names in Server-Limit, in requests a second, or 0.
 	limit float64
 }
@@ -62,9 +64,6 @@
 	sequence int64
 	draining bool
 	ended    bool
-	// loseOrders makes the server leave orders unanswered and carry them out lateBy later.
-	loseOrders func(o *order) bool
-	lateBy     time.Duration
 }
 
 type order struct {
@@ -219,27 +218,10 @@
 		return
 	}
 	o.instance = r.Header.Get(pre + "Expect-Instance")
-	l.mu.Lock()
-	lost := l.loseOrders != nil && l.loseOrders(&o)
-	late := l.lateBy
-	l.mu.Unlock()
-	if lost {
-		l.s.rec.log("server %s, lifetime %d: order %s gets no answer; it is carried out %s later", l.s.cfg.id, l.number, o.name(), late)
-		time.AfterFunc(late, func() { l.s.carryOutLate(&o) })
-		<-r.Context().Done()
-		return
-	}
 	status := l.execute(&o)
 	w.WriteHeader(status)
 }
 
-// carryOutLate carries out an order that was left unanswered at whatever lifetime the server
-// then has. Its fields are checked then.
-func (s *server) carryOutLate(o *order) {
-	status := s.current().execute(o)
-	s.rec.log("server %s, lifetime %d: late order %s, answer %d", s.cfg.id, s.current().number, o.name(), status)
-}
-
 // execute carries out an order and returns the status of the answer.
 func (l *lifetime) execute(o *order) int {
 	l.mu.Lock()
@@ -305,7 +287,7 @@
 }
 
 func (l *lifetime) request(w http.ResponseWriter, r *http.Request) {
-	if _, err := io.ReadAll(r.Body); err != nil {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
 	c := &l.s.cfg
@@ -354,7 +336,7 @@
 		}
 	}
 	w.Header().Set(pre+"Server-Stamp", fmt.Sprintf("%s.%d.stamp", c.id, l.number))
-	if c.model == "" {
+	if c.events == 0 {
 		l.s.rec.log("run: %s at %s, lifetime %d", id, c.id, l.number)
 		time.Sleep(c.work)
 		fmt.Fprintf(w, "%s %s answered by %s", r.Method, r.RequestURI, c.id)
@@ -370,6 +352,11 @@
 		first = n + 1
 	}
 	l.s.rec.log("run: %s at %s, lifetime %d, software %s, adapter %s, from event %d, resumes %q", id, c.id, l.number, l.software, adapter, first, r.Header.Get("Resumes"))
+	select {
+	case <-r.Context().Done():
+		return
+	case <-time.After(c.firstEvent):
+	}
 	w.Header().Set(pre+"Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
