gateway, sidecar: work that goes forward stays with its server

Cause: an attempt was ended on the word of one witness. One failed read of a server's report made its sidecar report it as down, and the entry cancelled the attempt at once. A leaving server closes its listener first and serves on. What the move needed was not weighed: a place for the adapter, the retry budget, the time left to the caller and to a stopping entry.

The same cause stood on other paths: buffered responses and uploads looked silent, the silence of an attempt counted from the start of its request, the end of a link whose server's item had lapsed counted as silence of the server, a pause of the entry made everything look silent, and one missed report moved a request that waits for a load.

Change: a server counts as lost when the attempt's bytes and the signs from its sidecar have both been missing for 1.5 s (0.8 s if it is reported as down), in two checks in a row. The request leaves only if another server has the adapter or loads it in time, the budget allows the attempt, and the entry does not stop before a usual response ends. A server that refuses connections is reported as draining: a crash ends its connections by itself.

--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -72,6 +72,9 @@
 	// Down means that the server does not respond to its sidecar, or that its lifetime
 	// has ended.
 	Down bool
+	// DownSince is when the first of the reports in a row arrived that say Down. SetStatus
+	// sets it.
+	DownSince time.Time
 	// Draining means that the server itself reports that it is about to leave. Its item
 	// in the key-value store may change later, or not at all while the store is
 	// unavailable.
@@ -250,9 +253,15 @@
 // SetStatus stores a report and closes the channel returned by Changed. A nil report
 // means that the sidecar cannot be reached.
 func (r *Runtime) SetStatus(s *Status) {
-	r.status.Store(s)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if s != nil && s.Down {
+		s.DownSince = s.ReceivedAt
+		if previous := r.status.Load(); previous != nil && previous.Down {
+			s.DownSince = previous.DownSince
+		}
+	}
+	r.status.Store(s)
 	if s != nil {
 		r.recordResidents(s)
 	}
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -212,7 +212,8 @@
 }
 
 // reconcile opens a link to the sidecar of each new model server and closes the links
-// of servers that are gone.
+// of servers that are gone. The status of these is unknown from then on: what still runs there
+// must not be taken for lost because the reports end with the link.
 func (c *control) reconcile(s *fleet.Snapshot) {
 	wanted := map[*fleet.Runtime]*fleet.Endpoint{}
 	if s.Table != nil {
@@ -229,6 +230,7 @@
 	for rt, l := range c.links {
 		if wanted[rt] == nil {
 			l.cancel()
+			rt.SetStatus(nil)
 			delete(c.links, rt)
 			c.demands.Delete(rt)
 			c.originLinks.Delete(rt)
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -73,9 +73,9 @@
 	// framing is how the server's response marks its end, or 0 before its head has arrived.
 	framing upstream.Framing
 
-	// lastByte is when the last byte of a streamed response arrived, in nanoseconds
-	// since started.
-	lastByte atomic.Int64
+	// lastTransfer is when the current attempt began, or bytes of its request or its response
+	// last passed, in nanoseconds since started.
+	lastTransfer atomic.Int64
 	// State of the response.
 	headSent bool
 	// endsByClose is true if the response to the caller ends with its connection.
@@ -106,10 +106,13 @@
 }
 
 // nextEventBy returns the time by which the response, or the next event of a stream,
-// must be sent. Afterwards the caller is gone.
+// must be sent. Afterwards the caller is gone. It may be called by several goroutines.
 func (x *exchange) nextEventBy() time.Time {
-	if x.stall != nil && x.stall.expiry.Before(x.deadline) {
-		return x.stall.expiry
+	if x.stall == nil {
+		return x.deadline
+	}
+	if expiry := x.stall.expiry(); expiry.Before(x.deadline) {
+		return expiry
 	}
 	return x.deadline
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -68,6 +68,8 @@
 	// closing is set during shutdown, from the moment at which a new stream might not
 	// finish in time.
 	closing atomic.Bool
+	// cutOff is when a shutdown cuts off the requests that still run, or nil before one.
+	cutOff atomic.Pointer[time.Time]
 
 	// share is this entry's part of the retries that all entries may make beyond the ratio.
 	share   *retry.Share
@@ -177,6 +179,8 @@
 	log := g.log.For(logging.ComponentEntry)
 	began := time.Now()
 	share := func(s float64) time.Time { return began.Add(time.Duration(s * float64(g.set.Grace))) }
+	cutOff := share(finishShare)
+	g.cutOff.Store(&cutOff)
 	g.stopping.Store(true)
 	log.Info().Dur("grace_ms", g.set.Grace).Msg("shutting down; reporting not ready")
 	wait.For(context.Background(), time.Until(share(keepIdleShare)))
@@ -184,7 +188,7 @@
 	g.callers.closeIdle()
 	log.Info().Msg("closed idle connections; refusing new streams")
 	wait.For(context.Background(), time.Until(share(acceptShare)))
-	err := shutdown(srv, share(finishShare))
+	err := shutdown(srv, cutOff)
 	if errors.Is(err, context.DeadlineExceeded) {
 		log.Warn().Msg("cutting off the requests that still run")
 		endRequests(endcause.Stopped)
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -42,11 +41,12 @@
 	x.sends++
 	x.weightsVersion = 0
 	x.framing = 0
+	x.transferred()
 	e.Runtime.InFlight.Add(1)
 	counts := f.begin(x)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	if f.canMove(x) {
-		go f.watch(attemptCtx, cancel, x, e, append(slices.Clone(x.excluded), e.ID))
+		go newMoveWatch(f.g, x).run(attemptCtx, cancel)
 	}
 	x.result = f.attempt(attemptCtx, x, counts)
 	cancel(nil)
@@ -56,61 +56,6 @@
 	return nil
 }
 
-// canMove reports whether the request may be sent to another server if its current
-// server is lost.
-func (f sendFilter) canMove(x *exchange) bool {
-	return x.forModelServer() && x.repeatable() && x.sends < x.route.MaxAttempts
-}
-
-const (
-	// watchInterval is how often the server of a running attempt is checked.
-	watchInterval = 200 * time.Millisecond
-	// serverLostAfter is how long both the status reports and the response of a server
-	// must be silent before a repeatable request moves to another server. Reports arrive
-	// at least every 500 ms.
-	serverLostAfter = 1500 * time.Millisecond
-)
-
-// watch cancels an attempt with endcause.ServerLost when its server is lost: the server
-// is reported as down, or neither its response nor its status reports arrive any more. A
-// stream that could not continue at any server but the excluded ones stays with its
-// server.
-func (f sendFilter) watch(ctx context.Context, cancel context.CancelCauseFunc, x *exchange, e *fleet.Endpoint, excluded []fleet.ID) {
-	tick := time.NewTicker(watchInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		st := e.Runtime.Status()
-		if st == nil {
-			continue
-		}
-		age := time.Since(st.ReceivedAt)
-		silent := time.Since(x.started) - time.Duration(x.lastByte.Load())
-		if !st.Down && (age < serverLostAfter || silent < serverLostAfter) {
-			continue
-		}
-		if !f.g.origins.hasAlternative(x, excluded) {
-			continue
-		}
-		cancel(endcause.ServerLost)
-		if endcause.Of(ctx) != endcause.ServerLost {
-			return // the attempt had ended already
-		}
-		f.g.log.For(logging.ComponentRoute).Warn().
-			Str("request", x.call.RequestID).
-			Str("endpoint", string(e.ID)).
-			Bool("down", st.Down).
-			Dur("status_age_ms", age).
-			Dur("silent_ms", silent).
-			Msg("server lost, request moves")
-		return
-	}
-}
-
 // recordResult updates the endpoint's latency and failure statistics after an
 // attempt, excludes the endpoint from further attempts if this one failed, and logs
 // the failure.
@@ -291,7 +236,8 @@
 		Body:   x.body,
 		ID:     x.call.RequestID,
 
-		ResponseID: f.g.headers.ResponseID,
+		ResponseID:  f.g.headers.ResponseID,
+		Transferred: x.transferred,
 		OnHead: func(status int, h http.Header, own bool) {
 			reply := f.g.headers.Reply(status, h)
 			f.g.observe(x, &reply)
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/fescuecourse/fescuecourse/pkg/endcause"
@@ -24,21 +25,23 @@
 }
 
 // stallTimer cancels a stream shortly before its caller disconnects because no event
-// arrived, so that the caller gets a final response and no server works on for it. It
-// belongs to the goroutine of the request.
+// arrived, so that the caller gets a final response and no server works on for it. Only
+// expiry may be called by other goroutines than that of the request.
 type stallTimer struct {
-	limit  time.Duration
-	timer  *time.Timer
-	expiry time.Time
+	limit time.Duration
+	timer *time.Timer
+	began time.Time
+	// expiresAfter is the time from began to the expiry of the timer, in nanoseconds.
+	expiresAfter atomic.Int64
 }
 
 // startStallTimer returns a context that is cancelled with endcause.Stalled when no
 // event has arrived within the limit of the route, counted from began.
 func startStallTimer(ctx context.Context, r *route.Route, began time.Time) (context.Context, *stallTimer) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	s := &stallTimer{limit: withReplyMargin(stallLimit(r))}
-	s.expiry = began.Add(s.limit)
-	s.timer = time.AfterFunc(time.Until(s.expiry), func() { cancel(endcause.Stalled) })
+	s := &stallTimer{limit: withReplyMargin(stallLimit(r)), began: began}
+	s.expiresAfter.Store(int64(s.limit))
+	s.timer = time.AfterFunc(time.Until(s.expiry()), func() { cancel(endcause.Stalled) })
 	return ctx, s
 }
 
@@ -47,10 +50,13 @@
 	if s == nil {
 		return
 	}
-	s.expiry = time.Now().Add(s.limit)
+	s.expiresAfter.Store(int64(time.Since(s.began) + s.limit))
 	s.timer.Reset(s.limit)
 }
 
+// expiry returns when the stream is cancelled unless an event is sent before.
+func (s *stallTimer) expiry() time.Time { return s.began.Add(time.Duration(s.expiresAfter.Load())) }
+
 func (s *stallTimer) stop() { s.timer.Stop() }
 
 // withReplyMargin shortens a limit of the caller so that the final response arrives
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -28,7 +28,6 @@
 	for {
 		n, err := ex.Response.Body.Read(buf)
 		s.buffered = append(s.buffered, buf[:n]...)
-		x.lastByte.Store(int64(time.Since(x.started)))
 		if werr := s.forward(completeEvents(s.buffered)); werr != nil {
 			return s.callerGone()
 		}
--- a/pkg/gateway/waiter.go
+++ b/pkg/gateway/waiter.go
@@ -59,16 +59,21 @@
 // preferCurrent returns the choice with its endpoint replaced by the server where the
 // request already waits, unless that server is unusable or has not started the load
 // within maxLoadWait. Each move to another server costs another load. Once the
-// adapter is being loaded, the request stays.
+// adapter is being loaded, the request stays. A server whose report could not be read goes on
+// with its loads, so it is left only if it stays down.
 func (w *waiter) preferCurrent(endpoints []*fleet.Endpoint, c locality.Choice) locality.Choice {
 	if w.demand == nil {
 		return c
 	}
+	now := time.Now()
 	st := w.endpoint.Runtime.Status()
-	if st == nil || st.Down || st.Draining || time.Since(st.ReceivedAt) > staleStatusAge || !w.endpoint.Runtime.Admits(time.Now()) {
+	if st == nil || st.Draining || now.Sub(st.ReceivedAt) > staleStatusAge || !w.endpoint.Runtime.Admits(now) {
+		return c
+	}
+	if st.Down && now.Sub(st.DownSince) > staleStatusAge {
 		return c
 	}
-	if _, loading := st.Loading[w.key]; !loading && time.Since(w.since) > maxLoadWait {
+	if _, loading := st.Loading[w.key]; !loading && !st.Down && now.Sub(w.since) > maxLoadWait {
 		return c
 	}
 	for _, e := range endpoints {
--- a/pkg/locality/cost.go
+++ b/pkg/locality/cost.go
@@ -187,3 +187,37 @@
 	}
 	return cost + w.EvictionPenalty + w.ContentionPenalty/time.Duration(room)
 }
+
+// TimeToStart estimates the time in which the chosen server sends the first event of a request
+// that comes now, including that for loading its adapter. It reports false if the server cannot
+// load the adapter now, or has not reported lately.
+func (c *Chooser) TimeToStart(r *Request, choice *Choice) (time.Duration, bool) {
+	st := choice.Endpoint.Runtime.Status()
+	if st == nil || r.Now.Sub(st.ReceivedAt) > staleStatusAge {
+		return 0, false
+	}
+	first := slowed(c.FirstEventTime(choice, max(r.PromptTokens-choice.CachedTokens, 0)), slowdown(st))
+	if choice.Resident {
+		return first, true
+	}
+	load, ok := c.loadTime(r, choice.Endpoint, st)
+	return load + first, ok
+}
+
+// loadTime estimates the time until the server has loaded the adapter, after the loads that
+// requests wait for already. It reports false if the server has no place for the adapter.
+func (c *Chooser) loadTime(r *Request, e *fleet.Endpoint, st *fleet.Status) (time.Duration, bool) {
+	fetch := st.LoadTime
+	if fetch == 0 {
+		fetch = c.weights.Load
+	}
+	if version, ok := st.Loading[r.Key]; ok && version >= r.Version {
+		return fetch, true
+	}
+	wanted := max(st.PendingLoads, int(e.Runtime.Waiting.Load()))
+	if _, old := st.Residents[r.Key]; old || st.Free+st.Evictable <= wanted {
+		return 0, false
+	}
+	ahead := len(st.Loading) + wanted
+	return fetch + fetch*time.Duration(ahead)/time.Duration(max(st.LoadLimit, 1)), true
+}
--- a/pkg/sidecar/report.go
+++ b/pkg/sidecar/report.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/residency"
@@ -25,6 +28,7 @@
 	if s.backsOff(err) {
 		return false
 	}
+	s.refusesConnections = errors.Is(err, syscall.ECONNREFUSED)
 	if err != nil {
 		if s.reachable && ctx.Err() == nil {
 			log.Warn().Err(err).Msg("dependency lost: server")
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -83,6 +83,9 @@
 	// reachable is false from a failed read of the report until a read succeeds and
 	// the id of the server is known.
 	reachable bool
+	// refusesConnections is true if the last read of the report failed because the server
+	// takes no connections.
+	refusesConnections bool
 	// pausedUntil is the time before which no order is sent.
 	pausedUntil time.Time
 	// backoffUntil is the time before which nothing is sent to the server.
@@ -207,7 +210,7 @@
 	}
 	snap := s.snapshot()
 	if !s.readReport(ctx, snap) {
-		s.publishDown()
+		s.publishUnreachable()
 		return
 	}
 	if snap.Table == nil {
@@ -229,7 +232,7 @@
 			return
 		}
 		if !s.readReport(ctx, snap) {
-			s.publishDown()
+			s.publishUnreachable()
 			return
 		}
 		in.Report = s.report
@@ -237,11 +240,18 @@
 	s.hub.publish(s.state(in))
 }
 
-// publishDown tells the entries that the server does not respond.
-func (s *Sidecar) publishDown() {
-	if !s.reachable && s.instance != "" {
-		s.hub.publish(&fescuev1.ServerState{InstanceId: string(s.instance), Down: true})
+// publishUnreachable tells the entries that the server does not respond. One that refuses
+// connections leaves or has crashed: it gets no new work, and what still runs there ends by
+// itself, because a crash ends its connections.
+func (s *Sidecar) publishUnreachable() {
+	if s.reachable || s.instance == "" {
+		return
 	}
+	s.hub.publish(&fescuev1.ServerState{
+		InstanceId: string(s.instance),
+		Down:       !s.refusesConnections,
+		Draining:   s.refusesConnections,
+	})
 }
 
 // state builds the message that is sent to the entries.
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
@@ -26,10 +29,15 @@
 	backoff time.Duration
 	// repeated are earlier reports that are returned before the current one.
 	repeated []residency.Report
+	// fails is the error of reads of the report, or nil.
+	fails error
 }
 
 func (s *fakeServer) Report(context.Context) (residency.Report, error) {
 	s.reports++
+	if s.fails != nil {
+		return residency.Report{}, s.fails
+	}
 	if s.backoff > 0 {
 		return residency.Report{}, &upstream.BackoffError{For: s.backoff}
 	}
@@ -169,3 +177,28 @@
 	assert.Equal(t, s.report.Sequence, int64(5))
 	assert.Equal(t, srv.asked, 1)
 }
+
+// Guards against work that is taken from a server that leaves: it closes its listener first and
+// serves on. One that has crashed ends its connections itself. A server that does not answer at
+// all is down.
+func TestServerThatTakesNoConnectionsIsNotDown(t *testing.T) {
+	for _, c := range []struct {
+		err            error
+		down, draining bool
+	}{
+		{errors.Wrap(syscall.ECONNREFUSED, "dial"), false, true},
+		{context.DeadlineExceeded, true, false},
+		{io.ErrUnexpectedEOF, true, false},
+	} {
+		srv := &fakeServer{id: "i-1"}
+		s, _ := newTestSidecar(t, srv)
+		s.step(t.Context())
+		srv.fails = c.err
+		s.step(t.Context())
+		assert.Equal(t, s.hub.state.GetDown(), c.down, "%v", c.err)
+		assert.Equal(t, s.hub.state.GetDraining(), c.draining, "%v", c.err)
+		srv.fails = nil
+		s.step(t.Context())
+		assert.Assert(t, !s.hub.state.GetDown() && !s.hub.state.GetDraining(), "%v", c.err)
+	}
+}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -31,6 +32,8 @@
 const (
 	readBufferBytes  = 4 << 10
 	writeBufferBytes = 4 << 10
+	// writePieceBytes is the largest part of a body that is written at once.
+	writePieceBytes = 64 << 10
 	// maxSyncBodyBytes is the largest body that is written completely before the
 	// response is read. A server may respond before it has read a longer body, and
 	// then read on only once its response has been read.
@@ -59,6 +62,34 @@
 	inHead bool
 }
 
+// transferReader and transferWriter call transferred for the bytes of a connection.
+type (
+	transferReader struct{ c *Conn }
+	transferWriter struct{ c *Conn }
+)
+
+func (t transferReader) Read(p []byte) (int, error) {
+	n, err := t.c.net.Read(p)
+	if n > 0 {
+		t.c.transferred()
+	}
+	return n, err //nolint:wrapcheck // a transparent reader
+}
+
+// Write writes in pieces, so that a long body shows its progress.
+func (t transferWriter) Write(p []byte) (int, error) {
+	written := 0
+	for piece := range slices.Chunk(p, writePieceBytes) {
+		n, err := t.c.net.Write(piece)
+		written += n
+		if err != nil {
+			return written, err //nolint:wrapcheck // a transparent writer
+		}
+		t.c.transferred()
+	}
+	return written, nil
+}
+
 func (l *headLimiter) expectHead(expect bool) { l.inHead, l.left = expect, maxHeadBytes }
 
 func (l *headLimiter) Read(p []byte) (int, error) {
@@ -90,6 +121,9 @@
 	// OnHead is called with the status and the header of each final response that is read,
 	// and whether it is the response to this request or is skipped. It may be nil.
 	OnHead func(status int, h http.Header, own bool)
+	// Transferred is called whenever bytes of the request have been written or bytes of the
+	// connection have been read. Two goroutines may call it at once. It may be nil.
+	Transferred func()
 }
 
 // Conn is a connection to an endpoint. One attempt at a time may use it.
@@ -106,15 +140,21 @@
 	// writeDone receives the result of writing the request in the background. It is
 	// nil if the request was written synchronously.
 	writeDone chan error
+	// onTransfer is the Transferred function of the current request, or nil.
+	onTransfer func()
+}
+
+func newConn(n net.Conn) *Conn {
+	c := &Conn{net: n}
+	c.limiter = &headLimiter{r: transferReader{c}}
+	c.reader = bufio.NewReaderSize(c.limiter, readBufferBytes)
+	c.writer = bufio.NewWriterSize(transferWriter{c}, writeBufferBytes)
+	return c
 }
 
-func newConn(c net.Conn) *Conn {
-	limiter := &headLimiter{r: c}
-	return &Conn{
-		net:     c,
-		limiter: limiter,
-		reader:  bufio.NewReaderSize(limiter, readBufferBytes),
-		writer:  bufio.NewWriterSize(c, writeBufferBytes),
+func (c *Conn) transferred() {
+	if c.onTransfer != nil {
+		c.onTransfer()
 	}
 }
 
@@ -163,6 +203,7 @@
 // aborted, the connection is reset. Errors are marked ErrNotSent or ErrIncomplete.
 func (c *Conn) Send(ctx context.Context, r *Request) (*Exchange, error) {
 	x := &Exchange{conn: c}
+	c.onTransfer = r.Transferred
 	x.stop = context.AfterFunc(ctx, c.reset)
 	if err := cmp.Or(ctx.Err(), r.check()); err != nil {
 		x.Abort()
