gateway, entry: no request that a planned stop would cut off

Nothing compared the time limit of a request with the time of the cut, and a request that waited for an adapter, a permit or its own body was sent whenever the wait ended.

Change: a stopping entry takes a request other than a stream only if its time limit ends before the cut, and a stream only if twice the usual response time of its server does, as far as that is known. This is checked before the body is read, once a server has been chosen, after each wait, and for further attempts. The read of a body ends with the time limit and with the cut. pkg/entry refuses deadlines after its cut, which concerns connections opened before the stop.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -53,6 +53,8 @@
 	controlLoop  *controlLoop
 	handler      Handler
 	stopping     atomic.Bool
+	// cutOff is when a shutdown cuts off the requests that still run, or nil before one.
+	cutOff atomic.Pointer[time.Time]
 	// started is the time at which Run was called.
 	started  time.Time
 	stopped  chan struct{}
@@ -181,6 +183,8 @@
 // requests may finish within the drain timeout. Those that have not are cancelled by
 // endRequests.
 func (e *Entry) drain(srv *http.Server, endRequests context.CancelCauseFunc) error {
+	cutOff := time.Now().Add(e.settings.UnreadyDelay + e.settings.DrainTimeout)
+	e.cutOff.Store(&cutOff)
 	e.stopping.Store(true)
 	e.log.For(logging.ComponentEntry).Info().Msg("shutting down; reporting not ready")
 	time.Sleep(e.settings.UnreadyDelay)
--- a/pkg/entry/filter.go
+++ b/pkg/entry/filter.go
@@ -105,9 +105,16 @@
 		deadline = time.Duration(ms) * time.Millisecond
 	}
 	x.deadline = time.Now().Add(deadline)
+	if cutOff := f.e.cutOff.Load(); cutOff != nil && x.deadline.After(*cutOff) {
+		return unavailable("stopping", "the entry is stopping", retryAfterStopping)
+	}
 	return nil
 }
 
+// retryAfterStopping is the Retry-After value of an entry that stops before the deadline of a
+// request. Another entry can take it at once.
+const retryAfterStopping = 10 * time.Millisecond
+
 // maxKeyBytes is the maximum length of an idempotency key.
 const maxKeyBytes = 255
 
--- a/pkg/entry/stop_test.go
+++ b/pkg/entry/stop_test.go
@@ -11,10 +11,27 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/rollout"
 )
 
+// Guards against a request that is taken so late in a shutdown that it is cut off at its end: on a
+// connection that was opened before, it may come at any time.
+func TestNoRequestThatTheStopWouldCutOff(t *testing.T) {
+	b := newTestBed(t, fescuev1.EndpointKind_ENDPOINT_KIND_MODEL, []script{answer(1, true, nil)})
+	cutOff := time.Now().Add(10 * time.Second)
+	b.e.cutOff.Store(&cutOff)
+	late := b.post(t, "/v1/completions", `{"model":"`+testAdapter+`","prompt":"x"}`, headerDeadline, "11000")
+	assert.Equal(t, late.status, http.StatusServiceUnavailable)
+	assert.Equal(t, late.outcome, ident.NotRun.String())
+	assert.Assert(t, late.retryAfter != "")
+	assert.Equal(t, b.fake[0].attempts(), 0)
+	inTime := b.post(t, "/v1/completions", `{"model":"`+testAdapter+`","prompt":"x"}`, headerDeadline, "9000")
+	assert.Equal(t, inTime.status, http.StatusOK, inTime.body)
+}
+
 // Guards against an entry that closes idle connections as soon as its shutdown
 // begins. Callers that the load balancer had not moved yet lost requests on these
 // connections.
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -52,7 +52,7 @@
 		refuseUnread(x)
 		return notRun("no memory is left for the body", spread(retryAfterMemory))
 	case endcause.Of(ctx) == endcause.Stopped:
-		return notRun("the entry is stopping", retryAfterStopping)
+		return stoppingFailure()
 	case endcause.Of(ctx) != endcause.None && endcause.Of(ctx) != endcause.CallerGone:
 		return notRun("the body did not arrive in time", retryAfterCapacity)
 	default:
@@ -83,8 +83,11 @@
 	}
 }
 
-// refuseUnread prepares a refusal whose request has a body that was not read.
+// refuseUnread prepares a refusal of a request whose body was not read.
 func refuseUnread(x *exchange) {
+	if x.r.ContentLength == 0 {
+		return
+	}
 	x.unread = true
 	x.w.Header().Set("Connection", "close")
 	_ = http.NewResponseController(x.w).EnableFullDuplex() // without it, net/http reads a part of the body before it responds
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -64,6 +64,9 @@
 	if e == nil {
 		return noEndpoint(x, endpoints, "no endpoint of the service is available")
 	}
+	if !f.g.mayStart(x, e) {
+		return stoppingFailure()
+	}
 	x.endpoint = e
 	f.g.log.For(logging.ComponentPlacement).Info().
 		Str("request", x.call.RequestID).
@@ -108,6 +111,9 @@
 			return noEndpoint(x, s.Services[x.service.Name], "no model server is available")
 		}
 		f.preload(x, r, choice.Preload)
+		if !f.g.mayStart(x, choice.Endpoint) {
+			return stoppingFailure()
+		}
 		if choice.Resident && !f.g.limits.take(ctx, x, choice.Endpoint) {
 			if ctx.Err() != nil {
 				return notRun("the time ended while a server was chosen", retryAfterCapacity)
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -57,12 +57,13 @@
 	if x.service == nil {
 		return notRun("the service of the route is not configured", retryAfterStart)
 	}
-	if f.g.closing.Load() && x.route.Kind == route.Streaming {
-		return notRun("the entry is stopping", retryAfterStopping)
+	x.deadline = x.started.Add(f.timeLimit(x))
+	if !f.g.mayTake(x) {
+		refuseUnread(x)
+		return stoppingFailure()
 	}
 	x.settlement = settle.New(ident.RequestID(call.RequestID))
 	x.history.Idempotent = x.repeatable()
-	x.deadline = x.started.Add(f.timeLimit(x))
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, endcause.Deadline)
 	defer cancel()
 	if x.route.Kind == route.Streaming {
