gateway: only events continue a stream

Cause: a continuation was recognized by its status alone. A stream without ids was run again from its beginning after a part of it.

Change: a continuation declares events or the type of the beginning, and starts with an event whose id comes after the last one. What follows the first event of a stream has the syntax of events. Anything else ends the attempt; the response breaks off unless another attempt is allowed. A stream without ids is not repeated once the caller has a part of it.

--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"mime"
 	"net/http"
+	"slices"
+	"strconv"
 )
 
 const eventStreamType = "text/event-stream"
@@ -56,12 +58,16 @@
 // isEventStream reports whether a response declares that its body consists of events, or
 // does not declare what it consists of.
 func isEventStream(h http.Header) bool {
-	declared := h.Get("Content-Type")
-	if declared == "" {
-		return true
+	return h.Get("Content-Type") == "" || mediaType(h) == eventStreamType
+}
+
+// mediaType returns the media type of a response, or an empty string if it declares none.
+func mediaType(h http.Header) string {
+	declared, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	if err != nil {
+		return ""
 	}
-	mediaType, _, err := mime.ParseMediaType(declared)
-	return err == nil && mediaType == eventStreamType
+	return declared
 }
 
 // lastID returns the id of the last event that has one, or an empty string.
@@ -74,3 +80,89 @@
 	}
 	return ""
 }
+
+// validEvents returns the length of the events at the start of a series of complete events that
+// follow the syntax of event streams: each line is a comment, a name with a value, or one of the
+// known names alone. The first event, comments aside, must have an id that comes after the given
+// one, unless that is empty.
+func validEvents(events []byte, after string) int {
+	valid := 0
+	for valid < len(events) {
+		size := firstEventBytes(events[valid:])
+		event := events[valid : valid+size]
+		if !isEvent(event) {
+			return valid
+		}
+		if after != "" && hasFields(event) {
+			if !comesAfter(lastID(event), after) {
+				return valid
+			}
+			after = ""
+		}
+		valid += size
+	}
+	return valid
+}
+
+// firstEventBytes returns the length of the first of a series of complete events.
+func firstEventBytes(events []byte) int {
+	lineStart := 0
+	for i := 0; i < len(events); {
+		width := lineEndWidth(events, i)
+		if width < 0 {
+			width = 1 // a last CR that ends an event
+		}
+		if width == 0 {
+			i++
+			continue
+		}
+		blank := i == lineStart
+		i += width
+		lineStart = i
+		if blank {
+			return i
+		}
+	}
+	return len(events)
+}
+
+func eventLines(event []byte) [][]byte {
+	return bytes.FieldsFunc(event, func(r rune) bool { return r == '\n' || r == '\r' })
+}
+
+func isEvent(event []byte) bool {
+	for _, line := range eventLines(event) {
+		if !isEventLine(line) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasFields reports whether an event has more than comments.
+func hasFields(event []byte) bool {
+	return slices.ContainsFunc(eventLines(event), func(line []byte) bool { return line[0] != ':' })
+}
+
+// isEventLine reports whether a line that is not empty may be part of an event.
+func isEventLine(line []byte) bool {
+	name, _, hasValue := bytes.Cut(line, []byte(":"))
+	if !hasValue {
+		return slices.Contains([]string{"data", "event", "id", "retry"}, string(name))
+	}
+	return !bytes.ContainsFunc(name, func(c rune) bool {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		return !letter && (c < '0' || c > '9') && c != '-' && c != '_'
+	})
+}
+
+// comesAfter reports whether an event with the given id may follow the one with the other id.
+// Ids increase where both are numbers.
+func comesAfter(id, other string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	m, otherErr := strconv.ParseUint(other, 10, 64)
+	if err != nil || otherErr != nil {
+		return id != "" && id != other
+	}
+	return n > m
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -88,6 +88,8 @@
 	// firstByte is the time from started to the start of the response, or 0 before it.
 	firstByte   time.Duration
 	lastEventID string
+	// streamType is the media type of the response that began the stream.
+	streamType string
 	// lastEvent is when the last event of a stream was sent to the caller, and longestGap the
 	// longest time between two of them.
 	lastEvent  time.Time
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -130,7 +130,7 @@
 // limits only attempts that may have run. While every attempt is proved not to have
 // run, the limit is maxSends.
 func (f retryFilter) mayRepeat(x *exchange, budget *retry.Budget) bool {
-	if x.headSent && x.route.Kind != route.Streaming {
+	if x.headSent && (x.route.Kind != route.Streaming || x.lastEventID == "") {
 		return false // nothing can continue the response
 	}
 	sends := maxSends
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -120,6 +120,7 @@
 		closeWithReset(x.r.Context())
 	}
 	x.headSent = true
+	x.streamType = mediaType(resp.Header)
 	x.firstByte = time.Since(x.started)
 	f.g.metrics.firstByte.Update(x.firstByte.Milliseconds())
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -25,15 +25,26 @@
 func (f sendFilter) relayStream(ctx context.Context, x *exchange, conn *upstream.Conn, ex *upstream.Exchange, c *attemptCounts) result {
 	s := &streamRelay{sendFilter: f, x: x, ex: ex, counts: c, buffered: eventBuffer{budget: f.g.memory.events}}
 	defer s.buffered.release()
+	if x.headSent {
+		if !x.continues(ex.Response) {
+			return s.brokeOff(ctx, "the response does not continue the stream")
+		}
+		s.resumed, s.continuesAfter = true, x.lastEventID
+	}
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := ex.Response.Body.Read(buf)
 		if !s.buffered.add(buf[:n]) {
 			return s.brokeOff(ctx, "no memory is left for an event of the stream")
 		}
-		if werr := s.forward(completeEvents(s.buffered.bytes)); werr != nil {
+		complete := completeEvents(s.buffered.bytes)
+		valid := s.validate(complete)
+		if werr := s.forward(valid); werr != nil {
 			return s.callerGone()
 		}
+		if valid < complete {
+			return s.brokeOff(ctx, "the stream holds something else than events")
+		}
 		switch {
 		case errors.Is(err, io.EOF):
 			return s.end(ctx, conn)
@@ -54,6 +65,31 @@
 	buffered eventBuffer
 	// relayed is true once something was forwarded.
 	relayed bool
+	// resumed is true if the caller has a part of the stream from an earlier response, and
+	// continuesAfter the id of its last event until the next one has arrived, or empty.
+	resumed        bool
+	continuesAfter string
+}
+
+// continues reports whether a response may be the continuation of the stream that the caller has
+// a part of. The error of a server that does not continue it may be a success as well.
+func (x *exchange) continues(resp *http.Response) bool {
+	return isEventStream(resp.Header) || mediaType(resp.Header) == x.streamType
+}
+
+// validate returns the length of the first of the given number of buffered bytes that may be
+// forwarded. The first event of a stream is that of the server, whatever it is. What follows it
+// must be events: a server that fails may write an error, or the head of one, into its stream.
+func (s *streamRelay) validate(complete int) int {
+	unchecked := 0
+	switch {
+	case s.resumed:
+	case mediaType(s.ex.Response.Header) != eventStreamType:
+		return complete
+	case !s.relayed:
+		unchecked = firstEventBytes(s.buffered.bytes[:complete])
+	}
+	return unchecked + validEvents(s.buffered.bytes[unchecked:complete], s.continuesAfter)
 }
 
 // forward sends the first n of the buffered bytes to the caller.
@@ -66,6 +102,9 @@
 		return err
 	}
 	s.relayed = true
+	if hasFields(s.buffered.bytes[:n]) {
+		s.continuesAfter = ""
+	}
 	s.x.eventSent()
 	s.buffered.remove(n)
 	return nil
