gateway: a report of operator items outlives a vain question to another sidecar

Cause: an entry that the store turns away asks a sidecar that has reported newer items; if that one does not answer, it pauses for 1 s and then dropped all reports, also those of other sidecars that came meanwhile. An entry then lacked the items until the next report. The test saw it only if the question came before the second report, which depends on the scheduler.

Change: only the report of the sidecar that was asked in vain is dropped.

--- a/pkg/gateway/operatorrelay.go
+++ b/pkg/gateway/operatorrelay.go
@@ -137,17 +137,19 @@
 		r.ask(ctx, source, before)
 		if after, _, _ := r.lacking(); after == before {
 			r.pause(ctx, relayPause)
-			r.forgetReports()
+			r.forgetReport(source)
 		}
 	}
 }
 
-// forgetReports drops what sidecars have reported, so that only new reports count. The source
-// may be lost, or have reported a revision of another era.
-func (r *operatorRelay) forgetReports() {
+// forgetReport drops what a sidecar has reported that was asked in vain, so that only new reports
+// count. It may be lost, or have reported a revision of another era.
+func (r *operatorRelay) forgetReport(asked *originLink) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.reported, r.source = 0, nil
+	if r.source == asked {
+		r.reported, r.source = 0, nil
+	}
 }
 
 // stopped ends catching up. Reports that are still unconfirmed are dropped; the next ones start
--- a/pkg/gateway/operatorrelay_test.go
+++ b/pkg/gateway/operatorrelay_test.go
@@ -104,6 +104,7 @@
 
 		sound := &relaySidecar{revision: 9}
 		r.report(t.Context(), lost.link(), 9)
+		synctest.Wait() // the lost one has been asked before the other one reports
 		r.report(t.Context(), sound.link(), 9)
 		time.Sleep(2 * relayPause)
 		_, behind = r.behind()
