entry: bodies of all requests share a budget

The entry of bundles read each body of up to 3 MiB before any limit of its team was checked, so that the number of callers decided how much memory it used: the same fault as in the gateway.

Change: body-memory-mb (64) for the bodies of all requests, asked before each block is read. A request over it is refused at once with Retry-After; net/http would read a part of the body before it responds, so the connection is made full duplex and closes.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -18,6 +19,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/limits"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/membership"
+	"github.com/fescuecourse/fescuecourse/pkg/membudget"
 	"github.com/fescuecourse/fescuecourse/pkg/placement"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
 	"github.com/fescuecourse/fescuecourse/pkg/rollout"
@@ -40,6 +42,8 @@
 	vms          *vmlist.Client
 	policy       placement.Policy
 	limiter      *limits.Limiter
+	// bodies is the memory for the bodies of all requests.
+	bodies       *membudget.Budget
 	budget       retry.Budget
 	claims       Claims
 	claimLookups chan struct{}
@@ -83,6 +87,7 @@
 		vms:          vmlist.New(settings.VMList, &http.Client{Timeout: vmListTimeout}),
 		policy:       settings.policy(),
 		limiter:      limits.New(),
+		bodies:       membudget.New(int64(cmp.Or(settings.BodyMemoryMB, defaultBodyMemoryMB) * (1 << 20))),
 		metrics:      newMetrics(),
 		timing:       defaultTiming,
 		bus:          b,
--- a/pkg/entry/filter.go
+++ b/pkg/entry/filter.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +13,7 @@
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
 	"github.com/fescuecourse/fescuecourse/pkg/endcause"
+	"github.com/fescuecourse/fescuecourse/pkg/membudget"
 )
 
 // Handler processes a request with one or more filters. It returns nil if the
@@ -71,7 +71,9 @@
 	if fail := f.headers(x); fail != nil {
 		return fail
 	}
-	if fail := f.readBody(x); fail != nil {
+	body := membudget.NewBuffer(f.e.bodies, x.r.ContentLength)
+	defer body.Release()
+	if fail := f.readBody(x, body); fail != nil {
 		return fail
 	}
 	target := f.service
@@ -127,19 +129,29 @@
 	return len(key) <= maxKeyBytes
 }
 
-func (f resolve) readBody(x *Exchange) *Failure {
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, f.e.settings.MaxBodyBytes))
+// readBody reads the body of a request, which is valid until the buffer is released.
+func (f resolve) readBody(x *Exchange, body *membudget.Buffer) *Failure {
+	err := body.Fill(http.MaxBytesReader(x.w, x.r.Body, f.e.settings.MaxBodyBytes), f.e.settings.MaxBodyBytes)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return rejected(http.StatusRequestEntityTooLarge, typeInvalidRequest, "body_too_large", "the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
-	}
-	if err != nil {
+	case errors.Is(err, membudget.ErrNoBudget):
+		body.Release()
+		x.w.Header().Set("Connection", "close")
+		_ = http.NewResponseController(x.w).EnableFullDuplex() // without it, net/http reads a part of the body before it responds
+		return unavailable("no_memory", "no memory is left for the body", retryAfterMemory)
+	case err != nil:
 		return rejected(http.StatusBadRequest, typeInvalidRequest, "unreadable_body", "the body could not be read")
 	}
-	x.body = body
+	x.body = body.Bytes()
 	return nil
 }
 
+// retryAfterMemory is the Retry-After value when there is no memory for the body of a request.
+// Another entry may have it.
+const retryAfterMemory = 100 * time.Millisecond
+
 // modelRequest contains the fields of an OpenAI request that the entry uses.
 type modelRequest struct {
 	Model    string          `json:"model"`
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -19,6 +19,8 @@
 	// maxBodyLimit is the largest value of max-body-bytes. gRPC limits a message to
 	// an endpoint to 4 MiB, and the other fields of the message need some of it.
 	maxBodyLimit = 3 << 20
+	// defaultBodyMemoryMB is the default of Settings.BodyMemoryMB.
+	defaultBodyMemoryMB = 64
 )
 
 // Settings is the configuration of an entry process.
@@ -36,6 +38,8 @@
 	DefaultDeadline time.Duration
 	MaxDeadline     time.Duration
 	MaxBodyBytes    int64
+	// BodyMemoryMB is the memory for the bodies of all requests, in MiB.
+	BodyMemoryMB float64
 	// RemoteEndpoints is the number of endpoints that the entry connects to in each
 	// other availability zone. Zero means all.
 	RemoteEndpoints int
@@ -55,6 +59,7 @@
 	set.DurationVar(&s.DefaultDeadline, "default-deadline", 30*time.Second, "deadline of requests that set none")
 	set.DurationVar(&s.MaxDeadline, "max-deadline", defaultMaxDeadline, "longest deadline that a request may set")
 	set.Int64Var(&s.MaxBodyBytes, "max-body-bytes", maxBodyLimit, "largest request body")
+	set.Float64Var(&s.BodyMemoryMB, "body-memory-mb", defaultBodyMemoryMB, "memory for the bodies of all requests")
 	set.IntVar(&s.RemoteEndpoints, "remote-endpoints", 0, "endpoints of each other zone to connect to, 0 for all")
 	set.DurationVar(&s.UnreadyDelay, "unready-delay", 5*time.Second, "time between unready and the end of acceptance at a stop")
 	set.DurationVar(&s.DrainTimeout, "drain-timeout", defaultMaxDeadline+2*drainMargin, "longest time that a stop waits for requests")
@@ -68,6 +73,7 @@
 	set.Requiref(s.KV != "", "kv", "must be set")
 	set.Requiref(s.policy() != nil, "placement-policy", "must be affinity, random, least-loaded or hash")
 	set.Requiref(s.MaxBodyBytes > 0 && s.MaxBodyBytes <= maxBodyLimit, "max-body-bytes", "must be between 1 and %d", maxBodyLimit)
+	set.Requiref(s.BodyMemoryMB*(1<<20) >= float64(2*s.MaxBodyBytes), "body-memory-mb", "must be twice max-body-bytes or more")
 	set.Requiref(s.RemoteEndpoints >= 0, "remote-endpoints", "must not be negative")
 	set.Requiref(s.UnreadyDelay >= 0, "unready-delay", "must not be negative")
 	set.RequirePositive("default-deadline", s.DefaultDeadline)
--- a/pkg/gateway/memory_test.go
+++ b/pkg/gateway/memory_test.go
@@ -22,6 +22,8 @@
 const (
 	// entryMemoryMB is the memory of the smallest entries.
 	entryMemoryMB = 284
+	// maxHeadBytes is the longest head of a response that is read.
+	maxHeadBytes = 64 << 10
 	// manyRequests is the number of requests at once in tests of their memory.
 	manyRequests = 120
 )
@@ -129,6 +131,7 @@
 		part       []byte
 	}{
 		"body":  {"/p/x", head + fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBufferedBytes), make([]byte, maxBufferedBytes-1)},
+		"head":  {"/p/x", head, []byte(strings.Repeat("X: a\r\n", (maxHeadBytes-200)/6))},
 		"event": {"/s/x", head + fmt.Sprintf("Content-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n", 2*maxEventBytes), make([]byte, maxEventBytes-1)},
 	}
 	for name, row := range rows {
--- a/pkg/gateway/resumed_test.go
+++ b/pkg/gateway/resumed_test.go
@@ -84,6 +84,34 @@
 	}
 }
 
+// Guards against a response of another process at the address of a server, such as the store or a
+// plain service, that continues a stream.
+func TestResponseOfAnotherProcessContinuesNoStream(t *testing.T) {
+	rows := map[string]http.HandlerFunc{
+		"no stamp": func(rw http.ResponseWriter, r *http.Request) { rw.Header().Set("Id", r.Header.Get("Id")) },
+		"no id":    func(rw http.ResponseWriter, _ *http.Request) { rw.Header().Set("Stamp", "x") },
+		"another id": func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set("Stamp", "x")
+			rw.Header().Set("Id", "other")
+		},
+		"neither": func(http.ResponseWriter, *http.Request) {},
+	}
+	for name, mark := range rows {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestGateway(t, streamRoute)
+			serveBegun(w, func(rw http.ResponseWriter, r *http.Request) {
+				mark(rw, r)
+				rw.Header().Set("Content-Type", "application/json")
+				fmt.Fprint(rw, `{"items":[],"truncated":false}`)
+			})
+			resp := w.do(http.MethodPost, "/s/x", forAdapter)
+			assert.Assert(t, resp.err != nil, "the stream looks complete: %q", resp.body)
+			assert.Equal(t, resp.body, begunEvents)
+		})
+	}
+}
+
 // Guards against a head of a response within the body of a stream that reaches the caller as an
 // event: a server that fails in the middle may write its error there.
 func TestHeadWithinAStreamIsNotRelayed(t *testing.T) {
--- a/pkg/gateway/stopping_test.go
+++ b/pkg/gateway/stopping_test.go
@@ -133,6 +133,43 @@
 	assert.Assert(t, refused.Load() > 0)
 }
 
+// Guards against another attempt so late in a stop that it would be cut off: the caller of a stream
+// that broke off can go on at another entry at once, and that of a request is told its result.
+func TestNoFurtherAttemptThatTheStopWouldCutOff(t *testing.T) {
+	for path, service := range map[string]string{"/s/x": modelService, "/p/x": plainService} {
+		for _, left := range []time.Duration{500 * time.Millisecond, time.Minute} {
+			t.Run(fmt.Sprintf("%s %s", path, left), func(t *testing.T) {
+				t.Parallel()
+				w := newTestGateway(t, streamRoute, plainRoute)
+				var runs atomic.Int32
+				for range 2 {
+					e := w.serve(service, func(rw http.ResponseWriter, r *http.Request) {
+						markFromPlatform(rw, r)
+						if runs.Add(1) > 1 {
+							rw.Header().Set("Content-Type", eventStreamType)
+							fmt.Fprint(rw, "id: 3\ndata: c\n\n")
+							return
+						}
+						cutOff := time.Now().Add(left)
+						w.gateway.cutOff.Store(&cutOff)
+						begunStream(rw, r)
+					})
+					e.Runtime.RecordSuccess(400 * time.Millisecond)
+					setResident(e, adapterKey, 1)
+				}
+				resp := w.do(http.MethodPost, path, forAdapter)
+				if left == time.Minute {
+					assert.NilError(t, resp.err)
+					assert.Equal(t, runs.Load(), int32(2))
+					return
+				}
+				assert.Equal(t, runs.Load(), int32(1))
+				assert.Assert(t, resp.err != nil || resp.status == http.StatusBadGateway, "status %d", resp.status)
+			})
+		}
+	}
+}
+
 // Guards against a request that was taken early in a stop, waits for an adapter or for its own
 // body, and is sent so late that it is cut.
 func TestWaitingRequestsAreRefusedInAStop(t *testing.T) {
--- a/pkg/membudget/budget_test.go
+++ b/pkg/membudget/budget_test.go
@@ -35,6 +35,7 @@
 		assert.Equal(t, int64(len(got)), b.Len())
 		assert.Assert(t, size > limit || len(got) == size)
 		assert.Assert(t, budget.Used() <= int64(2*len(got)+firstBlockBytes), "%d bytes reserved for %d", budget.Used(), len(got))
+		assert.Assert(t, bytes.Equal(b.Bytes(), got))
 		var written bytes.Buffer
 		_, err = b.WriteTo(&written)
 		assert.NilError(t, err)
--- a/pkg/membudget/buffer.go
+++ b/pkg/membudget/buffer.go
@@ -1,6 +1,7 @@
 package membudget
 
 import (
+	"bytes"
 	"io"
 
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,18 @@
 // Blocks returns the bytes in order. They are valid until Release.
 func (b *Buffer) Blocks() [][]byte { return b.blocks }
 
+// Bytes returns the bytes as one slice, valid until Release. It copies them if there are several
+// blocks.
+func (b *Buffer) Bytes() []byte {
+	if len(b.blocks) == 0 {
+		return nil
+	}
+	if len(b.blocks) > 1 {
+		b.blocks = [][]byte{bytes.Join(b.blocks, nil)}
+	}
+	return b.blocks[0]
+}
+
 // Fill reads from r until its end. It stops with ErrTooLong after more than limit bytes, and
 // with ErrNoBudget if no memory is left; what was read until then is in the buffer. Other errors
 // are those of r.
