gateway: remove a check that the move no longer uses

originTracker.hasAlternative and locality.AnyUsable were used by nothing but their test, which now asks the decision that replaced them, with the same three cases. A request without a model, which any server can run, may move as before: the estimate of a load does not apply to it.

go test ./pkg/gateway ./pkg/locality passes.

--- a/pkg/gateway/cause_test.go
+++ b/pkg/gateway/cause_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -86,7 +85,11 @@
 		rw.(http.Flusher).Flush()
 		<-r.Context().Done()
 	})
-	s.reportStatus(t, e)
+	keepReporting(t, e, func() *fleet.Status {
+		st := residentStatus()
+		st.Down = s.lost.Load()
+		return st
+	})
 	blocked := make(chan struct{})
 	front := httptest.NewUnstartedServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		w.gateway.serve(&gatedWriter{ResponseWriter: rw, blocked: blocked, gate: s.released}, r)
@@ -107,29 +110,6 @@
 	return s
 }
 
-// reportStatus keeps the status of the server current until the test ends.
-func (s *cutStream) reportStatus(t *testing.T, e *fleet.Endpoint) {
-	report := func() {
-		e.Runtime.SetStatus(&fleet.Status{ReceivedAt: time.Now(), Down: s.lost.Load(), Models: map[string]int{adapterKey.Model: 1}, Residents: map[fleet.AdapterKey]int{adapterKey: 1}, Free: 1})
-	}
-	report()
-	var wg sync.WaitGroup
-	end := make(chan struct{})
-	wg.Go(func() {
-		tick := time.NewTicker(statusInterval)
-		defer tick.Stop()
-		for {
-			select {
-			case <-end:
-				return
-			case <-tick.C:
-				report()
-			}
-		}
-	})
-	t.Cleanup(func() { close(end); wg.Wait() })
-}
-
 // openRequest sends a request and returns its connection and its response, whose body
 // has not been read.
 func openRequest(t *testing.T, address, path string, budget time.Duration) (*net.TCPConn, *http.Response) {
--- a/pkg/gateway/cut_test.go
+++ b/pkg/gateway/cut_test.go
@@ -73,19 +73,7 @@
 // serve starts the server and adds it to the directory.
 func (s *cutServer) serve(w *testGateway, service string) {
 	w.t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(w.t, err)
-	w.t.Cleanup(func() { lis.Close() })
-	go func() {
-		for {
-			c, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go s.respond(c)
-		}
-	}()
-	w.addAt(service, lis.Addr().String())
+	w.addAt(service, serveConns(w.t, s.respond))
 	if service == modelService {
 		setResident(w.find(service, fleet.ID(fmt.Sprintf("s%d", w.servers))), adapterKey, 1)
 	}
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -189,6 +189,24 @@
 	return srv
 }
 
+// serveConns listens on a loopback address and passes each connection to a function.
+func serveConns(t *testing.T, serve func(net.Conn)) (address string) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { lis.Close() })
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return lis.Addr().String()
+}
+
 // find returns an endpoint of the directory.
 func (w *testGateway) find(service string, id fleet.ID) *fleet.Endpoint {
 	for _, e := range w.gateway.control.snapshot.Load().Services[service] {
--- a/pkg/gateway/memory_test.go
+++ b/pkg/gateway/memory_test.go
@@ -33,25 +33,6 @@
 type stalledServer struct {
 	head string
 	part []byte
-	// sent counts the responses of which everything was written.
-	sent chan struct{}
-}
-
-func (s *stalledServer) start(t *testing.T) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { lis.Close() })
-	go func() {
-		for {
-			c, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go s.respond(c)
-		}
-	}()
-	return lis.Addr().String()
 }
 
 func (s *stalledServer) respond(c net.Conn) {
@@ -64,7 +45,6 @@
 	if _, err := c.Write(s.part); err != nil {
 		return
 	}
-	s.sent <- struct{}{}
 	_, _ = io.Copy(io.Discard, c) // until the entry closes
 }
 
@@ -137,9 +117,9 @@
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
 			w := newTestGateway(t, plainRoute, streamRoute)
-			s := &stalledServer{head: row.head, part: row.part, sent: make(chan struct{}, 2*manyRequests)}
-			w.addAt(plainService, s.start(t))
-			w.addAt(modelService, s.start(t))
+			s := &stalledServer{head: row.head, part: row.part}
+			w.addAt(plainService, serveConns(t, s.respond))
+			w.addAt(modelService, serveConns(t, s.respond))
 			setResident(w.find(modelService, "s2"), adapterKey, 1)
 			before := liveHeap()
 			var wg sync.WaitGroup
--- a/pkg/gateway/move.go
+++ b/pkg/gateway/move.go
@@ -104,6 +104,8 @@
 	if !ok {
 		return false
 	}
+	// A request without a model can run wherever it is sent.
+	choice.Resident = choice.Resident || r.Key.Model == ""
 	wait, ok := m.g.chooser.TimeToStart(&r, &choice)
 	if !ok || !now.Add(wait).Before(m.x.nextEventBy()) {
 		return false
--- a/pkg/gateway/origin.go
+++ b/pkg/gateway/origin.go
@@ -9,7 +9,6 @@
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
-	"github.com/fescuecourse/fescuecourse/pkg/locality"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/origin"
 	"github.com/fescuecourse/fescuecourse/pkg/route"
@@ -259,14 +258,3 @@
 	}
 	return notRun("no server of the software version that began the stream is available", retryAfter)
 }
-
-// hasAlternative reports whether the stream of a request may continue at another endpoint
-// than the excluded ones.
-func (t *originTracker) hasAlternative(x *exchange, excluded []fleet.ID) bool {
-	version := x.software.Load()
-	if version == nil {
-		return true
-	}
-	r := &locality.Request{Now: time.Now(), SoftwareVersion: version, Excluded: excluded}
-	return locality.AnyUsable(r, t.control.snapshot.Load().Services[x.service.Name])
-}
--- a/pkg/gateway/origin_test.go
+++ b/pkg/gateway/origin_test.go
@@ -352,12 +352,15 @@
 	first := w.serveVersion("v1", eventAfter("v1"))
 	w.serveVersion("v2", eventAfter("v2"))
 	version := "v1"
-	x := &exchange{service: &route.Service{Name: modelService}}
+	silent := w.serveVersion("v1", eventAfter("v1"))
+	x := &exchange{service: &route.Service{Name: modelService}, route: &streamRoute, endpoint: silent, started: time.Now(), deadline: time.Now().Add(time.Minute)}
+	x.call.Key = adapterKey
 	x.software.Store(&version)
-	assert.Assert(t, w.gateway.origins.hasAlternative(x, nil))
-	assert.Assert(t, !w.gateway.origins.hasAlternative(x, []fleet.ID{first.ID}))
+	assert.Assert(t, newMoveWatch(w.gateway, x).continuesElsewhere())
+	x.excluded = []fleet.ID{first.ID}
+	assert.Assert(t, !newMoveWatch(w.gateway, x).continuesElsewhere())
 	w.serveVersion("v1", eventAfter("v1"))
-	assert.Assert(t, w.gateway.origins.hasAlternative(x, []fleet.ID{first.ID}))
+	assert.Assert(t, newMoveWatch(w.gateway, x).continuesElsewhere())
 }
 
 // Guards against a Retry-After for a stream of whose version only servers are left that
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -187,11 +187,6 @@
 	return best, best.Endpoint != nil
 }
 
-// AnyUsable reports whether any server may take the request.
-func AnyUsable(r *Request, endpoints []*fleet.Endpoint) bool {
-	return slices.ContainsFunc(endpoints, func(e *fleet.Endpoint) bool { return usable(r, e) })
-}
-
 func usable(r *Request, e *fleet.Endpoint) bool {
 	if e.State != fleet.Ready || !e.Runtime.Available(r.Now) {
 		return false
