quota: a lease outlives its keeper

An entry forgot the credit that a sidecar had granted when that sidecar was no keeper any more, for example because the item of the server beside it had lapsed. Its callers were refused, or waited for another keeper, although the credit was granted and counted: the same cause as for streams of leaving servers, one witness ends what goes on.

Change: leases go on until they expire, also while their keeper is not in the list, and belong to it again when it returns. They still end with a lower quota and after a suspension.

TestLeaseOutlivesItsKeeper fails without the change; the simulations of quotas in pkg/quota pass, twice with -race.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,6 +46,8 @@
 	limit   Limit
 	part    Limit
 	keepers []*source
+	// former are sidecars that were keepers when they granted leases which have not expired.
+	former []*source
 	// settledAt is when the sidecars of the fleet last changed.
 	settledAt time.Time
 	// current is the index of the keeper that is asked first.
@@ -103,10 +107,11 @@
 	a.part = a.tolerance.Part(l, max(len(keepers), 1))
 }
 
-// setKeepers replaces the keepers and forgets those that are not in the list.
+// setKeepers replaces the keepers. The leases of those that are not in the list go on until they
+// expire: what was granted is counted, and the item of a sidecar's server may only have lapsed.
 func (a *Account) setKeepers(names []string) {
 	known := map[string]*source{}
-	for _, s := range a.keepers {
+	for _, s := range a.sources() {
 		known[s.name] = s
 	}
 	a.keepers = make([]*source, 0, len(names))
@@ -116,7 +121,9 @@
 			s = &source{name: name}
 		}
 		a.keepers = append(a.keepers, s)
+		delete(known, name)
 	}
+	a.former = slices.SortedFunc(maps.Values(known), func(s, t *source) int { return strings.Compare(s.name, t.name) })
 	if len(names) > 0 {
 		a.current = int(xxhash.Sum64String(a.entry+"/"+a.team) % uint64(len(names)))
 	}
@@ -135,10 +142,14 @@
 	return true
 }
 
+// sources returns all that may have granted leases.
+func (a *Account) sources() []*source { return slices.Concat(a.keepers, a.former) }
+
 // credit returns the credit of all leases.
 func (a *Account) credit(now time.Time) float64 {
+	a.former = slices.DeleteFunc(a.former, func(s *source) bool { return !now.Before(s.expiresAt) })
 	sum := 0.0
-	for _, s := range a.keepers {
+	for _, s := range a.sources() {
 		sum += s.unspent(now)
 	}
 	return sum
@@ -153,7 +164,7 @@
 
 // take removes credit from the leases, first from those that expire first.
 func (a *Account) take(now time.Time, cost float64) {
-	byExpiry := slices.SortedFunc(slices.Values(a.keepers), func(s, t *source) int { return s.expiresAt.Compare(t.expiresAt) })
+	byExpiry := slices.SortedFunc(slices.Values(a.sources()), func(s, t *source) int { return s.expiresAt.Compare(t.expiresAt) })
 	for _, s := range byExpiry {
 		part := min(cost, s.unspent(now))
 		s.credit -= part
@@ -167,7 +178,7 @@
 }
 
 func (a *Account) dropLeases() {
-	for _, s := range a.keepers {
+	for _, s := range a.sources() {
 		s.credit = 0
 	}
 }
@@ -187,7 +198,7 @@
 	if now.Sub(spentAt) > refundTime {
 		return false
 	}
-	for _, s := range a.keepers {
+	for _, s := range a.sources() {
 		if now.Before(s.expiresAt) {
 			s.credit += cost
 			return true
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -236,3 +236,24 @@
 	}
 	assert.Equal(t, k.Lease(now.Add(300*time.Millisecond), d).Credit, 400.0)
 }
+
+// Guards against credit that is lost with the item of a server: the sidecar beside it has granted a
+// lease, which the entry may spend until it expires.
+func TestLeaseOutlivesItsKeeper(t *testing.T) {
+	now := time.Now()
+	a := NewAccount("e", "t", Tolerance{Window: time.Second})
+	limit := Limit{PerSecond: 100, Burst: 100, Version: 1}
+	a.SetLimit(limit, []string{"k1"}, now)
+	ask, ok := a.Next(now, []float64{10}, map[string]bool{})
+	assert.Assert(t, ok)
+	a.Granted(now, &ask, Grant{Credit: 40})
+	a.SetLimit(limit, []string{"k2"}, now)
+	assert.Assert(t, a.Spend(now, 10), "the lease has ended with its keeper")
+	a.SetLimit(limit, []string{"k2", "k1"}, now)
+	assert.Assert(t, a.Spend(now, 10), "the lease has ended with the return of its keeper")
+	assert.Assert(t, !a.Spend(now, 21), "the lease counts twice")
+	a.SetLimit(limit, nil, now)
+	assert.Assert(t, !a.Spend(now.Add(time.Second), 1), "the lease has expired")
+	a.SetLimit(Limit{PerSecond: 50, Burst: 50, Version: 2}, nil, now)
+	assert.Assert(t, !a.Spend(now, 1), "leases of a higher quota end")
+}
