gateway: a request waits for its load through a missed report

A request that waited for the load of its adapter was refused at once when no other server could take it and one report of the loading server could not be read, although the load went on.

Change: where a request waits is decided in one place (waiter.current), which the choice also asks if it finds no usable server.

TestRequestWaitsForALoadThroughAMissedReport fails without the change.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -106,9 +106,13 @@
 		r.Reloading = f.g.control.reloads.Load().ids()
 		r.WaitsAt = w.at()
 		x.version = r.Version
-		choice, ok := f.g.chooser.Choose(r, s.Services[x.service.Name])
+		endpoints := s.Services[x.service.Name]
+		choice, ok := f.g.chooser.Choose(r, endpoints)
 		if !ok {
-			return noEndpoint(x, s.Services[x.service.Name], "no model server is available")
+			choice.Endpoint = w.current(r.Now, endpoints)
+		}
+		if choice.Endpoint == nil {
+			return noEndpoint(x, endpoints, "no model server is available")
 		}
 		f.preload(x, r, choice.Preload)
 		if !f.g.mayStart(x, choice.Endpoint) {
@@ -125,7 +129,7 @@
 			f.placed(x, began)
 			return nil
 		}
-		choice = w.preferCurrent(s.Services[x.service.Name], choice)
+		choice = w.preferCurrent(endpoints, choice)
 		if time.Until(x.nextEventBy()) < minServiceTime {
 			return notRun("no server could load the adapter in time", retryAfterCapacity)
 		}
--- a/pkg/gateway/move_test.go
+++ b/pkg/gateway/move_test.go
@@ -244,3 +244,24 @@
 	loader.Runtime.Status().DownSince = time.Now().Add(-2 * staleStatusAge)
 	assert.Equal(t, chosen(), other, "the server stays down")
 }
+
+// Guards against refusing a request while the only server loads its adapter, because one report of
+// the server could not be read.
+func TestRequestWaitsForALoadThroughAMissedReport(t *testing.T) {
+	w := newTestGateway(t, streamRoute)
+	loading := func() *fleet.Status {
+		st := fullStatus()
+		st.Loading = map[fleet.AdapterKey]int{adapterKey: 1}
+		return st
+	}
+	e := w.serve(modelService, func(rw http.ResponseWriter, r *http.Request) {
+		markFromPlatform(rw, r)
+		fmt.Fprint(rw, firstEvent)
+	})
+	e.Runtime.SetStatus(loading())
+	for i, st := range []func() *fleet.Status{downStatus, downStatus, loading, residentStatus} {
+		time.AfterFunc(time.Duration(i+1)*150*time.Millisecond, func() { e.Runtime.SetStatus(st()) })
+	}
+	resp := w.do(http.MethodPost, "/s/x", forAdapter)
+	assert.Equal(t, resp.body, firstEvent)
+}
--- a/pkg/gateway/waiter.go
+++ b/pkg/gateway/waiter.go
@@ -56,32 +56,40 @@
 // may move to another server.
 const maxLoadWait = 1500 * time.Millisecond
 
-// preferCurrent returns the choice with its endpoint replaced by the server where the
-// request already waits, unless that server is unusable or has not started the load
-// within maxLoadWait. Each move to another server costs another load. Once the
-// adapter is being loaded, the request stays. A server whose report could not be read goes on
-// with its loads, so it is left only if it stays down.
+// preferCurrent returns the choice with its endpoint replaced by the server where the request
+// goes on waiting, if there is one. Each move to another server costs another load.
 func (w *waiter) preferCurrent(endpoints []*fleet.Endpoint, c locality.Choice) locality.Choice {
+	if e := w.current(time.Now(), endpoints); e != nil {
+		c.Endpoint = e
+	}
+	return c
+}
+
+// current returns the server where the request waits, or nil if it should wait at another one:
+// the server is unusable or has not started the load within maxLoadWait. Once the adapter is being
+// loaded, the request stays. A server whose report could not be read goes on with its loads, so it
+// is left only if it stays down.
+func (w *waiter) current(now time.Time, endpoints []*fleet.Endpoint) *fleet.Endpoint {
 	if w.demand == nil {
-		return c
+		return nil
 	}
-	now := time.Now()
-	st := w.endpoint.Runtime.Status()
-	if st == nil || st.Draining || now.Sub(st.ReceivedAt) > staleStatusAge || !w.endpoint.Runtime.Admits(now) {
-		return c
+	runtime := w.endpoint.Runtime
+	st := runtime.Status()
+	if st == nil || st.Draining || now.Sub(st.ReceivedAt) > staleStatusAge || runtime.Leaving() || !runtime.Admits(now) {
+		return nil
 	}
 	if st.Down && now.Sub(st.DownSince) > staleStatusAge {
-		return c
+		return nil
 	}
 	if _, loading := st.Loading[w.key]; !loading && !st.Down && now.Sub(w.since) > maxLoadWait {
-		return c
+		return nil
 	}
 	for _, e := range endpoints {
-		if e.Runtime == w.endpoint.Runtime && e.State == fleet.Ready {
-			c.Endpoint = e
+		if e.Runtime == runtime && e.State == fleet.Ready {
+			return e
 		}
 	}
-	return c
+	return nil
 }
 
 // at returns the server where the request waits, or nil.
