gateway, upstream: the end of a resumed stream is an event, too

The rest of a continuation after its last blank line was passed on as the end of the stream unless the server declared events, so that a text without a blank line still reached the caller (TestTextIsNotTheEndOfAResumedStream fails without the change).

--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -28,7 +28,7 @@
 	defer body.Release()
 	err := body.Fill(ex.Response.Body, maxBufferedBytes)
 	if errors.IsAny(err, membudget.ErrTooLong, membudget.ErrNoBudget) {
-		return f.relayLarge(ctx, x, conn, ex, body)
+		return f.relayUnbuffered(ctx, x, conn, ex, body)
 	}
 	if err != nil {
 		ex.Abort()
@@ -50,9 +50,9 @@
 	return result{end: retry.Answered, status: status}
 }
 
-// relayLarge relays a response that begins with the given bytes while it arrives. If it
+// relayUnbuffered relays a response that begins with the given bytes while it arrives. If it
 // breaks off, or does not end in time, so does the response to the caller.
-func (f sendFilter) relayLarge(ctx context.Context, x *exchange, conn *upstream.Conn, ex *upstream.Exchange, beginning *membudget.Buffer) result {
+func (f sendFilter) relayUnbuffered(ctx context.Context, x *exchange, conn *upstream.Conn, ex *upstream.Exchange, beginning *membudget.Buffer) result {
 	status := ex.Response.StatusCode
 	f.writeHead(x, ex.Response)
 	if ex.Response.ContentLength >= 0 {
--- a/pkg/gateway/resumed_test.go
+++ b/pkg/gateway/resumed_test.go
@@ -84,6 +84,28 @@
 	}
 }
 
+// Guards against text without the end of an event that is passed on as the end of a stream whose
+// server did not declare events.
+func TestTextIsNotTheEndOfAResumedStream(t *testing.T) {
+	w := newTestGateway(t, streamRoute)
+	var second *fleet.Endpoint
+	first := w.serve(modelService, func(rw http.ResponseWriter, r *http.Request) {
+		setResident(second, adapterKey, 1)
+		markFromPlatform(rw, r)
+		fmt.Fprint(rw, begunEvents)
+		rw.(http.Flusher).Flush()
+		abortResponse()
+	})
+	second = w.serve(modelService, func(rw http.ResponseWriter, r *http.Request) {
+		markFromPlatform(rw, r)
+		fmt.Fprint(rw, "busy")
+	})
+	setResident(first, adapterKey, 1)
+	resp := w.do(http.MethodPost, "/s/x", forAdapter)
+	assert.Assert(t, resp.err != nil, "the stream looks complete")
+	assert.Equal(t, resp.body, begunEvents)
+}
+
 // Guards against a response of another process at the address of a server, such as the store or a
 // plain service, that continues a stream.
 func TestResponseOfAnotherProcessContinuesNoStream(t *testing.T) {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -116,7 +116,7 @@
 func (s *streamRelay) end(ctx context.Context, conn *upstream.Conn) result {
 	byClose := s.x.framing == upstream.FramedByClose
 	switch {
-	case insideEvent(s.buffered.bytes) && (byClose || isEventStream(s.ex.Response.Header)):
+	case insideEvent(s.buffered.bytes) && (byClose || s.resumed || isEventStream(s.ex.Response.Header)):
 		return s.brokeOff(ctx, "the stream ended inside an event")
 	case byClose && !s.relayed:
 		return s.brokeOff(ctx, "the stream ended without an event")
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -11,7 +11,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -32,8 +31,6 @@
 const (
 	readBufferBytes  = 4 << 10
 	writeBufferBytes = 4 << 10
-	// writePieceBytes is the largest part of a body that is written at once.
-	writePieceBytes = 64 << 10
 	// maxSyncBodyBytes is the largest body that is written completely before the
 	// response is read. A server may respond before it has read a longer body, and
 	// then read on only once its response has been read.
@@ -62,34 +59,6 @@
 	inHead bool
 }
 
-// transferReader and transferWriter call transferred for the bytes of a connection.
-type (
-	transferReader struct{ c *Conn }
-	transferWriter struct{ c *Conn }
-)
-
-func (t transferReader) Read(p []byte) (int, error) {
-	n, err := t.c.net.Read(p)
-	if n > 0 {
-		t.c.transferred()
-	}
-	return n, err //nolint:wrapcheck // a transparent reader
-}
-
-// Write writes in pieces, so that a long body shows its progress.
-func (t transferWriter) Write(p []byte) (int, error) {
-	written := 0
-	for piece := range slices.Chunk(p, writePieceBytes) {
-		n, err := t.c.net.Write(piece)
-		written += n
-		if err != nil {
-			return written, err //nolint:wrapcheck // a transparent writer
-		}
-		t.c.transferred()
-	}
-	return written, nil
-}
-
 func (l *headLimiter) expectHead(expect bool) { l.inHead, l.left = expect, maxHeadBytes }
 
 func (l *headLimiter) Read(p []byte) (int, error) {
@@ -154,12 +123,6 @@
 	return c
 }
 
-func (c *Conn) transferred() {
-	if c.onTransfer != nil {
-		c.onTransfer()
-	}
-}
-
 // Reused reports whether the connection has carried an earlier request.
 func (c *Conn) Reused() bool { return c.reused }
 
