e2e: tests of clients that do not behave, with the faults that they show

The tests start the processes of both families on loopback, with the limits of a small VM (96 MiB, 500 descriptors in some), and send a crowd of 150 to 800 clients of one form, or of all forms beside a reload, a store that is away and a stop. They check the memory of the process with the unread bytes of its sockets, its descriptors, that an ordinary request is answered while the crowd is connected, and that the process stops.

--- /dev/null
+++ b/e2e/overload_routed_test.go
@@ -0,0 +1,160 @@
+//go:build overload
+
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/fescuecourse/fescuecourse/standin/platform"
+)
+
+const (
+	routedHost = "h.example"
+	// routedTimeoutMS is the timeout of all routes, and routedTargetMS the latency target.
+	routedTimeoutMS = 20000
+	routedTargetMS  = 500
+)
+
+// routed is a routed entry with a store, a plain server, and a model server with its sidecar.
+type routed struct {
+	overloaded
+	store         *platform.Store
+	listen, ready string
+	requests      atomic.Int64
+}
+
+func startRouted(t *testing.T, descriptors int) *routed {
+	t.Helper()
+	store := platform.NewStore()
+	t.Cleanup(store.Close)
+	route := func(prefix, kind, service string) platform.Route {
+		return platform.Route{Name: prefix, Host: routedHost, Prefix: prefix, Kind: kind, TimeoutMS: routedTimeoutMS, TargetMS: routedTargetMS, Priority: 1, Service: service, MaxAttempts: 2, Resumable: true}
+	}
+	store.PutConfig(&platform.Config{
+		Version: 1, ModelService: "pool", Model: "base", Adapters: 4, MaxAdapters: 4, PlainService: "desk",
+		Routes: []platform.Route{route("/plain/", "idempotent", "desk"), route("/stream/", "streaming", "pool")},
+	})
+	sidecar := freeAddress(t)
+	for _, cfg := range []platform.ServerConfig{
+		{ID: "i-plain", Service: "desk", Zone: "a", Born: 1},
+		{ID: "i-model", Service: "pool", Zone: "a", Model: "base", MaxAdapters: 4, Events: 3, EventGap: time.Millisecond, Born: 1},
+	} {
+		s, err := platform.NewServer(cfg)
+		assert.NilError(t, err)
+		t.Cleanup(s.Close)
+		store.Put(s.Key(), s.Registration("ready"))
+		if cfg.Model != "" {
+			startLimited(t, 0, "routed-endpoint", "sidecar-1", "listen = "+sidecar, "kv = "+store.Address(), "server = "+s.Address(), "service = pool")
+		}
+	}
+	r := &routed{store: store, listen: freeAddress(t), ready: freeAddress(t)}
+	r.daemon = startLimited(t, descriptors, "routed-entry", "entry-1", "zone = a", "listen = "+r.listen, "ready-listen = "+r.ready,
+		"kv = "+store.Address(), fmt.Sprintf("residency-port = %d", portOf(t, sidecar)), "grace = 2s", "first-start = true", fmt.Sprintf("memory-mb = %d", overloadMemoryMB))
+	r.ports = map[int]bool{portOf(t, r.listen): true, portOf(t, r.ready): true}
+	r.ask = func(ctx context.Context) error { return r.post(ctx, "/plain/x", bytes.NewReader([]byte("ordinary"))) }
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		ok, err := platform.Ready(t.Context(), r.ready)
+		if !ok {
+			return poll.Continue("not ready: %v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(startLimit))
+	return r
+}
+
+// post sends a request on a new connection and returns an error unless a server answers it.
+func (r *routed) post(ctx context.Context, path string, body io.Reader) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.listen+path, body)
+	if err != nil {
+		return err
+	}
+	call := platform.ClientRequest{ID: fmt.Sprintf("ordinary-%d", r.requests.Add(1)), Host: routedHost, Timeout: routedTimeoutMS * time.Millisecond, Entry: "entry-1"}
+	if path == "/stream/x" {
+		call.Model, call.Prompt = "base", []platform.PromptPart{{ID: "a1", Tokens: 10}}
+	}
+	call.Apply(req)
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK || !platform.HasServerStamp(resp.Header) {
+		return fmt.Errorf("status %d, %q, %w", resp.StatusCode, text, err)
+	}
+	return nil
+}
+
+func (r *routed) target() *target {
+	head := "POST /plain/x HTTP/1.1\r\nHost: " + routedHost + "\r\nX-Fescuecourse-Request-Id: crowd\r\nX-Fescuecourse-Deadline-Ms: 15000\r\n"
+	return &target{address: r.listen, head: head}
+}
+
+// Guards against a routed entry that runs out of memory or descriptors, or no longer answers
+// ordinary callers, because of what other clients send or hold.
+func TestOverloadRoutedEntry(t *testing.T) {
+	for _, f := range append(bodyForms, connectionForms...) {
+		t.Run(f.name, func(t *testing.T) {
+			r := startRouted(t, f.descriptors)
+			r.endure(t, &f, r.target())
+		})
+	}
+}
+
+// Guards against endless heads at the address of readiness checks, which counts for the memory
+// of the same process.
+func TestOverloadReadinessAddress(t *testing.T) {
+	for _, f := range connectionForms {
+		t.Run(f.name, func(t *testing.T) {
+			r := startRouted(t, f.descriptors)
+			r.endure(t, &f, &target{address: r.ready, head: "GET /api/ready HTTP/1.1\r\nHost: h\r\n"})
+		})
+	}
+}
+
+// Guards against a routed entry that ends, hangs or exceeds its memory because clients of all
+// forms come at once, while its settings are read again, its store is away and it stops.
+func TestOverloadMixedCrowdAtRoutedEntry(t *testing.T) {
+	r := startRouted(t, 0)
+	r.endureAll(t, r.target(), func() {
+		r.store.SetFaults(platform.StoreFaults{FailStatus: http.StatusServiceUnavailable})
+		time.Sleep(time.Second)
+		r.store.SetFaults(platform.StoreFaults{})
+	})
+}
+
+// slowReader returns its bytes in pieces with pauses between them.
+type slowReader struct {
+	left  int
+	pause time.Duration
+}
+
+func (s *slowReader) Read(p []byte) (int, error) {
+	if s.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(s.pause)
+	n := copy(p[:min(len(p), s.left)], piece)
+	s.left -= n
+	return n, nil
+}
+
+// Guards against a refusal of the only request to an entry because its body arrives slowly,
+// although each part of it comes in time.
+func TestOverloadSlowBodyInCalm(t *testing.T) {
+	r := startRouted(t, 0)
+	for _, path := range []string{"/plain/x", "/stream/x"} {
+		assert.Check(t, r.post(t.Context(), path, &slowReader{left: overloadBodyBytes, pause: 80 * time.Millisecond}), path)
+	}
+}
--- a/internal/knownred/main.go
+++ b/internal/knownred/main.go
@@ -1,7 +1,9 @@
 // Command knownred runs `go test` and fails unless exactly the tests that a
 // list of known failures names fail.
 //
-//	knownred KNOWN-RED.txt [arguments of go test]
+//	knownred KNOWN-RED.txt [arguments of go test] [-- [arguments of go test]]...
+//
+// "--" separates the arguments of several runs, which follow each other.
 //
 // It fails on a failing test that is not listed, on a package that does not
 // build or whose test binary ends early, and on a listed test that passes, is
@@ -12,13 +14,14 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 )
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: knownred LIST [arguments of go test]")
+		fmt.Fprintln(os.Stderr, "usage: knownred LIST [arguments of go test] [-- [arguments of go test]]...")
 		os.Exit(2)
 	}
 	ok, err := check(os.Args[1], os.Args[2:])
@@ -35,15 +38,29 @@
 	if err != nil {
 		return false, err
 	}
-	s, testErr, err := runTests(args)
-	if err != nil {
-		return false, err
+	all, anyErr := &summary{}, false
+	for _, run := range runs(args) {
+		s, testErr, err := runTests(run)
+		if err != nil {
+			return false, err
+		}
+		all.Packages = append(all.Packages, s.Packages...)
+		anyErr = anyErr || testErr
 	}
-	v := judge(entries, s, testErr)
+	v := judge(entries, all, anyErr)
 	fmt.Print(report(entries, v))
 	return len(v.Problems) == 0, nil
 }
 
+// runs splits arguments at "--".
+func runs(args []string) [][]string {
+	i := slices.Index(args, "--")
+	if i < 0 {
+		return [][]string{args}
+	}
+	return append([][]string{args[:i]}, runs(args[i+1:])...)
+}
+
 func readList(path string) ([]entry, error) {
 	f, err := os.Open(path)
 	if err != nil {
--- a/internal/knownred/verdict.go
+++ b/internal/knownred/verdict.go
@@ -98,8 +98,8 @@
 
 func (s *summary) find(id testID) *testRun {
 	for _, p := range s.Packages {
-		if p.Dir == id.Package {
-			return p.Tests[id]
+		if t := p.Tests[id]; t != nil {
+			return t
 		}
 	}
 	return nil
--- a/internal/knownred/verdict_test.go
+++ b/internal/knownred/verdict_test.go
@@ -183,3 +183,15 @@
 	assert.Assert(t, is.Contains(text, "  known: ./pkg/fail TestFails\n      seen\n"))
 	assert.Assert(t, is.Contains(text, "FAIL: ./pkg/build: build failed"))
 }
+
+// Guards against a second run of go test whose tests count as missing, or whose failures are
+// passed over, because an earlier run had the same package.
+func TestVerdictOfSeveralRuns(t *testing.T) {
+	assert.DeepEqual(t, runs([]string{"-race", "./...", "--", "-tags", "x", "./e2e"}), [][]string{{"-race", "./..."}, {"-tags", "x", "./e2e"}})
+	first := &packageRun{Dir: "./e2e", Result: passed, Tests: map[testID]*testRun{}}
+	id := testID{"./e2e", "TestSlow"}
+	second := &packageRun{Dir: "./e2e", Result: failed, Completed: true, Tests: map[testID]*testRun{id: {Result: failed}}, order: []testID{id}}
+	s := &summary{Packages: []*packageRun{first, second}}
+	assert.Equal(t, len(judge(list(id.String()), s, true).Problems), 0)
+	assert.Equal(t, len(judge(nil, s, true).Problems), 1)
+}
