endpoint: bodies of queued attempts share a budget

What callers saw: an endpoint process that runs out of memory, with the loss of all that runs there, when the requests of a crowd wait at it for a busy back end. Each request and each entry was within its limits.

Cause: the queue is bounded by its length (256), not by its bytes: 256 bodies of 3 MiB are 768 MiB. Each entry bounds its own bodies only, and an endpoint has many entries.

Change: queued and running attempts take their bodies from a budget (body-memory-mb, 64 MiB); without room an attempt is refused as not run before it is queued. Four attempts are received at a time, as their sizes are not known before; the others stay in the flow-control windows. A message waits 1 s for that at most, since an entry that stands still holds its place.

Same cause elsewhere: answers kept for repeats are bounded (8 MiB in all); responses of services are bounded by 3 MiB for each of the running calls; the routed endpoint gets no bodies.

--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -18,6 +19,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/grpcconn"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
+	"github.com/fescuecourse/fescuecourse/pkg/membudget"
 	"github.com/fescuecourse/fescuecourse/pkg/rollout"
 	"github.com/fescuecourse/fescuecourse/pkg/scheduler"
 	"github.com/fescuecourse/fescuecourse/pkg/service"
@@ -63,12 +65,14 @@
 	runs        *runRegistry
 	timing      timing
 	backends    *backendConns
-	killed      chan struct{}
-	killOnce    sync.Once
-	leaving     atomic.Bool
-	backoff     backoff
-	addr        atomic.Pointer[net.TCPAddr]
-	ready       chan struct{}
+	// bodies is the memory for the bodies of queued and running attempts.
+	bodies   *membudget.Budget
+	killed   chan struct{}
+	killOnce sync.Once
+	leaving  atomic.Bool
+	backoff  backoff
+	addr     atomic.Pointer[net.TCPAddr]
+	ready    chan struct{}
 }
 
 // New returns an endpoint that has not started; call Run. The bundles holder supplies
@@ -91,6 +95,7 @@
 		engine:      engine.New(set.Address, hc),
 		service:     service.New(set.Address, hc),
 		ledger:      attempts.New(),
+		bodies:      membudget.New(int64(cmp.Or(set.BodyMemoryMB, defaultBodyMemoryMB) * (1 << 20))),
 		backends:    backends,
 		killed:      make(chan struct{}),
 		ready:       make(chan struct{}),
@@ -129,6 +134,7 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveMinTime, PermitWithoutStream: true}),
 	)
+	options = append(options, grpc.StreamInterceptor(newReceiveLimiter().intercept))
 	srv := grpc.NewServer(options...)
 	fescuev1.RegisterEndpointServer(srv, &server{e: e})
 	background, stop := context.WithCancel(context.Background())
--- a/pkg/endpoint/server.go
+++ b/pkg/endpoint/server.go
@@ -31,13 +31,19 @@
 	id := attemptID(req.GetRef())
 	sent := s.e.sentAt(req.GetEndpointClockMs())
 	out := &frameWriter{ref: req.GetRef(), stream: stream, keep: !req.GetIdempotent()}
-	if nr := s.e.precheck(req); nr != nil {
+	nr := s.e.precheck(req)
+	size := bodyBytes(req)
+	if nr == nil && !s.e.bodies.Reserve(size, size) {
+		nr = &fescuev1.NotRun{Reason: fescuev1.NotRunReason_NOT_RUN_REASON_QUEUE_FULL, Detail: "no memory is left for the body"}
+	}
+	if nr != nil {
 		s.e.metrics.recordRefusal(nr.GetReason())
 		if st := s.e.ledger.Refuse(time.Now(), id, sent); st != attempts.Refused {
 			return status.Error(codes.AlreadyExists, "attempt is known")
 		}
 		return out.notRun(nr)
 	}
+	defer s.e.bodies.Release(size)
 	switch s.e.ledger.Register(id, sent, !req.GetIdempotent()) {
 	case attempts.Absent:
 	case attempts.Refused:
@@ -48,6 +54,11 @@
 	return s.execute(req, id, out)
 }
 
+// bodyBytes returns the size of the body in a request.
+func bodyBytes(req *fescuev1.RunRequest) int64 {
+	return int64(len(req.GetModel().GetBody()) + len(req.GetService().GetBody()))
+}
+
 // execute submits the attempt to the scheduler, waits until it starts and runs it.
 func (s *server) execute(req *fescuev1.RunRequest, id ident.AttemptID, out *frameWriter) error {
 	queued := time.Now()
--- a/pkg/endpoint/settings.go
+++ b/pkg/endpoint/settings.go
@@ -25,6 +25,11 @@
 	Fencing       string
 	LogLevel      string
 
+	// BodyMemoryMB is the memory for the bodies of queued and running attempts, in MiB, 64 if
+	// zero, and MemoryMB that of the process, or 0 for no limit.
+	BodyMemoryMB float64
+	MemoryMB     float64
+
 	MaxQueued    int
 	Positions    int
 	DrainTimeout time.Duration
@@ -51,6 +56,13 @@
 // time for slow replies of the key-value service between two renewals.
 const minLeaseTTL = 5 * time.Second
 
+const (
+	// defaultBodyMemoryMB is the default of Settings.BodyMemoryMB.
+	defaultBodyMemoryMB = 64
+	// minBodyMemoryMB leaves room for two of the largest bodies.
+	minBodyMemoryMB = 8
+)
+
 // Values of the kind setting.
 const (
 	KindModel   = "model"
@@ -103,6 +115,8 @@
 	set.StringVar(&s.Fencing, "fencing", FencingIgnored, "whether the engine checks fencing tokens: checked or ignored")
 	set.StringVar(&s.LogLevel, "log-level", "info", "lowest `level` that is logged")
 	set.IntVar(&s.MaxQueued, "max-queued", 256, "largest number of queued attempts")
+	set.Float64Var(&s.BodyMemoryMB, "body-memory-mb", defaultBodyMemoryMB, "memory for the bodies of queued and running attempts")
+	set.Float64Var(&s.MemoryMB, "memory-mb", 0, "memory that the process may use, 0 for no bound")
 	set.IntVar(&s.Positions, "positions", 16, "concurrent calls to a plain service")
 	set.StringVar(&s.WeightStore, "weight-store", "", "`name` of the weight store, for load permits")
 	set.DurationVar(&s.ShareInterval, "share-interval", 5*time.Second, "time between two loads while no entry grants permits")
@@ -122,6 +136,8 @@
 	set.Requiref(s.Address != "", "backend-address", "must be set")
 	set.Requiref(s.Kind == KindModel || s.Kind == KindService, "kind", "must be model or service")
 	set.Requiref(s.Fencing == FencingChecked || s.Fencing == FencingIgnored, "fencing", "must be checked or ignored")
+	set.Requiref(s.BodyMemoryMB >= minBodyMemoryMB, "body-memory-mb", "must be %d or more", minBodyMemoryMB)
+	set.Requiref(s.MemoryMB >= 0, "memory-mb", "must not be negative")
 	set.Requiref(s.MaxQueued > 0, "max-queued", "must be above zero")
 	set.Requiref(s.Positions > 0, "positions", "must be above zero")
 	set.Requiref(s.EvictionPolicy == EvictionReloadCost || s.EvictionPolicy == EvictionLRU, "eviction-policy", "must be reload-cost or lru")
