connlimit: bound the connections of all HTTP servers

What callers saw: in a trial, clients ended an entry, which ran out of memory; others used up its descriptors, and ordinary callers got no answer.

Cause: the HTTP servers of both families, for callers, readiness and metrics, had net/http's defaults. A head could be 1 MiB (the operator's maxHeaderBytes and headerTimeoutMs were read and not used); the receive buffer of each connection grew with the speed of its client, and bytes in it count as memory of the process; nothing limited the number of connections, so that callers took the descriptors that lead to servers and to the store; a client that read nothing held its connection for ever; each refused client was read for a second; and a refusal before the body was read waited for 256 KiB of it without a time limit.

Change: pkg/connlimit wraps the listeners. - At most as many connections as the memory (64 KiB each in 0.35 of it) and the descriptors (0.4 of them) allow. Beyond, the connection furthest from a response makes room: the rest of a refused body, then unfinished heads, idle connections, and bodies that get nothing, the oldest first. One with a running request never does. - Buffers of 16 KiB and 64 KiB in place of growing ones. - Heads within the limits of the configuration in force, 64 KiB and 10 s without one: 431. - 10 s without a byte of a body, or without a byte read of a response, end the connection. - One connection in 16 drops the rest of refused bodies; others are closed after the refusal. Settings max-descriptors (routed entries, from the platform's settings, and entries of bundles) and memory-mb (entries and endpoints of bundles).

The ordinary caller of the bundle tests now belongs to another team than the crowd: the crowd of requests-without-reading uses up the requests/s of its own team, and a team over its limit gets 429 as designed. Crowds and bounds are as before.

--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -35,8 +35,10 @@
 )
 
 const (
-	teamKey   = "e2e-key"
-	baseModel = "kuma-7b"
+	teamKey = "e2e-key"
+	// otherTeamKey is the key of a team without adapters.
+	otherTeamKey = "other-key"
+	baseModel    = "kuma-7b"
 	// startLimit bounds waits for other processes and is long enough for a slow host.
 	// No test asserts how long the processes take.
 	startLimit = 60 * time.Second
@@ -293,9 +295,12 @@
 }
 
 func bundleText(version int) string {
-	sum := sha256.Sum256([]byte(teamKey))
 	var b strings.Builder
-	fmt.Fprintf(&b, "[bundle]\nversion = %d\n\n[deployment]\nname = e2e\n\n[team \"tokachi\"]\nkey_sha256 = %s\n\n", version, hex.EncodeToString(sum[:]))
+	fmt.Fprintf(&b, "[bundle]\nversion = %d\n\n[deployment]\nname = e2e\n\n", version)
+	for _, team := range []struct{ name, key string }{{"tokachi", teamKey}, {"other", otherTeamKey}} {
+		sum := sha256.Sum256([]byte(team.key))
+		fmt.Fprintf(&b, "[team %q]\nkey_sha256 = %s\n\n", team.name, hex.EncodeToString(sum[:]))
+	}
 	for i := range 6 {
 		fmt.Fprintf(&b, "[adapter \"tokachi/a%d\"]\nbase_model = %s\nversions = 1\ncurrent = 1\n\n", i, baseModel)
 	}
--- a/e2e/overload_bundle_test.go
+++ b/e2e/overload_bundle_test.go
@@ -50,7 +50,7 @@
 	address, metrics := freeAddress(t), freeAddress(t)
 	b := &bundled{deployment: d, endpoint: &overloaded{ports: map[int]bool{portOf(t, address): true, portOf(t, metrics): true}}}
 	b.endpoint.daemon = startLimited(t, 0, "endpoint", "desk-1", "zone = a", "listen = "+address, "kv = "+kv.Addr(), "reviewers = "+d.file("reviewers.ini"),
-		"kind = service", "backend = desk", "backend-address = "+d.serve(d.service.Handler()), "drain-timeout = 15m", "lease-ttl = 5s", "metrics-listen = "+metrics, "positions = 2")
+		"kind = service", "backend = desk", "backend-address = "+d.serve(d.service.Handler()), "drain-timeout = 15m", "lease-ttl = 5s", "metrics-listen = "+metrics, "positions = 2", fmt.Sprintf("memory-mb = %d", overloadMemoryMB), "body-memory-mb = 16")
 	b.metricsAddress = metrics
 	d.vms.Put(vmlist.VM{Endpoint: ident.EndpointID("desk-1"), Zone: "a", Address: address, State: vmlist.StateLive})
 	return b
@@ -63,7 +63,9 @@
 	b.listen = freeAddress(t)
 	b.daemon = b.entry(descriptors, "entry-1", b.listen)
 	b.ports = map[int]bool{portOf(t, b.listen): true}
-	b.ask = func(ctx context.Context) error { return b.call(ctx, b.listen, strings.NewReader("ordinary")) }
+	b.ask = func(ctx context.Context) error {
+		return b.call(ctx, b.listen, otherTeamKey, strings.NewReader("ordinary"))
+	}
 	return b
 }
 
@@ -71,7 +73,7 @@
 func (b *bundled) entry(descriptors int, id, listen string) *daemon {
 	b.t.Helper()
 	p := startLimited(b.t, descriptors, "entry", id, "zone = a", "listen = "+listen, "kv = "+b.kv.Addr(), "reviewers = "+b.file("reviewers.ini"),
-		"vm-list = "+b.vmListAddress, "unready-delay = 200ms", "drain-timeout = 15m", "body-memory-mb = 16", "max-body-bytes = "+strconv.Itoa(overloadBodyBytes))
+		"vm-list = "+b.vmListAddress, "unready-delay = 200ms", "drain-timeout = 15m", fmt.Sprintf("memory-mb = %d", overloadMemoryMB), "body-memory-mb = 16", "max-body-bytes = "+strconv.Itoa(overloadBodyBytes))
 	p.address = listen
 	poll.WaitOn(b.t, func(poll.LogT) poll.Result {
 		resp, err := http.Get("http://" + listen + "/readyz")
@@ -87,14 +89,15 @@
 	return p
 }
 
-// call sends a request to the service on a new connection and returns an error unless it is
-// answered.
-func (b *bundled) call(ctx context.Context, entry string, body io.Reader) error {
+// call sends a request of the team with the key to the service, on a new connection, and returns an
+// error unless it is answered. Ordinary callers are of another team than the crowd, whose team may
+// be over its limits.
+func (b *bundled) call(ctx context.Context, entry, key string, body io.Reader) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/v1/services/desk/x", body)
 	if err != nil {
 		return err
 	}
-	req.Header.Set("Authorization", "Bearer "+teamKey)
+	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("Fescue-Idempotent", "true")
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
@@ -141,7 +144,7 @@
 		return m.fill(overloadBodyBytes-1, 0)
 	}}
 	b.ask = func(ctx context.Context) error {
-		return b.call(ctx, b.listen, bytes.NewReader(bytes.Repeat(piece, overloadBodyBytes/pieceBytes)))
+		return b.call(ctx, b.listen, otherTeamKey, bytes.NewReader(bytes.Repeat(piece, overloadBodyBytes/pieceBytes)))
 	}
 	b.endure(t, &f, b.target())
 }
@@ -165,11 +168,13 @@
 		crowd.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, 4*writeLimit)
 			defer cancel()
-			_ = b.call(ctx, entries[i%len(entries)].address, bytes.NewReader(body)) // most are refused or wait too long
+			_ = b.call(ctx, entries[i%len(entries)].address, teamKey, bytes.NewReader(body)) // most are refused or wait too long
 		})
 	}
 	time.Sleep(watchTime)
-	b.endpoint.ask = func(ctx context.Context) error { return b.call(ctx, b.listen, strings.NewReader("ordinary")) }
+	b.endpoint.ask = func(ctx context.Context) error {
+		return b.call(ctx, b.listen, otherTeamKey, strings.NewReader("ordinary"))
+	}
 	crowd.Wait()
 	b.endpoint.awaitAnswer(t)
 	cancel()
--- a/pkg/daemon/rendered_test.go
+++ b/pkg/daemon/rendered_test.go
@@ -27,6 +27,7 @@
 	"bounds.quotaOverage":     0.1,
 	"bounds.quotaSlack":       110000,
 	"limits.memoryMb":         216.5,
+	"limits.maxFds":           4100,
 }
 
 // forms are the ways to write a number.
--- a/pkg/daemon/roles.go
+++ b/pkg/daemon/roles.go
@@ -67,6 +67,7 @@
 	set := &entry.Settings{}
 	b := &bundleSettings{settings: set}
 	build := func(log logging.Logger) (runner, error) {
+		limitMemory(set.MemoryMB)
 		p, err := b.dependencies(set.KV, log)
 		if err != nil {
 			return nil, err
@@ -80,6 +81,7 @@
 	set := &endpoint.Settings{}
 	b := &bundleSettings{settings: set}
 	build := func(log logging.Logger) (runner, error) {
+		limitMemory(set.MemoryMB)
 		p, err := b.dependencies(set.KV, log)
 		if err != nil {
 			return nil, err
--- a/pkg/entry/cause_test.go
+++ b/pkg/entry/cause_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/internal/logrecorder"
+	"github.com/fescuecourse/fescuecourse/pkg/connlimit"
 	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 )
 
@@ -86,7 +87,9 @@
 	b.e.log = log.Logger()
 	requests, endRequests := context.WithCancelCause(context.Background())
 	b.http = httptest.NewUnstartedServer(nil)
-	b.http.Config = b.e.newServer(requests)
+	lis := connlimit.New(b.http.Listener, connlimit.Limits{MaxConns: 10})
+	b.http.Listener = lis
+	b.http.Config = b.e.newServer(requests, lis)
 	b.http.Start()
 	t.Cleanup(b.http.Close)
 	conn := b.sendRaw(t, completions, streamBody)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
 	"github.com/fescuecourse/fescuecourse/pkg/bus"
+	"github.com/fescuecourse/fescuecourse/pkg/connlimit"
 	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/limits"
@@ -27,9 +28,6 @@
 	"github.com/fescuecourse/fescuecourse/pkg/vmlist"
 )
 
-// readHeaderTimeout limits how long a caller may take to send its request headers.
-const readHeaderTimeout = 10 * time.Second
-
 // Entry is an entry process. It accepts callers' requests over HTTP, chooses an
 // endpoint for each request and relays the response.
 type Entry struct {
@@ -136,7 +134,7 @@
 // complete the drain.
 func (e *Entry) Run(ctx context.Context) error {
 	e.started = time.Now()
-	lis, err := net.Listen("tcp", e.settings.Listen)
+	lis, err := connlimit.Listen(e.settings.Listen, connlimit.Limits{MaxConns: connlimit.MaxConns(e.settings.MemoryMB, e.settings.MaxDescriptors)})
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
@@ -155,7 +153,7 @@
 	wg.Go(func() { e.bundleSyncer.run(background) })
 	requests, endRequests := context.WithCancelCause(context.Background())
 	defer endRequests(endcause.Stopped)
-	srv := e.newServer(requests)
+	srv := e.newServer(requests, lis)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(lis) }()
 	close(e.ready)
@@ -172,11 +170,12 @@
 
 // newServer returns the HTTP server for callers. The contexts of its requests are
 // derived from requests.
-func (e *Entry) newServer(requests context.Context) *http.Server {
+func (e *Entry) newServer(requests context.Context, lis *connlimit.Listener) *http.Server {
 	return &http.Server{
-		Handler:           e.routes(),
-		ReadHeaderTimeout: readHeaderTimeout,
-		BaseContext:       func(net.Listener) context.Context { return requests },
+		Handler:     e.routes(),
+		ConnState:   lis.Track,
+		ConnContext: connlimit.WithConn,
+		BaseContext: func(net.Listener) context.Context { return requests },
 	}
 }
 
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -40,6 +40,10 @@
 	MaxBodyBytes    int64
 	// BodyMemoryMB is the memory for the bodies of all requests, in MiB.
 	BodyMemoryMB float64
+	// MemoryMB is the memory that the process may use, in MiB, or 0 for no limit, and
+	// MaxDescriptors the number of descriptors, or 0 for the limit of the operating system.
+	MemoryMB       float64
+	MaxDescriptors int
 	// RemoteEndpoints is the number of endpoints that the entry connects to in each
 	// other availability zone. Zero means all.
 	RemoteEndpoints int
@@ -60,6 +64,8 @@
 	set.DurationVar(&s.MaxDeadline, "max-deadline", defaultMaxDeadline, "longest deadline that a request may set")
 	set.Int64Var(&s.MaxBodyBytes, "max-body-bytes", maxBodyLimit, "largest request body")
 	set.Float64Var(&s.BodyMemoryMB, "body-memory-mb", defaultBodyMemoryMB, "memory for the bodies of all requests")
+	set.Float64Var(&s.MemoryMB, "memory-mb", 0, "memory that the process may use, 0 for no bound")
+	set.IntVar(&s.MaxDescriptors, "max-descriptors", 0, "descriptors that the process may open, 0 for the limit of the operating system")
 	set.IntVar(&s.RemoteEndpoints, "remote-endpoints", 0, "endpoints of each other zone to connect to, 0 for all")
 	set.DurationVar(&s.UnreadyDelay, "unready-delay", 5*time.Second, "time between unready and the end of acceptance at a stop")
 	set.DurationVar(&s.DrainTimeout, "drain-timeout", defaultMaxDeadline+2*drainMargin, "longest time that a stop waits for requests")
@@ -74,6 +80,8 @@
 	set.Requiref(s.policy() != nil, "placement-policy", "must be affinity, random, least-loaded or hash")
 	set.Requiref(s.MaxBodyBytes > 0 && s.MaxBodyBytes <= maxBodyLimit, "max-body-bytes", "must be between 1 and %d", maxBodyLimit)
 	set.Requiref(s.BodyMemoryMB*(1<<20) >= float64(2*s.MaxBodyBytes), "body-memory-mb", "must be twice max-body-bytes or more")
+	set.Requiref(s.MemoryMB >= 0, "memory-mb", "must not be negative")
+	set.Requiref(s.MaxDescriptors >= 0, "max-descriptors", "must not be negative")
 	set.Requiref(s.RemoteEndpoints >= 0, "remote-endpoints", "must not be negative")
 	set.Requiref(s.UnreadyDelay >= 0, "unready-delay", "must not be negative")
 	set.RequirePositive("default-deadline", s.DefaultDeadline)
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuecourse/fescuecourse/pkg/connlimit"
 	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/membudget"
 )
@@ -17,14 +18,6 @@
 	// retryAfterMemory is the Retry-After value when there is no memory for the body of a
 	// request. Another entry may have it.
 	retryAfterMemory = 100 * time.Millisecond
-	// discardWait is how long a refusal waits for the body of the request, so that the
-	// connection can stay open. Bodies usually arrive with the headers.
-	discardWait = 10 * time.Millisecond
-	// maxDiscardBytes is the largest body that is read for that.
-	maxDiscardBytes = 256 << 10
-	// lingerTime is how long the rest of the body of a refused request is read after the
-	// response, so that a caller that is still writing does not lose the response.
-	lingerTime = time.Second
 )
 
 // bodyFilter reads the whole request body, so that it can be sent more than once.
@@ -35,42 +28,47 @@
 	if configured := x.table.Limits.MaxBodyBytes; configured > 0 {
 		limit = configured
 	}
+	x.bodyBegun = true
 	x.body = membudget.NewBuffer(f.g.memory.requests, x.r.ContentLength)
 	defer x.body.Release()
 	if x.r.ContentLength > limit {
-		return tooLarge(x)
+		return tooLarge()
 	}
 	err := fillBefore(ctx, x, limit)
+	conn := connlimit.Of(x.r.Context())
 	switch {
 	case err == nil:
+		x.bodyRead = true
 		return next(ctx, x)
 	case errors.Is(err, membudget.ErrTooLong):
-		return tooLarge(x)
+		return tooLarge()
 	case errors.Is(err, membudget.ErrNoBudget):
 		f.g.metrics.noMemory.Inc(1)
 		x.body.Release()
-		refuseUnread(x)
 		return notRun("no memory is left for the body", spread(retryAfterMemory))
+	case conn.Evicted():
+		return notRun("too many connections are open", spread(retryAfterMemory))
 	case endcause.Of(ctx) == endcause.Stopped:
 		return stoppingFailure()
-	case endcause.Of(ctx) != endcause.None && endcause.Of(ctx) != endcause.CallerGone:
-		return notRun("the body did not arrive in time", retryAfterCapacity)
+	case endcause.Of(ctx).IsTimeout():
+		return notRun("the body did not arrive within the time limit of the request", retryAfterCapacity)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return notRun("the body has stopped arriving", retryAfterCapacity)
 	default:
 		return rejected(http.StatusBadRequest, "the body could not be read")
 	}
 }
 
-func tooLarge(x *exchange) *failure {
-	refuseUnread(x)
+func tooLarge() *failure {
 	return rejected(http.StatusRequestEntityTooLarge, "the body is too large")
 }
 
 // fillBefore reads the body until ctx ends.
 func fillBefore(ctx context.Context, x *exchange, limit int64) error {
-	rc := http.NewResponseController(x.w)
-	stop := context.AfterFunc(ctx, func() {
-		_ = rc.SetReadDeadline(time.Unix(1, 0)) // without a deadline, the read ends with the connection
-	})
+	conn := connlimit.Of(x.r.Context())
+	conn.BeginBody()
+	defer conn.EndBody()
+	stop := context.AfterFunc(ctx, conn.Interrupt)
 	defer stop()
 	return x.body.Fill(x.r.Body, limit) //nolint:wrapcheck // the caller tells the errors apart
 }
@@ -82,40 +80,3 @@
 		x.body.Release()
 	}
 }
-
-// refuseUnread prepares a refusal of a request whose body was not read.
-func refuseUnread(x *exchange) {
-	if x.r.ContentLength == 0 {
-		return
-	}
-	x.unread = true
-	x.w.Header().Set("Connection", "close")
-	_ = http.NewResponseController(x.w).EnableFullDuplex() // without it, net/http reads a part of the body before it responds
-}
-
-// linger reads the rest of the body of a refused request for a while after the response. A
-// connection that is closed before is reset, and the caller may lose the response.
-func (x *exchange) linger() {
-	if !x.unread {
-		return
-	}
-	rc := http.NewResponseController(x.w)
-	_ = rc.Flush() // the caller may be gone
-	_ = rc.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, x.r.Body) // nothing depends on the rest
-}
-
-// discardBody reads the body of a refused request if it is there. Otherwise the connection is
-// closed after the response: net/http would not send the response before it has read the body.
-func discardBody(x *exchange) {
-	rc := http.NewResponseController(x.w)
-	if x.r.ContentLength == 0 {
-		return
-	}
-	_ = rc.SetReadDeadline(time.Now().Add(discardWait)) // without a deadline, the read ends with the request
-	_, err := io.CopyN(io.Discard, x.r.Body, maxDiscardBytes)
-	_ = rc.SetReadDeadline(time.Time{})
-	if !errors.Is(err, io.EOF) {
-		x.w.Header().Set("Connection", "close")
-	}
-}
--- a/pkg/gateway/callers.go
+++ b/pkg/gateway/callers.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/fescuecourse/fescuecourse/pkg/connlimit"
 )
 
 // callerConns tracks the idle connections of callers.
@@ -40,29 +42,10 @@
 	}
 }
 
-// callerConnKey is the context key of the connection of a caller.
-type callerConnKey struct{}
-
-// withCallerConn is the ConnContext hook of the HTTP server.
-func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
-}
-
 // closeWithReset makes the caller's connection end with a TCP reset, also if this process
 // dies. Without it, the part of a response that ends with its connection would look complete
 // whenever the connection is closed.
-func closeWithReset(ctx context.Context) { setLinger(ctx, 0) }
+func closeWithReset(ctx context.Context) { connlimit.SetLinger(ctx, 0) }
 
 // closeRegularly makes the caller's connection end regularly again.
-func closeRegularly(ctx context.Context) { setLinger(ctx, -1) }
-
-// lingerer is a connection whose kind of end can be set, as that of net.TCPConn.
-type lingerer interface {
-	SetLinger(seconds int) error
-}
-
-func setLinger(ctx context.Context, seconds int) {
-	if c, ok := ctx.Value(callerConnKey{}).(lingerer); ok {
-		_ = c.SetLinger(seconds) // fails only on a connection that is already closed
-	}
-}
+func closeRegularly(ctx context.Context) { connlimit.SetLinger(ctx, -1) }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fescuecourse/fescuecourse/pkg/connlimit"
 	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
@@ -39,8 +40,8 @@
 	// quota is what the request has used of the quota of its team.
 	quota quotaUse
 	body  *membudget.Buffer
-	// unread is true for a refused request whose body was not read.
-	unread bool
+	// bodyBegun is true once the body is being read, and bodyRead once all of it was read.
+	bodyBegun, bodyRead bool
 
 	settlement *settle.Settlement
 	history    retry.History
@@ -208,6 +209,9 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{w: w, r: r, started: time.Now()}
 	g.metrics.requests.Inc(1)
+	if r.ContentLength != 0 {
+		connlimit.Of(r.Context()).BeginBody()
+	}
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -227,10 +231,16 @@
 	if fail.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(math.Ceil(fail.retryAfter.Seconds()*100)/100, 'f', -1, 64))
 	}
+	unread := !x.bodyRead && r.ContentLength != 0
+	if unread {
+		connlimit.BeginRefusal(w, !x.bodyBegun)
+	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(fail.status)
 	_, _ = w.Write([]byte(fail.reason + "\n")) // the caller may be gone
-	x.linger()
+	if unread && x.bodyBegun {
+		connlimit.EndRefusal(w, r)
+	}
 }
 
 // recordCause records why the request ended before its response was complete.
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/connlimit"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
 	"github.com/fescuecourse/fescuecourse/pkg/locality"
@@ -146,12 +147,21 @@
 	}})
 	w.publish()
 	w.front = httptest.NewUnstartedServer(http.HandlerFunc(g.serve))
-	w.front.Config.ConnContext = withCallerConn
+	lis := connlimit.New(w.front.Listener, g.connLimits())
+	w.front.Listener = lis
+	w.front.Config.ConnContext, w.front.Config.ConnState = connlimit.WithConn, lis.Track
 	w.front.Start()
 	t.Cleanup(w.front.Close)
 	return w
 }
 
+// configure makes a test server that has not started the server for the callers of g.
+func (g *Gateway) configure(front *httptest.Server, requests context.Context) {
+	lis := connlimit.New(front.Listener, g.connLimits())
+	front.Listener = lis
+	front.Config = g.newServer(requests, lis)
+}
+
 func (w *testGateway) publish() { w.gateway.control.show(w.directory.Snapshot()) }
 
 // serve starts an endpoint with the given handler and adds it to the directory.
--- a/pkg/gateway/filters.go
+++ b/pkg/gateway/filters.go
@@ -59,7 +59,6 @@
 	}
 	x.deadline = x.started.Add(f.timeLimit(x))
 	if !f.g.mayTake(x) {
-		refuseUnread(x)
 		return stoppingFailure()
 	}
 	x.settlement = settle.New(ident.RequestID(call.RequestID))
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuecourse/fescuecourse/pkg/connlimit"
 	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/fleet"
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
@@ -28,8 +29,6 @@
 	// sweepInterval is how often the gateway looks for idle connections to close and for
 	// a suspension of the VM.
 	sweepInterval = 250 * time.Millisecond
-	// headerTimeout limits the time in which a caller must send its request headers.
-	headerTimeout = 10 * time.Second
 	// idleTimeout is how long idle connections of callers stay open. It exceeds any idle
 	// time that the operator sets for callers, so that the gateway does not close a
 	// connection that a caller is about to use.
@@ -114,26 +113,24 @@
 // fails.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.started = time.Now()
-	lis, err := net.Listen("tcp", g.set.Listen)
+	lis, err := connlimit.Listen(g.set.Listen, g.connLimits())
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	readyLis, err := net.Listen("tcp", g.set.Ready)
-	if err != nil {
+	ready := &http.Server{Handler: g.readyRoutes()}
+	if _, err := connlimit.Serve(ready, g.set.Ready); err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
 	}
+	defer ready.Close()
 	background, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
 	wg.Go(func() { g.control.run(background) })
 	wg.Go(func() { g.sweep(background) })
-	ready := &http.Server{Handler: g.readyRoutes(), ReadHeaderTimeout: headerTimeout}
-	defer ready.Close()
-	go func() { _ = ready.Serve(readyLis) }() // returns after Close
 	requests, endRequests := context.WithCancelCause(context.Background())
 	defer endRequests(endcause.Stopped)
-	srv := g.newServer(requests)
+	srv := g.newServer(requests, lis)
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(lis) }()
 	g.log.For(logging.ComponentEntry).Info().Str("address", lis.Addr().String()).Msg("listening")
@@ -147,15 +144,39 @@
 
 // newServer returns the HTTP server for callers. The contexts of its requests are
 // derived from requests.
-func (g *Gateway) newServer(requests context.Context) *http.Server {
+func (g *Gateway) newServer(requests context.Context, lis *connlimit.Listener) *http.Server {
+	track := func(c net.Conn, state http.ConnState) {
+		lis.Track(c, state)
+		g.callers.track(c, state)
+	}
 	return &http.Server{
-		Handler:           http.HandlerFunc(g.serve),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ConnState:         g.callers.track,
-		ConnContext:       withCallerConn,
-		BaseContext:       func(net.Listener) context.Context { return requests },
+		Handler:     http.HandlerFunc(g.serve),
+		IdleTimeout: idleTimeout,
+		ConnState:   track,
+		ConnContext: connlimit.WithConn,
+		BaseContext: func(net.Listener) context.Context { return requests },
+	}
+}
+
+// connLimits returns the limits on the connections of callers.
+func (g *Gateway) connLimits() connlimit.Limits {
+	return connlimit.Limits{MaxConns: connlimit.MaxConns(g.set.MemoryMB, g.set.MaxDescriptors), Head: g.headLimits}
+}
+
+// headLimits returns the limits on the heads of requests in the configuration in force.
+func (g *Gateway) headLimits() connlimit.HeadLimits {
+	limits := connlimit.DefaultHeadLimits
+	table := g.control.snapshot.Load().Table
+	if table == nil {
+		return limits
+	}
+	if n := table.Limits.MaxHeaderBytes; n > 0 {
+		limits.Bytes = n
+	}
+	if d := table.Limits.HeaderTimeout; d > 0 {
+		limits.Time = d
 	}
+	return limits
 }
 
 // Phases of a shutdown, as fractions of the grace period.
--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -61,7 +61,6 @@
 // refuse returns the failure of a request beyond the quota of its team, with the time at which
 // there may be credit.
 func (f quotaFilter) refuse(x *exchange, t *teamQuota, cost float64, waited time.Duration, r *quota.Refusal) *failure {
-	discardBody(x)
 	t.metrics.refused(r.Cause).Inc(1)
 	retryAfter := r.RetryAfter + rand.N(r.RetryAfter/2+1)
 	state := t.account.State(time.Now())
--- a/pkg/gateway/regularclose_test.go
+++ b/pkg/gateway/regularclose_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fescuecourse/fescuecourse/pkg/connlimit"
 	"github.com/fescuecourse/fescuecourse/pkg/upstream"
 )
 
@@ -59,7 +60,7 @@
 			r.Header.Set(name, value)
 		}
 		r.Header.Set("Id", "r1")
-		w.gateway.serve(recordingWriter{httptest.NewRecorder(), s}, r.WithContext(withCallerConn(r.Context(), recordingConn{callerSteps: s})))
+		w.gateway.serve(recordingWriter{httptest.NewRecorder(), s}, r.WithContext(connlimit.WithConn(r.Context(), recordingConn{callerSteps: s})))
 		assert.Equal(t, s.steps[0], "linger 0", "%v", s.steps)
 		assert.DeepEqual(t, s.steps[len(s.steps)-2:], []string{"flush", "linger -1"})
 		assert.Assert(t, slices.Contains(s.steps, "write"), "%v", s.steps)
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -26,6 +26,9 @@
 	RetrySlack float64
 	// MemoryMB is the memory limit of the process in MB, or 0 for no limit.
 	MemoryMB float64
+	// MaxDescriptors is the number of descriptors that the process may open, or 0 for the
+	// number that the operating system allows.
+	MaxDescriptors int
 	// ConfigLimit is the time within which an accepted configuration must be in force, and
 	// DrainLimit the time within which an endpoint that leaves must get no new requests.
 	ConfigLimit time.Duration
@@ -81,6 +84,7 @@
 	set.Float64Var(&s.QuotaSlack, "quota-slack", 0, "use of a team beyond that in each quota-window, in the unit of its quota")
 	set.BoolVar(&s.FirstStart, "first-start", false, "whether the whole system starts for the first time")
 	set.Float64Var(&s.MemoryMB, "memory-mb", 0, "memory that the process may use, 0 for no bound")
+	set.IntVar(&s.MaxDescriptors, "max-descriptors", 0, "descriptors that the process may open, 0 for the limit of the operating system")
 }
 
 // Check reports invalid settings to a configuration set.
@@ -98,4 +102,5 @@
 	set.Requiref(s.QuotaOverage >= 0, "quota-overage", "must not be negative")
 	set.Requiref(s.QuotaSlack >= 0, "quota-slack", "must not be negative")
 	set.Requiref(s.MemoryMB >= 0, "memory-mb", "must not be negative")
+	set.Requiref(s.MaxDescriptors >= 0, "max-descriptors", "must not be negative")
 }
