gateway: the arrival of a body does not count as a gap in its stream

What callers saw: a single request on a calm entry, with a body that arrives steadily in 5 s of its 15 s, was refused after 3 s with "the body did not arrive in time".

Cause: the timer for gaps between events runs from the beginning of a streaming request, so that it also ended bodies that were still arriving.

Change: the timer pauses while the body arrives. The time limit is that of the request, as before.

Same cause elsewhere: waits for quota and loads count for the gap as before, since the caller waits for them. pkg/entry has no such timer before the first frame.

--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -63,9 +63,12 @@
 	return rejected(http.StatusRequestEntityTooLarge, "the body is too large")
 }
 
-// fillBefore reads the body until ctx ends.
+// fillBefore reads the body until ctx ends. The time in which it arrives does not count for the
+// limit of gaps in a stream, because the caller uses it itself.
 func fillBefore(ctx context.Context, x *exchange, limit int64) error {
 	conn := connlimit.Of(x.r.Context())
+	x.stall.pause()
+	defer x.stall.resume()
 	conn.BeginBody()
 	defer conn.EndBody()
 	stop := context.AfterFunc(ctx, conn.Interrupt)
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -31,6 +31,8 @@
 	limit time.Duration
 	timer *time.Timer
 	began time.Time
+	// pausedAt is when the timer was paused last.
+	pausedAt time.Time
 	// expiresAfter is the time from began to the expiry of the timer, in nanoseconds.
 	expiresAfter atomic.Int64
 }
@@ -54,6 +56,24 @@
 	s.timer.Reset(s.limit)
 }
 
+// pause stops the timer until resume is called.
+func (s *stallTimer) pause() {
+	if s == nil {
+		return
+	}
+	s.timer.Stop()
+	s.pausedAt = time.Now()
+}
+
+// resume starts the timer again. The pause does not count.
+func (s *stallTimer) resume() {
+	if s == nil {
+		return
+	}
+	s.expiresAfter.Add(int64(time.Since(s.pausedAt)))
+	s.timer.Reset(time.Until(s.expiry()))
+}
+
 // expiry returns when the stream is cancelled unless an event is sent before.
 func (s *stallTimer) expiry() time.Time { return s.began.Add(time.Duration(s.expiresAfter.Load())) }
 
