entry: bodies arrive within the deadline of their requests

What callers saw: bodies that never end held memory of an entry of bundles for as long as their callers liked, and large requests of ordinary callers were refused all the while. A stop beside such callers did not end.

Cause: the body was read before the deadline of the request was set, and the server had no time limit for reading. Refusals before the body waited for 256 KiB of it.

Change: the body is read under the deadline, and ends after 10 s without a byte, when its connection has to make room, and when a stop cuts requests off. An announced length over the limit is refused before anything is read. Requests to other paths, among them the administration API, have the same bound on bodies that do not arrive.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -22,6 +22,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/connlimit"
 	"github.com/fescuecourse/fescuecourse/pkg/findings"
 	"github.com/fescuecourse/fescuecourse/pkg/kv"
 	"github.com/fescuecourse/fescuecourse/pkg/rollout"
@@ -118,6 +119,7 @@
 			return
 		}
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		connlimit.Of(r.Context()).EndBody()
 		if err != nil {
 			writeProblem(w, http.StatusRequestEntityTooLarge, errors.Wrap(err, "read request"))
 			return
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -30,12 +30,15 @@
 	team   bundle.TeamPolicy
 
 	// Set by the resolve filter.
-	kind       fescuev1.EndpointKind
-	route      string
-	adapter    ident.Adapter
-	backend    string
-	model      string
-	body       []byte
+	kind    fescuev1.EndpointKind
+	route   string
+	adapter ident.Adapter
+	backend string
+	model   string
+	body    []byte
+	// bodyBegun is true once the body is being read, and bodyRead once all of it was read.
+	bodyBegun, bodyRead bool
+
 	stream     bool
 	idempotent bool
 	key        string
--- a/pkg/entry/filter.go
+++ b/pkg/entry/filter.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
 	"github.com/fescuecourse/fescuecourse/pkg/bundle"
+	"github.com/fescuecourse/fescuecourse/pkg/connlimit"
 	"github.com/fescuecourse/fescuecourse/pkg/endcause"
 	"github.com/fescuecourse/fescuecourse/pkg/membudget"
 )
@@ -71,9 +73,12 @@
 	if fail := f.headers(x); fail != nil {
 		return fail
 	}
+	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, endcause.Deadline)
+	defer cancel()
 	body := membudget.NewBuffer(f.e.bodies, x.r.ContentLength)
 	defer body.Release()
-	if fail := f.readBody(x, body); fail != nil {
+	if fail := f.readBody(ctx, x, body); fail != nil {
+		x.recordCause(ctx)
 		return fail
 	}
 	target := f.service
@@ -86,8 +91,6 @@
 	if fail := f.idempotency(x); fail != nil {
 		return fail
 	}
-	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, endcause.Deadline)
-	defer cancel()
 	fail := next(ctx, x)
 	x.recordCause(ctx)
 	return fail
@@ -129,25 +132,52 @@
 	return len(key) <= maxKeyBytes
 }
 
-// readBody reads the body of a request, which is valid until the buffer is released.
-func (f resolve) readBody(x *Exchange, body *membudget.Buffer) *Failure {
-	err := body.Fill(http.MaxBytesReader(x.w, x.r.Body, f.e.settings.MaxBodyBytes), f.e.settings.MaxBodyBytes)
-	var tooLarge *http.MaxBytesError
+// readBody reads the body of a request, which is valid until the buffer is released, until ctx
+// ends.
+func (f resolve) readBody(ctx context.Context, x *Exchange, body *membudget.Buffer) *Failure {
+	x.bodyBegun = true
+	limit := f.e.settings.MaxBodyBytes
+	if x.r.ContentLength > limit {
+		return f.tooLarge()
+	}
+	conn := connlimit.Of(x.r.Context())
+	err := fillBefore(ctx, x, body, limit)
 	switch {
-	case errors.As(err, &tooLarge):
-		return rejected(http.StatusRequestEntityTooLarge, typeInvalidRequest, "body_too_large", "the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+	case errors.Is(err, membudget.ErrTooLong):
+		return f.tooLarge()
 	case errors.Is(err, membudget.ErrNoBudget):
 		body.Release()
-		x.w.Header().Set("Connection", "close")
-		_ = http.NewResponseController(x.w).EnableFullDuplex() // without it, net/http reads a part of the body before it responds
 		return unavailable("no_memory", "no memory is left for the body", retryAfterMemory)
+	case conn.Evicted():
+		return unavailable("too_many_connections", "too many connections are open", retryAfterMemory)
+	case err != nil && endcause.Of(ctx) == endcause.Stopped:
+		return unavailable("stopping", "the entry is stopping", retryAfterStopping)
+	case err != nil && endcause.Of(ctx).IsTimeout():
+		return unavailable("body_timeout", "the body did not arrive within the deadline of the request", time.Second)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return unavailable("body_timeout", "the body has stopped arriving", time.Second)
 	case err != nil:
 		return rejected(http.StatusBadRequest, typeInvalidRequest, "unreadable_body", "the body could not be read")
 	}
 	x.body = body.Bytes()
+	x.bodyRead = true
 	return nil
 }
 
+func (f resolve) tooLarge() *Failure {
+	return rejected(http.StatusRequestEntityTooLarge, typeInvalidRequest, "body_too_large", "the body is larger than "+strconv.FormatInt(f.e.settings.MaxBodyBytes, 10)+" bytes")
+}
+
+// fillBefore reads the body until ctx ends.
+func fillBefore(ctx context.Context, x *Exchange, body *membudget.Buffer, limit int64) error {
+	conn := connlimit.Of(x.r.Context())
+	conn.BeginBody()
+	defer conn.EndBody()
+	stop := context.AfterFunc(ctx, conn.Interrupt)
+	defer stop()
+	return body.Fill(x.r.Body, limit) //nolint:wrapcheck // the caller tells the errors apart
+}
+
 // retryAfterMemory is the Retry-After value when there is no memory for the body of a request.
 // Another entry may have it.
 const retryAfterMemory = 100 * time.Millisecond
--- a/pkg/entry/http.go
+++ b/pkg/entry/http.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/fescuecourse/fescuecourse/api/fescuev1"
+	"github.com/fescuecourse/fescuecourse/pkg/connlimit"
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
@@ -28,7 +29,7 @@
 
 func (e *Entry) routes() http.Handler {
 	r := chi.NewRouter()
-	r.Use(e.closeWhileStopping)
+	r.Use(e.closeWhileStopping, connlimit.Bodies)
 	r.Post("/v1/completions", e.serveModel)
 	r.Post("/v1/chat/completions", e.serveModel)
 	r.Post(servicePrefix+"*", e.serveService)
@@ -188,9 +189,16 @@
 
 func (e *Entry) fail(x *Exchange, f *Failure) {
 	x.complete = true
+	unread := !x.bodyRead && x.r.ContentLength != 0
+	if unread {
+		connlimit.BeginRefusal(x.w, !x.bodyBegun)
+	}
 	if x.response == nil {
 		f.write(x.w)
-		return
+	} else {
+		x.response.fail(f)
+	}
+	if unread && x.bodyBegun {
+		connlimit.EndRefusal(x.w, x.r)
 	}
-	x.response.fail(f)
 }
