membudget: bodies that miss less, or that still arrive, keep their memory

What callers saw: in a crowd of large bodies all are refused, although some fit: each takes blocks as they come, and what has nearly arrived is refused for what has just begun. Bodies that stopped one byte before their end keep their memory until their time limit, and large requests of ordinary callers are refused meanwhile.

Cause: the buffer that finds no block is the one that gives up, whichever it is.

Change: it preempts another buffer of the budget that is still being filled: one without bytes for 1 s first, otherwise the one that misses most (up to the limit, where no length is announced). The preempted request is refused as not run. The memory of those that were preempted before counts as on its way, so that one shortage preempts no more than it needs. Both families of entries use it for bodies of requests; buffers of responses and events give up as before.

Evidence: TestBufferThatMissesLessIsKept and TestStalledBufferMakesRoom (new).

--- a/e2e/overload_test.go
+++ b/e2e/overload_test.go
@@ -349,8 +349,9 @@
 	cancel()
 	wg.Wait()
 	c.stop()
-	t.Logf("%s: at most %d MiB, %d resident and %d unread, and %d descriptors", f.name,
-		u.memory.Load()>>20, u.resident.Load()>>20, u.unread.Load()>>20, u.descriptors.Load())
+	t.Logf("%s: at most %d MiB, %d resident and %d unread, and %d descriptors; %d requests answered", f.name,
+		u.memory.Load()>>20, u.resident.Load()>>20, u.unread.Load()>>20, u.descriptors.Load(),
+		strings.Count(o.log.String(), `"outcome":"answered"`))
 	assert.Check(t, u.memory.Load() <= overloadMemoryMB<<20, "%d MiB used", u.memory.Load()>>20)
 	if f.descriptors > 0 {
 		assert.Check(t, u.descriptors.Load() <= descriptorBound, "%d descriptors open", u.descriptors.Load())
--- a/pkg/entry/filter.go
+++ b/pkg/entry/filter.go
@@ -175,6 +175,7 @@
 	defer conn.EndBody()
 	stop := context.AfterFunc(ctx, conn.Interrupt)
 	defer stop()
+	body.Preemptible(conn.Interrupt)
 	return body.Fill(x.r.Body, limit) //nolint:wrapcheck // the caller tells the errors apart
 }
 
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -73,6 +73,7 @@
 	defer conn.EndBody()
 	stop := context.AfterFunc(ctx, conn.Interrupt)
 	defer stop()
+	x.body.Preemptible(conn.Interrupt)
 	return x.body.Fill(x.r.Body, limit) //nolint:wrapcheck // the caller tells the errors apart
 }
 
--- a/pkg/membudget/budget_test.go
+++ b/pkg/membudget/budget_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
@@ -70,3 +71,64 @@
 	assert.ErrorIs(t, b.Fill(broken, 100), io.ErrUnexpectedEOF)
 	assert.Equal(t, b.Len(), int64(4))
 }
+
+// pipeBuffer is a buffer that is filled from a pipe.
+type pipeBuffer struct {
+	*Buffer
+	in  *io.PipeWriter
+	err chan error
+}
+
+func fillFromPipe(b *Budget, expected int64) *pipeBuffer {
+	out, in := io.Pipe()
+	p := &pipeBuffer{Buffer: NewBuffer(b, expected), in: in, err: make(chan error, 1)}
+	p.Preemptible(func() { go out.CloseWithError(io.ErrUnexpectedEOF) })
+	go func() {
+		err := p.Fill(out, expected)
+		if err != nil {
+			p.Release()
+			out.Close()
+		}
+		p.err <- err
+	}()
+	return p
+}
+
+func (p *pipeBuffer) write(t *testing.T, n int64) {
+	t.Helper()
+	_, err := p.in.Write(make([]byte, n))
+	assert.NilError(t, err)
+}
+
+// Guards against buffers that all fail although some of them would fit: what has nearly arrived
+// is given up for what has just begun, or both are.
+func TestBufferThatMissesLessIsKept(t *testing.T) {
+	const size = 256 << 10
+	budget := New(size * 17 / 10)
+	near, far := fillFromPipe(budget, size), fillFromPipe(budget, size)
+	near.write(t, 200<<10)
+	far.write(t, 40<<10)
+	go near.in.Write(make([]byte, 56<<10))
+	time.Sleep(10 * time.Millisecond)
+	near.in.Close()
+	assert.NilError(t, <-near.err)
+	far.in.Write(make([]byte, size-40<<10)) // fails once the buffer has given up
+	assert.ErrorIs(t, <-far.err, ErrNoBudget)
+	near.Release()
+	assert.Equal(t, budget.Used(), int64(0))
+}
+
+// Guards against buffers that get no bytes and keep the memory that others need.
+func TestStalledBufferMakesRoom(t *testing.T) {
+	const size = 256 << 10
+	budget := New(size * 17 / 10)
+	stalled := fillFromPipe(budget, size)
+	stalled.write(t, 200<<10)
+	time.Sleep(stallTime + 50*time.Millisecond)
+	b := NewBuffer(budget, size)
+	b.Preemptible(func() { t.Error("the buffer that gets bytes was preempted") })
+	assert.NilError(t, b.Fill(bytes.NewReader(make([]byte, size)), size))
+	assert.ErrorIs(t, <-stalled.err, ErrNoBudget)
+	b.Release()
+	assert.Equal(t, budget.Used(), int64(0))
+}
--- a/pkg/membudget/buffer.go
+++ b/pkg/membudget/buffer.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"io"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,7 +19,8 @@
 var (
 	// ErrTooLong means that a reader has more bytes than the buffer may hold.
 	ErrTooLong = errors.New("more bytes than the buffer may hold")
-	// ErrNoBudget means that the budget has no bytes left for the buffer.
+	// ErrNoBudget means that the budget has no bytes left for the buffer, or that the buffer
+	// had to make room for another one.
 	ErrNoBudget = errors.New("no memory is left for the buffer")
 )
 
@@ -30,12 +33,29 @@
 	blocks   [][]byte
 	size     int64
 	reserved int64
+
+	// interrupt ends the read that Fill waits for, or is nil for a buffer that keeps its
+	// memory until it is released.
+	interrupt func()
+	// preempted is true once the buffer has to make room. It is guarded by the budget.
+	preempted bool
+	// promised are the bytes that a preempted buffer has not given back. It is guarded by the
+	// budget.
+	promised int64
+	// held is the value of reserved, missing the number of bytes that are expected and have not
+	// arrived, and progress the Unix time of the last bytes in nanoseconds, for other goroutines.
+	held, missing, progress atomic.Int64
 }
 
 // NewBuffer returns an empty buffer for a number of bytes, which is -1 if it is not known. The
 // caller must call Release.
 func NewBuffer(b *Budget, expected int64) *Buffer { return &Buffer{budget: b, expected: expected} }
 
+// Preemptible lets buffers that are nearer to their end take the memory of this one while Fill
+// reads from a slow source. interrupt must make the read fail, without waiting. It is called
+// by other goroutines, at most once.
+func (b *Buffer) Preemptible(interrupt func()) { b.interrupt = interrupt }
+
 // Len returns the number of bytes in the buffer.
 func (b *Buffer) Len() int64 { return b.size }
 
@@ -58,6 +78,43 @@
 // with ErrNoBudget if no memory is left; what was read until then is in the buffer. Other errors
 // are those of r.
 func (b *Buffer) Fill(r io.Reader, limit int64) error {
+	if b.interrupt == nil {
+		return b.fill(r, limit)
+	}
+	b.recordProgress(limit)
+	b.budget.register(b)
+	err := b.fill(r, limit)
+	if b.budget.unregister(b) {
+		return ErrNoBudget
+	}
+	return err
+}
+
+// recordProgress records for other goroutines how far the buffer is.
+func (b *Buffer) recordProgress(limit int64) {
+	expected := b.expected
+	if expected < 0 {
+		expected = limit // the size is not known
+	}
+	b.missing.Store(expected - b.size)
+	b.progress.Store(time.Now().UnixNano())
+}
+
+// yieldsTo reports whether b gives its memory up before the other buffer: one that gets no bytes
+// first, and otherwise the one that misses more.
+func (b *Buffer) yieldsTo(other *Buffer, now time.Time) bool {
+	stalled, otherStalled := b.stalled(now), other.stalled(now)
+	if stalled != otherStalled {
+		return stalled
+	}
+	return b.missing.Load() > other.missing.Load()
+}
+
+func (b *Buffer) stalled(now time.Time) bool {
+	return now.Sub(time.Unix(0, b.progress.Load())) > stallTime
+}
+
+func (b *Buffer) fill(r io.Reader, limit int64) error {
 	for {
 		if b.size > limit {
 			return ErrTooLong
@@ -70,6 +127,9 @@
 		n, err := r.Read(block[len(block):cap(block)])
 		b.blocks[last] = block[:len(block)+n]
 		b.size += int64(n)
+		if b.interrupt != nil && n > 0 {
+			b.recordProgress(limit)
+		}
 		switch {
 		case errors.Is(err, io.EOF) && b.size > limit:
 			return ErrTooLong
@@ -95,10 +155,13 @@
 	if n := len(b.blocks); n > 0 {
 		next = min(2*cap(b.blocks[n-1]), maxBlockBytes)
 	}
-	if !b.budget.Reserve(int64(next), max(b.expected, b.reserved+int64(next))) {
-		return false
+	for !b.budget.Reserve(int64(next), max(b.expected, b.reserved+int64(next))) {
+		if b.interrupt == nil || !b.budget.makeRoom(b, int64(next)) {
+			return false
+		}
 	}
 	b.reserved += int64(next)
+	b.held.Store(b.reserved)
 	b.blocks = append(b.blocks, make([]byte, 0, next))
 	return true
 }
@@ -124,6 +187,9 @@
 // Release gives the memory back. The buffer is empty afterwards.
 func (b *Buffer) Release() {
 	b.blocks, b.size = nil, 0
+	if b.interrupt != nil {
+		b.budget.keepPromise(b)
+	}
 	b.release(b.reserved)
 }
 
