e2e: clients that read no responses, and clients that name what does not exist

Two more forms of clients that do not behave, at the routed entry and, for names, its sidecar.

The fake plain server can send longer responses.

--- a/e2e/overload_routed_test.go
+++ b/e2e/overload_routed_test.go
@@ -3,11 +3,15 @@
 package e2e
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -29,11 +33,18 @@
 type routed struct {
 	overloaded
 	store         *platform.Store
+	sidecar       *daemon
 	listen, ready string
 	requests      atomic.Int64
 }
 
 func startRouted(t *testing.T, descriptors int) *routed {
+	t.Helper()
+	return startRoutedWith(t, descriptors, 0)
+}
+
+// startRoutedWith starts a routed entry whose plain server sends responses of the given size.
+func startRoutedWith(t *testing.T, descriptors, responseBytes int) *routed {
 	t.Helper()
 	store := platform.NewStore()
 	t.Cleanup(store.Close)
@@ -45,8 +56,9 @@
 		Routes: []platform.Route{route("/plain/", "idempotent", "desk"), route("/stream/", "streaming", "pool")},
 	})
 	sidecar := freeAddress(t)
+	var beside *daemon
 	for _, cfg := range []platform.ServerConfig{
-		{ID: "i-plain", Service: "desk", Zone: "a", Born: 1},
+		{ID: "i-plain", Service: "desk", Zone: "a", Born: 1, ResponseBytes: responseBytes},
 		{ID: "i-model", Service: "pool", Zone: "a", Model: "base", MaxAdapters: 4, Events: 3, EventGap: time.Millisecond, Born: 1},
 	} {
 		s, err := platform.NewServer(cfg)
@@ -54,10 +66,10 @@
 		t.Cleanup(s.Close)
 		store.Put(s.Key(), s.Registration("ready"))
 		if cfg.Model != "" {
-			startLimited(t, 0, "routed-endpoint", "sidecar-1", "listen = "+sidecar, "kv = "+store.Address(), "server = "+s.Address(), "service = pool")
+			beside = startLimited(t, 0, "routed-endpoint", "sidecar-1", "listen = "+sidecar, "kv = "+store.Address(), "server = "+s.Address(), "service = pool", fmt.Sprintf("memory-mb = %d", overloadMemoryMB))
 		}
 	}
-	r := &routed{store: store, listen: freeAddress(t), ready: freeAddress(t)}
+	r := &routed{store: store, sidecar: beside, listen: freeAddress(t), ready: freeAddress(t)}
 	r.daemon = startLimited(t, descriptors, "routed-entry", "entry-1", "zone = a", "listen = "+r.listen, "ready-listen = "+r.ready,
 		"kv = "+store.Address(), fmt.Sprintf("residency-port = %d", portOf(t, sidecar)), "grace = 2s", "first-start = true", fmt.Sprintf("memory-mb = %d", overloadMemoryMB))
 	r.ports = map[int]bool{portOf(t, r.listen): true, portOf(t, r.ready): true}
@@ -134,6 +146,17 @@
 	})
 }
 
+// Guards against responses that their clients do not read: they hold memory of the entry,
+// connections to servers and, in a stop, the process.
+func TestOverloadUnreadResponses(t *testing.T) {
+	r := startRoutedWith(t, 0, 2*overloadBodyBytes)
+	f := form{name: "unread-responses", members: 300, send: func(m *member) error {
+		_ = m.announced(1)
+		return m.fill(1, 0)
+	}}
+	r.endure(t, &f, r.target())
+}
+
 // slowReader returns its bytes in pieces with pauses between them.
 type slowReader struct {
 	left  int
@@ -158,3 +181,40 @@
 		assert.Check(t, r.post(t.Context(), path, &slowReader{left: overloadBodyBytes, pause: 80 * time.Millisecond}), path)
 	}
 }
+
+// Guards against an entry, or a sidecar, that keeps what clients name in their requests: adapters
+// and parts of prompts that do not exist, with names as long as heads may be.
+func TestOverloadUnknownNames(t *testing.T) {
+	r := startRouted(t, 0)
+	var number atomic.Int64
+	f := form{name: "unknown-names", members: 100, send: func(m *member) error {
+		responses := bufio.NewReader(m)
+		for {
+			n := number.Add(1)
+			name := strings.Repeat("n", 6<<10) + strconv.FormatInt(n, 10)
+			head := fmt.Sprintf("POST /stream/x HTTP/1.1\r\nHost: %s\r\nX-Fescuecourse-Request-Id: crowd-%d\r\nX-Fescuecourse-Deadline-Ms: 1000\r\n"+
+				"X-Fescuecourse-Model: base/%s\r\nX-Fescuecourse-Token-Count: 10,10\r\nX-Fescuecourse-Prompt-Prefix: %s:5,%x:5\r\nContent-Length: 0\r\n\r\n",
+				routedHost, n, name, strings.Repeat("a", 6<<10)+strconv.FormatInt(n, 16), n)
+			if _, err := io.WriteString(m, head); err != nil {
+				return err
+			}
+			resp, err := http.ReadResponse(responses, nil)
+			if err != nil {
+				return err
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				return err
+			}
+		}
+	}}
+	var u usage
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { u.watch(ctx, r.sidecar.cmd.Process.Pid, nil) })
+	r.endure(t, &f, r.target())
+	cancel()
+	wg.Wait()
+	t.Logf("%d requests; sidecar: at most %d MiB", number.Load(), u.memory.Load()>>20)
+	assert.Check(t, u.memory.Load() <= overloadMemoryMB<<20, "sidecar: %d MiB used", u.memory.Load()>>20)
+	assert.Equal(t, r.sidecar.stop(t), 0, "exit code of the sidecar")
+}
--- a/standin/platform/requests.go
+++ b/standin/platform/requests.go
@@ -66,7 +66,8 @@
 		w.Header().Set("X-Fescuecourse-Weight-Versions", fmt.Sprint(run.Weights))
 		s.stream(w, r, f.CutAfterEvents)
 	default:
-		fmt.Fprintf(w, "%s %s %s %d bytes", s.cfg.ID, r.Method, r.RequestURI, len(body))
+		text := fmt.Sprintf("%s %s %s %d bytes", s.cfg.ID, r.Method, r.RequestURI, len(body))
+		fmt.Fprint(w, text, strings.Repeat(" ", max(s.cfg.ResponseBytes-len(text), 0)))
 	}
 }
 
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -36,6 +36,8 @@
 	// Events is the number of events of a stream, EventGap the time between them.
 	Events   int
 	EventGap time.Duration
+	// ResponseBytes is the least size of the response of a plain server.
+	ResponseBytes int
 	// Born distinguishes the instances that are started on one address.
 	Born int64
 }
