connlimit: a request on a connection that makes room is served or refused

What callers could see: a request that arrives on an idle connection at the moment at which the connection makes room for another one, or whose body is complete at that moment, is cancelled by net/http after it was sent, without a response.

Cause: an interrupted connection stays interrupted, and net/http takes the failed read in the background of a request for a client that has gone.

Change: an idle connection that gets a request stays open; a body that is complete on a connection that was evicted meanwhile is refused as not run, before anything is sent. Both entries read bodies by one function, connlimit.ReadBody.

Evidence: found by reading; TestRequestOnAnEvictedIdleConnection and TestWholeBodyOnAnEvictedConnection fail without the change.

--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -118,20 +118,27 @@
 	c.applyReadDeadline()
 }
 
-// setPhase puts the connection into a phase. Only the phase head has a deadline of its own.
 func (c *Conn) setPhase(p phase) {
 	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
 	c.listener.enter(c, p)
-	c.listener.mu.Unlock()
-	if p == head {
-		return
+}
+
+// beginRequest begins the phase of a request whose head has arrived. If that happened just before the
+// connection was to make room as an idle one, it stays open.
+func (c *Conn) beginRequest() {
+	l := c.listener
+	l.mu.Lock()
+	if c.evicted && c.phase == idle {
+		c.evicted = false
+		l.evicted--
 	}
+	l.enter(c, serving)
+	l.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.headDeadline.IsZero() {
-		c.headDeadline = time.Time{}
-		c.applyReadDeadline()
-	}
+	c.interrupted, c.headDeadline = false, time.Time{}
+	c.applyReadDeadline()
 }
 
 // applyReadDeadline sets the earliest deadline. The caller holds mu.
--- a/pkg/connlimit/connlimit_test.go
+++ b/pkg/connlimit/connlimit_test.go
@@ -15,6 +15,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/fescuecourse/fescuecourse/pkg/membudget"
 )
 
 // server is an HTTP server with limits.
@@ -190,6 +192,50 @@
 	assert.Assert(t, evicted.Load())
 }
 
+// Guards against a request that is lost because its connection had to make room as an idle one at the
+// moment at which the request arrived.
+func TestRequestOnAnEvictedIdleConnection(t *testing.T) {
+	l := New(nil, Limits{MaxConns: 1})
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	c := &Conn{Conn: near, listener: l}
+	assert.Assert(t, l.admit(c))
+	l.Track(c, http.StateActive)
+	l.Track(c, http.StateIdle)
+	assert.Assert(t, l.admit(&Conn{Conn: far, listener: l}), "the idle connection makes room")
+	assert.Assert(t, c.Evicted())
+	l.Track(c, http.StateActive)
+	assert.Assert(t, !c.Evicted())
+	go far.Write([]byte("x"))
+	_, err := c.Read(make([]byte, 1))
+	assert.NilError(t, err)
+}
+
+// Guards against a request that goes on although its connection was evicted while the last bytes
+// of its body arrived: net/http would cancel it later, when it has been sent.
+func TestWholeBodyOnAnEvictedConnection(t *testing.T) {
+	l := New(nil, Limits{MaxConns: 1})
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	c := &Conn{Conn: near, listener: l}
+	assert.Assert(t, l.admit(c))
+	l.Track(c, http.StateActive)
+	r, err := http.NewRequest(http.MethodPost, "/", readerFunc(func([]byte) (int, error) {
+		c.Interrupt()
+		return 0, io.EOF
+	}))
+	assert.NilError(t, err)
+	buf := membudget.NewBuffer(membudget.New(1<<20), -1)
+	err = ReadBody(t.Context(), r.WithContext(WithConn(t.Context(), c)), buf, 10)
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 // Guards against refusals that wait for the rest of a body, and against a connection that is
 // closed although the small body of the refused request was there.
 func TestRefusalsDoNotWaitForBodies(t *testing.T) {
--- a/pkg/connlimit/listener.go
+++ b/pkg/connlimit/listener.go
@@ -181,7 +181,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		c.setPhase(serving)
+		c.beginRequest()
 	case http.StateIdle:
 		c.setPhase(idle)
 	case http.StateClosed, http.StateHijacked:
--- a/pkg/connlimit/refusal.go
+++ b/pkg/connlimit/refusal.go
@@ -58,14 +58,3 @@
 	l.enter(c, discarding)
 	return true
 }
-
-// Bodies returns a handler that bounds how slowly bodies may arrive. Handlers that read a body
-// call EndBody on the connection at its end.
-func Bodies(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength != 0 {
-			Of(r.Context()).BeginBody()
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/pkg/entry/filter.go
+++ b/pkg/entry/filter.go
@@ -141,7 +141,7 @@
 		return f.tooLarge()
 	}
 	conn := connlimit.Of(x.r.Context())
-	err := fillBefore(ctx, x, body, limit)
+	err := connlimit.ReadBody(ctx, x.r, body, limit)
 	switch {
 	case errors.Is(err, membudget.ErrTooLong):
 		return f.tooLarge()
@@ -168,17 +168,6 @@
 	return rejected(http.StatusRequestEntityTooLarge, typeInvalidRequest, "body_too_large", "the body is larger than "+strconv.FormatInt(f.e.settings.MaxBodyBytes, 10)+" bytes")
 }
 
-// fillBefore reads the body until ctx ends.
-func fillBefore(ctx context.Context, x *Exchange, body *membudget.Buffer, limit int64) error {
-	conn := connlimit.Of(x.r.Context())
-	conn.BeginBody()
-	defer conn.EndBody()
-	stop := context.AfterFunc(ctx, conn.Interrupt)
-	defer stop()
-	body.Preemptible(conn.Interrupt)
-	return body.Fill(x.r.Body, limit) //nolint:wrapcheck // the caller tells the errors apart
-}
-
 // retryAfterMemory is the Retry-After value when there is no memory for the body of a request.
 // Another entry may have it.
 const retryAfterMemory = 100 * time.Millisecond
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -34,7 +34,7 @@
 	if x.r.ContentLength > limit {
 		return tooLarge()
 	}
-	err := fillBefore(ctx, x, limit)
+	err := readBody(ctx, x, limit)
 	conn := connlimit.Of(x.r.Context())
 	switch {
 	case err == nil:
@@ -63,18 +63,12 @@
 	return rejected(http.StatusRequestEntityTooLarge, "the body is too large")
 }
 
-// fillBefore reads the body until ctx ends. The time in which it arrives does not count for the
+// readBody reads the body until ctx ends. The time in which it arrives does not count for the
 // limit of gaps in a stream, because the caller uses it itself.
-func fillBefore(ctx context.Context, x *exchange, limit int64) error {
-	conn := connlimit.Of(x.r.Context())
+func readBody(ctx context.Context, x *exchange, limit int64) error {
 	x.stall.pause()
 	defer x.stall.resume()
-	conn.BeginBody()
-	defer conn.EndBody()
-	stop := context.AfterFunc(ctx, conn.Interrupt)
-	defer stop()
-	x.body.Preemptible(conn.Interrupt)
-	return x.body.Fill(x.r.Body, limit) //nolint:wrapcheck // the caller tells the errors apart
+	return connlimit.ReadBody(ctx, x.r, x.body, limit) //nolint:wrapcheck // the caller tells the errors apart
 }
 
 // releaseBody gives the memory of the body back if no other attempt can need it, once an attempt
