--- a/pkg/gateway/cause_test.go
+++ b/pkg/gateway/cause_test.go
@@ -232,7 +232,7 @@
 	w.gateway.log = log.Logger()
 	requests, endRequests := context.WithCancelCause(context.Background())
 	front := httptest.NewUnstartedServer(nil)
-	w.gateway.configure(front, requests)
+	w.gateway.configure(requests, front)
 	front.Start()
 	t.Cleanup(front.Close)
 	_, resp := openRequest(t, front.Listener.Addr().String(), "/o/x", 2*cutTestGrace)
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -156,7 +156,7 @@
 }
 
 // configure makes a test server that has not started the server for the callers of g.
-func (g *Gateway) configure(front *httptest.Server, requests context.Context) {
+func (g *Gateway) configure(requests context.Context, front *httptest.Server) {
 	lis := connlimit.New(front.Listener, g.connLimits())
 	front.Listener = lis
 	front.Config = g.newServer(requests, lis)
--- a/pkg/gateway/stopping_test.go
+++ b/pkg/gateway/stopping_test.go
@@ -37,7 +37,7 @@
 	requests, end := context.WithCancelCause(context.Background())
 	t.Cleanup(func() { end(endcause.Stopped) })
 	w.front = httptest.NewUnstartedServer(nil)
-	w.gateway.configure(w.front, requests)
+	w.gateway.configure(requests, w.front)
 	w.front.Start()
 	t.Cleanup(w.front.Close)
 	return &stoppingEntry{testGateway: w, server: w.front.Config, end: end}
