connlimit: close evicted connections without holding the lock

Closing a socket waits for the goroutine that reads from it, and meanwhile all other connections of the listener waited for the lock. Found by reading; no test shows a delay.

--- a/pkg/connlimit/listener.go
+++ b/pkg/connlimit/listener.go
@@ -80,50 +80,52 @@
 // admit counts a new connection and reports whether there is room for it.
 func (l *Listener) admit(c *Conn) bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.open-l.evicted >= l.limits.MaxConns && !l.evictOne() {
-		return false
+	unused, ok := l.makeRoom()
+	ok = ok && l.open < l.limits.MaxConns+l.slack() // else evicted connections are not closed fast enough
+	if ok {
+		l.open++
+		l.enter(c, head)
 	}
-	if l.open >= l.limits.MaxConns+l.slack() {
-		return false // evicted connections are not closed fast enough
+	l.mu.Unlock()
+	if unused != nil {
+		unused.Conn.Close()
 	}
-	l.open++
-	l.enter(c, head)
-	return true
+	return ok
 }
 
 // slack is the number of evicted connections that may wait to be closed.
 func (l *Listener) slack() int { return l.limits.MaxConns/8 + 1 }
 
-// evictOne ends the connection that is furthest from a response. It reports whether there was
-// one. The caller holds mu.
-func (l *Listener) evictOne() bool {
+// makeRoom reports whether there is room for a new connection. Beyond the limit, it evicts the one
+// that is furthest from a response. If no request can be on that one, it is returned, and the caller
+// closes it without holding mu, which it holds now.
+func (l *Listener) makeRoom() (unused *Conn, ok bool) {
+	if l.open-l.evicted < l.limits.MaxConns {
+		return nil, true
+	}
 	for p := range l.waiting {
-		front := l.waiting[p].Front()
-		if front == nil {
-			continue
+		if front := l.waiting[p].Front(); front != nil {
+			c, _ := front.Value.(*Conn)
+			return l.evict(c), true
 		}
-		c, _ := front.Value.(*Conn)
-		evictions.Inc(1)
-		l.evict(c)
-		return true
 	}
-	return false
+	return nil, false
 }
 
-// evict ends a connection: at once if it has no request that could get a response. The caller
-// holds mu.
-func (l *Listener) evict(c *Conn) {
+// evict ends the reads of a connection, or returns it if no request can be on it. The caller holds
+// mu.
+func (l *Listener) evict(c *Conn) (unused *Conn) {
+	evictions.Inc(1)
 	l.leave(c)
 	c.evicted = true
 	if c.phase == discarding || c.phase == head {
 		c.phase = closed
 		l.open--
-		c.Conn.Close()
-		return
+		return c
 	}
 	l.evicted++
 	c.Interrupt()
+	return nil
 }
 
 // enter puts a connection into a phase. The caller holds mu.
