--- a/review/_standin3/bed.go
+++ b/review/_standin3/bed.go
@@ -40,8 +40,6 @@
 	dir     string // a temporary folder
 	store   *platform.Store
 	began   time.Time
-	// stores are the addresses of the store for the first entries, if they have their own.
-	stores []string
 	// strict is true if model servers refuse orders for adapters that do not exist.
 	strict bool
 
@@ -171,13 +169,13 @@
 }
 
 // entrySettings are those of deploy/entry.ini for a front machine of adwenpa-steam.
-func (b *bed) entrySettings(name, zone, listen, ready, store string, residencyPort int) []string {
+func (b *bed) entrySettings(name, zone, listen, ready string, residencyPort int) []string {
 	return []string{
 		"id = " + name,
 		"zone = " + zone,
 		"listen = " + listen,
 		"ready-listen = " + ready,
-		"kv = " + store,
+		"kv = " + b.store.Address(),
 		fmt.Sprintf("residency-port = %d", residencyPort),
 		"grace = 8s",
 		"retry-ratio = 0.2",
--- a/review/_standin3/fleet.go
+++ b/review/_standin3/fleet.go
@@ -8,17 +8,8 @@
 	"github.com/fescuecourse/fescuecourse/standin/platform"
 )
 
-// Figures of the site and of the cases with streams.
-const (
-	heartbeat   = 1200 * time.Millisecond
-	drainTime   = 2 * time.Second
-	settleTime  = 13 * time.Second // until the entries use their share of the retries
-	streamCount = 36
-	chatEvents  = 73
-	chatGap     = 90 * time.Millisecond
-	// beforeEnd is how long before the end of a server the last step of replace begins.
-	beforeEnd = 900 * time.Millisecond
-)
+// settleTime is the time until the entries use their share of the retries.
+const settleTime = 13 * time.Second
 
 // modelHost is a side machine with its model server.
 type modelHost struct {
@@ -88,11 +79,7 @@
 			return out, err
 		}
 		name := fmt.Sprintf("entry-%d", i+1)
-		store := b.store.Address()
-		if i < len(b.stores) {
-			store = b.stores[i]
-		}
-		p, err := b.start(name, "routed-entry", b.entrySettings(name, zoneOf(0), listen, ready, store, residencyPort)...)
+		p, err := b.start(name, "routed-entry", b.entrySettings(name, zoneOf(0), listen, ready, residencyPort)...)
 		if err != nil {
 			return out, err
 		}
@@ -105,47 +92,3 @@
 	}
 	return out, nil
 }
-
-// replace takes a model server through planned work: it says that it leaves, serves for drainTime,
-// ends, and starts again in its place, under its id, with other software. Before the end, last is
-// called, unless it is nil.
-func (b *bed) replace(h *modelHost, software string, last func()) error {
-	h.server.Drain()
-	b.store.Put(h.server.Key(), h.server.Registration("draining"))
-	b.note("%s drains", h.server.Key())
-	ends := time.Now().Add(drainTime + 300*time.Millisecond)
-	if last != nil {
-		time.Sleep(time.Until(ends.Add(-beforeEnd)))
-		last()
-	}
-	time.Sleep(time.Until(ends))
-	h.server.Close()
-	b.note("%s has ended", h.server.Key())
-	time.Sleep(300 * time.Millisecond)
-	s, err := platform.NewServer(platform.ServerConfig{
-		ID: h.server.Key()[len("servers/"):], Service: modelService, Zone: zoneOf(0), Model: modelName, MaxAdapters: 9, Address: h.address,
-		Born: time.Now().UnixMilli(), Version: software, Events: chatEvents, EventGap: chatGap,
-	})
-	if err != nil {
-		return err
-	}
-	h.server = s
-	b.store.Put(s.Key(), s.Registration("ready"))
-	b.note("%s has started with software %s", s.Key(), software)
-	return nil
-}
-
-// mixed returns a breach if more than two streams hold events of two software versions.
-func (b *bed) mixed(streams []*stream) []string {
-	n := 0
-	for _, s := range streams {
-		if len(s.versions()) > 1 {
-			n++
-		}
-	}
-	b.note("%d of %d streams hold events of two software versions", n, len(streams))
-	if n <= 2 {
-		return nil
-	}
-	return []string{fmt.Sprintf("ORDER: %d of %d streams hold events of two software versions", n, len(streams))}
-}
