review: case 12, streams that cannot be taken up again because of names that are not UTF-8

A name of an adapter that is no UTF-8 keeps an entry from sending anything to the process beside the server where the request waits, so that the origins of its streams reach nobody.

Done: a script with the project's programs as processes. 24 clients ask one of three entries for such adapters; the entry is killed, and clients take 24 streams up again at the others. Nothing is fixed.

--- a/review/_standin3/client.go
+++ b/review/_standin3/client.go
@@ -61,6 +61,9 @@
 	s := &stream{id: c.id("s")}
 	deadline := time.Now().Add(patience)
 	for i, e := range entries {
+		if i > 1 {
+			time.Sleep(resumeGap)
+		}
 		id := s.id
 		if i > 0 {
 			id = fmt.Sprintf("%s-r%d", s.id, i)
