e2e: answers that are given byte by byte, at both families of processes

Operators of other systems saw an answer whose server stopped within its head and closed, and which clients got as a 200 with an empty or short body. It was not known whether this happens here.

standin/rawanswer gives a server's answers byte by byte, also while the request is still being written, and ends the connection regularly or with a reset.

Change: the parts of the overload tests that start processes move to files without a build tag, unchanged but for two options (what comes before a server's handler, the largest body).

--- /dev/null
+++ b/e2e/answerforms_test.go
@@ -0,0 +1,90 @@
+package e2e
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/fescuecourse/fescuecourse/standin/rawanswer"
+)
+
+// content is what a sound answer of a server holds, apart from its framing.
+type content struct {
+	// fields are the header lines that identify the answer, each with its line end.
+	fields, body string
+	// part is a part of the body that a caller could take for a whole one.
+	part string
+}
+
+// answerForm is a form of answers that a server may send.
+type answerForm struct {
+	name  string
+	build func(c content) rawanswer.Answer
+}
+
+// head returns a status line and the fields of an answer, with more lines after them. No client
+// uses the connection for another request.
+func (c content) head(status string, lines ...string) string {
+	return "HTTP/1.1 " + status + "\r\nConnection: close\r\n" + c.fields + strings.Join(lines, "")
+}
+
+func (c content) length() string { return "Content-Length: " + strconv.Itoa(len(c.body)) + "\r\n" }
+
+// whole returns an answer with a length.
+func (c content) whole(status string, lines ...string) string {
+	return c.head(status, append(lines, c.length())...) + "\r\n" + c.body
+}
+
+// chunked returns the body in one chunk, followed by the lines of the trailer.
+func (c content) chunked(trailer string) string {
+	return fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n", len(c.body), c.body, trailer)
+}
+
+// sent returns a form whose text is sent once the request has been read.
+func sent(name string, end rawanswer.End, text func(c content) string) answerForm {
+	return answerForm{name: name, build: func(c content) rawanswer.Answer { return rawanswer.Answer{Text: text(c), End: end} }}
+}
+
+// early returns a form whose text is sent while the request is still being written.
+func early(name string, end rawanswer.End, text func(c content) string) answerForm {
+	return answerForm{name: name, build: func(c content) rawanswer.Answer {
+		return rawanswer.Answer{Text: text(c), End: end, Early: true}
+	}}
+}
+
+const chunkedLine = "Transfer-Encoding: chunked\r\n"
+
+// soundForms must reach their callers. They show that nothing else in the broken ones is refused.
+var soundForms = []answerForm{
+	sent("length", rawanswer.Stay, func(c content) string { return c.whole("200 OK") }),
+	sent("chunks", rawanswer.Stay, func(c content) string { return c.head("200 OK", chunkedLine) + "\r\n" + c.chunked("") }),
+	sent("trailer", rawanswer.Stay, func(c content) string { return c.head("200 OK", chunkedLine) + "\r\n" + c.chunked("Good: v\r\n") }),
+	sent("close", rawanswer.Close, func(c content) string { return c.head("200 OK") + "\r\n" + c.body }),
+	sent("informational", rawanswer.Stay, func(c content) string {
+		return "HTTP/1.1 103 Early Hints\r\nGood: v\r\n\r\n" + c.whole("200 OK")
+	}),
+}
+
+// cutHeadForms end within their head.
+var cutHeadForms = func() []answerForm {
+	cuts := []struct {
+		name string
+		text func(c content) string
+	}{
+		{"after the version", func(content) string { return "HTTP/1.1 " }},
+		{"after the status line", func(content) string { return "HTTP/1.1 200 OK\r\n" }},
+		{"within a name", func(c content) string { return c.head("200 OK", c.length(), "Na") }},
+		{"within a value", func(c content) string { return c.head("200 OK", c.length(), "Name: va") }},
+		{"after a line", func(c content) string { return c.head("200 OK", c.length()) }},
+		{"before the last line end", func(c content) string { return c.head("200 OK", c.length()) + "\r" }},
+	}
+	var forms []answerForm
+	for _, cut := range cuts {
+		forms = append(forms,
+			sent(cut.name+", close", rawanswer.Close, cut.text),
+			sent(cut.name+", reset", rawanswer.Reset, cut.text),
+			early(cut.name+", reset during the request", rawanswer.Reset, cut.text),
+		)
+	}
+	return forms
+}()
--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -135,9 +135,9 @@
 	return ""
 }
 
-// newDeployment starts the fake systems, rolls out a bundle with fescuectl, and starts
-// two model endpoints, one service endpoint and two entries.
-func newDeployment(t *testing.T) *deployment {
+// newSystems starts the fake systems that all processes share, and rolls out a bundle with
+// fescuectl.
+func newSystems(t *testing.T) *deployment {
 	t.Helper()
 	d := &deployment{t: t, dir: t.TempDir(), vms: fakevmlist.New()}
 	kv, err := kvstore.New("127.0.0.1:0")
@@ -149,6 +149,14 @@
 	t.Cleanup(func() { cancel(); <-stopped })
 	d.vmListAddress = d.serve(d.vms.Handler())
 	d.rollout("")
+	return d
+}
+
+// newDeployment starts the fake systems, two model endpoints, one service endpoint and two
+// entries.
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := newSystems(t)
 	weights := weightstore.New(100, nil)
 	for i := range 2 {
 		e := fakeengine.New(fakeengine.Options{
--- a/e2e/overload_bundle_test.go
+++ b/e2e/overload_bundle_test.go
@@ -19,9 +19,7 @@
 
 	"github.com/fescuecourse/fescuecourse/pkg/ident"
 	"github.com/fescuecourse/fescuecourse/pkg/vmlist"
-	"github.com/fescuecourse/fescuecourse/standin/kvstore"
 	fakeservice "github.com/fescuecourse/fescuecourse/standin/service"
-	fakevmlist "github.com/fescuecourse/fescuecourse/standin/vmlist"
 )
 
 // bundled is an entry that is configured by bundles, with one endpoint of a service.
@@ -36,20 +34,11 @@
 // for each request, and runs one at a time.
 func newBundled(t *testing.T, serviceTime time.Duration) *bundled {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), vms: fakevmlist.New()}
-	kv, err := kvstore.New("127.0.0.1:0")
-	assert.NilError(t, err)
-	d.kv = kv
-	ctx, cancel := context.WithCancel(context.Background())
-	stopped := make(chan error, 1)
-	go func() { stopped <- kv.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-stopped })
-	d.vmListAddress = d.serve(d.vms.Handler())
-	d.rollout("")
+	d := newSystems(t)
 	d.service = fakeservice.New(serviceTime, nil)
 	address, metrics := freeAddress(t), freeAddress(t)
 	b := &bundled{deployment: d, endpoint: &overloaded{ports: map[int]bool{portOf(t, address): true, portOf(t, metrics): true}}}
-	b.endpoint.daemon = startLimited(t, 0, "endpoint", "desk-1", "zone = a", "listen = "+address, "kv = "+kv.Addr(), "reviewers = "+d.file("reviewers.ini"),
+	b.endpoint.daemon = startLimited(t, 0, "endpoint", "desk-1", "zone = a", "listen = "+address, "kv = "+d.kv.Addr(), "reviewers = "+d.file("reviewers.ini"),
 		"kind = service", "backend = desk", "backend-address = "+d.serve(d.service.Handler()), "drain-timeout = 15m", "lease-ttl = 5s", "metrics-listen = "+metrics, "positions = 2", fmt.Sprintf("memory-mb = %d", overloadMemoryMB), "body-memory-mb = 16")
 	b.metricsAddress = metrics
 	d.vms.Put(vmlist.VM{Endpoint: ident.EndpointID("desk-1"), Zone: "a", Address: address, State: vmlist.StateLive})
--- a/e2e/overload_routed_test.go
+++ b/e2e/overload_routed_test.go
@@ -17,25 +17,14 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"github.com/fescuecourse/fescuecourse/standin/platform"
 )
 
-const (
-	routedHost = "h.example"
-	// routedTimeoutMS is the timeout of all routes, and routedTargetMS the latency target.
-	routedTimeoutMS = 20000
-	routedTargetMS  = 500
-)
-
-// routed is a routed entry with a store, a plain server, and a model server with its sidecar.
+// routed is a routed entry with its deployment that a crowd attacks.
 type routed struct {
 	overloaded
-	store         *platform.Store
-	sidecar       *daemon
-	listen, ready string
-	requests      atomic.Int64
+	*routedDeployment
 }
 
 func startRouted(t *testing.T, descriptors int) *routed {
@@ -46,68 +35,14 @@
 // startRoutedWith starts a routed entry whose plain server sends responses of the given size.
 func startRoutedWith(t *testing.T, descriptors, responseBytes int) *routed {
 	t.Helper()
-	store := platform.NewStore()
-	t.Cleanup(store.Close)
-	route := func(prefix, kind, service string) platform.Route {
-		return platform.Route{Name: prefix, Host: routedHost, Prefix: prefix, Kind: kind, TimeoutMS: routedTimeoutMS, TargetMS: routedTargetMS, Priority: 1, Service: service, MaxAttempts: 2, Resumable: true}
-	}
-	store.PutConfig(&platform.Config{
-		Version: 1, ModelService: "pool", Model: "base", Adapters: 4, MaxAdapters: 4, PlainService: "desk",
-		Routes: []platform.Route{route("/plain/", "idempotent", "desk"), route("/stream/", "streaming", "pool")},
-	})
-	sidecar := freeAddress(t)
-	var beside *daemon
-	for _, cfg := range []platform.ServerConfig{
-		{ID: "i-plain", Service: "desk", Zone: "a", Born: 1, ResponseBytes: responseBytes},
-		{ID: "i-model", Service: "pool", Zone: "a", Model: "base", MaxAdapters: 4, Events: 3, EventGap: time.Millisecond, Born: 1},
-	} {
-		s, err := platform.NewServer(cfg)
-		assert.NilError(t, err)
-		t.Cleanup(s.Close)
-		store.Put(s.Key(), s.Registration("ready"))
-		if cfg.Model != "" {
-			beside = startLimited(t, 0, "routed-endpoint", "sidecar-1", "listen = "+sidecar, "kv = "+store.Address(), "server = "+s.Address(), "service = pool", fmt.Sprintf("memory-mb = %d", overloadMemoryMB))
-		}
-	}
-	r := &routed{store: store, sidecar: beside, listen: freeAddress(t), ready: freeAddress(t)}
-	r.daemon = startLimited(t, descriptors, "routed-entry", "entry-1", "zone = a", "listen = "+r.listen, "ready-listen = "+r.ready,
-		"kv = "+store.Address(), fmt.Sprintf("residency-port = %d", portOf(t, sidecar)), "grace = 2s", "first-start = true", fmt.Sprintf("memory-mb = %d", overloadMemoryMB))
-	r.ports = map[int]bool{portOf(t, r.listen): true, portOf(t, r.ready): true}
+	d := newRoutedDeployment(t, routedOptions{descriptors: descriptors, memoryMB: overloadMemoryMB, responseBytes: responseBytes})
+	r := &routed{routedDeployment: d}
+	r.daemon = d.entry
+	r.ports = map[int]bool{portOf(t, d.listen): true, portOf(t, d.ready): true}
 	r.ask = func(ctx context.Context) error { return r.post(ctx, "/plain/x", bytes.NewReader([]byte("ordinary"))) }
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		ok, err := platform.Ready(t.Context(), r.ready)
-		if !ok {
-			return poll.Continue("not ready: %v", err)
-		}
-		return poll.Success()
-	}, poll.WithTimeout(startLimit))
 	return r
 }
 
-// post sends a request on a new connection and returns an error unless a server answers it.
-func (r *routed) post(ctx context.Context, path string, body io.Reader) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.listen+path, body)
-	if err != nil {
-		return err
-	}
-	call := platform.ClientRequest{ID: fmt.Sprintf("ordinary-%d", r.requests.Add(1)), Host: routedHost, Timeout: routedTimeoutMS * time.Millisecond, Entry: "entry-1"}
-	if path == "/stream/x" {
-		call.Model, call.Prompt = "base", []platform.PromptPart{{ID: "a1", Tokens: 10}}
-	}
-	call.Apply(req)
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil || resp.StatusCode != http.StatusOK || !platform.HasServerStamp(resp.Header) {
-		return fmt.Errorf("status %d, %q, %w", resp.StatusCode, text, err)
-	}
-	return nil
-}
-
 func (r *routed) target() *target {
 	head := "POST /plain/x HTTP/1.1\r\nHost: " + routedHost + "\r\nX-Fescuecourse-Request-Id: crowd\r\nX-Fescuecourse-Deadline-Ms: 15000\r\n"
 	return &target{address: r.listen, head: head}
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 )
@@ -41,6 +42,8 @@
 	// PlainService is the name of the service of plain servers.
 	PlainService string
 	Tenants      []Tenant
+	// MaxBodyBytes is the largest body of a request. Zero means 1 MiB.
+	MaxBodyBytes int64
 }
 
 // PutConfig stores the operator's configuration.
@@ -56,7 +59,7 @@
 	model := fmt.Sprintf(`{"name":%q,"weightsMb":10.0,"loadTimeS":0.1,"adapters":%d,"adapterSizeMb":1.0}`, c.Model, c.Adapters)
 	engine := fmt.Sprintf(`{"slots":8,"kvCacheTokens":100000,"models":[%s],"weightsMb":100.0,"maxAdapters":%d,"loadsPerS":100}`, model, c.MaxAdapters)
 	services := fmt.Sprintf(`{"name":%q,"healthPath":"/health","maxConnections":100,"engine":%s},{"name":%q,"healthPath":"/health","maxConnections":100}`, c.ModelService, engine, c.PlainService)
-	const limits = `{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000}`
+	limits := fmt.Sprintf(`{"maxHeaderBytes":16384,"maxBodyBytes":%d,"headerTimeoutMs":3000,"idleTimeoutMs":15000}`, cmp.Or(c.MaxBodyBytes, 1<<20))
 	s.Put("op/config", fmt.Sprintf(`{"version":%d,"routes":%s,"services":[%s],"limits":%s,"tenants":%s}`, c.Version, routes, services, limits, tenants))
 }
 
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -40,6 +40,9 @@
 	ResponseBytes int
 	// Born distinguishes the instances that are started on one address.
 	Born int64
+	// Before returns the handler of requests that comes before the server's own one. It may be
+	// nil.
+	Before func(http.Handler) http.Handler
 }
 
 func (c *ServerConfig) software() string {
@@ -145,12 +148,20 @@
 	mux.HandleFunc("GET /api/report", s.report)
 	mux.HandleFunc("POST /api/order", s.order)
 	mux.HandleFunc("GET "+memoryPath, s.serveMemory)
-	mux.HandleFunc("/", s.request)
+	mux.Handle("/", s.requestHandler())
 	s.srv = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = s.srv.Serve(lis) }() // Close ends it
 	return s, nil
 }
 
+// requestHandler returns the handler of requests other than those of the sidecar and of peers.
+func (s *Server) requestHandler() http.Handler {
+	if s.cfg.Before == nil {
+		return http.HandlerFunc(s.request)
+	}
+	return s.cfg.Before(http.HandlerFunc(s.request))
+}
+
 // Address returns the listen address (host:port) of the server.
 func (s *Server) Address() string { return s.lis.Addr().String() }
 
