upstream: a reset that a write gets to know is no end of a response

What callers saw: a server answered a long upload with a 200 without a length, sent a part of the body and reset the connection while the upload was being written, or closed it with the upload unread. The caller got the part as a complete response. On streaming routes a part of whole events ended as regularly as a whole stream.

Cause: the kernel reports a reset once. If the goroutine that writes the request gets the report, the one that reads the response gets an ordinary end of the connection, which is the only end of a response without a length. The same holds for net/http's transport, which closes the connection after a failed write, but too late for a read that has got the end before.

Evidence, on the code before: "go test -run TestBrokenAnswersAtRoutedEntry/unframed ./e2e" fails on each of the five kinds of route for each of three forms (reset, close with the request unread, reset of an HTTP/1.0 response). Calls through endpoint processes passed before: pkg/service takes a response without a length only if it is one JSON document, and engines mark the end of their streams; uploads there (3 MiB at most) also fit into the buffers of this machine.

Change: connections remember that a write has got the report of a reset, and a read that gets an end waits for a write in progress (at most 1 s) and returns an error then.

--- a/e2e/answerforms_test.go
+++ b/e2e/answerforms_test.go
@@ -65,6 +65,16 @@
 	}),
 }
 
+// unframedForms send a part without a length or chunks, and end while the request is being
+// written.
+var unframedForms = []answerForm{
+	early("reset", rawanswer.Reset, func(c content) string { return c.head("200 OK") + "\r\n" + c.part }),
+	early("close with the request unread", rawanswer.Close, func(c content) string { return c.head("200 OK") + "\r\n" + c.part }),
+	early("reset, HTTP/1.0", rawanswer.Reset, func(c content) string {
+		return strings.Replace(c.head("200 OK"), "HTTP/1.1", "HTTP/1.0", 1) + "\r\n" + c.part
+	}),
+}
+
 // cutHeadForms end within their head.
 var cutHeadForms = func() []answerForm {
 	cuts := []struct {
--- a/e2e/answers_test.go
+++ b/e2e/answers_test.go
@@ -147,6 +147,7 @@
 // checkAnswers runs the checks of all forms.
 func checkAnswers(t *testing.T, routes []answerRoute) {
 	t.Run("sound", func(t *testing.T) { checkSound(t, routes) })
+	t.Run("unframed", func(t *testing.T) { checkForms(t, routes, unframedForms) })
 	t.Run("head", func(t *testing.T) { checkForms(t, routes, cutHeadForms) })
 }
 
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -83,7 +83,7 @@
 	}
 	backends := newBackendConns()
 	transport := &http.Transport{DialContext: backends.dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: upstream.MaxHeadBytes}
-	hc := &http.Client{Transport: transport}
+	hc := &http.Client{Transport: upstream.NewTransport(transport)}
 	e := &Endpoint{
 		set:         set,
 		id:          ident.EndpointID(set.ID),
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -115,7 +115,7 @@
 // New returns a client for the engine at addr (host:port). It adds no time limits to
 // those of hc and of the context of each call.
 func New(addr string, hc *http.Client) *Client {
-	return &Client{base: "http://" + addr, http: hc}
+	return &Client{base: "http://" + addr, http: upstream.Client(hc)}
 }
 
 // Status returns the state of the engine, or ErrResultUnknown if the engine gives no
--- a/pkg/kv/etcd/client.go
+++ b/pkg/kv/etcd/client.go
@@ -73,7 +73,7 @@
 		opts.WatchIdleTimeout = DefaultWatchIdleTimeout
 	}
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: upstream.MaxHeadBytes}
-	return &Client{base: "http://" + address, opts: opts, http: &http.Client{Transport: transport}}
+	return &Client{base: "http://" + address, opts: opts, http: &http.Client{Transport: upstream.NewTransport(transport)}}
 }
 
 // Close closes idle connections.
--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -57,7 +57,7 @@
 // New returns a client for the service at addr (host:port). It adds no time limits to
 // those of hc and of the context of each call.
 func New(addr string, hc *http.Client) *Client {
-	return &Client{base: "http://" + addr, http: hc}
+	return &Client{base: "http://" + addr, http: upstream.Client(hc)}
 }
 
 // Do sends the call once and reads the whole response. It returns ErrNotSent if
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -99,7 +99,7 @@
 
 // Conn is a connection to an endpoint. One attempt at a time may use it.
 type Conn struct {
-	net       net.Conn
+	net       *watchedConn
 	limiter   *headLimiter
 	reader    *bufio.Reader
 	writer    *bufio.Writer
@@ -116,7 +116,7 @@
 }
 
 func newConn(n net.Conn) *Conn {
-	c := &Conn{net: n}
+	c := &Conn{net: watch(n)}
 	c.limiter = &headLimiter{r: transferReader{c}}
 	c.reader = bufio.NewReaderSize(c.limiter, readBufferBytes)
 	c.writer = bufio.NewWriterSize(transferWriter{c}, writeBufferBytes)
@@ -133,7 +133,7 @@
 // dropped, so that a server that was unreachable does not receive and start an
 // abandoned request later.
 func (c *Conn) reset() {
-	if t, ok := c.net.(*net.TCPConn); ok {
+	if t, ok := c.net.Conn.(*net.TCPConn); ok {
 		_ = t.SetLinger(0) // fails only on a closed connection
 	}
 	c.net.Close()
@@ -145,7 +145,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.net.(syscall.Conn)
+	sc, ok := c.net.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- /dev/null
+++ b/pkg/upstream/transport.go
@@ -0,0 +1,59 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// Transport is an http.RoundTripper for the clients that use net/http. What net/http takes for
+// the end of a response although the connection was reset is an error here.
+type Transport struct{ base http.RoundTripper }
+
+// NewTransport returns a Transport that sends requests through t, whose connections it watches
+// from then on. t must not have been used before.
+func NewTransport(t *http.Transport) *Transport {
+	dial := t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return watch(c), nil
+	}
+	return &Transport{base: t}
+}
+
+// Client returns hc if it uses a Transport, else a copy of it that does. Connections that hc has
+// open stay with hc.
+func Client(hc *http.Client) *http.Client {
+	if _, ok := hc.Transport.(*Transport); ok {
+		return hc
+	}
+	base := hc.Transport
+	if base == nil {
+		base = http.DefaultTransport
+	}
+	out := *hc
+	if t, ok := base.(*http.Transport); ok {
+		out.Transport = NewTransport(t.Clone())
+	} else {
+		out.Transport = &Transport{base: base}
+	}
+	return &out
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.base.RoundTrip(r) //nolint:wrapcheck // http.Client wraps the error
+}
+
+// CloseIdleConnections closes the connections that carry no request.
+func (t *Transport) CloseIdleConnections() {
+	if c, ok := t.base.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
--- a/pkg/vmlist/vmlist.go
+++ b/pkg/vmlist/vmlist.go
@@ -48,7 +48,7 @@
 // New returns a client for the list served at addr (host:port). The client sets no
 // timeouts besides those of hc and of the context of each call.
 func New(addr string, hc *http.Client) *Client {
-	return &Client{url: "http://" + addr + "/v1/vms", http: hc}
+	return &Client{url: "http://" + addr + "/v1/vms", http: upstream.Client(hc)}
 }
 
 // Get reads the list. It returns an error if the request fails, the status is not
