upstream: a status outside of 100 to 599 is no response, and 101 neither

What callers saw: a server in trouble sent an answer whose status was 000. Behind an endpoint process callers got 600 and 999 as answers, and 101; calls of engines that were answered so were reported as not run although they may have. At a routed entry 000, 099 and 101 were skipped as informational responses: followed by a sound response, the caller got that one, and alone they held the caller until its time limit.

Cause: net/http takes any three digits for a status, "+99" included. pkg/upstream took all below 200 for informational, and the client of the engine took everything but 200 for a refusal. Status 101 ends HTTP on its connection, and no request of ours asks for that.

The key-value client took 000 for the proof that a call had no effect, the sidecar took it for a rejected order.

Change: upstream.Conn and upstream.Transport refuse heads whose status is neither informational nor between 200 and 599. The error means that nothing is known of the request, also for what the head says of limits, backoffs or leaving.

--- a/e2e/answerforms_test.go
+++ b/e2e/answerforms_test.go
@@ -75,6 +75,20 @@
 	}),
 }
 
+// statusForms have a status that is none, or one that a request cannot have asked for.
+var statusForms = func() []answerForm {
+	var forms []answerForm
+	for _, status := range []string{"000 None", "099 None", "+99 None", "101 Switching Protocols", "600 None", "999 None"} {
+		forms = append(forms,
+			sent(status, rawanswer.Stay, func(c content) string { return c.whole(status) }),
+			sent(status+" without a body, then a sound answer", rawanswer.Stay, func(c content) string {
+				return c.head(status, "Content-Length: 0\r\n") + "\r\n" + c.whole("200 OK")
+			}),
+		)
+	}
+	return forms
+}()
+
 // cutHeadForms end within their head.
 var cutHeadForms = func() []answerForm {
 	cuts := []struct {
--- a/e2e/answers_test.go
+++ b/e2e/answers_test.go
@@ -148,6 +148,7 @@
 func checkAnswers(t *testing.T, routes []answerRoute) {
 	t.Run("sound", func(t *testing.T) { checkSound(t, routes) })
 	t.Run("unframed", func(t *testing.T) { checkForms(t, routes, unframedForms) })
+	t.Run("status", func(t *testing.T) { checkForms(t, routes, statusForms) })
 	t.Run("head", func(t *testing.T) { checkForms(t, routes, cutHeadForms) })
 }
 
--- a/pkg/entry/dispatch_test.go
+++ b/pkg/entry/dispatch_test.go
@@ -56,6 +56,7 @@
 		return in
 	}
 	rows := map[string]script{
+		"no status":                  answer(5, true, nil, withStatus(0)),
 		"silence before the run":     silent,
 		"silence during the run":     answer(2, false, silent),
 		"silence after the run":      answer(5, false, silent),
@@ -80,6 +81,14 @@
 	}
 }
 
+// withStatus replaces the status in the header of an answer.
+func withStatus(status uint32) func([]*fescuev1.RunFrame) []*fescuev1.RunFrame {
+	return func(in []*fescuev1.RunFrame) []*fescuev1.RunFrame {
+		in[0].GetHeader().Status = status
+		return in
+	}
+}
+
 func doneReply() *fescuev1.RevokeReply {
 	req := &fescuev1.RunRequest{Ref: &fescuev1.AttemptRef{}, Work: &fescuev1.RunRequest_Service{Service: &fescuev1.ServiceCall{}}}
 	return &fescuev1.RevokeReply{State: fescuev1.RevokeReply_STATE_DONE, Answer: frames(req, 0, 4, true)}
@@ -104,6 +113,9 @@
 		{"run failed", broken, []*fescuev1.RevokeReply{state(fescuev1.RevokeReply_STATE_FAILED)}, 502, ident.Unknown, 1},
 		{"other incarnation", broken, []*fescuev1.RevokeReply{state(fescuev1.RevokeReply_STATE_OTHER_INCARNATION)}, 502, ident.Unknown, 1},
 		{"answer not kept", broken, []*fescuev1.RevokeReply{state(fescuev1.RevokeReply_STATE_DONE)}, 502, ident.Unknown, 1},
+		{"answer without a status", answer(4, true, nil, withStatus(0)), []*fescuev1.RevokeReply{state(fescuev1.RevokeReply_STATE_FAILED)}, 502, ident.Unknown, 1},
+		{"answer with status 101", answer(4, true, nil, withStatus(101)), []*fescuev1.RevokeReply{state(fescuev1.RevokeReply_STATE_FAILED)}, 502, ident.Unknown, 1},
+		{"answer with status 999", answer(4, true, nil, withStatus(999)), []*fescuev1.RevokeReply{state(fescuev1.RevokeReply_STATE_FAILED)}, 502, ident.Unknown, 1},
 		{"no reply", broken, nil, 502, ident.Unknown, 1},
 		{"not run after a part of the answer", answer(2, false, broken), []*fescuev1.RevokeReply{state(fescuev1.RevokeReply_STATE_NOT_RUN)}, 502, ident.Unknown, 1},
 	}
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -12,6 +12,7 @@
 	"github.com/fescuecourse/fescuecourse/pkg/logging"
 	"github.com/fescuecourse/fescuecourse/pkg/membership"
 	"github.com/fescuecourse/fescuecourse/pkg/retry"
+	"github.com/fescuecourse/fescuecourse/pkg/upstream"
 )
 
 // Errors in a response. After any of them, the entry asks the endpoint for the result
@@ -23,6 +24,7 @@
 	errNoHeader     = errors.New("answer without header")
 	errGap          = errors.New("gap in the answer")
 	errIncomplete   = errors.New("answer is incomplete")
+	errNoStatus     = errors.New("answer without a status that a caller can get")
 )
 
 // relay checks the frames of one attempt and passes their content to the caller.
@@ -92,6 +94,9 @@
 	if err := r.checkVersion(membership.EngineVersion(h.GetEngineVersion())); err != nil {
 		return err
 	}
+	if !upstream.IsFinalStatus(int(h.GetStatus())) {
+		return errNoStatus
+	}
 	if r.header {
 		return nil
 	}
--- a/pkg/gateway/brokenanswer_test.go
+++ b/pkg/gateway/brokenanswer_test.go
@@ -24,9 +24,15 @@
 
 const answerHead = "Stamp: x\r\nId: r1\r\nContent-Type: text/event-stream\r\n"
 
+// soundAnswer follows a broken answer on its connection. It does not count either.
+const soundAnswer = "HTTP/1.1 200 OK\r\n" + answerHead + "Content-Length: 19\r\n\r\nid: 2\ndata: broken\n\n"
+
 // brokenAnswers are the answers that must not count for anything.
 var brokenAnswers = []brokenAnswer{
 	{name: "reset", text: "HTTP/1.1 200 OK\r\n" + answerHead + "\r\nid: 2\ndata: broken\n\n", early: true},
+	{name: "status 000", text: "HTTP/1.1 000 None\r\n" + answerHead + "Content-Length: 0\r\n\r\n" + soundAnswer},
+	{name: "status 099", text: "HTTP/1.1 099 None\r\n" + answerHead + "Content-Length: 0\r\n\r\n" + soundAnswer},
+	{name: "status 101", text: "HTTP/1.1 101 Switching Protocols\r\n" + answerHead + "\r\n" + soundAnswer},
 }
 
 // largeUpload does not fit into the buffers of a connection.
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -266,7 +266,10 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
-		if resp.StatusCode >= http.StatusOK {
+		if err := checkHead(resp.StatusCode); err != nil {
+			return nil, err
+		}
+		if IsFinalStatus(resp.StatusCode) {
 			id := r.ResponseID(resp.Header)
 			own := id == r.ID || id == "" && first
 			if r.OnHead != nil {
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -7,7 +7,8 @@
 )
 
 // Transport is an http.RoundTripper for the clients that use net/http. What net/http takes for
-// the end of a response although the connection was reset is an error here.
+// the end of a response although the connection was reset is an error here, and so is a malformed
+// response that net/http accepts.
 type Transport struct{ base http.RoundTripper }
 
 // NewTransport returns a Transport that sends requests through t, whose connections it watches
@@ -46,9 +47,17 @@
 	return &out
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. The error of a malformed response is marked ErrMalformed.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	return t.base.RoundTrip(r) //nolint:wrapcheck // http.Client wraps the error
+	resp, err := t.base.RoundTrip(r)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // http.Client wraps the error
+	}
+	if err := checkHead(resp.StatusCode); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
 
 // CloseIdleConnections closes the connections that carry no request.
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -383,3 +383,37 @@
 		assert.Assert(t, errors.Is(err, ErrNotSent), "%q: %v", target, err)
 	}
 }
+
+// Guards against a malformed response that counts, also if it is one that is skipped before a
+// sound one.
+func TestMalformedResponseDoesNotCount(t *testing.T) {
+	for _, head := range malformedHeads {
+		for _, rest := range []string{"Content-Length: 1\r\n\r\nx", "Content-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 1\r\n\r\nx"} {
+			observed := 0
+			address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(c, head+"Id: r1\r\n"+rest) // the client may be gone
+				_, _ = io.Copy(io.Discard, c)
+			})
+			c, err := NewPool(time.Second, net.KeepAliveConfig{}).Dial(t.Context(), address)
+			assert.NilError(t, err)
+			r := request("r1")
+			r.OnHead = func(int, http.Header, bool) { observed++ }
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			_, err = c.Send(ctx, r)
+			cancel()
+			assert.Check(t, errors.Is(err, ErrMalformed) && errors.Is(err, ErrIncomplete), "%q: %v", head, err)
+			assert.Check(t, observed == 0, "%q: observed", head)
+		}
+	}
+}
+
+// malformedHeads are the beginnings of heads that net/http accepts.
+var malformedHeads = []string{
+	"HTTP/1.1 000 None\r\n",
+	"HTTP/1.1 099 None\r\n",
+	"HTTP/1.1 +99 None\r\n",
+	"HTTP/1.1 101 Switching Protocols\r\n",
+	"HTTP/1.1 600 None\r\n",
+	"HTTP/1.1 999 None\r\n",
+}
