upstream: a response with a field whose name has a space is refused

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer, with that line passed on. "Content-Length : 4" and "Transfer-Encoding : chunked" did not frame the body, which then was whatever came until the close, with sizes of chunks in it.

Cause: net/http accepts spaces in names of fields and keeps them as they are, so neither it nor the product sees what such a field means. A control byte, a tab, a byte over 127, an empty name and a control byte in a value are refused by net/http, in both families; their forms passed before and the tests stay.

Evidence, on the code before: "go test -run TestBrokenAnswersAt ./e2e" fails for "Bad Name: v", "Bad : v", a length, chunks and both with a blank, a trailer, an informational response and a refusal, on each of the five kinds of route of the routed entry (chunks not on streaming ones, where the events no longer parse) and on the four of the endpoint processes (chunks not at services, whose body is no JSON then). TestMalformedResponses fails for each call of the engine, the key-value service, the service, the VM list, the users' store and the sidecar's server.

Change: upstream.Conn and upstream.Transport refuse heads with such a field, informational ones included, and let the body end with an error if its trailer has one. net/http limits informational responses only in size once they are checked, so 100 of them are allowed. The connection of a malformed response carries no other request: net/http keeps one whose body is empty or has ended, and the next request would get what the server sends next.

--- a/e2e/answerforms_test.go
+++ b/e2e/answerforms_test.go
@@ -14,6 +14,8 @@
 	fields, body string
 	// part is a part of the body that a caller could take for a whole one.
 	part string
+	// marked is true if the body itself marks its end, so that what follows it does not count.
+	marked bool
 }
 
 // answerForm is a form of answers that a server may send.
@@ -89,6 +91,38 @@
 	return forms
 }()
 
+// fieldForms have a field whose name holds a byte that names cannot hold.
+var fieldForms = func() []answerForm {
+	var forms []answerForm
+	for _, line := range []string{"Bad Name: v", "Bad : v", "Bad\x01Name: v", "Bad\tName: v", "Bad\x7f: v", "Bad\x00: v", "Bad\xe4: v", ": v", "Good: a\x00b"} {
+		forms = append(forms, sent(strconv.Quote(line), rawanswer.Stay, func(c content) string { return c.whole("200 OK", line+"\r\n") }))
+	}
+	return append(forms,
+		sent("length with a blank", rawanswer.Close, func(c content) string {
+			return c.head("200 OK", strings.Replace(c.length(), ":", " :", 1)) + "\r\n" + c.body
+		}),
+		sent("chunks with a blank", rawanswer.Close, func(c content) string {
+			return c.head("200 OK", strings.Replace(chunkedLine, ":", " :", 1)) + "\r\n" + c.chunked("")
+		}),
+		sent("both with a blank, whole JSON", rawanswer.Close, func(c content) string {
+			return c.head("200 OK", "Content-Length : 4\r\n", "Transfer-Encoding : chunked\r\n") + "\r\n" + c.body
+		}),
+		sent("informational", rawanswer.Stay, func(c content) string {
+			return "HTTP/1.1 103 Early Hints\r\nBad Name: v\r\n\r\n" + c.whole("200 OK")
+		}),
+		sent("refusal", rawanswer.Stay, func(c content) string {
+			return c.whole("503 Service Unavailable", "X-Fescuecourse-Not-Run: 1\r\n", "Bad Name: v\r\n")
+		}),
+	)
+}()
+
+// trailerForms have such a field after the body.
+var trailerForms = []answerForm{
+	sent("trailer", rawanswer.Stay, func(c content) string {
+		return c.head("200 OK", chunkedLine) + "\r\n" + c.chunked("Bad Name: v\r\n")
+	}),
+}
+
 // cutHeadForms end within their head.
 var cutHeadForms = func() []answerForm {
 	cuts := []struct {
--- a/e2e/answers_test.go
+++ b/e2e/answers_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -149,6 +150,10 @@
 	t.Run("sound", func(t *testing.T) { checkSound(t, routes) })
 	t.Run("unframed", func(t *testing.T) { checkForms(t, routes, unframedForms) })
 	t.Run("status", func(t *testing.T) { checkForms(t, routes, statusForms) })
+	t.Run("field", func(t *testing.T) { checkForms(t, routes, fieldForms) })
+	t.Run("trailer", func(t *testing.T) {
+		checkForms(t, slices.DeleteFunc(slices.Clone(routes), func(r answerRoute) bool { return r.content.marked }), trailerForms)
+	})
 	t.Run("head", func(t *testing.T) { checkForms(t, routes, cutHeadForms) })
 }
 
@@ -210,7 +215,7 @@
 	d.startEntry("entry-1")
 	document := content{fields: "Content-Type: application/json\r\n", body: `{"sold":"stand-in"}`, part: `{"sold":"stand-in"}`}
 	event := fmt.Sprintf(`{"id":"c","object":"text_completion","created":1,"model":"tokachi/a0@1","choices":[{"index":0,"text":%q,"finish_reason":null}]}`, "stand-in")
-	events := content{fields: "Content-Type: text/event-stream\r\n", body: "data: " + event + "\n\ndata: [DONE]\n\n", part: "data: " + event + "\n\n"}
+	events := content{fields: "Content-Type: text/event-stream\r\n", body: "data: " + event + "\n\ndata: [DONE]\n\n", part: "data: " + event + "\n\n", marked: true}
 	routes := []answerRoute{
 		{name: "service", server: plain, content: document, ask: d.askService("true")},
 		{name: "service-once", server: plain, content: document, once: true, ask: d.askService("false")},
--- a/internal/malformedtest/malformedtest.go
+++ b/internal/malformedtest/malformedtest.go
@@ -25,7 +25,13 @@
 	for _, status := range []string{"000", "099", "+99", "101", "600", "999"} {
 		out = append(out, response{"status " + status, "HTTP/1.1 " + status + " None\r\n"})
 	}
-	return out
+	for _, line := range []string{"Bad Name: v", "Content-Length : 4", "Transfer-Encoding : chunked"} {
+		out = append(out, response{"field " + line, sound + line + "\r\n"})
+	}
+	return append(out,
+		response{"informational response", "HTTP/1.1 103 Early Hints\r\nBad Name: v\r\n\r\n" + sound},
+		response{"refusal", "HTTP/1.1 503 Unavailable\r\nRetry-After: 60\r\nBad Name: v\r\n"},
+	)
 }
 
 // Check calls a client of servers that send such responses, with the given body and with an empty
--- a/pkg/gateway/brokenanswer_test.go
+++ b/pkg/gateway/brokenanswer_test.go
@@ -32,6 +32,10 @@
 	{name: "reset", text: "HTTP/1.1 200 OK\r\n" + answerHead + "\r\nid: 2\ndata: broken\n\n", early: true},
 	{name: "status 000", text: "HTTP/1.1 000 None\r\n" + answerHead + "Content-Length: 0\r\n\r\n" + soundAnswer},
 	{name: "status 099", text: "HTTP/1.1 099 None\r\n" + answerHead + "Content-Length: 0\r\n\r\n" + soundAnswer},
+	{name: "name with a blank", text: "HTTP/1.1 200 OK\r\nBad Name: v\r\n" + soundAnswer[17:]},
+	{name: "refusal with a blank in a name", text: "HTTP/1.1 503 Unavailable\r\nNot-Run: 1\r\nLeaving: 1\r\nRetry-After: 60\r\nBad Name: v\r\n" + answerHead + "Content-Length: 0\r\n\r\n"},
+	{name: "length with a blank", text: "HTTP/1.1 200 OK\r\n" + answerHead + "Content-Length : 4\r\n\r\nid: 2\ndata: broken\n\n"},
+	{name: "informational response with a blank in a name", text: "HTTP/1.1 103 Early Hints\r\nBad Name: v\r\n\r\n" + soundAnswer},
 	{name: "status 101", text: "HTTP/1.1 101 Switching Protocols\r\n" + answerHead + "\r\n" + soundAnswer},
 }
 
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -266,9 +266,10 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
-		if err := checkHead(resp.StatusCode); err != nil {
+		if err := checkHead(resp.StatusCode, resp.Header); err != nil {
 			return nil, err
 		}
+		checkBody(resp, func() {}) // the exchange is aborted
 		if IsFinalStatus(resp.StatusCode) {
 			id := r.ResponseID(resp.Header)
 			own := id == r.ID || id == "" && first
--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
+	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed means that a server sent a response that does not follow HTTP/1.1, although net/http
@@ -24,10 +26,49 @@
 }
 
 // checkHead returns an error, marked ErrMalformed, for the head of a response that counts neither as
-// an informational nor as a final one.
-func checkHead(status int) error {
+// an informational nor as a final one, or that has a malformed field.
+func checkHead(status int, h http.Header) error {
 	if !IsFinalStatus(status) && !isInformational(status) {
 		return errors.Wrapf(ErrMalformed, "status %03d", status)
 	}
+	return checkFields(h)
+}
+
+// checkFields returns an error, marked ErrMalformed, for a field whose name has a byte that names
+// cannot have. net/http accepts spaces, and does not see that a Content-Length or Transfer-Encoding
+// with a space is one, so that the body is not what the server means.
+func checkFields(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrMalformed, "field %q", name)
+		}
+	}
 	return nil
 }
+
+// checkBody makes the body of a response end with an error, marked ErrMalformed, if its trailer has
+// a malformed field. It then calls discard.
+func checkBody(r *http.Response, discard func()) {
+	if r.Body != http.NoBody {
+		r.Body = &checkedBody{ReadCloser: r.Body, response: r, discard: discard}
+	}
+}
+
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+	discard  func()
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err //nolint:wrapcheck // a transparent reader
+	}
+	if malformed := checkFields(b.response.Trailer); malformed != nil {
+		b.discard()
+		return n, malformed
+	}
+	return n, io.EOF
+}
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -416,4 +416,7 @@
 	"HTTP/1.1 101 Switching Protocols\r\n",
 	"HTTP/1.1 600 None\r\n",
 	"HTTP/1.1 999 None\r\n",
+	"HTTP/1.1 200 OK\r\nBad Name: v\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n",
+	"HTTP/1.1 103 Early Hints\r\nBad Name: v\r\n",
 }
