service: net/http does not send a call a second time

What callers saw: a service that closed a connection without a byte of a response, the shortest form of a head that is cut, executed a call without a body twice, also one of a route that may run once.

Cause: on a connection that it has used before, net/http takes a close without a response for the end of an idle connection, and sends GET, HEAD, OPTIONS and TRACE requests without a body again. A nil GetBody keeps it from repeating bodies only.

Change: a call of these methods without a body gets a body that net/http cannot get again and finds to be empty. On the wire nothing changes for GET, HEAD and OPTIONS; TRACE gets an empty chunked body. A call that meets the close of an idle connection is unknown then, as calls with a body were.

Result: each call reaches the service once.

--- a/pkg/engine/malformed_test.go
+++ b/pkg/engine/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 
@@ -37,3 +38,32 @@
 		})
 	}
 }
+
+// Guards against a call or command that is sent a second time, or counts as executed or refused,
+// because the engine closed its connection within the head of its response.
+func TestCutHeads(t *testing.T) {
+	calls := map[string]func(ctx context.Context, c *engine.Client) error{
+		"load":   func(ctx context.Context, c *engine.Client) error { return c.Load(ctx, engine.Command{}) },
+		"unload": func(ctx context.Context, c *engine.Client) error { return c.Unload(ctx, engine.Command{}) },
+		"generate": func(ctx context.Context, c *engine.Client) error {
+			s, err := c.Generate(ctx, engine.Call{Path: "/v1/completions", Body: []byte("{}")})
+			if err != nil {
+				return err
+			}
+			defer s.Close()
+			_, err = s.Next()
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		},
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			malformedtest.CheckCutHeads(t, "data: [DONE]\n", engine.ErrResultUnknown, func(address string) func() error {
+				c := engine.New(address, &http.Client{})
+				return func() error { return call(t.Context(), c) }
+			})
+		})
+	}
+}
--- a/pkg/kv/etcd/malformed_test.go
+++ b/pkg/kv/etcd/malformed_test.go
@@ -30,3 +30,13 @@
 		})
 	}
 }
+
+// Guards against a transaction that is sent a second time, or counts as done or refused, because the
+// service closed its connection within the head of its response.
+func TestCutHeads(t *testing.T) {
+	malformedtest.CheckCutHeads(t, "{}", kv.ErrUnavailable, func(address string) func() error {
+		c := etcd.New(address, etcd.Options{CallTimeout: time.Second})
+		t.Cleanup(c.Close)
+		return func() error { _, err := c.Txn(t.Context(), kv.Txn{}); return err }
+	})
+}
--- a/pkg/service/malformed_test.go
+++ b/pkg/service/malformed_test.go
@@ -15,3 +15,23 @@
 		return err
 	})
 }
+
+// Guards against a call that net/http sends a second time because the service closed its connection
+// without a response: the call may have been executed.
+func TestCallIsSentOnce(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPost, http.MethodDelete} {
+		t.Run(method, func(t *testing.T) {
+			body := `{"sold":"a"}`
+			if method == http.MethodHead {
+				body = ""
+			}
+			malformedtest.CheckCutHeads(t, body, service.ErrResultUnknown, func(address string) func() error {
+				c := service.New(address, &http.Client{})
+				return func() error {
+					_, err := c.Do(t.Context(), service.Call{Method: method, Path: "/x"})
+					return err
+				}
+			})
+		})
+	}
+}
--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -68,9 +70,7 @@
 	if err != nil {
 		return Response{}, errors.Mark(errors.Wrap(err, "build call of service"), ErrNotSent)
 	}
-	// A nil GetBody keeps net/http from sending the body a second time on
-	// another connection, which could execute the call twice.
-	req.GetBody = nil
+	keepFromRepeating(req)
 	req.Header.Set("Content-Type", call.ContentType)
 	req.Header.Set(HeaderRequestID, string(call.RequestID))
 	resp, err := c.http.Do(req)
@@ -88,6 +88,19 @@
 	return Response{Status: resp.StatusCode, Backoff: backoff(resp), ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// keepFromRepeating keeps net/http from sending a request a second time if the service closes its
+// connection without a response, which could execute the call twice. It repeats requests whose body
+// it can get again and, with some methods, those without a body.
+func keepFromRepeating(r *http.Request) {
+	r.GetBody = nil
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		if r.Body == http.NoBody {
+			r.Body = io.NopCloser(strings.NewReader("")) // net/http finds out that it is empty and sends none
+		}
+	}
+}
+
 // backoff returns the time for which a service that refused a call wants no others, or 0.
 func backoff(r *http.Response) time.Duration {
 	after, ok := upstream.RetryAfter(r.Header)
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -15,6 +15,8 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/fescuecourse/fescuecourse/internal/malformedtest"
 )
 
 // startServer starts a server that handles each connection with fn, which gets the number
@@ -420,3 +422,31 @@
 	"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n",
 	"HTTP/1.1 103 Early Hints\r\nBad Name: v\r\n",
 }
+
+// Guards against a request that is sent a second time, or gets a response, because the endpoint
+// closed a connection that it had used before within the head of a response.
+func TestCutHeads(t *testing.T) {
+	malformedtest.CheckCutHeads(t, "whole", ErrIncomplete, func(address string) func() error {
+		p := NewPool(time.Second, net.KeepAliveConfig{})
+		return func() error {
+			c, err := p.Get(t.Context(), "k", address, nil)
+			if err != nil {
+				return err
+			}
+			r := request("r1")
+			r.ResponseID = func(http.Header) string { return "r1" }
+			x, err := c.Send(t.Context(), r)
+			if err != nil {
+				return err
+			}
+			if _, err := io.ReadAll(x.Response.Body); err != nil {
+				x.Abort()
+				return err
+			}
+			if x.Finish() {
+				p.Put("k", c)
+			}
+			return nil
+		}
+	})
+}
