upstream: chunks of an HTTP/1.0 response are no body

What callers would see: the sizes of chunks within a body that is not the server's, as with a "Transfer-Encoding : chunked".

Cause: net/http drops a Transfer-Encoding from responses of HTTP/1.0, and the body is whatever comes until the close. RFC 9112 section 6.1 asks for such a response to be treated as faultily framed.

Evidence, on the code before: "go test -run TestBrokenAnswersAtRoutedEntry/framing ./e2e" fails on the three routes that are not streaming; on streaming ones the events no longer parse. Behind endpoint processes and in the other clients of net/http nothing is taken for a response: the body is no JSON then. Engines' events, which name their model and mark their end, are whole or refused.

Change: upstream.Conn looks at the head of a response of HTTP/1.0 before net/http reads it.

Result: the form is refused on all routes; sound responses of HTTP/1.0 pass, however their heads arrive.

--- a/e2e/answerforms_test.go
+++ b/e2e/answerforms_test.go
@@ -116,8 +116,11 @@
 	)
 }()
 
-// trailerForms have such a field after the body.
-var trailerForms = []answerForm{
+// framingForms have such a field after the body, or chunks that net/http does not read as such.
+var framingForms = []answerForm{
+	sent("chunks of HTTP/1.0", rawanswer.Close, func(c content) string {
+		return strings.Replace(c.head("200 OK", chunkedLine), "HTTP/1.1", "HTTP/1.0", 1) + "\r\n" + c.chunked("")
+	}),
 	sent("trailer", rawanswer.Stay, func(c content) string {
 		return c.head("200 OK", chunkedLine) + "\r\n" + c.chunked("Bad Name: v\r\n")
 	}),
--- a/e2e/answers_test.go
+++ b/e2e/answers_test.go
@@ -151,8 +151,8 @@
 	t.Run("unframed", func(t *testing.T) { checkForms(t, routes, unframedForms) })
 	t.Run("status", func(t *testing.T) { checkForms(t, routes, statusForms) })
 	t.Run("field", func(t *testing.T) { checkForms(t, routes, fieldForms) })
-	t.Run("trailer", func(t *testing.T) {
-		checkForms(t, slices.DeleteFunc(slices.Clone(routes), func(r answerRoute) bool { return r.content.marked }), trailerForms)
+	t.Run("framing", func(t *testing.T) {
+		checkForms(t, slices.DeleteFunc(slices.Clone(routes), func(r answerRoute) bool { return r.content.marked }), framingForms)
 	})
 	t.Run("head", func(t *testing.T) { checkForms(t, routes, cutHeadForms) })
 }
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -260,16 +260,10 @@
 func (c *Conn) read(r *Request) (*http.Response, error) {
 	first := !c.reused
 	for range maxSkippedResponses {
-		c.limiter.expectHead(true)
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		c.limiter.expectHead(false)
+		resp, err := c.readHead(r.Method)
 		if err != nil {
-			return nil, errors.Wrap(err, "read response")
-		}
-		if err := checkHead(resp.StatusCode, resp.Header); err != nil {
 			return nil, err
 		}
-		checkBody(resp, func() {}) // the exchange is aborted
 		if IsFinalStatus(resp.StatusCode) {
 			id := r.ResponseID(resp.Header)
 			own := id == r.ID || id == "" && first
@@ -291,6 +285,25 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
+// readHead reads the head of the next response to a request of the given method, and checks it. The
+// error of a malformed response is marked ErrMalformed.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.limiter.expectHead(true)
+	defer c.limiter.expectHead(false)
+	if err := checkHTTP10(c.reader); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, errors.Wrap(err, "read response")
+	}
+	if err := checkHead(resp.StatusCode, resp.Header); err != nil {
+		return nil, err
+	}
+	checkBody(resp, func() {}) // the exchange is aborted
+	return resp, nil
+}
+
 // Exchange is a request whose response header has been received.
 type Exchange struct {
 	Response *http.Response
