--- a/internal/malformedtest/cuthead.go
+++ b/internal/malformedtest/cuthead.go
@@ -50,24 +50,13 @@
 // start starts the server and returns its address.
 func (s *cutServer) start(t *testing.T) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { lis.Close() })
-	go func() {
-		for {
-			c, err := lis.Accept()
-			if err != nil {
-				return // closed
-			}
-			s.conns.Add(1)
-			go s.serve(c)
-		}
-	}()
-	return lis.Addr().String()
+	return listen(t, func(c net.Conn) {
+		s.conns.Add(1)
+		s.serve(c)
+	})
 }
 
 func (s *cutServer) serve(c net.Conn) {
-	defer c.Close()
 	requests := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(requests)
--- a/internal/malformedtest/malformedtest.go
+++ b/internal/malformedtest/malformedtest.go
@@ -53,6 +53,13 @@
 func serve(t *testing.T, head, body string) string {
 	t.Helper()
 	text := head + fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return listen(t, func(c net.Conn) { answer(c, text) })
+}
+
+// listen passes each connection to a loopback address to a function, and closes it afterwards. It
+// returns the address.
+func listen(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { lis.Close() })
@@ -62,14 +69,16 @@
 			if err != nil {
 				return // closed
 			}
-			go answer(c, text)
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
 		}
 	}()
 	return lis.Addr().String()
 }
 
 func answer(c net.Conn, text string) {
-	defer c.Close()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
